Design, messages, ports and typed state

Cause: the repository was empty; packages that are built side by side need agreed messages and interfaces first. Ruled out: one global replicated group, which stops when a data centre is partitioned, and per-worker agreement, which cannot commit a gang. Conclusion: the thin path can be built on these interfaces.

--- /dev/null
+++ b/internal/structs/work.go
@@ -0,0 +1,161 @@
+package structs
+
+import (
+	"time"
+
+	"laburnumgrade/gen/statev1"
+)
+
+// Class is the kind of a document's work, which selects its policy.
+type Class int
+
+// Classes of work.
+const (
+	ClassUnspecified Class = iota
+	ClassService
+	ClassBatch
+	ClassGang
+)
+
+// WorkSpec is what a document says about its work.
+type WorkSpec struct {
+	Team    string
+	Service string
+	// Version of the document.
+	Version uint64
+	Command string
+	Class   Class
+	// Size of one task.
+	Size       Resources
+	Tasks      int
+	Idempotent bool
+	// Exclusive work never has two attempts of a task at once.
+	Exclusive bool
+	OpenQueue bool
+	// RunTime is the declared run time of a task; it is often far off.
+	RunTime  time.Duration
+	Deadline time.Duration
+	// WaitWhenFull is false if work is to be refused when the cell is full.
+	WaitWhenFull  bool
+	MayThrottle   bool
+	MayCheckpoint bool
+	MayPreempt    bool
+	// QueueLimit bounds the team's waiting tasks of this service.
+	QueueLimit int
+}
+
+// WorkSpecFromProto returns the specification in a message.
+func WorkSpecFromProto(p *statev1.WorkSpec) WorkSpec {
+	return WorkSpec{
+		Team: p.GetTeam(), Service: p.GetService(), Version: p.GetVersion(), Command: p.GetCommand(),
+		Class: Class(p.GetClass()), Size: ResourcesFromProto(p.GetSize()), Tasks: int(p.GetTasks()),
+		Idempotent: p.GetIdempotent(), Exclusive: p.GetExclusive(), OpenQueue: p.GetOpenQueue(),
+		RunTime:      time.Duration(p.GetRunTimeMs()) * time.Millisecond,
+		Deadline:     time.Duration(p.GetDeadlineMs()) * time.Millisecond,
+		WaitWhenFull: p.GetWaitWhenFull(), MayThrottle: p.GetMayThrottle(),
+		MayCheckpoint: p.GetMayCheckpoint(), MayPreempt: p.GetMayPreempt(), QueueLimit: int(p.GetQueueLimit()),
+	}
+}
+
+// Proto returns the message form of the specification.
+func (s WorkSpec) Proto() *statev1.WorkSpec {
+	return &statev1.WorkSpec{
+		Team: s.Team, Service: s.Service, Version: s.Version, Command: s.Command,
+		Class: statev1.WorkSpec_Class(s.Class), Size: s.Size.Proto(), Tasks: int32(s.Tasks),
+		Idempotent: s.Idempotent, Exclusive: s.Exclusive, OpenQueue: s.OpenQueue,
+		RunTimeMs: s.RunTime.Milliseconds(), DeadlineMs: s.Deadline.Milliseconds(),
+		WaitWhenFull: s.WaitWhenFull, MayThrottle: s.MayThrottle, MayCheckpoint: s.MayCheckpoint,
+		MayPreempt: s.MayPreempt, QueueLimit: int64(s.QueueLimit),
+	}
+}
+
+// Worker is a target that runs tasks.
+type Worker struct {
+	ID string
+	// Incarnation changes when the worker's agent restarts.
+	Incarnation uint64
+	Rack        string
+	Capacity    Resources
+	// Committed is the sum of the sizes of the worker's open attempts.
+	Committed Resources
+	Leaving   bool
+	Probation bool
+	Lost      bool
+	// Attempts holds the open attempts by id.
+	Attempts map[uint64]struct{}
+}
+
+// Free returns the capacity that is not committed.
+func (w *Worker) Free() Resources { return w.Capacity.Sub(w.Committed) }
+
+// Placeable reports whether new work may be placed on the worker.
+func (w *Worker) Placeable() bool { return !w.Leaving && !w.Lost }
+
+// TaskState is the state of a task.
+type TaskState int
+
+// States of a task. An ended task never changes again.
+const (
+	TaskWaiting TaskState = iota
+	TaskRunning
+	TaskEnded
+)
+
+// Outcome is how a task or request ended.
+type Outcome int
+
+// Outcomes, numbered as in the api messages.
+const (
+	OutcomeNone Outcome = iota
+	OutcomeOK
+	OutcomeNotRun
+	OutcomeFailed
+	OutcomeUnknown
+	OutcomeCancelled
+)
+
+// Task is one unit of a job that is placed on a worker.
+type Task struct {
+	State TaskState
+	// Attempt is the id of the open attempt, 0 if none.
+	Attempt  uint64
+	Attempts int
+	Outcome  Outcome
+	Answer   []byte
+	Detail   string
+}
+
+// Job is a piece of accepted work, made of one or more tasks.
+type Job struct {
+	ID      string
+	Spec    WorkSpec
+	Payload []byte
+	Urgent  bool
+	// Deadline is the time from acceptance within which the job must start; 0
+	// means no limit.
+	Deadline  time.Duration
+	Digest    uint64
+	Tasks     []Task
+	Cancelled bool
+	// AcceptedAt is the log time of the acceptance, in ms since the Unix epoch.
+	AcceptedAt int64
+	// EndedTasks counts the tasks that have ended.
+	EndedTasks int
+}
+
+// Ended reports whether every task has ended.
+func (j *Job) Ended() bool { return j.EndedTasks == len(j.Tasks) }
+
+// Attempt is one run of a task on one incarnation of a worker.
+type Attempt struct {
+	ID          uint64
+	JobID       string
+	Task        int
+	Number      int
+	WorkerID    string
+	Incarnation uint64
+	Size        Resources
+	Team        string
+	// Stopping is set when the worker is to stop the attempt.
+	Stopping bool
+}
