State machines of the groups, leases and the control service, with a one-replica log

Cause: the thin path needs durable commitments before a target hears of them. Ruled out: a lease table that is cleared by the expiry loop after a leader change; a renewal between the change and the clearing would be forgotten and its worker declared lost early. The table takes the start of the leadership with each call instead.

--- /dev/null
+++ b/internal/adapter/peer/client.go
@@ -0,0 +1,157 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+
+	"laburnumgrade/internal/port"
+)
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	// retryPause is the pause after all processes of a group were asked.
+	retryPause = 30 * time.Millisecond
+	// metaLeader is the twirp error metadata with the leader's address.
+	metaLeader = "leader_address"
+)
+
+// NewHTTPClient returns a client for calls between processes.
+func NewHTTPClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: 256,
+		IdleConnTimeout:     90 * time.Second,
+	}}
+}
+
+// NotLeader returns the twirp error for a process that does not lead.
+func NotLeader(err *port.NotLeaderError) error {
+	return twirp.NewError(twirp.FailedPrecondition, err.Error()).WithMeta(metaLeader, err.Address)
+}
+
+// Group calls the leader of a group through any of its processes.
+type Group struct {
+	name   string
+	client *http.Client
+
+	mu     sync.Mutex
+	hosts  []string
+	leader string
+	next   int
+}
+
+// NewGroup returns a caller for the group whose processes have the addresses.
+func NewGroup(name string, client *http.Client, hosts []string) *Group {
+	return &Group{name: name, client: client, hosts: hosts}
+}
+
+// CallError is the failure of a call to a group.
+type CallError struct {
+	Group string
+	Peer  string
+	Err   error
+	// Sent is true if a process may have received the call.
+	Sent bool
+}
+
+// Error implements error.
+func (e *CallError) Error() string {
+	return "call group " + e.Group + " (peer " + e.Peer + "): " + e.Err.Error()
+}
+
+// Unwrap returns the underlying error.
+func (e *CallError) Unwrap() error { return e.Err }
+
+// Call runs fn against the group's leader until it succeeds, fails for another
+// reason than reachability or leadership, or the context ends. fn may run more
+// than once, so the operation must be idempotent.
+func Call[T any](ctx context.Context, g *Group, fn func(ctx context.Context, client *http.Client, url string) (T, error)) (T, error) {
+	var zero T
+	failure := &CallError{Group: g.name, Err: errors.New("no process is known")}
+	for tried := 0; ; tried++ {
+		host := g.host()
+		if host == "" {
+			return zero, failure
+		}
+		result, err := fn(ctx, g.client, "http://"+host)
+		if err == nil {
+			g.setLeader(host)
+			return result, nil
+		}
+		failure.Peer = host
+		failure.Err = err
+		retry, sent := g.handle(host, err)
+		failure.Sent = failure.Sent || sent
+		if !retry || ctx.Err() != nil {
+			return zero, failure
+		}
+		if tried >= 1 && !pause(ctx, retryPause) {
+			return zero, failure
+		}
+	}
+}
+
+// handle says whether to retry, and whether the call may have been received.
+func (g *Group) handle(host string, err error) (retry, sent bool) {
+	var t twirp.Error
+	if errors.As(err, &t) {
+		if t.Code() == twirp.FailedPrecondition {
+			g.redirect(host, t.Meta(metaLeader))
+			return true, false
+		}
+		if t.Code() != twirp.Internal && t.Code() != twirp.Unavailable && t.Code() != twirp.Unknown {
+			return false, true
+		}
+	}
+	g.redirect(host, "")
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return true, false
+	}
+	return true, true
+}
+
+func (g *Group) host() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.leader != "" {
+		return g.leader
+	}
+	if len(g.hosts) == 0 {
+		return ""
+	}
+	return g.hosts[g.next%len(g.hosts)]
+}
+
+func (g *Group) setLeader(host string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leader = host
+}
+
+func (g *Group) redirect(from, to string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if to == from {
+		to = ""
+	}
+	g.leader = to
+	if to == "" {
+		g.next++
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/internal/adapter/peer/doc.go
@@ -0,0 +1,2 @@
+// Package peer connects the system's own processes by twirp.
+package peer
--- /dev/null
+++ b/internal/control/datacentre.go
@@ -0,0 +1,167 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"laburnumgrade/gen/apiv1"
+	"laburnumgrade/gen/peerv1"
+	"laburnumgrade/gen/statev1"
+	"laburnumgrade/internal/state"
+	"laburnumgrade/internal/structs"
+)
+
+// DataCentreServer serves DataCentreService.
+type DataCentreServer struct{ server *Server }
+
+// SubmitJob makes a job durable.
+func (d *DataCentreServer) SubmitJob(ctx context.Context, r *peerv1.SubmitJobCommand) (*peerv1.SubmitJobReply, error) {
+	g, _, err := d.leading(r.DataCentre)
+	if err != nil {
+		return nil, err
+	}
+	result, err := g.propose(ctx, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_SubmitJob{SubmitJob: r.Job}})
+	if err != nil {
+		return nil, err
+	}
+	return &peerv1.SubmitJobReply{Duplicate: result.Duplicate, Refusal: result.Refusal}, nil
+}
+
+// WaitJob returns the job when it has ended or the time has passed.
+func (d *DataCentreServer) WaitJob(ctx context.Context, r *apiv1.WaitJobRequest) (*apiv1.Job, error) {
+	g, err := d.groupOfJob(r.JobId)
+	if err != nil {
+		return nil, err
+	}
+	timeout := time.After(time.Duration(r.WaitMs) * time.Millisecond)
+	for {
+		changed := g.changes.wait("job/" + r.JobId)
+		j, ok := g.Store.Job(r.JobId)
+		if _, err := lead(g.Name, g.Log); err != nil {
+			return nil, err
+		}
+		if !ok {
+			return nil, twirp.NotFoundError("job " + r.JobId + " is not known")
+		}
+		if j.Ended() {
+			return jobMessage(&j, g.Name), nil
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return jobMessage(&j, g.Name), nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// CancelJob cancels a job; what runs is stopped by its worker.
+func (d *DataCentreServer) CancelJob(ctx context.Context, r *apiv1.CancelJobRequest) (*apiv1.Job, error) {
+	g, err := d.groupOfJob(r.JobId)
+	if err != nil {
+		return nil, err
+	}
+	result, err := g.propose(ctx, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_CancelJob{CancelJob: &statev1.CancelJob{JobId: r.JobId}}})
+	if err != nil {
+		return nil, err
+	}
+	if result.Refusal != "" {
+		return nil, twirp.NotFoundError(result.Refusal)
+	}
+	j, _ := g.Store.Job(r.JobId)
+	return jobMessage(&j, g.Name), nil
+}
+
+// RecordRequest makes a non-idempotent request durable before it is sent.
+func (d *DataCentreServer) RecordRequest(ctx context.Context, r *peerv1.RecordRequestRequest) (*peerv1.RecordRequestReply, error) {
+	g, _, err := d.leading(r.DataCentre)
+	if err != nil {
+		return nil, err
+	}
+	result, err := g.propose(ctx, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_RecordRequest{RecordRequest: r.Record}})
+	if err != nil {
+		return nil, err
+	}
+	reply := &peerv1.RecordRequestReply{Granted: result.Granted, Refusal: result.Refusal}
+	if q := result.Request; q != nil {
+		reply.Pending = q.Outcome == structs.OutcomeNone
+		reply.Answer = answerMessage(q)
+	}
+	return reply, nil
+}
+
+// EndRequest records the outcome of a request.
+func (d *DataCentreServer) EndRequest(ctx context.Context, r *peerv1.EndRequestRequest) (*peerv1.RecordRequestReply, error) {
+	g, _, err := d.leading(r.DataCentre)
+	if err != nil {
+		return nil, err
+	}
+	result, err := g.propose(ctx, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_EndRequest{EndRequest: r.End}})
+	if err != nil {
+		return nil, err
+	}
+	return &peerv1.RecordRequestReply{Refusal: result.Refusal}, nil
+}
+
+// Status returns the state of the groups as this process sees it.
+func (d *DataCentreServer) Status(context.Context, *apiv1.StatusRequest) (*apiv1.StatusResponse, error) {
+	return d.server.status(), nil
+}
+
+// leading returns the group if this process leads it, and since when.
+func (d *DataCentreServer) leading(dataCentre string) (*DataCentreGroup, time.Duration, error) {
+	g, err := d.server.group(dataCentre)
+	if err != nil {
+		return nil, 0, err
+	}
+	since, err := lead(g.Name, g.Log)
+	return g, since, err
+}
+
+// groupOfJob returns the group that is the home of the job id.
+func (d *DataCentreServer) groupOfJob(id string) (*DataCentreGroup, error) {
+	g, _, err := d.leading(state.Home(id, d.server.dataCentres))
+	return g, err
+}
+
+func jobMessage(j *structs.Job, dataCentre string) *apiv1.Job {
+	m := &apiv1.Job{JobId: j.ID, Team: j.Spec.Team, Service: j.Spec.Service, DataCentre: dataCentre, State: apiv1.JobState_JOB_STATE_WAITING}
+	for i := range j.Tasks {
+		t := &j.Tasks[i]
+		if t.State != structs.TaskWaiting {
+			m.State = apiv1.JobState_JOB_STATE_RUNNING
+		}
+		m.Results = append(m.Results, &apiv1.TaskResult{
+			Task: int32(i), Outcome: apiv1.Outcome(t.Outcome), Answer: t.Answer, Detail: t.Detail, Attempts: int32(t.Attempts),
+		})
+	}
+	if j.Ended() {
+		m.State = apiv1.JobState_JOB_STATE_ENDED
+		m.Outcome = apiv1.Outcome(j.Outcome())
+	}
+	return m
+}
+
+func answerMessage(r *structs.Request) *apiv1.CallResponse {
+	return &apiv1.CallResponse{RequestId: r.ID, Outcome: apiv1.Outcome(r.Outcome), Body: r.Body, Detail: r.Detail}
+}
+
+// ExplainJob says why a job waits.
+func (d *DataCentreServer) ExplainJob(_ context.Context, r *apiv1.ExplainJobRequest) (*apiv1.ExplainJobResponse, error) {
+	g, err := d.groupOfJob(r.JobId)
+	if err != nil {
+		return nil, err
+	}
+	j, ok := g.Store.Job(r.JobId)
+	if !ok {
+		return nil, twirp.NotFoundError("job " + r.JobId + " is not known")
+	}
+	reply := &apiv1.ExplainJobResponse{JobId: j.ID, State: jobMessage(&j, g.Name).State}
+	if t := g.Store.Team(j.Spec.Team); !t.Running.Add(j.Spec.Size).Fits(t.Allotment) {
+		reply.Reasons = append(reply.Reasons, "team "+t.Name+" is at its allotment in this data centre")
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/internal/control/expire.go
@@ -0,0 +1,124 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"laburnumgrade/gen/statev1"
+	"laburnumgrade/internal/structs"
+)
+
+// expireInterval is how often the leader looks for leases that have run out.
+const expireInterval = 200 * time.Millisecond
+
+// expire ends the leases of workers, instances and entries that have surely
+// run out, and keeps the log time moving, while this process leads the group.
+func (s *Server) expire(ctx context.Context, g *DataCentreGroup) {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		since, valid := g.Log.Lease()
+		if valid {
+			s.expireOnce(ctx, g, since)
+		}
+	}
+}
+
+func (s *Server) expireOnce(ctx context.Context, g *DataCentreGroup, since time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, opTimeout)
+	defer cancel()
+	now := s.clock.Now()
+	s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_AdvanceTime{AdvanceTime: &statev1.AdvanceTime{UnixMs: time.Now().UnixMilli()}}})
+	for _, id := range g.Store.WorkerIDs() {
+		if w, ok := g.Store.Worker(id); ok && !w.Lost {
+			s.expireWorker(ctx, g, &w, since, now)
+		}
+	}
+	for _, in := range g.Store.Instances() {
+		s.expireInstance(ctx, g, &in, since, now)
+	}
+	s.assignSlots(ctx, g, since, now)
+}
+
+func (s *Server) expireWorker(ctx context.Context, g *DataCentreGroup, w *structs.Worker, since, now time.Duration) {
+	if !g.workers.BeginEnd(w.ID, since, now) {
+		return
+	}
+	s.logger.Warn("worker lost: its lease has run out", "step", "expire worker", "peer", w.ID, "attempts", len(w.Attempts))
+	if s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_LoseWorker{LoseWorker: &statev1.LoseWorker{WorkerId: w.ID, Incarnation: w.Incarnation}}}) {
+		g.workers.EndDone(w.ID, since)
+	}
+}
+
+func (s *Server) expireInstance(ctx context.Context, g *DataCentreGroup, in *structs.Instance, since, now time.Duration) {
+	if !g.instances.BeginEnd(in.ID, since, now) {
+		return
+	}
+	s.logger.Warn("instance removed: its announcement has run out", "step", "expire instance", "peer", in.ID)
+	if s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_RemoveInstance{RemoveInstance: &statev1.RemoveInstance{InstanceId: in.ID, Incarnation: in.Incarnation}}}) {
+		g.instances.EndDone(in.ID, since)
+	}
+}
+
+// assignSlots gives each instance without a live entry to the live entry that
+// has the fewest.
+func (s *Server) assignSlots(ctx context.Context, g *DataCentreGroup, since, now time.Duration) {
+	for _, entry := range g.liveEntries() {
+		if g.slots.BeginEnd(entry, since, now) {
+			g.dropEntry(entry)
+			g.slots.EndDone(entry, since)
+		}
+	}
+	live := g.liveEntries()
+	held := map[string]int{}
+	var free []structs.Instance
+	for _, in := range g.Store.Instances() {
+		if g.entryAddress(in.Entry) != "" {
+			held[in.Entry]++
+			continue
+		}
+		// An entry that an earlier leader knew may hold a lease until it has
+		// run out, counted from when this process began to lead.
+		if in.Entry != "" && !g.slots.BeginEnd(in.Entry, since, now) {
+			continue
+		}
+		g.slots.EndDone(in.Entry, since)
+		free = append(free, in)
+	}
+	for i := range free {
+		entry := fewest(live, held)
+		if entry == "" {
+			return
+		}
+		held[entry]++
+		s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_AssignSlots{AssignSlots: &statev1.AssignSlots{
+			InstanceId: free[i].ID, Incarnation: free[i].Incarnation, Entry: entry, EntryAddress: g.entryAddress(entry),
+		}}})
+	}
+}
+
+func fewest(entries []string, held map[string]int) string {
+	best := ""
+	for _, e := range entries {
+		if best == "" || held[e] < held[best] {
+			best = e
+		}
+	}
+	return best
+}
+
+// try proposes a command of the leader's own and reports whether it was
+// applied, refused or not. A failure is logged and the command is tried again
+// at the next interval.
+func (s *Server) try(ctx context.Context, g *DataCentreGroup, c *statev1.DataCentreCommand) bool {
+	if _, err := g.propose(ctx, c); err != nil {
+		s.logger.Warn("proposal failed", "step", "propose", "group", g.Name, "error", err)
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/control/fleet.go
@@ -0,0 +1,110 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"laburnumgrade/gen/apiv1"
+	"laburnumgrade/gen/peerv1"
+	"laburnumgrade/internal/lease"
+	"laburnumgrade/internal/structs"
+)
+
+// FleetServer serves FleetService.
+type FleetServer struct{ server *Server }
+
+// Propose commits an operator's change.
+func (f *FleetServer) Propose(ctx context.Context, r *peerv1.ProposeRequest) (*peerv1.ProposeResponse, error) {
+	g, err := f.group()
+	if err != nil {
+		return nil, err
+	}
+	if _, err := lead("fleet", g.Log); err != nil {
+		return nil, err
+	}
+	result, err := g.propose(ctx, r.Command)
+	if err != nil {
+		return nil, err
+	}
+	return &peerv1.ProposeResponse{Result: result}, nil
+}
+
+// RenewConfig renews a holder's configuration lease. The holder is entered in
+// the table before the changes are read, so a change that the reply lacks is
+// outstanding until the holder applies it.
+func (f *FleetServer) RenewConfig(_ context.Context, r *peerv1.RenewConfigRequest) (*peerv1.RenewConfigResponse, error) {
+	g, err := f.group()
+	if err != nil {
+		return nil, err
+	}
+	if _, err := lead("fleet", g.Log); err != nil {
+		return nil, err
+	}
+	g.holders.Renew(r.Holder, r.DataCentre, r.AppliedIndex, f.server.clock.Now())
+	g.demand.set(r.DataCentre, r.Demand)
+	index, changes, full := g.Store.Since(r.AppliedIndex)
+	if _, err := lead("fleet", g.Log); err != nil {
+		return nil, err
+	}
+	return &peerv1.RenewConfigResponse{LeaseMs: lease.Config.Milliseconds(), Index: index, Changes: changes, Full: full}, nil
+}
+
+// GetChange reports whether a change is in force everywhere.
+func (f *FleetServer) GetChange(_ context.Context, r *apiv1.GetChangeRequest) (*apiv1.Change, error) {
+	g, err := f.group()
+	if err != nil {
+		return nil, err
+	}
+	since, err := lead("fleet", g.Log)
+	if err != nil {
+		return nil, err
+	}
+	if r.Index > g.Store.Index() {
+		return nil, twirp.NotFoundError("no change has this index")
+	}
+	outstanding := g.holders.Outstanding(r.Index, since, f.server.clock.Now())
+	return &apiv1.Change{Index: r.Index, InForce: len(outstanding) == 0, Outstanding: outstanding}, nil
+}
+
+func (f *FleetServer) group() (*FleetGroup, error) {
+	if f.server.fleet == nil {
+		return nil, twirp.NewError(twirp.FailedPrecondition, "this process holds no replica of the fleet group")
+	}
+	return f.server.fleet, nil
+}
+
+// teamDemand is what a team runs and waits for in a data centre.
+type teamDemand struct {
+	Running, Waiting, Allotment structs.Resources
+}
+
+// demandTable holds the demand that each data centre's leader reported last.
+type demandTable struct {
+	mu     sync.Mutex
+	byTeam map[string]map[string]teamDemand
+}
+
+func newDemandTable() *demandTable {
+	return &demandTable{byTeam: map[string]map[string]teamDemand{}}
+}
+
+func (t *demandTable) set(dataCentre string, demand []*peerv1.TeamDemand) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, d := range demand {
+		if t.byTeam[d.Team] == nil {
+			t.byTeam[d.Team] = map[string]teamDemand{}
+		}
+		t.byTeam[d.Team][dataCentre] = teamDemand{
+			Running:   structs.ResourcesFromProto(d.Running),
+			Waiting:   structs.ResourcesFromProto(d.Waiting),
+			Allotment: structs.ResourcesFromProto(d.Allotment),
+		}
+	}
+}
+
+// opTimeout bounds a background proposal.
+const opTimeout = 2 * time.Second
--- /dev/null
+++ b/internal/lease/doc.go
@@ -0,0 +1,25 @@
+// Package lease holds the arithmetic of leases between processes whose clocks
+// run at rates that differ by a bounded drift. The holder counts from when it
+// asked, the granter from when it granted, so a delayed reply is always safe.
+package lease
+
+import "time"
+
+const (
+	// MaxClockDriftPercent bounds how far the rates of two clocks differ.
+	MaxClockDriftPercent = 1
+	// Worker is how long a worker may run its tasks after it asked.
+	Worker = 4 * time.Second
+	// Config is how long a process may serve under a configuration.
+	Config = 1500 * time.Millisecond
+	// Slot is how long an entry may hand out an instance's slots.
+	Slot = 3 * time.Second
+	// Instance is how long an announcement of an instance stays valid.
+	Instance = 2 * time.Second
+)
+
+// Stretch returns the time after which a lease of the length has surely run out
+// by the holder's clock, counted by the granter's.
+func Stretch(length time.Duration) time.Duration {
+	return length + length*MaxClockDriftPercent/100 + time.Millisecond
+}
--- /dev/null
+++ b/internal/replica/doc.go
@@ -0,0 +1,2 @@
+// Package replica drives a replica of a group's log.
+package replica
--- /dev/null
+++ b/internal/state/plan.go
@@ -0,0 +1,138 @@
+package state
+
+import (
+	"fmt"
+
+	"laburnumgrade/gen/statev1"
+	"laburnumgrade/internal/structs"
+)
+
+// applyPlan commits the placements that still hold. The placements of a gang
+// job are accepted only if all its waiting tasks are placed and all hold.
+func (s *Store) applyPlan(p *statev1.Plan) *Result {
+	r := &Result{Placements: make([]PlacementResult, len(p.Placements))}
+	for first := 0; first < len(p.Placements); {
+		end := first + 1
+		for end < len(p.Placements) && p.Placements[end].JobId == p.Placements[first].JobId {
+			end++
+		}
+		s.placeJob(p.Placements[first:end], r.Placements[first:end])
+		first = end
+	}
+	return r
+}
+
+// placeJob handles consecutive placements of one job.
+func (s *Store) placeJob(placements []*statev1.Placement, results []PlacementResult) {
+	j := s.d.Jobs[placements[0].JobId]
+	if j != nil && j.Spec.Class == structs.ClassGang {
+		s.placeGang(j, placements, results)
+		return
+	}
+	for i, p := range placements {
+		results[i] = s.place(j, p)
+	}
+}
+
+func (s *Store) placeGang(j *structs.Job, placements []*statev1.Placement, results []PlacementResult) {
+	refusal := ""
+	if waiting := len(j.Tasks) - j.EndedTasks - runningTasks(j); waiting != len(placements) {
+		refusal = fmt.Sprintf("gang job %s has %d waiting tasks, the plan places %d", j.ID, waiting, len(placements))
+	}
+	placed := 0
+	for i, p := range placements {
+		if refusal != "" {
+			break
+		}
+		results[i] = s.place(j, p)
+		refusal = results[i].Refusal
+		placed++
+	}
+	if refusal == "" {
+		return
+	}
+	for i := range placements {
+		if i < placed && results[i].AttemptID != 0 {
+			s.undo(j, results[i].AttemptID)
+		}
+		results[i] = PlacementResult{Refusal: refusal}
+	}
+}
+
+func runningTasks(j *structs.Job) int {
+	n := 0
+	for i := range j.Tasks {
+		if j.Tasks[i].State == structs.TaskRunning {
+			n++
+		}
+	}
+	return n
+}
+
+// undo takes back an attempt committed by the command being applied.
+func (s *Store) undo(j *structs.Job, attempt uint64) {
+	a := s.d.Attempts[attempt]
+	s.closeAttempt(a)
+	task := &j.Tasks[a.Task]
+	task.State = structs.TaskWaiting
+	task.Attempt = 0
+	task.Attempts--
+	t := s.team(a.Team)
+	t.WaitingTasks++
+	t.Waiting = t.Waiting.Add(a.Size)
+}
+
+// place commits one attempt, or says why it may not be committed.
+func (s *Store) place(j *structs.Job, p *statev1.Placement) PlacementResult {
+	if refusal := s.checkPlacement(j, p); refusal != "" {
+		return PlacementResult{Refusal: refusal}
+	}
+	s.d.NextAttempt++
+	task := &j.Tasks[p.Task]
+	task.State = structs.TaskRunning
+	task.Attempt = s.d.NextAttempt
+	task.Attempts++
+	a := &structs.Attempt{
+		ID: s.d.NextAttempt, JobID: j.ID, Task: int(p.Task), Number: task.Attempts,
+		WorkerID: p.WorkerId, Incarnation: p.Incarnation, Size: j.Spec.Size, Team: j.Spec.Team,
+	}
+	s.d.Attempts[a.ID] = a
+	w := s.d.Workers[p.WorkerId]
+	w.Attempts[a.ID] = struct{}{}
+	w.Committed = w.Committed.Add(a.Size)
+	t := s.team(a.Team)
+	t.Running = t.Running.Add(a.Size)
+	t.RunningTasks++
+	t.WaitingTasks--
+	t.Waiting = t.Waiting.Sub(a.Size)
+	s.observer.WorkerChanged(w.ID)
+	s.observer.JobChanged(j.ID)
+	return PlacementResult{AttemptID: a.ID}
+}
+
+func (s *Store) checkPlacement(j *structs.Job, p *statev1.Placement) string {
+	if j == nil {
+		return fmt.Sprintf("job %s is not known", p.JobId)
+	}
+	if p.Task < 0 || int(p.Task) >= len(j.Tasks) {
+		return fmt.Sprintf("job %s has no task %d", p.JobId, p.Task)
+	}
+	if j.Tasks[p.Task].State != structs.TaskWaiting {
+		return fmt.Sprintf("task %d of job %s is not waiting", p.Task, p.JobId)
+	}
+	w, refusal := s.currentWorker(p.WorkerId, p.Incarnation)
+	if refusal != "" {
+		return refusal
+	}
+	if !w.Placeable() {
+		return fmt.Sprintf("worker %s takes no new work", w.ID)
+	}
+	if !j.Spec.Size.Fits(w.Free()) {
+		return fmt.Sprintf("worker %s has too little free for job %s", w.ID, j.ID)
+	}
+	t := s.team(j.Spec.Team)
+	if !t.Running.Add(j.Spec.Size).Fits(t.Allotment) {
+		return fmt.Sprintf("team %s is at its allotment in this data centre", j.Spec.Team)
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/state/read.go
@@ -0,0 +1,162 @@
+package state
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"laburnumgrade/internal/structs"
+)
+
+// LogTime returns the log time in ms since the Unix epoch.
+func (s *Store) LogTime() int64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.d.LogTime
+}
+
+// Job returns a copy of the job; false if it is not known.
+func (s *Store) Job(id string) (structs.Job, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	j := s.d.Jobs[id]
+	if j == nil {
+		return structs.Job{}, false
+	}
+	copied := *j
+	copied.Tasks = slices.Clone(j.Tasks)
+	return copied, true
+}
+
+// OpenJobs returns the ids of the jobs that have not ended.
+func (s *Store) OpenJobs() []string {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var ids []string
+	for id, j := range s.d.Jobs {
+		if !j.Ended() {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Worker returns a copy of the worker; false if it is not known.
+func (s *Store) Worker(id string) (structs.Worker, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	w := s.d.Workers[id]
+	if w == nil {
+		return structs.Worker{}, false
+	}
+	copied := *w
+	copied.Attempts = maps.Clone(w.Attempts)
+	return copied, true
+}
+
+// WorkerIDs returns the ids of all workers in order.
+func (s *Store) WorkerIDs() []string {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return slices.Sorted(maps.Keys(s.d.Workers))
+}
+
+// Assigned is an open attempt with what its worker needs to run it.
+type Assigned struct {
+	Attempt structs.Attempt
+	Spec    structs.WorkSpec
+	Payload []byte
+}
+
+// Assignments returns the open attempts of a worker's incarnation, by id.
+func (s *Store) Assignments(worker string, incarnation uint64) []Assigned {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	w := s.d.Workers[worker]
+	if w == nil || w.Incarnation != incarnation {
+		return nil
+	}
+	list := make([]Assigned, 0, len(w.Attempts))
+	for _, id := range sortedAttempts(w) {
+		a := s.d.Attempts[id]
+		j := s.d.Jobs[a.JobID]
+		list = append(list, Assigned{Attempt: *a, Spec: j.Spec, Payload: j.Payload})
+	}
+	return list
+}
+
+// Request returns a copy of a request's record; false if there is none.
+func (s *Store) Request(id string) (structs.Request, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	r := s.d.Requests[id]
+	if r == nil {
+		return structs.Request{}, false
+	}
+	return *r, true
+}
+
+// Instances returns copies of all instances, ordered by id.
+func (s *Store) Instances() []structs.Instance {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	list := make([]structs.Instance, 0, len(s.d.Instances))
+	for _, in := range s.d.Instances {
+		list = append(list, *in)
+	}
+	slices.SortFunc(list, func(a, b structs.Instance) int { return strings.Compare(a.ID, b.ID) })
+	return list
+}
+
+// Team is what a team runs, waits for and may run in the data centre.
+type Team struct {
+	Name         string
+	Running      structs.Resources
+	Waiting      structs.Resources
+	Allotment    structs.Resources
+	Grant        uint64
+	Transfer     uint64
+	WaitingTasks int
+	RunningTasks int
+}
+
+// Teams returns all teams in order of their names.
+func (s *Store) Teams() []Team {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	list := make([]Team, 0, len(s.d.Teams))
+	for _, name := range slices.Sorted(maps.Keys(s.d.Teams)) {
+		list = append(list, s.d.Teams[name].view(name))
+	}
+	return list
+}
+
+// Team returns one team; the zero amounts if it is not known.
+func (s *Store) Team(name string) Team {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	t := s.d.Teams[name]
+	if t == nil {
+		return Team{Name: name}
+	}
+	return t.view(name)
+}
+
+func (t *teamUsage) view(name string) Team {
+	return Team{
+		Name: name, Running: t.Running, Waiting: t.Waiting, Allotment: t.Allotment,
+		Grant: t.Grant, Transfer: t.Transfer, WaitingTasks: t.WaitingTasks, RunningTasks: t.RunningTasks,
+	}
+}
+
+// Instance returns a copy of an instance; false if it is not known.
+func (s *Store) Instance(id string) (structs.Instance, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	in := s.d.Instances[id]
+	if in == nil {
+		return structs.Instance{}, false
+	}
+	return *in, true
+}
--- a/internal/structs/work.go
+++ b/internal/structs/work.go
@@ -159,3 +159,52 @@
 	// Stopping is set when the worker is to stop the attempt.
 	Stopping bool
 }
+
+// Request is the record of a non-idempotent call.
+type Request struct {
+	ID      string
+	Team    string
+	Service string
+	Digest  uint64
+	// Owner is the entry and try that may send the request to a target.
+	Owner string
+	// RecordedAt is the log time of the record, in ms since the Unix epoch.
+	RecordedAt int64
+	Deadline   time.Duration
+	// Outcome is OutcomeNone while the request is in progress.
+	Outcome Outcome
+	Body    []byte
+	Detail  string
+}
+
+// Instance is a target that serves the requests of one service.
+type Instance struct {
+	ID          string
+	Incarnation uint64
+	Team        string
+	Service     string
+	// Address is the IP number and port of the instance.
+	Address     string
+	Slots       int
+	Connections int
+	Leaving     bool
+	// Entry hands out the instance's slots; empty if none does.
+	Entry        string
+	EntryAddress string
+}
+
+// Outcome returns the outcome of an ended job: OK only if every task is OK,
+// otherwise the outcome that leaves the most doubt.
+func (j *Job) Outcome() Outcome {
+	worst := OutcomeOK
+	for i := range j.Tasks {
+		if outcomeRank[j.Tasks[i].Outcome] > outcomeRank[worst] {
+			worst = j.Tasks[i].Outcome
+		}
+	}
+	return worst
+}
+
+var outcomeRank = map[Outcome]int{
+	OutcomeOK: 0, OutcomeNotRun: 1, OutcomeCancelled: 2, OutcomeFailed: 3, OutcomeUnknown: 4,
+}
