--- /dev/null
+++ b/internal/config/print.go
@@ -0,0 +1,76 @@
+package config
+
+import (
+	"encoding/hex"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// String returns the settings as an INI text that ParseEntry accepts.
+func (e *Entry) String() string {
+	var p printer
+	p.process(e.Process)
+	p.section("listen")
+	p.key("public", e.Public)
+	p.key("peer", e.Peer)
+	p.peers(e.Peers)
+	p.limits(e.Limits)
+	p.section("operator")
+	p.key("key_hash", hex.EncodeToString(e.OperatorKeyHash[:]))
+	return p.String()
+}
+
+// String returns the settings as an INI text that ParseControl accepts.
+func (c *Control) String() string {
+	var p printer
+	p.process(c.Process)
+	p.section("listen")
+	p.key("peer", c.Peer)
+	if c.DataFolder != "" {
+		p.section("disk")
+		p.key("folder", c.DataFolder)
+	}
+	p.peers(c.Peers)
+	p.section("groups")
+	p.key("fleet", strings.Join(c.Groups.Fleet, ", "))
+	for _, name := range slices.Sorted(maps.Keys(c.Groups.DataCentres)) {
+		p.key(name, strings.Join(c.Groups.DataCentres[name], ", "))
+	}
+	p.key("join", yesNo(c.Groups.Join))
+	p.limits(c.Limits)
+	p.section("scheduler")
+	p.key("fairness_weight", c.FairnessWeight)
+	p.key("half_life", c.HalfLife)
+	p.key("max_bypass", c.MaxBypass)
+	p.key("probation_share", c.ProbationShare)
+	p.key("reserve", c.Reserve)
+	return p.String()
+}
+
+// process adds the section process.
+func (p *printer) process(process Process) {
+	p.section("process")
+	p.key("name", process.Name)
+	p.key("vm", process.VM)
+	p.key("data_centre", process.DataCentre)
+	p.key("admin", process.Admin)
+}
+
+// peers adds the section peers.
+func (p *printer) peers(peers Peers) {
+	p.section("peers")
+	for _, peer := range peers {
+		p.key(peer.Name, peer.value())
+	}
+}
+
+// limits adds the section limits.
+func (p *printer) limits(limits Limits) {
+	p.section("limits")
+	p.key("drain", limits.Drain)
+	p.key("max_body", FormatBytes(limits.MaxBody))
+	p.key("max_calls", limits.MaxCalls)
+	p.key("team_queue", limits.TeamQueue)
+	p.key("timeline", limits.Timeline)
+}
