Thin path as separate processes: entry, control, emulated targets, demo

Cause: the whole path from a document to an answer has to run as processes before any part is deepened. Ruled out: giving a call no home. A resend through another entry has to meet the first try's record, so the home follows from the id alone. Change: lg-entry, lg-control, lg-standin, internal/entry, internal/routing, test/cluster and test/demo. Groups have one replica each; the replicated log follows.

--- /dev/null
+++ b/internal/adapter/httpserver/doc.go
@@ -0,0 +1,3 @@
+// Package httpserver runs HTTP servers and shuts them down without cutting off
+// requests in progress.
+package httpserver
--- /dev/null
+++ b/internal/entry/operator.go
@@ -0,0 +1,165 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"laburnumgrade/gen/apiv1"
+	"laburnumgrade/gen/peerv1"
+	"laburnumgrade/gen/statev1"
+	"laburnumgrade/internal/adapter/peer"
+	"laburnumgrade/internal/config"
+)
+
+// operatorService serves operators.
+type operatorService struct{ *Server }
+
+// PutDocument replaces a team's document.
+func (s *operatorService) PutDocument(ctx context.Context, r *connect.Request[apiv1.PutDocumentRequest]) (*connect.Response[apiv1.ChangeResponse], error) {
+	if err := s.checkChange(r.Header(), r.Msg.OperationId); err != nil {
+		return nil, err
+	}
+	d, err := config.ParseDocument("document", []byte(r.Msg.Text))
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	result, err := s.change(ctx, &statev1.FleetCommand{OperationId: r.Msg.OperationId, Command: &statev1.FleetCommand_PutDocument{PutDocument: &statev1.PutDocument{
+		Text: r.Msg.Text, Replaces: r.Msg.Replaces, Spec: d.Spec.Proto(), Share: int64(d.Share), Limit: d.Limit.Proto(), CutGraceMs: d.CutGrace.Milliseconds(),
+	}}})
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(changeResponse(result)), nil
+}
+
+// GetDocument returns a document's text and version.
+func (s *operatorService) GetDocument(_ context.Context, r *connect.Request[apiv1.GetDocumentRequest]) (*connect.Response[apiv1.GetDocumentResponse], error) {
+	if err := s.checkOperator(r.Header()); err != nil {
+		return nil, err
+	}
+	d := s.follower.Store().Document(r.Msg.Team, r.Msg.Service)
+	if d == nil {
+		return nil, connect.NewError(connect.CodeNotFound, errors.Errorf("team %s has no document for service %s", r.Msg.Team, r.Msg.Service))
+	}
+	return connect.NewResponse(&apiv1.GetDocumentResponse{Text: d.Text, Version: d.Version}), nil
+}
+
+// GrantKey makes a key for a team. A resend is told that the key exists, but
+// does not see it again.
+func (s *operatorService) GrantKey(ctx context.Context, r *connect.Request[apiv1.GrantKeyRequest]) (*connect.Response[apiv1.GrantKeyResponse], error) {
+	if err := s.checkChange(r.Header(), r.Msg.OperationId); err != nil {
+		return nil, err
+	}
+	id, key, hash, err := newKey()
+	if err != nil {
+		return nil, err
+	}
+	result, err := s.change(ctx, &statev1.FleetCommand{OperationId: r.Msg.OperationId, Command: &statev1.FleetCommand_GrantKey{GrantKey: &statev1.GrantKey{
+		KeyId: id, Team: r.Msg.Team, Hash: hash, Comment: r.Msg.Comment,
+	}}})
+	if err != nil {
+		return nil, err
+	}
+	reply := &apiv1.GrantKeyResponse{Key: key, KeyId: result.KeyId, Change: &apiv1.Change{Index: result.Index}, Duplicate: result.Duplicate}
+	if result.KeyId != id {
+		reply.Key = ""
+	}
+	return connect.NewResponse(reply), nil
+}
+
+// WithdrawKey ends a key.
+func (s *operatorService) WithdrawKey(ctx context.Context, r *connect.Request[apiv1.WithdrawKeyRequest]) (*connect.Response[apiv1.ChangeResponse], error) {
+	if err := s.checkChange(r.Header(), r.Msg.OperationId); err != nil {
+		return nil, err
+	}
+	result, err := s.change(ctx, &statev1.FleetCommand{OperationId: r.Msg.OperationId, Command: &statev1.FleetCommand_WithdrawKey{WithdrawKey: &statev1.WithdrawKey{KeyId: r.Msg.KeyId}}})
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(changeResponse(result)), nil
+}
+
+// ListKeys lists the keys of a team without the keys themselves.
+func (s *operatorService) ListKeys(_ context.Context, r *connect.Request[apiv1.ListKeysRequest]) (*connect.Response[apiv1.ListKeysResponse], error) {
+	if err := s.checkOperator(r.Header()); err != nil {
+		return nil, err
+	}
+	reply := &apiv1.ListKeysResponse{}
+	for _, k := range s.follower.Store().Keys(r.Msg.Team) {
+		reply.Keys = append(reply.Keys, &apiv1.KeyInfo{KeyId: k.KeyId, Team: k.Team, Comment: k.Comment, Withdrawn: k.Withdrawn})
+	}
+	return connect.NewResponse(reply), nil
+}
+
+// GetChange reports whether a change is in force everywhere.
+func (s *operatorService) GetChange(ctx context.Context, r *connect.Request[apiv1.GetChangeRequest]) (*connect.Response[apiv1.ChangeResponse], error) {
+	if err := s.checkOperator(r.Header()); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	change, err := peer.Call(ctx, s.fleet, func(ctx context.Context, c *http.Client, url string) (*apiv1.Change, error) {
+		return peerv1.NewFleetServiceProtobufClient(url, c).GetChange(ctx, r.Msg)
+	})
+	if err != nil {
+		return nil, controlError(err)
+	}
+	return connect.NewResponse(&apiv1.ChangeResponse{Change: change}), nil
+}
+
+// Status returns the state of the groups from the data centres' leaders.
+func (s *operatorService) Status(ctx context.Context, r *connect.Request[apiv1.StatusRequest]) (*connect.Response[apiv1.StatusResponse], error) {
+	if err := s.checkOperator(r.Header()); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	reply, err := peer.Call(ctx, s.groups[s.dataCentre], func(ctx context.Context, c *http.Client, url string) (*apiv1.StatusResponse, error) {
+		return peerv1.NewDataCentreServiceProtobufClient(url, c).Status(ctx, r.Msg)
+	})
+	if err != nil {
+		return nil, controlError(err)
+	}
+	return connect.NewResponse(reply), nil
+}
+
+// ListMembers lists the system's processes.
+func (s *operatorService) ListMembers(_ context.Context, r *connect.Request[apiv1.ListMembersRequest]) (*connect.Response[apiv1.ListMembersResponse], error) {
+	if err := s.checkOperator(r.Header()); err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&apiv1.ListMembersResponse{}), nil
+}
+
+func (s *operatorService) checkChange(h http.Header, operation string) error {
+	if err := s.checkOperator(h); err != nil {
+		return err
+	}
+	if operation == "" {
+		return connect.NewError(connect.CodeInvalidArgument, errors.New("operation_id is missing; a resend needs it to be recognised"))
+	}
+	return nil
+}
+
+// change commits a change in the fleet group.
+func (s *operatorService) change(ctx context.Context, c *statev1.FleetCommand) (*statev1.FleetResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	reply, err := peer.Call(ctx, s.fleet, func(ctx context.Context, hc *http.Client, url string) (*peerv1.ProposeResponse, error) {
+		return peerv1.NewFleetServiceProtobufClient(url, hc).Propose(ctx, &peerv1.ProposeRequest{Command: c})
+	})
+	if err != nil {
+		return nil, controlError(err)
+	}
+	if reply.Result.Refusal != "" {
+		return nil, connect.NewError(connect.CodeAborted, errors.New(reply.Result.Refusal))
+	}
+	return reply.Result, nil
+}
+
+func changeResponse(r *statev1.FleetResult) *apiv1.ChangeResponse {
+	return &apiv1.ChangeResponse{Change: &apiv1.Change{Index: r.Index}, Version: r.Version, Duplicate: r.Duplicate}
+}
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -132,7 +132,7 @@
 	}
 	k := &statev1.Key{KeyId: c.KeyId, Team: c.Team, Hash: c.Hash, Comment: c.Comment}
 	s.keys[k.KeyId] = k
-	return &statev1.FleetResult{}, &statev1.FleetChange{Key: k}
+	return &statev1.FleetResult{KeyId: k.KeyId}, &statev1.FleetChange{Key: k}
 }
 
 func (s *Store) withdrawKey(c *statev1.WithdrawKey) (*statev1.FleetResult, *statev1.FleetChange) {
--- /dev/null
+++ b/internal/routing/doc.go
@@ -0,0 +1,3 @@
+// Package routing chooses the instance that serves a call and counts the slots
+// that this entry hands out.
+package routing
--- /dev/null
+++ b/test/cluster/client.go
@@ -0,0 +1,91 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"laburnumgrade/gen/apiv1"
+	"laburnumgrade/gen/apiv1/apiv1connect"
+	"laburnumgrade/internal/standin"
+)
+
+// Operator returns a client that speaks as the operator through an entry.
+func (c *Cluster) Operator(entry *Process) apiv1connect.OperatorServiceClient {
+	return apiv1connect.NewOperatorServiceClient(c.Client, "http://"+entry.Public, connect.WithInterceptors(withKey(c.OperatorKey)))
+}
+
+// Caller returns a client that presents a team's key through an entry.
+func (c *Cluster) Caller(entry *Process, key string) apiv1connect.CallerServiceClient {
+	return apiv1connect.NewCallerServiceClient(c.Client, "http://"+entry.Public, connect.WithInterceptors(withKey(key)))
+}
+
+func withKey(key string) connect.Interceptor {
+	return connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, r connect.AnyRequest) (connect.AnyResponse, error) {
+			r.Header().Set("Authorization", "Bearer "+key)
+			return next(ctx, r)
+		}
+	})
+}
+
+// NewID returns a UUIDv7.
+func NewID() string { return uuid.Must(uuid.NewV7()).String() }
+
+// PutDocument puts a new document, resending it until an answer comes.
+func (c *Cluster) PutDocument(ctx context.Context, entry *Process, text string) (uint64, error) {
+	operation := NewID()
+	var version uint64
+	err := Until(ctx, 20*time.Second, func(ctx context.Context) error {
+		r, err := c.Operator(entry).PutDocument(ctx, connect.NewRequest(&apiv1.PutDocumentRequest{Text: text, OperationId: operation}))
+		if err == nil {
+			version = r.Msg.Version
+		}
+		return err
+	})
+	return version, err
+}
+
+// GrantKey makes a key for a team.
+func (c *Cluster) GrantKey(ctx context.Context, entry *Process, team string) (*apiv1.GrantKeyResponse, error) {
+	r, err := c.Operator(entry).GrantKey(ctx, connect.NewRequest(&apiv1.GrantKeyRequest{Team: team, OperationId: NewID()}))
+	if err != nil {
+		return nil, err
+	}
+	return r.Msg, nil
+}
+
+// AwaitForce waits until a change is in force everywhere.
+func (c *Cluster) AwaitForce(ctx context.Context, entry *Process, index uint64) error {
+	return Until(ctx, 20*time.Second, func(ctx context.Context) error {
+		r, err := c.Operator(entry).GetChange(ctx, connect.NewRequest(&apiv1.GetChangeRequest{Index: index}))
+		if err != nil {
+			return err
+		}
+		if !r.Msg.Change.InForce {
+			return errors.Errorf("outstanding in %v", r.Msg.Change.Outstanding)
+		}
+		return nil
+	})
+}
+
+// Report returns the records of the emulated targets.
+func (c *Cluster) Report(ctx context.Context) (*standin.Report, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/records", c.Standin.Admin), nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.Client.Do(r)
+	if err != nil {
+		return nil, errors.Wrap(err, "read records")
+	}
+	defer resp.Body.Close()
+	report := &standin.Report{}
+	return report, errors.Wrap(json.NewDecoder(resp.Body).Decode(report), "decode records")
+}
--- /dev/null
+++ b/test/cluster/cluster.go
@@ -0,0 +1,279 @@
+// Package cluster starts the system's binaries on loopback addresses, for the
+// demo, the fault runs and measurement.
+package cluster
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Spec describes a cluster.
+type Spec struct {
+	// Bin is the folder of the binaries, Folder that of settings, data and logs.
+	Bin, Folder string
+	// DataCentres and VMs (in each data centre).
+	DataCentres []string
+	VMs         int
+	// Disks is the number of VMs with a disk in each data centre.
+	Disks int
+	// Voters is the number of voters of a data centre group: home VMs first,
+	// then VMs of the next data centre. FleetVoters is that of the fleet group.
+	Voters, FleetVoters int
+	// Standin holds extra arguments of lg-standin.
+	Standin []string
+}
+
+// Process is one started binary.
+type Process struct {
+	Name       string
+	DataCentre string
+	// Public is the entry's address for callers; Peer that for processes.
+	Public, Peer, Admin string
+	Folder              string
+	args                []string
+	bin                 string
+	log                 string
+	cmd                 *exec.Cmd
+	done                chan struct{}
+}
+
+// Cluster is a running cluster.
+type Cluster struct {
+	Spec        Spec
+	Controls    []*Process
+	Entries     []*Process
+	Standin     *Process
+	OperatorKey string
+	Client      *http.Client
+}
+
+// ip returns the loopback address of a VM.
+func ip(dc, vm int) string { return fmt.Sprintf("127.77.%d.%d", dc+1, vm+1) }
+
+// freeAddress returns an address of the IP number with a port that is free now.
+func freeAddress(ip string) (string, error) {
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return "", errors.Wrap(err, "find a free port")
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// New chooses addresses and writes settings; nothing is started.
+func New(spec Spec) (*Cluster, error) {
+	c := &Cluster{Spec: spec, OperatorKey: "operator-key-of-the-test-cluster", Client: &http.Client{Timeout: 30 * time.Second}}
+	for d, dc := range spec.DataCentres {
+		for v := range spec.VMs {
+			control := &Process{Name: fmt.Sprintf("control-%s-%d", strings.ToLower(dc), v), DataCentre: dc, bin: "lg-control"}
+			entry := &Process{Name: fmt.Sprintf("entry-%s-%d", strings.ToLower(dc), v), DataCentre: dc, bin: "lg-entry"}
+			for _, a := range []*string{&control.Peer, &control.Admin, &entry.Peer, &entry.Public, &entry.Admin} {
+				var err error
+				if *a, err = freeAddress(ip(d, v)); err != nil {
+					return nil, err
+				}
+			}
+			if v < spec.Disks {
+				control.Folder = filepath.Join(spec.Folder, "data", control.Name)
+			}
+			c.Controls = append(c.Controls, control)
+			c.Entries = append(c.Entries, entry)
+		}
+	}
+	for _, p := range c.Controls {
+		if err := c.writeSettings(p, c.controlSettings(p)); err != nil {
+			return nil, err
+		}
+	}
+	for _, p := range c.Entries {
+		if err := c.writeSettings(p, c.entrySettings(p)); err != nil {
+			return nil, err
+		}
+	}
+	return c, c.prepareStandin()
+}
+
+func (c *Cluster) prepareStandin() error {
+	p := &Process{Name: "standin", bin: "lg-standin"}
+	var err error
+	if p.Admin, err = freeAddress("127.0.0.1"); err != nil {
+		return err
+	}
+	p.args = append([]string{"--admin", p.Admin}, c.Spec.Standin...)
+	for _, e := range c.Entries {
+		p.args = append(p.args, "--entry", e.DataCentre+"="+e.Public)
+	}
+	p.log = filepath.Join(c.Spec.Folder, p.Name+".log")
+	c.Standin = p
+	return nil
+}
+
+func (c *Cluster) writeSettings(p *Process, text string) error {
+	if p.Folder != "" {
+		if err := os.MkdirAll(p.Folder, 0o700); err != nil {
+			return errors.Wrap(err, "make data folder")
+		}
+	}
+	path := filepath.Join(c.Spec.Folder, p.Name+".ini")
+	p.args = []string{"--settings", path}
+	p.log = filepath.Join(c.Spec.Folder, p.Name+".log")
+	return errors.Wrap(os.WriteFile(path, []byte(text), 0o600), "write settings")
+}
+
+func (c *Cluster) processSection(p *Process) string {
+	return fmt.Sprintf("[process]\nname = %s\nvm = vm-%s\ndata_centre = %s\nadmin = %s\n", p.Name, p.Name, p.DataCentre, p.Admin)
+}
+
+func (c *Cluster) peersSection() string {
+	var b strings.Builder
+	b.WriteString("[peers]\n")
+	for _, p := range c.Controls {
+		fmt.Fprintf(&b, "%s = %s %s\n", p.Name, p.Peer, p.DataCentre)
+	}
+	return b.String()
+}
+
+func (c *Cluster) controlSettings(p *Process) string {
+	s := c.processSection(p) + "[listen]\npeer = " + p.Peer + "\n"
+	if p.Folder != "" {
+		s += "[disk]\nfolder = " + p.Folder + "\n"
+	}
+	s += c.peersSection() + "[groups]\nfleet = " + strings.Join(c.FleetVoters(), ", ") + "\n"
+	for _, dc := range c.Spec.DataCentres {
+		s += dc + " = " + strings.Join(c.Voters(dc), ", ") + "\n"
+	}
+	return s
+}
+
+func (c *Cluster) entrySettings(p *Process) string {
+	hash := sha256.Sum256([]byte(c.OperatorKey))
+	return c.processSection(p) + "[listen]\npublic = " + p.Public + "\npeer = " + p.Peer + "\n" +
+		c.peersSection() + "[operator]\nkey_hash = " + hex.EncodeToString(hash[:]) + "\n"
+}
+
+// Voters returns the names of a data centre group's voters.
+func (c *Cluster) Voters(dc string) []string {
+	first := 0
+	for i, p := range c.Controls {
+		if p.DataCentre == dc {
+			first = i
+			break
+		}
+	}
+	var names []string
+	for i := range c.Spec.Voters {
+		names = append(names, c.Controls[(first+i)%len(c.Controls)].Name)
+	}
+	return names
+}
+
+// FleetVoters returns the names of the fleet group's voters: the first VM of
+// each data centre, then the second ones.
+func (c *Cluster) FleetVoters() []string {
+	var names []string
+	for v := range c.Spec.VMs {
+		for d := range c.Spec.DataCentres {
+			if len(names) < c.Spec.FleetVoters {
+				names = append(names, c.Controls[d*c.Spec.VMs+v].Name)
+			}
+		}
+	}
+	return names
+}
+
+// Start starts a process; its log is appended to a file.
+func (c *Cluster) Start(p *Process) error {
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "open log")
+	}
+	defer log.Close()
+	p.cmd = exec.Command(filepath.Join(c.Spec.Bin, p.bin), p.args...)
+	p.cmd.Stderr = log
+	p.cmd.Stdout = log
+	p.done = make(chan struct{})
+	if err := p.cmd.Start(); err != nil {
+		return errors.Wrapf(err, "start %s", p.Name)
+	}
+	go func(cmd *exec.Cmd, done chan struct{}) {
+		_ = cmd.Wait()
+		close(done)
+	}(p.cmd, p.done)
+	return nil
+}
+
+// StartAll starts every process.
+func (c *Cluster) StartAll() error {
+	for _, list := range [][]*Process{c.Controls, c.Entries, {c.Standin}} {
+		for _, p := range list {
+			if err := c.Start(p); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// Signal sends a signal to a running process.
+func (p *Process) Signal(s syscall.Signal) error {
+	return errors.Wrapf(p.cmd.Process.Signal(s), "signal %s", p.Name)
+}
+
+// Kill kills a process and waits for its end.
+func (p *Process) Kill() {
+	if p.cmd == nil {
+		return
+	}
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// Wait waits for the end of a process and returns its exit code, or -1 if it
+// does not end in time.
+func (p *Process) Wait(timeout time.Duration) int {
+	select {
+	case <-p.done:
+		return p.cmd.ProcessState.ExitCode()
+	case <-time.After(timeout):
+		return -1
+	}
+}
+
+// Stop kills every process.
+func (c *Cluster) Stop() {
+	for _, list := range [][]*Process{{c.Standin}, c.Entries, c.Controls} {
+		for _, p := range list {
+			p.Kill()
+		}
+	}
+}
+
+// Until calls fn until it succeeds or the time has passed, and returns the last
+// error.
+func Until(ctx context.Context, limit time.Duration, fn func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for {
+		err := fn(ctx)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
--- /dev/null
+++ b/test/demo/main.go
@@ -0,0 +1,341 @@
+// Command demo runs the main job with real processes on loopback: documents,
+// keys, jobs and calls, and compares the answers with the records of the
+// emulated targets.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"laburnumgrade/gen/apiv1"
+	"laburnumgrade/internal/standin"
+	"laburnumgrade/test/cluster"
+)
+
+type options struct {
+	Bin    string `long:"bin" default:"bin" description:"folder of the binaries"`
+	Keep   bool   `long:"keep" description:"keep settings, data and logs"`
+	Small  bool   `long:"small" description:"one VM in each of two data centres"`
+	Jobs   int    `long:"jobs" default:"60" description:"jobs to submit"`
+	Calls  int    `long:"calls" default:"60" description:"calls to make"`
+	Faults bool   `long:"faults" description:"kill one lg-control and one lg-entry during the load"`
+}
+
+const (
+	jobDocument = `[service]
+team = refit
+name = foam-order
+command = order --foam
+class = batch
+idempotent = no
+exclusive = yes
+[size]
+cpu = 2
+memory = 4GB
+[tasks]
+count = 1
+run_time = 50ms
+[limits]
+share = 3
+cpu = 256
+memory = 512GB
+queue = 1000
+`
+	callDocument = `[service]
+team = audit
+name = visit-slip
+command = confirm --visit
+class = service
+idempotent = no
+[size]
+cpu = 1
+memory = 1GB
+[tasks]
+count = 1
+[limits]
+share = 1
+cpu = 64
+memory = 128GB
+queue = 1000
+`
+)
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(1)
+	}
+	ok, err := run(&o)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "demo:", err)
+	}
+	if err != nil || !ok {
+		os.Exit(1)
+	}
+}
+
+// tally counts the answers that callers received.
+type tally struct {
+	mu        sync.Mutex
+	submitted int
+	refused   int
+	unknown   int
+	answers   map[string]int
+	problems  []string
+}
+
+func (t *tally) answered(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.answers[id]++
+}
+
+func (t *tally) problem(format string, args ...any) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.problems = append(t.problems, fmt.Sprintf(format, args...))
+}
+
+func run(o *options) (bool, error) {
+	folder, err := os.MkdirTemp("", "laburnumgrade-demo-")
+	if err != nil {
+		return false, err
+	}
+	if o.Keep {
+		fmt.Println("demo: files are in", folder)
+	} else {
+		defer os.RemoveAll(folder)
+	}
+	bin, err := filepath.Abs(o.Bin)
+	if err != nil {
+		return false, err
+	}
+	c, err := cluster.New(spec(o, bin, folder))
+	if err != nil {
+		return false, err
+	}
+	defer c.Stop()
+	if err := c.StartAll(); err != nil {
+		return false, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
+	defer cancel()
+	return drive(ctx, c, o)
+}
+
+func spec(o *options, bin, folder string) cluster.Spec {
+	s := cluster.Spec{
+		Bin: bin, Folder: folder, DataCentres: []string{"Balaju", "Patan", "Bhaktapur", "Kalanki"},
+		VMs: 2, Disks: 1, Voters: 1, FleetVoters: 1,
+		Standin: []string{"--service", "audit/visit-slip", "--workers", "3", "--instances", "2"},
+	}
+	if o.Small {
+		s.DataCentres = s.DataCentres[:2]
+		s.VMs = 1
+	}
+	return s
+}
+
+func drive(ctx context.Context, c *cluster.Cluster, o *options) (bool, error) {
+	fmt.Printf("demo: %d control and %d entry processes in %d data centres\n", len(c.Controls), len(c.Entries), len(c.Spec.DataCentres))
+	entry := c.Entries[0]
+	version, err := c.PutDocument(ctx, entry, jobDocument)
+	if err != nil {
+		return false, errors.Wrap(err, "put document refit/foam-order")
+	}
+	if _, err := c.PutDocument(ctx, entry, callDocument); err != nil {
+		return false, errors.Wrap(err, "put document audit/visit-slip")
+	}
+	refit, err := c.GrantKey(ctx, entry, "refit")
+	if err != nil {
+		return false, errors.Wrap(err, "grant key of team refit")
+	}
+	audit, err := c.GrantKey(ctx, entry, "audit")
+	if err != nil {
+		return false, errors.Wrap(err, "grant key of team audit")
+	}
+	if err := c.AwaitForce(ctx, entry, audit.Change.Index); err != nil {
+		return false, errors.Wrap(err, "wait for the configuration")
+	}
+	fmt.Printf("demo: documents (first version %d) and keys are in force\n", version)
+	t := &tally{answers: map[string]int{}}
+	load(ctx, c, o, t, refit.Key, audit.Key)
+	if err := withdraw(ctx, c, t, refit); err != nil {
+		return false, err
+	}
+	report, err := c.Report(ctx)
+	if err != nil {
+		return false, err
+	}
+	return judge(t, report), nil
+}
+
+func load(ctx context.Context, c *cluster.Cluster, o *options, t *tally, jobKey, callKey string) {
+	var wg sync.WaitGroup
+	for i := range o.Jobs {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			submitJob(ctx, c, i, t, jobKey)
+		}()
+		time.Sleep(5 * time.Millisecond)
+	}
+	for i := range o.Calls {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			call(ctx, c, i, t, callKey)
+		}()
+		time.Sleep(5 * time.Millisecond)
+	}
+	wg.Wait()
+}
+
+// submitJob submits one job, resending it through other entries until an answer
+// comes, and waits for its result.
+func submitJob(ctx context.Context, c *cluster.Cluster, i int, t *tally, key string) {
+	id := cluster.NewID()
+	t.mu.Lock()
+	t.submitted++
+	t.mu.Unlock()
+	try := i
+	err := cluster.Until(ctx, 30*time.Second, func(ctx context.Context) error {
+		try++
+		caller := c.Caller(c.Entries[try%len(c.Entries)], key)
+		_, err := caller.SubmitJob(ctx, connect.NewRequest(&apiv1.SubmitJobRequest{
+			JobId: id, Team: "refit", Service: "foam-order", Payload: []byte(`{"run_ms":50}`),
+		}))
+		return err
+	})
+	if err != nil {
+		t.problem("job %s was not accepted: %v", id, err)
+		return
+	}
+	err = cluster.Until(ctx, 60*time.Second, func(ctx context.Context) error {
+		try++
+		caller := c.Caller(c.Entries[try%len(c.Entries)], key)
+		r, err := caller.WaitJob(ctx, connect.NewRequest(&apiv1.WaitJobRequest{JobId: id, WaitMs: 5000}))
+		if err != nil {
+			return err
+		}
+		if r.Msg.State != apiv1.JobState_JOB_STATE_ENDED {
+			return errors.Errorf("job %s is %v", id, r.Msg.State)
+		}
+		checkJob(t, id, r.Msg)
+		return nil
+	})
+	if err != nil {
+		t.problem("job %s has no answer: %v", id, err)
+	}
+}
+
+func checkJob(t *tally, id string, j *apiv1.Job) {
+	want := "done " + id + "/0"
+	if j.Outcome != apiv1.Outcome_OUTCOME_OK || string(j.Results[0].Answer) != want {
+		t.problem("job %s ended with %v, answer %q", id, j.Outcome, j.Results[0].Answer)
+		return
+	}
+	t.answered(id + "/0")
+}
+
+// call makes one call, resending it with the same id until the outcome is known.
+func call(ctx context.Context, c *cluster.Cluster, i int, t *tally, key string) {
+	id := cluster.NewID()
+	t.mu.Lock()
+	t.submitted++
+	t.mu.Unlock()
+	body := fmt.Sprintf(`{"run_ms":20,"slip":%d}`, i)
+	try := i
+	err := cluster.Until(ctx, 30*time.Second, func(ctx context.Context) error {
+		try++
+		caller := c.Caller(c.Entries[try%len(c.Entries)], key)
+		r, err := caller.Call(ctx, connect.NewRequest(&apiv1.CallRequest{
+			RequestId: id, Team: "audit", Service: "visit-slip", Body: []byte(body), DeadlineMs: 5000,
+		}))
+		if err != nil {
+			return err
+		}
+		if r.Msg.Outcome != apiv1.Outcome_OUTCOME_OK {
+			return errors.Errorf("%v: %s", r.Msg.Outcome, r.Msg.Detail)
+		}
+		if string(r.Msg.Body) != body || r.Msg.RequestId != id {
+			t.problem("call %s received the answer %q", id, r.Msg.Body)
+		}
+		return nil
+	})
+	if err != nil {
+		t.problem("call %s has no answer: %v", id, err)
+		return
+	}
+	t.answered(id)
+}
+
+// withdraw withdraws the key and checks that the next submission is refused.
+func withdraw(ctx context.Context, c *cluster.Cluster, t *tally, key *apiv1.GrantKeyResponse) error {
+	entry := c.Entries[0]
+	started := time.Now()
+	r, err := c.Operator(entry).WithdrawKey(ctx, connect.NewRequest(&apiv1.WithdrawKeyRequest{KeyId: key.KeyId, OperationId: cluster.NewID()}))
+	if err != nil {
+		return errors.Wrap(err, "withdraw key")
+	}
+	if err := c.AwaitForce(ctx, entry, r.Msg.Change.Index); err != nil {
+		return errors.Wrap(err, "wait for the withdrawal")
+	}
+	fmt.Printf("demo: the withdrawal was in force everywhere after %d ms\n", time.Since(started).Milliseconds())
+	for _, e := range c.Entries {
+		t.submitted++
+		_, err := c.Caller(e, key.Key).SubmitJob(ctx, connect.NewRequest(&apiv1.SubmitJobRequest{
+			JobId: cluster.NewID(), Team: "refit", Service: "foam-order",
+		}))
+		if connect.CodeOf(err) != connect.CodeFailedPrecondition {
+			t.problem("entry %s did not refuse the withdrawn key: %v", e.Name, err)
+			continue
+		}
+		t.refused++
+	}
+	return nil
+}
+
+// judge compares the answers with what the targets saw.
+func judge(t *tally, report *standin.Report) bool {
+	completed := map[string]int{}
+	doubled := report.Summary.Overlapping
+	started := map[string]int{}
+	for _, r := range report.Runs {
+		started[r.ID]++
+		if started[r.ID] == 2 {
+			doubled++
+		}
+		if r.Completed {
+			completed[r.ID]++
+		}
+	}
+	once, lost := 0, 0
+	for id, n := range t.answers {
+		if n == 1 && completed[id] == 1 {
+			once++
+		}
+		if completed[id] == 0 {
+			lost++
+		}
+	}
+	lost += t.submitted - t.refused - len(t.answers)
+	for _, p := range t.problems {
+		fmt.Println("demo: problem:", p)
+	}
+	overcommitted := report.Summary.Overcommitted + report.Summary.Overfilled
+	fmt.Printf("demo: %d submitted, %d answered once, %d refused not-run, %d lost, %d doubled, %d overcommitted\n",
+		t.submitted, once, t.refused, lost, doubled, overcommitted)
+	return lost == 0 && doubled == 0 && overcommitted == 0 && once+t.refused == t.submitted && len(t.problems) == 0
+}
