--- /dev/null
+++ b/internal/timeline/handler.go
@@ -0,0 +1,26 @@
+package timeline
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// Handler serves the ring's events as a List in JSON. The query parameters are
+// those of Filter.
+func Handler(ring *Ring) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodGet {
+			w.Header().Set("Allow", http.MethodGet)
+			http.Error(w, "only GET is allowed", http.StatusMethodNotAllowed)
+			return
+		}
+		filter, err := FilterFromValues(r.URL.Query())
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		// An error here means that the reader has gone.
+		_ = json.NewEncoder(w).Encode(ring.Select(filter))
+	})
+}
