--- /dev/null
+++ b/internal/adapter/metrics/text.go
@@ -0,0 +1,88 @@
+package metrics
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"math"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// contentType is the Prometheus text format.
+const contentType = "text/plain; version=0.0.4; charset=utf-8"
+
+// ServeHTTP serves all values in the Prometheus text format.
+func (r *reporter) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	if request.Method != http.MethodGet {
+		w.Header().Set("Allow", http.MethodGet)
+		http.Error(w, "only GET is allowed", http.StatusMethodNotAllowed)
+		return
+	}
+	w.Header().Set("Content-Type", contentType)
+	// An error here means that the reader has gone.
+	_, _ = w.Write(r.render())
+}
+
+// render returns the text of all families, in the order of names.
+func (r *reporter) render() []byte {
+	var out bytes.Buffer
+	r.mu.Lock()
+	for _, name := range slices.Sorted(maps.Keys(r.families)) {
+		f := r.families[name]
+		fmt.Fprintf(&out, "# TYPE %s %s\n", name, f.kind)
+		for _, labels := range slices.Sorted(maps.Keys(f.series)) {
+			f.write(&out, f.series[labels])
+		}
+	}
+	r.mu.Unlock()
+	writeProcess(&out)
+	return out.Bytes()
+}
+
+// write adds the lines of one series.
+func (f *family) write(out *bytes.Buffer, s *series) {
+	switch f.kind {
+	case typeCounter:
+		line(out, f.name, s.labels, float64(s.count.Load()))
+	case typeGauge:
+		line(out, f.name, s.labels, math.Float64frombits(s.bits.Load()))
+	case typeSummary:
+		line(out, f.name+"_sum", s.labels, time.Duration(s.sum.Load()).Seconds())
+		line(out, f.name+"_count", s.labels, float64(s.count.Load()))
+	case typeHistogram:
+		f.writeBuckets(out, s)
+	}
+}
+
+// writeBuckets adds the lines of a histogram. There is no _sum because tally
+// reports only the number of samples in each bucket.
+func (f *family) writeBuckets(out *bytes.Buffer, s *series) {
+	total := int64(0)
+	for _, b := range s.buckets {
+		total += b.count.Load()
+		le := fmt.Sprintf(`le="%s"`, number(b.upper))
+		line(out, f.name+"_bucket", strings.TrimPrefix(s.labels+","+le, ","), float64(total))
+	}
+	line(out, f.name+"_count", s.labels, float64(total))
+}
+
+// line adds one sample.
+func line(out *bytes.Buffer, name, labels string, value float64) {
+	out.WriteString(name)
+	if labels != "" {
+		out.WriteString("{" + labels + "}")
+	}
+	out.WriteString(" " + number(value) + "\n")
+}
+
+// number returns a value as the text format writes it.
+func number(value float64) string {
+	if math.IsInf(value, 1) {
+		return "+Inf"
+	}
+	return strconv.FormatFloat(value, 'g', -1, 64)
+}
