Common process parts, time line of the control process, address map

Cause: processes need one way to start logs, metrics, time line and signals; partitions between processes on loopback need a dial address that differs by the process that dials. Ruled out: separate peer lists by data centre, because addresses also travel in answers (leader, entry). Change: internal/process, section [address_map], events of jobs, plans, leases and leaders in lg-control. The expected list of sections in the settings test grew by address_map.

--- a/cmd/lg-control/main.go
+++ b/cmd/lg-control/main.go
@@ -5,12 +5,9 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -20,6 +17,7 @@
 	"laburnumgrade/internal/config"
 	"laburnumgrade/internal/control"
 	"laburnumgrade/internal/port"
+	"laburnumgrade/internal/process"
 	"laburnumgrade/internal/replica"
 )
 
@@ -51,21 +49,39 @@
 }
 
 func run(c *config.Control) error {
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
-	clock := port.NewSystemClock()
-	logger := slog.New(slog.NewJSONHandler(os.Stderr, nil)).With("process", c.Process.Name, "data_centre", c.Process.DataCentre)
+	ctx, _ := process.Signals()
+	p, err := process.Start(c.Process, c.Limits.Timeline, c.AddressMap, ctx.Err)
+	if err != nil {
+		return err
+	}
+	s, err := build(c, p)
+	if err != nil {
+		return err
+	}
+	server, err := httpserver.Start(c.Peer.String(), p.Peer(s.Handler()))
+	if err != nil {
+		return err
+	}
+	s.Run(ctx)
+	stop, cancelStop := context.WithTimeout(context.Background(), c.Limits.Drain)
+	defer cancelStop()
+	defer p.Close(stop)
+	return server.Shutdown(stop)
+}
+
+// build opens the replicas that the settings name.
+func build(c *config.Control, p *process.Process) (*control.Server, error) {
 	var addresses []string
-	for _, p := range c.Peers {
-		addresses = append(addresses, p.Address.String())
+	for _, other := range c.Peers {
+		addresses = append(addresses, other.Address.String())
 	}
 	sc := control.Config{
 		Name: fmt.Sprintf("%s#%d", c.Process.Name, time.Now().UnixNano()), DataCentre: c.Process.DataCentre,
-		Clock: clock, Logger: logger, DataCentres: c.Peers.DataCentres(),
-		FleetCalls: peer.NewGroup("fleet", peer.NewHTTPClient(), addresses),
+		Clock: p.Clock, Logger: p.Logger, Timeline: p.Timeline, DataCentres: c.Peers.DataCentres(),
+		FleetCalls: peer.NewGroup("fleet", p.Client, addresses),
 	}
 	open := func(group string, m port.StateMachine) (port.Log, error) {
-		return replica.OpenSolo(filepath.Join(c.DataFolder, group+".log"), c.Process.Name, c.Peer.String(), m, clock)
+		return replica.OpenSolo(filepath.Join(c.DataFolder, group+".log"), c.Process.Name, c.Peer.String(), m, p.Clock)
 	}
 	var err error
 	for dc, voters := range c.Groups.DataCentres {
@@ -74,23 +90,15 @@
 		}
 		g := control.NewDataCentreGroup(dc)
 		if g.Log, err = open("dc-"+dc, g.Store); err != nil {
-			return err
+			return nil, err
 		}
 		sc.Groups = append(sc.Groups, g)
 	}
 	if slices.Contains(c.Groups.Fleet, c.Process.Name) {
 		sc.Fleet = control.NewFleetGroup()
 		if sc.Fleet.Log, err = open("fleet", sc.Fleet.Store); err != nil {
-			return err
+			return nil, err
 		}
 	}
-	s := control.New(sc)
-	server, err := httpserver.Start(c.Peer.String(), s.Handler())
-	if err != nil {
-		return err
-	}
-	s.Run(ctx)
-	stop, cancelStop := context.WithTimeout(context.Background(), c.Limits.Drain)
-	defer cancelStop()
-	return server.Shutdown(stop)
+	return control.New(sc), nil
 }
--- a/cmd/lg-entry/main.go
+++ b/cmd/lg-entry/main.go
@@ -13,6 +13,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"laburnumgrade/internal/adapter/httpserver"
+	"laburnumgrade/internal/adapter/peer"
 	"laburnumgrade/internal/config"
 	"laburnumgrade/internal/entry"
 	"laburnumgrade/internal/port"
@@ -56,7 +57,7 @@
 	s := entry.New(entry.Config{
 		Name: fmt.Sprintf("%s#%d", c.Process.Name, time.Now().UnixNano()), DataCentre: c.Process.DataCentre,
 		PeerAddress: c.Peer.String(), Clock: port.NewSystemClock(), Logger: logger, Controls: controls,
-		OperatorKeyHash: c.OperatorKeyHash, MaxBody: c.Limits.MaxBody,
+		OperatorKeyHash: c.OperatorKeyHash, MaxBody: c.Limits.MaxBody, Client: peer.NewHTTPClient(c.AddressMap),
 	})
 	public, err := httpserver.Start(c.Public.String(), s.Public())
 	if err != nil {
--- a/cmd/lg-standin/main.go
+++ b/cmd/lg-standin/main.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	f := &fleet{o: o, client: peer.NewHTTPClient(), records: standin.NewRecords(), logger: slog.New(slog.NewJSONHandler(os.Stderr, nil))}
+	f := &fleet{o: o, client: peer.NewHTTPClient(nil), records: standin.NewRecords(), logger: slog.New(slog.NewJSONHandler(os.Stderr, nil))}
 	for dc, addresses := range entries {
 		if err := f.start(ctx, dc, addresses); err != nil {
 			return err
--- a/internal/adapter/peer/client.go
+++ b/internal/adapter/peer/client.go
@@ -21,10 +21,18 @@
 	metaLeader = "leader_address"
 )
 
-// NewHTTPClient returns a client for calls between processes.
-func NewHTTPClient() *http.Client {
+// NewHTTPClient returns a client for calls between processes. Addresses that
+// the map names are replaced before they are dialled.
+func NewHTTPClient(addressMap map[string]string) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		if mapped := addressMap[address]; mapped != "" {
+			address = mapped
+		}
+		return dialer.DialContext(ctx, network, address)
+	}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: 256,
 		IdleConnTimeout:     90 * time.Second,
 	}}
--- /dev/null
+++ b/internal/config/addressmap.go
@@ -0,0 +1,37 @@
+package config
+
+import (
+	"net/netip"
+	"strings"
+)
+
+// AddressMap replaces addresses before they are dialled, for networks in which
+// a process reaches some peers at other addresses than they announce.
+type AddressMap map[string]string
+
+type addressPair struct{ from, to netip.AddrPort }
+
+var addressPairKind = kind[addressPair]{
+	allowed: "'ip:port ip:port', the announced address and the one to dial",
+	parse: func(s string) (addressPair, bool) {
+		fields := strings.Fields(s)
+		if len(fields) != 2 {
+			return addressPair{}, false
+		}
+		from, okFrom := parseAddress(fields[0])
+		to, okTo := parseAddress(fields[1])
+		return addressPair{from, to}, okFrom && okTo
+	},
+}
+
+// readAddressMap reads the section address_map, whose keys are free names.
+func readAddressMap(r *reader) AddressMap {
+	m := AddressMap{}
+	for _, name := range r.keys("address_map") {
+		pair := optional(r, "address_map", name, addressPairKind, addressPair{})
+		if r.good("address_map." + name) {
+			m[pair.from.String()] = pair.to.String()
+		}
+	}
+	return m
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -185,7 +185,7 @@
 			`f.ini:14: peers.Thiès: found "control-1, control-2, control-3", allowed 'ip:port data_centre'`,
 			`f.ini:15: peers.Pikine: found "control-3", allowed 'ip:port data_centre'`,
 			`f.ini:17: scheduler.fairness_weight: found "1.5", allowed a number from 0 to 1`,
-			`f.ini:18: [schedule]: found an unknown section, allowed one of [disk], [groups]`,
+			`f.ini:18: [schedule]: found an unknown section, allowed one of [address_map], [disk], [groups]`,
 		}},
 	}
 	for _, test := range tests {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -70,6 +70,7 @@
 	Limits  Limits
 	// OperatorKeyHash is the SHA-256 of the operator's key.
 	OperatorKeyHash [HashSize]byte
+	AddressMap      AddressMap
 }
 
 // Control holds the settings of lg-control.
@@ -83,6 +84,7 @@
 	Groups Groups
 	Limits Limits
 	Scheduler
+	AddressMap AddressMap
 }
 
 // Groups name the voters of each replicated group when it first starts.
@@ -152,6 +154,7 @@
 		Peers:           readPeers(r),
 		Limits:          readLimits(r, defaultEntryQueue),
 		OperatorKeyHash: required(r, "operator", "key_hash", hashKind),
+		AddressMap:      readAddressMap(r),
 	}
 	if !r.has("peers", "") || len(r.keys("peers")) == 0 {
 		r.fault("peers", "", "no control process", "at least one 'name = ip:port data_centre'")
@@ -188,6 +191,7 @@
 	c.addSelf(r)
 	c.Groups = c.readGroups(r)
 	c.Scheduler = readScheduler(r)
+	c.AddressMap = readAddressMap(r)
 	if err := r.finish(); err != nil {
 		return nil, err
 	}
--- a/internal/control/datacentre.go
+++ b/internal/control/datacentre.go
@@ -26,6 +26,7 @@
 	if err != nil {
 		return nil, err
 	}
+	d.server.recordSubmitted(r.Job, result)
 	return &peerv1.SubmitJobReply{Duplicate: result.Duplicate, Refusal: result.Refusal}, nil
 }
 
--- /dev/null
+++ b/internal/control/event.go
@@ -0,0 +1,80 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"laburnumgrade/gen/apiv1"
+	"laburnumgrade/gen/statev1"
+	"laburnumgrade/internal/state"
+	"laburnumgrade/internal/timeline"
+)
+
+func (s *Server) recordSubmitted(job *statev1.SubmitJob, result *state.Result) {
+	e := timeline.Event{Kind: timeline.Recorded, Job: job.JobId, Team: job.Spec.GetTeam()}
+	if result.Refusal != "" {
+		e.Kind = timeline.Refused
+		e.Detail = result.Refusal
+	}
+	if result.Duplicate {
+		e.Detail = "resent"
+	}
+	s.events.Record(e)
+}
+
+func (s *Server) recordPlan(g *DataCentreGroup, plan *statev1.Plan, result *state.Result) {
+	for i, p := range plan.Placements {
+		e := timeline.Event{Kind: timeline.AttemptCommitted, Job: p.JobId, Task: strconv.Itoa(int(p.Task)), Worker: p.WorkerId}
+		if r := result.Placements[i]; r.Refusal != "" {
+			e.Kind = timeline.Planned
+			e.Detail = "rejected: " + r.Refusal
+		} else {
+			e.Attempt = r.AttemptID
+		}
+		s.events.Record(e)
+	}
+}
+
+func (s *Server) recordHeartbeat(r *apiv1.HeartbeatRequest, reply *apiv1.HeartbeatResponse) {
+	for _, a := range reply.Start {
+		s.events.Record(timeline.Event{
+			Kind: timeline.LeaseGranted, Job: a.JobId, Task: strconv.Itoa(int(a.Task)), Attempt: a.AttemptId, Team: a.Team, Worker: r.WorkerId,
+		})
+	}
+	for _, id := range reply.Stop {
+		s.events.Record(timeline.Event{Kind: timeline.Stopped, Attempt: id, Worker: r.WorkerId})
+	}
+}
+
+func (s *Server) recordEnd(worker string, e *apiv1.EndedAttempt, a state.Assigned) {
+	s.events.Record(timeline.Event{
+		Kind: timeline.Ended, Job: a.Attempt.JobID, Task: strconv.Itoa(a.Attempt.Task), Attempt: e.AttemptId,
+		Team: a.Attempt.Team, Worker: worker, Detail: e.Outcome.String(),
+	})
+}
+
+// leaderCheck is how often the process looks for a change of leader.
+const leaderCheck = 100 * time.Millisecond
+
+// watchLeader records changes of a group's leader.
+func (s *Server) watchLeader(ctx context.Context, group string, leader func() (string, string)) {
+	ticker := time.NewTicker(leaderCheck)
+	defer ticker.Stop()
+	last := ""
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		id, _ := leader()
+		if id == last {
+			continue
+		}
+		last = id
+		s.events.Record(timeline.Event{Kind: timeline.LeaderChanged, Peer: id, Detail: fmt.Sprintf("group %s", group)})
+		s.logger.Info("leader changed", "step", "watch leader", "group", group, "peer", id)
+	}
+}
--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -36,6 +36,7 @@
 	}
 	reply := d.awaitWork(ctx, g, r, len(acknowledged) > 0)
 	reply.Acknowledged = acknowledged
+	d.server.recordHeartbeat(r, reply)
 	reply.LeaseMs = lease.Worker.Milliseconds()
 	reply.Sequence = r.Sequence
 	_, err = lead(g.Name, g.Log)
@@ -67,6 +68,10 @@
 		return nil, nil
 	}
 	c := &statev1.EndAttempts{}
+	assigned := map[uint64]state.Assigned{}
+	for _, a := range g.Store.Assignments(r.WorkerId, r.Incarnation) {
+		assigned[a.Attempt.ID] = a
+	}
 	for _, e := range r.Ended {
 		c.Ended = append(c.Ended, &statev1.EndAttempt{
 			AttemptId: e.AttemptId, WorkerId: r.WorkerId, Incarnation: r.Incarnation,
@@ -77,6 +82,9 @@
 	if err != nil {
 		return nil, err
 	}
+	for _, e := range r.Ended {
+		d.server.recordEnd(r.WorkerId, e, assigned[e.AttemptId])
+	}
 	return result.Acknowledged, nil
 }
 
--- a/internal/control/schedule.go
+++ b/internal/control/schedule.go
@@ -40,9 +40,15 @@
 		}
 		plan.Placements = append(plan.Placements, firstFit(g, &j, workers, free)...)
 	}
-	if len(plan.Placements) > 0 {
-		s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_Plan{Plan: plan}})
+	if len(plan.Placements) == 0 {
+		return
 	}
+	result, err := g.propose(ctx, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_Plan{Plan: plan}})
+	if err != nil {
+		s.logger.Warn("plan not committed", "step", "plan", "group", g.Name, "error", err)
+		return
+	}
+	s.recordPlan(g, plan, result)
 }
 
 func firstFit(g *DataCentreGroup, j *structs.Job, workers []string, free map[string]structs.Resources) []*statev1.Placement {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http"
 
@@ -12,6 +13,7 @@
 	"laburnumgrade/internal/adapter/peer"
 	"laburnumgrade/internal/follower"
 	"laburnumgrade/internal/port"
+	"laburnumgrade/internal/timeline"
 )
 
 // Server is the service of one lg-control process.
@@ -24,6 +26,7 @@
 	fleet      *FleetGroup
 	follower   *follower.Follower
 	fleetCalls *peer.Group
+	events     *timeline.Ring
 	// dataCentres lists all data centres of the cell.
 	dataCentres []string
 }
@@ -35,6 +38,8 @@
 	DataCentre string
 	Clock      port.Clock
 	Logger     *slog.Logger
+	// Timeline receives events; may be nil.
+	Timeline *timeline.Ring
 	// Groups holds the data centre groups the process has replicas of.
 	Groups []*DataCentreGroup
 	// Fleet is nil if the process has no replica of the fleet group.
@@ -48,13 +53,16 @@
 func New(c Config) *Server {
 	s := &Server{
 		name: c.Name, dataCentre: c.DataCentre, clock: c.Clock, logger: c.Logger,
-		groups: map[string]*DataCentreGroup{}, fleet: c.Fleet, fleetCalls: c.FleetCalls, dataCentres: c.DataCentres,
+		groups: map[string]*DataCentreGroup{}, fleet: c.Fleet, fleetCalls: c.FleetCalls, events: c.Timeline, dataCentres: c.DataCentres,
 	}
 	for _, g := range c.Groups {
 		s.groups[g.Name] = g
 	}
 	s.follower = follower.New(follower.Config{
 		Holder: c.Name, DataCentre: c.DataCentre, Fleet: c.FleetCalls, Clock: c.Clock, Logger: c.Logger, Demand: s.demand,
+		Applied: func(index uint64) {
+			s.events.Record(timeline.Event{Kind: timeline.ConfigApplied, Detail: fmt.Sprintf("index %d", index)})
+		},
 	})
 	return s
 }
@@ -76,9 +84,11 @@
 		go s.schedule(ctx, g)
 		go s.expire(ctx, g)
 		go s.takeGrants(ctx, g)
+		go s.watchLeader(ctx, g.Name, g.Log.Leader)
 	}
 	if s.fleet != nil {
 		go s.divideLimits(ctx)
+		go s.watchLeader(ctx, "fleet", s.fleet.Log.Leader)
 	}
 	<-ctx.Done()
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -51,6 +51,8 @@
 	// Controls holds the addresses of the control processes by data centre.
 	Controls        map[string][]string
 	OperatorKeyHash [32]byte
+	// Client calls the system's own processes and the instances.
+	Client *http.Client
 	// MaxBody bounds one request or answer, in bytes.
 	MaxBody int64
 }
@@ -59,7 +61,7 @@
 func New(c Config) *Server {
 	s := &Server{
 		name: c.Name, dataCentre: c.DataCentre, peerAddress: c.PeerAddress, clock: c.Clock, logger: c.Logger,
-		client: peer.NewHTTPClient(), groups: map[string]*peer.Group{}, operator: c.OperatorKeyHash, maxBody: c.MaxBody,
+		client: c.Client, groups: map[string]*peer.Group{}, operator: c.OperatorKeyHash, maxBody: c.MaxBody,
 	}
 	var all []string
 	for _, dc := range sortedKeys(c.Controls) {
