Relays between VMs for partition tests

Cause: partitions between processes on loopback need links that can be cut. Change: test/cluster/relay.go; a cut link accepts connections and passes nothing. Conclusion: none yet.

--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -33,6 +33,8 @@
 	Voters, FleetVoters int
 	// Standin holds extra arguments of lg-standin.
 	Standin []string
+	// Relays puts a relay on each link between VMs, so that it can be cut.
+	Relays bool
 }
 
 // Process is one started binary.
@@ -57,6 +59,7 @@
 	Standin     *Process
 	OperatorKey string
 	Client      *http.Client
+	relays      *relays
 }
 
 // ip returns the loopback address of a VM.
@@ -92,13 +95,18 @@
 			c.Entries = append(c.Entries, entry)
 		}
 	}
-	for _, p := range c.Controls {
-		if err := c.writeSettings(p, c.controlSettings(p)); err != nil {
+	if spec.Relays {
+		if err := c.addRelays(); err != nil {
+			return nil, err
+		}
+	}
+	for i, p := range c.Controls {
+		if err := c.writeSettings(p, c.controlSettings(p)+c.relaySection(i)); err != nil {
 			return nil, err
 		}
 	}
-	for _, p := range c.Entries {
-		if err := c.writeSettings(p, c.entrySettings(p)); err != nil {
+	for i, p := range c.Entries {
+		if err := c.writeSettings(p, c.entrySettings(p)+c.relaySection(i)); err != nil {
 			return nil, err
 		}
 	}
@@ -120,6 +128,13 @@
 	return nil
 }
 
+func (c *Cluster) relaySection(i int) string {
+	if c.relays == nil {
+		return ""
+	}
+	return c.relays.section(vm{i / c.Spec.VMs, i % c.Spec.VMs})
+}
+
 func (c *Cluster) writeSettings(p *Process, text string) error {
 	if p.Folder != "" {
 		if err := os.MkdirAll(p.Folder, 0o700); err != nil {
@@ -258,6 +273,9 @@
 			p.Kill()
 		}
 	}
+	if c.relays != nil {
+		c.relays.close()
+	}
 }
 
 // Until calls fn until it succeeds or the time has passed, and returns the last
--- /dev/null
+++ b/test/cluster/relay.go
@@ -0,0 +1,188 @@
+package cluster
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// vm is a VM by the numbers of its data centre and of itself in it.
+type vm struct{ dc, n int }
+
+// link is the path of connections from one VM to another.
+type link struct{ from, to vm }
+
+// relays forward the connections between VMs, so that a link can be cut. A cut
+// link stays silent: connections are accepted and open ones remain, but nothing
+// passes, as with lost packets.
+type relays struct {
+	mu      sync.Mutex
+	cut     map[link]bool
+	changed chan struct{}
+	list    []net.Listener
+	// addresses holds the relay's address by source VM and announced address.
+	addresses map[vm]map[string]string
+}
+
+func newRelays() *relays {
+	return &relays{cut: map[link]bool{}, changed: make(chan struct{}), addresses: map[vm]map[string]string{}}
+}
+
+// add starts a relay on the link to an announced address.
+func (r *relays) add(l link, announced string) error {
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.78.%d.%d:0", l.from.dc+1, l.from.n+1))
+	if err != nil {
+		return errors.Wrap(err, "start relay")
+	}
+	if r.addresses[l.from] == nil {
+		r.addresses[l.from] = map[string]string{}
+	}
+	r.addresses[l.from][announced] = listener.Addr().String()
+	r.list = append(r.list, listener)
+	go r.accept(l, listener, announced)
+	return nil
+}
+
+func (r *relays) accept(l link, listener net.Listener, announced string) {
+	for {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.forward(l, c, announced)
+	}
+}
+
+func (r *relays) forward(l link, c net.Conn, announced string) {
+	defer c.Close()
+	r.awaitOpen(l)
+	target, err := net.DialTimeout("tcp", announced, time.Second)
+	if err != nil {
+		return
+	}
+	defer target.Close()
+	done := make(chan struct{}, 2)
+	go func() { r.pipe(l, target, c); done <- struct{}{} }()
+	go func() { r.pipe(link{l.to, l.from}, c, target); done <- struct{}{} }()
+	<-done
+}
+
+// pipe copies from one connection to another, holding what it read while the
+// link is cut.
+func (r *relays) pipe(l link, to, from net.Conn) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		r.awaitOpen(l)
+		if n > 0 {
+			if _, werr := to.Write(buffer[:n]); werr != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (r *relays) awaitOpen(l link) {
+	for {
+		r.mu.Lock()
+		cut, changed := r.cut[l], r.changed
+		r.mu.Unlock()
+		if !cut {
+			return
+		}
+		<-changed
+	}
+}
+
+// set cuts or heals links.
+func (r *relays) set(cut bool, links ...link) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, l := range links {
+		r.cut[l] = cut
+	}
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *relays) close() {
+	for _, l := range r.list {
+		_ = l.Close()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut = map[link]bool{}
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// section returns the settings that lead a VM's processes through the relays.
+func (r *relays) section(from vm) string {
+	var b strings.Builder
+	b.WriteString("[address_map]\n")
+	n := 0
+	for announced, relay := range r.addresses[from] {
+		n++
+		fmt.Fprintf(&b, "link-%d = %s %s\n", n, announced, relay)
+	}
+	return b.String()
+}
+
+// addRelays starts the relays between all VMs.
+func (c *Cluster) addRelays() error {
+	c.relays = newRelays()
+	for from := range c.vms() {
+		for to, addresses := range c.vms() {
+			if from == to {
+				continue
+			}
+			for _, a := range addresses {
+				if err := c.relays.add(link{from, to}, a); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// vms returns the addresses for processes by VM.
+func (c *Cluster) vms() map[vm][]string {
+	m := map[vm][]string{}
+	for d := range c.Spec.DataCentres {
+		for n := range c.Spec.VMs {
+			i := d*c.Spec.VMs + n
+			m[vm{d, n}] = []string{c.Controls[i].Peer, c.Entries[i].Peer}
+		}
+	}
+	return m
+}
+
+// Isolate cuts (or heals) all links between one VM, by the index of its
+// processes, and all others.
+func (c *Cluster) Isolate(i int, cut bool) {
+	self := vm{i / c.Spec.VMs, i % c.Spec.VMs}
+	for other := range c.vms() {
+		if other != self {
+			c.relays.set(cut, link{self, other}, link{other, self})
+		}
+	}
+}
+
+// Partition cuts (or heals) all links between one data centre and the others.
+func (c *Cluster) Partition(dc int, cut bool) {
+	for a := range c.vms() {
+		for b := range c.vms() {
+			if a.dc == dc && b.dc != dc {
+				c.relays.set(cut, link{a, b}, link{b, a})
+			}
+		}
+	}
+}
