--- /dev/null
+++ b/internal/gang/gang_test.go
@@ -0,0 +1,106 @@
+package gang
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"laburnumgrade/internal/structs"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+func cpu(n int64) structs.Resources { return structs.Resources{MilliCPU: n} }
+
+// Guards against a reservation later than needed, or of workers that cannot
+// hold the gang.
+func TestReserve(t *testing.T) {
+	s := time.Second
+	lines := func() []Timeline {
+		return []Timeline{
+			{Worker: 1, Free: cpu(1), Endings: []Ending{{50 * s, cpu(2)}, {5 * s, cpu(1)}}},
+			{Worker: 2, Free: cpu(4)},
+			{Worker: 3, Free: cpu(-1), Endings: []Ending{{20 * s, cpu(5)}}},
+		}
+	}
+	for _, tc := range []struct {
+		name    string
+		tasks   int
+		ok      bool
+		start   time.Duration
+		workers []int
+	}{
+		{"now", 2, true, 2 * s, []int{2}},
+		{"after one ending", 3, true, 5 * s, []int{2, 1}},
+		{"after two workers", 5, true, 20 * s, []int{2, 1, 3}},
+		{"all", 6, true, 50 * s, []int{2, 1, 3}},
+		{"never", 7, false, 0, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r, ok := Reserve(lines(), cpu(2), tc.tasks, 2*s)
+			assert.Equal(t, ok, tc.ok)
+			if ok {
+				assert.Equal(t, r.Start, tc.start)
+				assert.DeepEqual(t, r.Workers, tc.workers)
+			}
+		})
+	}
+}
+
+// Guards against a reservation that cannot hold the gang even if every
+// prediction comes true.
+func TestReserveHoldsAllTasks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var lines []Timeline
+		for w := range rapid.IntRange(1, 8).Draw(t, "workers") {
+			line := Timeline{Worker: w, Free: cpu(rapid.Int64Range(-2, 8).Draw(t, "free"))}
+			for range rapid.IntRange(0, 5).Draw(t, "endings") {
+				line.Endings = append(line.Endings, Ending{
+					time.Duration(rapid.IntRange(0, 50).Draw(t, "at")), cpu(rapid.Int64Range(1, 4).Draw(t, "size"))})
+			}
+			lines = append(lines, line)
+		}
+		size := cpu(rapid.Int64Range(1, 6).Draw(t, "size"))
+		tasks := rapid.IntRange(1, 12).Draw(t, "tasks")
+		r, ok := Reserve(lines, size, tasks, 10)
+		if !ok {
+			return
+		}
+		held := 0
+		for _, w := range r.Workers {
+			free := lines[w].Free
+			for _, e := range lines[w].Endings {
+				if e.At <= r.Start {
+					free = free.Add(e.Size)
+				}
+			}
+			held += count(free, size)
+		}
+		if held < tasks {
+			t.Fatalf("reserved workers hold %d of %d tasks at %d", held, tasks, r.Start)
+		}
+	})
+}
+
+// Guards against backfill that trusts a prediction it cannot enforce, and
+// against an interruption before or long after the grace.
+func TestBackfillBounds(t *testing.T) {
+	s := time.Second
+	assert.Equal(t, Backfill(10*s, 5*s, true), 15*s)
+	assert.Equal(t, Backfill(10*s, 5*s, false), 30*s)
+	assert.Assert(t, !Overdue(20*s, 29*s, DefaultGrace))
+	assert.Assert(t, Overdue(20*s, 30*s, DefaultGrace))
+	assert.Equal(t, Remaining(20*s, 10*s), 20*s)
+	assert.Equal(t, Remaining(10*s, 14*s), 18*s)
+	assert.Equal(t, Remaining(14*s, 14*s), 15*s)
+}
--- /dev/null
+++ b/internal/gang/reserve.go
@@ -0,0 +1,113 @@
+package gang
+
+import (
+	"slices"
+	"time"
+
+	"laburnumgrade/internal/structs"
+)
+
+// Ending is a predicted release of resources on a worker.
+type Ending struct {
+	At   time.Duration
+	Size structs.Resources
+}
+
+// Timeline is what a worker has free now and what it will release.
+type Timeline struct {
+	// Worker identifies the worker to the caller.
+	Worker  int
+	Free    structs.Resources
+	Endings []Ending
+}
+
+// Reservation is a set of workers and the time at which they are predicted to
+// be able to hold all tasks.
+type Reservation struct {
+	Start   time.Duration
+	Workers []int
+}
+
+// fit is a time at which a worker can hold further tasks.
+type fit struct {
+	at     time.Duration
+	worker int
+	tasks  int
+}
+
+// Reserve returns the earliest predicted time at which the given workers can
+// hold tasks tasks of a size, and the workers to reserve. It returns false if
+// they never can.
+func Reserve(timelines []Timeline, size structs.Resources, tasks int, now time.Duration) (Reservation, bool) {
+	var fits []fit
+	for i := range timelines {
+		fits = appendFits(fits, &timelines[i], size, tasks, now)
+	}
+	slices.SortStableFunc(fits, func(a, b fit) int {
+		switch {
+		case a.at != b.at:
+			return compare(a.at, b.at)
+		case a.tasks != b.tasks:
+			return b.tasks - a.tasks
+		}
+		return a.worker - b.worker
+	})
+	r := Reservation{Start: now}
+	for _, f := range fits {
+		if tasks <= 0 {
+			break
+		}
+		tasks -= f.tasks
+		r.Start = f.at
+		if !slices.Contains(r.Workers, f.worker) {
+			r.Workers = append(r.Workers, f.worker)
+		}
+	}
+	return r, tasks <= 0
+}
+
+func appendFits(fits []fit, t *Timeline, size structs.Resources, tasks int, now time.Duration) []fit {
+	slices.SortFunc(t.Endings, func(a, b Ending) int { return compare(a.At, b.At) })
+	free := t.Free
+	held := min(count(free, size), tasks)
+	if held > 0 {
+		fits = append(fits, fit{now, t.Worker, held})
+	}
+	for _, e := range t.Endings {
+		if held == tasks {
+			break
+		}
+		free = free.Add(e.Size)
+		if n := min(count(free, size), tasks); n > held {
+			fits = append(fits, fit{max(e.At, now), t.Worker, n - held})
+			held = n
+		}
+	}
+	return fits
+}
+
+func compare(a, b time.Duration) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// count returns how many tasks of a size fit into free.
+func count(free, size structs.Resources) int {
+	n := int64(1 << 30)
+	for _, d := range [][2]int64{
+		{free.MilliCPU, size.MilliCPU}, {free.MemoryBytes, size.MemoryBytes}, {free.Accelerators, size.Accelerators},
+	} {
+		switch {
+		case d[0] < 0:
+			return 0
+		case d[1] > 0:
+			n = min(n, d[0]/d[1])
+		}
+	}
+	return int(n)
+}
