--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -25,18 +25,36 @@
 
 // Spread counts the tasks of a service by worker and rack.
 type Spread struct {
-	workers map[Slot]int32
+	workers map[Slot]spot
 	racks   map[int32]int32
 }
 
+// spot is how many tasks of a service a worker has; the rack is that of the
+// first of them, so that the counts stay right if the worker is moved.
+type spot struct {
+	tasks int32
+	rack  int32
+}
+
 // Add counts by tasks on the worker at s.
 func (p *Spread) Add(f *Fleet, s Slot, by int32) {
 	if p.workers == nil {
-		p.workers = map[Slot]int32{}
+		p.workers = map[Slot]spot{}
 		p.racks = map[int32]int32{}
 	}
-	addCount(p.workers, s, by)
-	addCount(p.racks, f.nodes[s].rack, by)
+	at, known := p.workers[s]
+	if !known {
+		at.rack = f.nodes[s].rack
+	}
+	at.tasks += by
+	p.workers[s] = at
+	if at.tasks == 0 {
+		delete(p.workers, s)
+	}
+	p.racks[at.rack] += by
+	if p.racks[at.rack] == 0 {
+		delete(p.racks, at.rack)
+	}
 }
 
 // MostPerRack returns the largest number of tasks in one rack.
@@ -48,13 +66,6 @@
 	return int(most)
 }
 
-func addCount[K comparable](m map[K]int32, k K, by int32) {
-	m[k] += by
-	if m[k] == 0 {
-		delete(m, k)
-	}
-}
-
 // Weights of the score. Leftover capacity counts 1 for a whole worker.
 const (
 	weightImbalance = 0.5  // leftover processors without memory, or the reverse
@@ -171,7 +182,7 @@
 	score -= (weightSpeed + weightPatience*r.Patience) * n.Speed
 	if r.Spread != nil {
 		score += weightRack * float64(r.Spread.racks[n.rack])
-		score += weightSame * float64(r.Spread.workers[s])
+		score += weightSame * float64(r.Spread.workers[s].tasks)
 	}
 	return score
 }
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -38,6 +38,7 @@
 type node struct {
 	Worker
 	committed structs.Resources
+	tasks     int32
 	hold      Hold
 	rack      int32
 	next      Slot
@@ -165,19 +166,34 @@
 // Version changes whenever a task that did not fit before may fit.
 func (f *Fleet) Version() uint64 { return f.version }
 
-// Commit adds size to what is committed to the worker at s.
+// Fit returns how many tasks of a size the usable worker at s has room for.
+func (f *Fleet) Fit(s Slot, size structs.Resources) int {
+	n := &f.nodes[s]
+	free := n.free()
+	if !n.usable() || !size.Fits(free) {
+		return 0
+	}
+	return int(tasksPer(free, size))
+}
+
+// Trials returns the number of workers on probation that may run a trial.
+func (f *Fleet) Trials() int { return len(f.trials) }
+
+// Commit adds a task of a size to the worker at s.
 func (f *Fleet) Commit(s Slot, size structs.Resources) {
 	n := &f.nodes[s]
 	f.detach(s)
 	n.committed = n.committed.Add(size)
+	n.tasks++
 	f.attach(s)
 }
 
-// Release subtracts size from what is committed to the worker at s.
+// Release removes a task of a size from the worker at s.
 func (f *Fleet) Release(s Slot, size structs.Resources) {
 	n := &f.nodes[s]
 	f.detach(s)
 	n.committed = n.committed.Sub(size)
+	n.tasks--
 	f.version++
 	if n.removed {
 		f.reclaim(s)
@@ -265,7 +281,7 @@
 
 func (f *Fleet) reclaim(s Slot) {
 	n := &f.nodes[s]
-	if !n.committed.IsZero() {
+	if n.tasks > 0 {
 		return
 	}
 	delete(f.byID, n.ID)
--- /dev/null
+++ b/internal/scheduler/explain.go
@@ -0,0 +1,121 @@
+package scheduler
+
+import (
+	"fmt"
+
+	"laburnumgrade/internal/admission"
+	"laburnumgrade/internal/placement"
+	"laburnumgrade/internal/structs"
+)
+
+// Explanation says why a job waits.
+type Explanation struct {
+	// Known is false if the job does not wait here.
+	Known bool
+	// Never is set if no worker could hold the job, however long it waits.
+	Never bool
+	// Reasons are in order, the most limiting first.
+	Reasons []string
+}
+
+// Explain says why a job waits. It looks at every worker, so it is for the
+// few jobs that are asked about.
+func (s *Scheduler) Explain(id string) Explanation {
+	j, known := s.jobs[id]
+	if !known {
+		return Explanation{Reasons: []string{"the job is not waiting"}}
+	}
+	e := Explanation{Known: true}
+	b := j.bucket
+	tasks := 1
+	if b.spec.Class == structs.ClassGang {
+		tasks = len(j.tasks)
+	}
+	if reason, never := admission.Never(s.fleet, b.spec.Size, tasks); never {
+		e.Never = true
+		e.add(reason)
+	}
+	if b.team.Room(b.spec.Size, tasks) < tasks {
+		e.add(b.team.Shortage(b.spec.Size, tasks))
+	}
+	if b.limit != limitNone || tasks > 1 {
+		if text, short := s.roomText(b.spec.Size, tasks); short {
+			e.add(text)
+		}
+	}
+	if r := j.res; r != nil {
+		e.add(fmt.Sprintf("holds a reservation of %d workers from %v", len(r.slots), r.start))
+	} else if n := len(s.reservations); n > 0 {
+		e.add(fmt.Sprintf("%d other jobs hold reservations", n))
+	}
+	e.add(s.orderText(j))
+	return e
+}
+
+func (e *Explanation) add(reason string) { e.Reasons = append(e.Reasons, reason) }
+
+// orderText says how much work is ordered before a job.
+func (s *Scheduler) orderText(j *job) string {
+	before := 0
+	for at := j.prev; at != nil; at = at.prev {
+		before++
+	}
+	ranks := 0
+	for _, b := range s.active {
+		if b.rank < j.bucket.rank {
+			ranks += b.jobs
+		}
+	}
+	return fmt.Sprintf("%d jobs of the same document and %d jobs of a more urgent kind are ordered before it; team %q uses %.2f of its share",
+		before, ranks, j.bucket.team.Name, j.bucket.team.excess)
+}
+
+// limitText says what kept the head of a bucket from being placed.
+func (s *Scheduler) limitText(b *bucket, why limit) string {
+	tasks := 1
+	if b.spec.Class == structs.ClassGang {
+		tasks = len(b.head.tasks)
+	}
+	if why == limitAllotment {
+		return b.team.Shortage(b.spec.Size, tasks)
+	}
+	return "no worker has room now"
+}
+
+// roomText says how many usable workers have room, naming the dimension that
+// the fewest have enough of. It returns false if there is room for all tasks.
+func (s *Scheduler) roomText(size structs.Resources, tasks int) (string, bool) {
+	usable, room := 0, 0
+	var enough [3]int
+	for slot := range placement.Slot(s.fleet.Slots()) {
+		if !s.fleet.Usable(slot) {
+			continue
+		}
+		usable++
+		room += s.fleet.Fit(slot, size)
+		free := s.fleet.Free(slot)
+		for d, ok := range []bool{
+			size.MilliCPU <= free.MilliCPU, size.MemoryBytes <= free.MemoryBytes, size.Accelerators <= free.Accelerators,
+		} {
+			if ok {
+				enough[d]++
+			}
+		}
+	}
+	if room >= tasks {
+		return "", false
+	}
+	text := fmt.Sprintf("%d of %d tasks have room now; of %d usable workers ", room, tasks, usable)
+	texts := []string{
+		fmt.Sprintf("%d have %g cores free", enough[0], float64(size.MilliCPU)/1000),
+		fmt.Sprintf("%d have %d MiB of memory free", enough[1], size.MemoryBytes>>20),
+		fmt.Sprintf("%d have %d accelerators free", enough[2], size.Accelerators),
+	}
+	least := 0
+	for d := range enough {
+		if enough[d] < enough[least] {
+			least = d
+		}
+	}
+	return text + texts[least], true
+}
