Scheduler in the control process, rejection of jobs, fault runs

Cause: first fit in order of ids ignored shares, deadlines and gangs. Ruled out: ending a job past its deadline as cancelled; the caller has to learn that it was not run. Change: internal/control mirrors changed workers and jobs into the scheduler and commits its plans; command RejectJob; test/faults, which needs replicated groups to run.

--- a/cmd/lg-control/main.go
+++ b/cmd/lg-control/main.go
@@ -19,6 +19,7 @@
 	"laburnumgrade/internal/port"
 	"laburnumgrade/internal/process"
 	"laburnumgrade/internal/replica"
+	"laburnumgrade/internal/scheduler"
 )
 
 type options struct {
@@ -78,7 +79,7 @@
 	sc := control.Config{
 		Name: fmt.Sprintf("%s#%d", c.Process.Name, time.Now().UnixNano()), DataCentre: c.Process.DataCentre,
 		Clock: p.Clock, Logger: p.Logger, Timeline: p.Timeline, DataCentres: c.Peers.DataCentres(),
-		FleetCalls: peer.NewGroup("fleet", p.Client, addresses),
+		FleetCalls: peer.NewGroup("fleet", p.Client, addresses), Scheduler: policy(&c.Scheduler),
 	}
 	open := func(group string, m port.StateMachine) (port.Log, error) {
 		return replica.OpenSolo(filepath.Join(c.DataFolder, group+".log"), c.Process.Name, c.Peer.String(), m, p.Clock)
@@ -102,3 +103,12 @@
 	}
 	return control.New(sc), nil
 }
+
+// policy returns the scheduler's options that the settings choose.
+func policy(c *config.Scheduler) scheduler.Options {
+	o := scheduler.DefaultOptions()
+	o.Policy.FairnessWeight = c.FairnessWeight
+	o.Policy.MaxBypass = c.MaxBypass
+	o.HalfLife = c.HalfLife
+	return o
+}
--- a/internal/control/broadcast.go
+++ b/internal/control/broadcast.go
@@ -48,16 +48,24 @@
 }
 
 // observer wakes waiters when the state changes.
-type observer struct{ changes *broadcast }
+type observer struct {
+	changes *broadcast
+	dirty   *dirty
+}
 
-func (o *observer) Reset() { o.changes.wakeAll() }
+func (o *observer) Reset() {
+	o.dirty.reset()
+	o.changes.wakeAll()
+}
 
 func (o *observer) WorkerChanged(id string) {
+	o.dirty.worker(id)
 	o.changes.wake("worker/" + id)
 	o.changes.wake(topicQueue)
 }
 
 func (o *observer) JobChanged(id string) {
+	o.dirty.job(id)
 	o.changes.wake("job/" + id)
 	o.changes.wake(topicQueue)
 }
--- a/internal/control/datacentre.go
+++ b/internal/control/datacentre.go
@@ -161,8 +161,9 @@
 		return nil, twirp.NotFoundError("job " + r.JobId + " is not known")
 	}
 	reply := &apiv1.ExplainJobResponse{JobId: j.ID, State: jobMessage(&j, g.Name).State}
-	if t := g.Store.Team(j.Spec.Team); !t.Running.Add(j.Spec.Size).Fits(t.Allotment) {
-		reply.Reasons = append(reply.Reasons, "team "+t.Name+" is at its allotment in this data centre")
+	if e, waiting := g.mirror.explain(r.JobId); waiting {
+		reply.Reasons = e.Reasons
+		reply.Impossible = e.Never
 	}
 	return reply, nil
 }
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -24,6 +24,8 @@
 	Log   port.Log
 
 	changes   *broadcast
+	dirty     *dirty
+	mirror    *mirror
 	workers   *lease.Table
 	instances *lease.Table
 	slots     *lease.Table
@@ -47,11 +49,11 @@
 // use, since a log needs the store first.
 func NewDataCentreGroup(name string) *DataCentreGroup {
 	g := &DataCentreGroup{
-		Name: name, changes: newBroadcast(),
+		Name: name, changes: newBroadcast(), dirty: newDirty(),
 		workers: lease.NewTable(lease.Worker), instances: lease.NewTable(lease.Instance), slots: lease.NewTable(lease.Slot),
 		entries: map[string]string{},
 	}
-	g.Store = state.New(&observer{g.changes})
+	g.Store = state.New(&observer{g.changes, g.dirty})
 	return g
 }
 
--- /dev/null
+++ b/internal/control/mirror.go
@@ -0,0 +1,157 @@
+package control
+
+import (
+	"sync"
+	"time"
+
+	"laburnumgrade/internal/placement"
+	"laburnumgrade/internal/scheduler"
+	"laburnumgrade/internal/structs"
+)
+
+// mirror keeps a scheduler in step with the state of a data centre group that
+// this process leads.
+type mirror struct {
+	group   *DataCentreGroup
+	options scheduler.Options
+	clock   func() time.Duration
+
+	mu        sync.Mutex
+	scheduler *scheduler.Scheduler
+	// since is the start of the leadership that the scheduler was made for.
+	since time.Duration
+	// accepted is when a job was first seen waiting, by job id.
+	accepted map[string]time.Duration
+	teamsAt  time.Duration
+}
+
+// teamsInterval is how often shares and allotments are mirrored.
+const teamsInterval = 100 * time.Millisecond
+
+func newMirror(g *DataCentreGroup, o scheduler.Options, clock func() time.Duration) *mirror {
+	return &mirror{group: g, options: o, clock: clock, since: -1}
+}
+
+// sync mirrors what has changed; after a change of leadership, everything.
+// shares returns the teams' shares.
+func (m *mirror) sync(since time.Duration, shares func() map[string]float64) {
+	all, workers, jobs := m.group.dirty.take()
+	if all || since != m.since {
+		m.since = since
+		m.scheduler = scheduler.New(m.options)
+		m.accepted = map[string]time.Duration{}
+		m.teamsAt = 0
+		workers, jobs = m.everything()
+	}
+	now := m.clock()
+	for id := range workers {
+		m.syncWorker(id)
+	}
+	if m.teamsAt == 0 || now >= m.teamsAt+teamsInterval {
+		m.teamsAt = now
+		m.syncTeams(shares())
+	}
+	for id := range jobs {
+		m.syncJob(id, now)
+	}
+}
+
+func (m *mirror) everything() (workers, jobs map[string]struct{}) {
+	workers = map[string]struct{}{}
+	for _, id := range m.group.Store.WorkerIDs() {
+		workers[id] = struct{}{}
+	}
+	jobs = map[string]struct{}{}
+	for _, id := range m.group.Store.OpenJobs() {
+		jobs[id] = struct{}{}
+	}
+	return workers, jobs
+}
+
+func (m *mirror) syncWorker(id string) {
+	w, known := m.group.Store.Worker(id)
+	if !known {
+		m.scheduler.RemoveWorker(id)
+		return
+	}
+	m.scheduler.UpsertWorker(placement.Worker{
+		ID: w.ID, Incarnation: w.Incarnation, Rack: w.Rack, Capacity: w.Capacity,
+		Leaving: w.Leaving, Lost: w.Lost, Probation: w.Probation,
+	})
+}
+
+func (m *mirror) syncTeams(shares map[string]float64) {
+	for _, t := range m.group.Store.Teams() {
+		m.scheduler.SetTeam(t.Name, max(shares[t.Name], 1), t.Allotment)
+	}
+}
+
+func (m *mirror) syncJob(id string, now time.Duration) {
+	j, known := m.group.Store.Job(id)
+	if !known {
+		m.scheduler.RemoveJob(id)
+		delete(m.accepted, id)
+		return
+	}
+	if _, seen := m.accepted[id]; !seen {
+		m.accepted[id] = now - m.waited(&j)
+	}
+	waiting := m.syncTasks(&j, now)
+	if len(waiting) == 0 {
+		m.scheduler.RemoveJob(id)
+	} else {
+		m.scheduler.AddJob(m.job(&j, waiting))
+	}
+	if j.Ended() {
+		delete(m.accepted, id)
+	}
+}
+
+// waited returns how long the job has waited, by the log time.
+func (m *mirror) waited(j *structs.Job) time.Duration {
+	return max(0, time.Duration(m.group.Store.LogTime()-j.AcceptedAt)*time.Millisecond)
+}
+
+// syncTasks mirrors the attempts of a job and returns its waiting tasks.
+func (m *mirror) syncTasks(j *structs.Job, now time.Duration) []int {
+	var waiting []int
+	for i := range j.Tasks {
+		t := &j.Tasks[i]
+		if t.State != structs.TaskRunning {
+			m.scheduler.AttemptEnded(j.ID, i, now, t.State == structs.TaskEnded && t.Outcome == structs.OutcomeOK)
+			if t.State == structs.TaskWaiting && !j.Cancelled {
+				waiting = append(waiting, i)
+			}
+			continue
+		}
+		if a, open := m.group.Store.Attempt(t.Attempt); open {
+			m.scheduler.AttemptStarted(scheduler.Attempt{
+				JobID: j.ID, Task: i, WorkerID: a.WorkerID, Incarnation: a.Incarnation, Spec: j.Spec, Urgent: j.Urgent, Started: now,
+			}, now)
+		}
+	}
+	return waiting
+}
+
+func (m *mirror) job(j *structs.Job, waiting []int) scheduler.Job {
+	in := scheduler.Job{ID: j.ID, Spec: j.Spec, Urgent: j.Urgent, Submitted: m.accepted[j.ID], Tasks: waiting}
+	attempted := false
+	for i := range j.Tasks {
+		attempted = attempted || j.Tasks[i].Attempts > 0
+	}
+	if j.Deadline > 0 && !attempted {
+		in.Deadline = in.Submitted + j.Deadline
+	}
+	return in
+}
+
+// explain says why a job waits; false if it does not wait here.
+func (m *mirror) explain(id string) (scheduler.Explanation, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.scheduler == nil {
+		return scheduler.Explanation{}, false
+	}
+	e := m.scheduler.Explain(id)
+	return e, e.Known
+}
--- a/internal/control/schedule.go
+++ b/internal/control/schedule.go
@@ -5,18 +5,26 @@
 	"time"
 
 	"laburnumgrade/gen/statev1"
-	"laburnumgrade/internal/structs"
+	"laburnumgrade/internal/scheduler"
 )
 
-// scheduleInterval bounds the time between two plans.
-const scheduleInterval = 50 * time.Millisecond
+const (
+	// scheduleInterval bounds the time between two plans.
+	scheduleInterval = 50 * time.Millisecond
+	// maxPlan bounds the placements of one plan, and so the size of a log entry.
+	maxPlan = 1000
+)
 
 // schedule places waiting tasks while this process leads the group.
 func (s *Server) schedule(ctx context.Context, g *DataCentreGroup) {
 	for ctx.Err() == nil {
 		changed := g.changes.wait(topicQueue)
-		if _, valid := g.Log.Lease(); valid {
-			s.scheduleOnce(ctx, g)
+		more := false
+		if since, valid := g.Log.Lease(); valid {
+			more = s.scheduleOnce(ctx, g, since)
+		}
+		if more {
+			continue
 		}
 		select {
 		case <-ctx.Done():
@@ -26,51 +34,49 @@
 	}
 }
 
-// scheduleOnce places the waiting tasks first fit, in order of their job ids.
-func (s *Server) scheduleOnce(ctx context.Context, g *DataCentreGroup) {
+// scheduleOnce mirrors changes, plans and commits the plan. It reports whether
+// there may be more to place at once.
+func (s *Server) scheduleOnce(ctx context.Context, g *DataCentreGroup, since time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, opTimeout)
 	defer cancel()
-	plan := &statev1.Plan{}
-	free := map[string]structs.Resources{}
-	workers := g.Store.WorkerIDs()
-	for _, id := range g.Store.OpenJobs() {
-		j, ok := g.Store.Job(id)
-		if !ok {
-			continue
-		}
-		plan.Placements = append(plan.Placements, firstFit(g, &j, workers, free)...)
+	g.mirror.mu.Lock()
+	g.mirror.sync(since, s.shares)
+	batch := g.mirror.scheduler.Plan(s.clock.Now(), maxPlan)
+	g.mirror.mu.Unlock()
+	for _, r := range batch.Rejections {
+		s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_RejectJob{RejectJob: &statev1.RejectJob{JobId: r.JobID, Reason: r.Reason}}})
 	}
-	if len(plan.Placements) == 0 {
-		return
+	if len(batch.Placements) > 0 {
+		s.commitPlan(ctx, g, batch.Placements)
+	}
+	return len(batch.Placements) >= maxPlan
+}
+
+func (s *Server) commitPlan(ctx context.Context, g *DataCentreGroup, placements []scheduler.Placement) {
+	plan := &statev1.Plan{Placements: make([]*statev1.Placement, len(placements))}
+	for i, p := range placements {
+		plan.Placements[i] = &statev1.Placement{JobId: p.JobID, Task: int32(p.Task), WorkerId: p.WorkerID, Incarnation: p.Incarnation}
 	}
 	result, err := g.propose(ctx, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_Plan{Plan: plan}})
 	if err != nil {
 		s.logger.Warn("plan not committed", "step", "plan", "group", g.Name, "error", err)
-		return
+	} else {
+		s.recordPlan(g, plan, result)
+	}
+	// Placements that were rejected, or whose outcome is not known, are
+	// mirrored again from the state.
+	for i, p := range placements {
+		if err != nil || result.Placements[i].Refusal != "" {
+			g.dirty.job(p.JobID)
+		}
 	}
-	s.recordPlan(g, plan, result)
 }
 
-func firstFit(g *DataCentreGroup, j *structs.Job, workers []string, free map[string]structs.Resources) []*statev1.Placement {
-	var placements []*statev1.Placement
-	for i := range j.Tasks {
-		if j.Tasks[i].State != structs.TaskWaiting {
-			continue
-		}
-		for _, id := range workers {
-			w, ok := g.Store.Worker(id)
-			if !ok || !w.Placeable() {
-				continue
-			}
-			if _, seen := free[id]; !seen {
-				free[id] = w.Free()
-			}
-			if j.Spec.Size.Fits(free[id]) {
-				free[id] = free[id].Sub(j.Spec.Size)
-				placements = append(placements, &statev1.Placement{JobId: j.ID, Task: int32(i), WorkerId: id, Incarnation: w.Incarnation})
-				break
-			}
-		}
+// shares returns the teams' shares: the sum over each team's documents.
+func (s *Server) shares() map[string]float64 {
+	shares := map[string]float64{}
+	for _, d := range s.follower.Store().Documents() {
+		shares[d.Team] += float64(d.Share)
 	}
-	return placements
+	return shares
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -13,6 +13,7 @@
 	"laburnumgrade/internal/adapter/peer"
 	"laburnumgrade/internal/follower"
 	"laburnumgrade/internal/port"
+	"laburnumgrade/internal/scheduler"
 	"laburnumgrade/internal/timeline"
 )
 
@@ -47,6 +48,8 @@
 	// FleetCalls reaches the fleet group's leader.
 	FleetCalls  *peer.Group
 	DataCentres []string
+	// Scheduler is the policy of the data centre groups.
+	Scheduler scheduler.Options
 }
 
 // New returns a server.
@@ -57,6 +60,7 @@
 	}
 	for _, g := range c.Groups {
 		s.groups[g.Name] = g
+		g.mirror = newMirror(g, c.Scheduler, c.Clock.Now)
 	}
 	s.follower = follower.New(follower.Config{
 		Holder: c.Name, DataCentre: c.DataCentre, Fleet: c.FleetCalls, Clock: c.Clock, Logger: c.Logger, Demand: s.demand,
--- a/internal/state/read.go
+++ b/internal/state/read.go
@@ -160,3 +160,14 @@
 	}
 	return *in, true
 }
+
+// Attempt returns a copy of an open attempt; false if there is none.
+func (s *Store) Attempt(id uint64) (structs.Attempt, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	a := s.d.Attempts[id]
+	if a == nil {
+		return structs.Attempt{}, false
+	}
+	return *a, true
+}
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -137,6 +137,8 @@
 		return s.removeInstance(c.RemoveInstance)
 	case *statev1.DataCentreCommand_AssignSlots:
 		return s.assignSlots(c.AssignSlots)
+	case *statev1.DataCentreCommand_RejectJob:
+		return s.rejectJob(c.RejectJob)
 	}
 	return &Result{Refusal: "unknown command"}
 }
--- a/test/cluster/client.go
+++ b/test/cluster/client.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -13,6 +14,7 @@
 
 	"laburnumgrade/gen/apiv1"
 	"laburnumgrade/gen/apiv1/apiv1connect"
+	"laburnumgrade/gen/peerv1"
 	"laburnumgrade/internal/standin"
 )
 
@@ -89,3 +91,81 @@
 	report := &standin.Report{}
 	return report, errors.Wrap(json.NewDecoder(resp.Body).Decode(report), "decode records")
 }
+
+// groupStatus returns the state of the groups as a control process sees it.
+func (c *Cluster) groupStatus(ctx context.Context, p *Process) (*apiv1.StatusResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	return peerv1.NewDataCentreServiceProtobufClient("http://"+p.Peer, c.Client).Status(ctx, &apiv1.StatusRequest{})
+}
+
+// Leader returns the process that leads the group of a data centre.
+func (c *Cluster) Leader(ctx context.Context, dc int) (*Process, error) {
+	var leader *Process
+	err := Until(ctx, 20*time.Second, func(ctx context.Context) error {
+		r, err := c.groupStatus(ctx, c.Controls[dc*c.Spec.VMs])
+		if err != nil {
+			return err
+		}
+		for _, g := range r.Groups {
+			if g.Group == c.Spec.DataCentres[dc] {
+				leader = c.control(g.Leader)
+			}
+		}
+		if leader == nil {
+			return errors.Errorf("the group of %s has no leader", c.Spec.DataCentres[dc])
+		}
+		return nil
+	})
+	return leader, err
+}
+
+// control returns the process of a replica id.
+func (c *Cluster) control(id string) *Process {
+	name, _, _ := strings.Cut(id, "#")
+	for _, p := range c.Controls {
+		if p.Name == name {
+			return p
+		}
+	}
+	return nil
+}
+
+// AwaitVoters waits until every group has all the voters that the settings name
+// and nothing is being repaired.
+func (c *Cluster) AwaitVoters(ctx context.Context) error {
+	return Until(ctx, 40*time.Second, func(ctx context.Context) error {
+		complete := map[string]bool{}
+		for _, p := range c.Controls {
+			r, err := c.groupStatus(ctx, p)
+			if err != nil {
+				return err
+			}
+			for _, g := range r.Groups {
+				if c.control(g.Leader) == p {
+					complete[g.Group] = c.voting(g)
+				}
+			}
+		}
+		for _, name := range append([]string{"fleet"}, c.Spec.DataCentres...) {
+			if !complete[name] {
+				return errors.Errorf("group %s does not have all its voters", name)
+			}
+		}
+		return nil
+	})
+}
+
+func (c *Cluster) voting(g *apiv1.GroupStatus) bool {
+	want := c.FleetVoters()
+	if g.Group != "fleet" {
+		want = c.Voters(g.Group)
+	}
+	found := map[string]bool{}
+	for _, id := range g.Voters {
+		if p := c.control(id); p != nil {
+			found[p.Name] = true
+		}
+	}
+	return len(g.Voters) == len(want) && len(found) == len(want) && len(g.Learners) == 0
+}
--- /dev/null
+++ b/test/faults/cases.go
@@ -0,0 +1,176 @@
+package main
+
+import (
+	"context"
+	"os"
+	"syscall"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"laburnumgrade/gen/apiv1"
+	"laburnumgrade/test/cluster"
+)
+
+// faultCase breaks something while the load runs. The function add registers a
+// correction of the verdict.
+type faultCase struct {
+	name string
+	run  func(ctx context.Context, e *environment, add func(func(*verdict))) error
+}
+
+const (
+	// settle is the time given to the system after a fault is over.
+	settle = 3 * time.Second
+	// pauseLength is longer than every lease.
+	pauseLength = 6 * time.Second
+)
+
+var cases = []faultCase{
+	{"control leader killed", killLeader},
+	{"control leader paused 6 s", pauseLeader},
+	{"entry killed", killEntry},
+	{"data folder emptied", emptyFolder},
+	{"second VM lost after repair", secondLoss},
+	{"data centre cut off 6 s", cutDataCentre},
+	{"VM isolated, key withdrawn", isolateVM},
+}
+
+// killLeader kills the leader of a data centre group and starts it again.
+func killLeader(ctx context.Context, e *environment, _ func(func(*verdict))) error {
+	p, err := e.c.Leader(ctx, 0)
+	if err != nil {
+		return err
+	}
+	p.Kill()
+	time.Sleep(settle)
+	if err := e.c.Start(p); err != nil {
+		return err
+	}
+	time.Sleep(settle)
+	return nil
+}
+
+func pauseLeader(ctx context.Context, e *environment, _ func(func(*verdict))) error {
+	p, err := e.c.Leader(ctx, 0)
+	if err != nil {
+		return err
+	}
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	time.Sleep(pauseLength)
+	if err := p.Signal(syscall.SIGCONT); err != nil {
+		return err
+	}
+	time.Sleep(settle)
+	return nil
+}
+
+func killEntry(_ context.Context, e *environment, _ func(func(*verdict))) error {
+	p := e.c.Entries[0]
+	p.Kill()
+	time.Sleep(settle)
+	if err := e.c.Start(p); err != nil {
+		return err
+	}
+	time.Sleep(settle)
+	return nil
+}
+
+// emptyFolder kills a voter with a disk, empties its data folder and starts it
+// again: it must not vote as the voter it was.
+func emptyFolder(ctx context.Context, e *environment, _ func(func(*verdict))) error {
+	p := e.c.Controls[0]
+	p.Kill()
+	if err := os.RemoveAll(p.Folder); err != nil {
+		return errors.Wrap(err, "empty data folder")
+	}
+	if err := os.MkdirAll(p.Folder, 0o700); err != nil {
+		return errors.Wrap(err, "make data folder")
+	}
+	if err := e.c.Start(p); err != nil {
+		return err
+	}
+	if err := e.c.AwaitVoters(ctx); err != nil {
+		return errors.Wrap(err, "repair")
+	}
+	time.Sleep(settle)
+	return nil
+}
+
+// secondLoss restarts a diskless voter, waits for its repair, and at once kills
+// another voter of the same group.
+func secondLoss(ctx context.Context, e *environment, _ func(func(*verdict))) error {
+	diskless := e.c.Controls[1]
+	diskless.Kill()
+	time.Sleep(time.Second)
+	if err := e.c.Start(diskless); err != nil {
+		return err
+	}
+	if err := e.c.AwaitVoters(ctx); err != nil {
+		return errors.Wrap(err, "repair")
+	}
+	second := e.c.Controls[0]
+	second.Kill()
+	time.Sleep(settle)
+	if err := e.c.Start(second); err != nil {
+		return err
+	}
+	time.Sleep(settle)
+	return nil
+}
+
+// cutDataCentre cuts a data centre off; both sides go on serving.
+func cutDataCentre(_ context.Context, e *environment, _ func(func(*verdict))) error {
+	e.c.Partition(0, true)
+	time.Sleep(pauseLength)
+	e.c.Partition(0, false)
+	time.Sleep(settle)
+	return nil
+}
+
+// lateBound is the time after which a withdrawn key must be refused everywhere.
+const lateBound = 3 * time.Second
+
+// isolateVM isolates one VM silently while callers still reach it, and
+// withdraws a key. Acceptances through the isolated entry after the bound are
+// late.
+func isolateVM(ctx context.Context, e *environment, add func(func(*verdict))) error {
+	isolated := e.c.Entries[0]
+	key, err := e.c.GrantKey(ctx, e.c.Entries[2], "refit")
+	if err != nil {
+		return err
+	}
+	if err := e.c.AwaitForce(ctx, e.c.Entries[2], key.Change.Index); err != nil {
+		return err
+	}
+	e.c.Isolate(0, true)
+	defer e.c.Isolate(0, false)
+	withdrawn := time.Now()
+	operation := cluster.NewID()
+	err = cluster.Until(ctx, 10*time.Second, func(ctx context.Context) error {
+		_, err := e.c.Operator(e.c.Entries[2]).WithdrawKey(ctx, connect.NewRequest(&apiv1.WithdrawKeyRequest{KeyId: key.KeyId, OperationId: operation}))
+		return err
+	})
+	if err != nil {
+		return errors.Wrap(err, "withdraw key")
+	}
+	late := 0
+	for time.Since(withdrawn) < pauseLength {
+		ctx, cancel := context.WithTimeout(ctx, time.Second)
+		_, err := e.c.Caller(isolated, key.Key).SubmitJob(ctx, connect.NewRequest(&apiv1.SubmitJobRequest{
+			JobId: cluster.NewID() + ".Plateau", Team: "refit", Service: "foam-order",
+		}))
+		cancel()
+		if err == nil && time.Since(withdrawn) > lateBound {
+			late++
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	add(func(v *verdict) { v.lateKey = late })
+	e.c.Isolate(0, false)
+	time.Sleep(settle)
+	return nil
+}
--- /dev/null
+++ b/test/faults/judge.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"laburnumgrade/gen/apiv1"
+	"laburnumgrade/internal/standin"
+	"laburnumgrade/internal/structs"
+)
+
+// verdict is the result of one case, from the callers' answers and the records
+// of the emulated targets.
+type verdict struct {
+	name                                     string
+	operations, answered, refused, unknown   int
+	lost, doubled, wrong                     int
+	overcommitted, overLimit, lateKey, extra int
+	// missed is the longest time without an accepted job, by data centre.
+	missed map[string]time.Duration
+	notes  []string
+}
+
+// judge compares what callers were told with what the targets saw.
+func judge(name string, operations []*operation, report *standin.Report, began time.Time, limits map[string]structs.Resources) *verdict {
+	v := &verdict{name: name, operations: len(operations), missed: missed(operations, began)}
+	started, completed := map[string]int{}, map[string]int{}
+	for _, r := range report.Runs {
+		started[r.ID]++
+		if r.Completed {
+			completed[r.ID]++
+		}
+	}
+	for _, o := range operations {
+		id := o.id
+		if !o.call {
+			id += "/0"
+		}
+		v.count(o, started[id], completed[id])
+	}
+	v.doubled += report.Summary.Overlapping
+	v.overcommitted = report.Summary.Overcommitted + report.Summary.Overfilled
+	for team, limit := range limits {
+		if !report.Summary.TeamPeak[team].Fits(limit) {
+			v.overLimit++
+		}
+	}
+	return v
+}
+
+func (v *verdict) count(o *operation, started, completed int) {
+	if started > 1 {
+		v.doubled++
+	}
+	if o.wrong != "" {
+		v.wrong++
+		v.notes = append(v.notes, fmt.Sprintf("%s received %q", o.id, o.wrong))
+	}
+	switch o.outcome {
+	case apiv1.Outcome_OUTCOME_OK:
+		v.answered++
+		if completed == 0 {
+			v.lost++
+		}
+	case apiv1.Outcome_OUTCOME_NOT_RUN:
+		v.refused++
+		if started > 0 {
+			v.extra++
+			v.notes = append(v.notes, o.id+" was refused as not run and ran")
+		}
+	case apiv1.Outcome_OUTCOME_UNKNOWN:
+		v.unknown++
+	default:
+		if o.accepted.IsZero() && started == 0 {
+			v.refused++
+			return
+		}
+		v.lost++
+		v.notes = append(v.notes, fmt.Sprintf("%s: outcome %v, started %d, completed %d", o.id, o.outcome, started, completed))
+	}
+}
+
+// missed returns the longest time between two accepted jobs of a data centre.
+func missed(operations []*operation, began time.Time) map[string]time.Duration {
+	times := map[string][]time.Time{}
+	for _, o := range operations {
+		if !o.call && !o.accepted.IsZero() {
+			times[o.dc] = append(times[o.dc], o.accepted)
+		}
+	}
+	longest := map[string]time.Duration{}
+	for dc, list := range times {
+		slices.SortFunc(list, time.Time.Compare)
+		last := began
+		for _, t := range list {
+			longest[dc] = max(longest[dc], t.Sub(last))
+			last = t
+		}
+	}
+	return longest
+}
+
+func (v *verdict) ok() bool {
+	return v.lost+v.doubled+v.wrong+v.overcommitted+v.overLimit+v.lateKey+v.extra == 0
+}
+
+func (v *verdict) print() {
+	worst, where := time.Duration(0), ""
+	for dc, d := range v.missed {
+		if d > worst {
+			worst, where = d, dc
+		}
+	}
+	result := "ok"
+	if !v.ok() {
+		result = "FAILED"
+	}
+	fmt.Printf("%-34s %-6s operations %4d answered %4d refused %3d unknown %2d | missed %5d ms (%s) | lost %d doubled %d wrong %d overcommitted %d over-limit %d late-key %d not-run-but-ran %d\n",
+		v.name, result, v.operations, v.answered, v.refused, v.unknown, worst.Milliseconds(), where,
+		v.lost, v.doubled, v.wrong, v.overcommitted, v.overLimit, v.lateKey, v.extra)
+	for i, n := range v.notes {
+		if i == 5 {
+			fmt.Printf("    and %d more\n", len(v.notes)-i)
+			break
+		}
+		fmt.Println("   ", n)
+	}
+}
