--- a/cmd/lg-control/main.go
+++ b/cmd/lg-control/main.go
@@ -78,7 +78,7 @@
 	}
 	sc := control.Config{
 		Name: fmt.Sprintf("%s#%d", c.Process.Name, time.Now().UnixNano()), DataCentre: c.Process.DataCentre,
-		Clock: p.Clock, Logger: p.Logger, Timeline: p.Timeline, DataCentres: c.Peers.DataCentres(),
+		Clock: p.Clock, Logger: p.Logger, Timeline: p.Timeline, Scope: p.Scope, DataCentres: c.Peers.DataCentres(),
 		FleetCalls: peer.NewGroup("fleet", p.Client, addresses), Scheduler: policy(&c.Scheduler),
 	}
 	open := func(group string, m port.StateMachine) (port.Log, error) {
--- a/internal/control/expire.go
+++ b/internal/control/expire.go
@@ -49,6 +49,7 @@
 	if !g.workers.BeginEnd(w.ID, since, now) {
 		return
 	}
+	s.meter.workersLost.Inc(1)
 	s.logger.Warn("worker lost: its lease has run out", "step", "expire worker", "peer", w.ID, "attempts", len(w.Attempts))
 	if s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_LoseWorker{LoseWorker: &statev1.LoseWorker{WorkerId: w.ID, Incarnation: w.Incarnation}}}) {
 		g.workers.EndDone(w.ID, since)
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -26,6 +26,7 @@
 	changes   *broadcast
 	dirty     *dirty
 	mirror    *mirror
+	meter     *meter
 	workers   *lease.Table
 	instances *lease.Table
 	slots     *lease.Table
@@ -78,10 +79,13 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode command")
 	}
+	began := time.Now()
 	result, err := g.Log.Propose(ctx, b)
 	if err != nil {
+		g.meter.proposalErrors.Inc(1)
 		return nil, peerError(err)
 	}
+	g.meter.proposal.RecordDuration(time.Since(began))
 	return result.(*state.Result), nil
 }
 
--- a/internal/control/schedule.go
+++ b/internal/control/schedule.go
@@ -39,10 +39,13 @@
 func (s *Server) scheduleOnce(ctx context.Context, g *DataCentreGroup, since time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, opTimeout)
 	defer cancel()
+	began := time.Now()
 	g.mirror.mu.Lock()
 	g.mirror.sync(since, s.shares)
 	batch := g.mirror.scheduler.Plan(s.clock.Now(), maxPlan)
 	g.mirror.mu.Unlock()
+	s.meter.plan.RecordDuration(time.Since(began))
+	s.meter.jobRejections.Inc(int64(len(batch.Rejections)))
 	for _, r := range batch.Rejections {
 		s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_RejectJob{RejectJob: &statev1.RejectJob{JobId: r.JobID, Reason: r.Reason}}})
 	}
@@ -61,12 +64,14 @@
 	if err != nil {
 		s.logger.Warn("plan not committed", "step", "plan", "group", g.Name, "error", err)
 	} else {
+		s.meter.placements.Inc(int64(len(placements)))
 		s.recordPlan(g, plan, result)
 	}
 	// Placements that were rejected, or whose outcome is not known, are
 	// mirrored again from the state.
 	for i, p := range placements {
 		if err != nil || result.Placements[i].Refusal != "" {
+			s.meter.placeRejections.Inc(1)
 			g.dirty.job(p.JobID)
 		}
 	}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/twitchtv/twirp"
+	"github.com/uber-go/tally/v4"
 
 	"laburnumgrade/gen/apiv1"
 	"laburnumgrade/gen/peerv1"
@@ -28,6 +29,7 @@
 	follower   *follower.Follower
 	fleetCalls *peer.Group
 	events     *timeline.Ring
+	meter      *meter
 	// dataCentres lists all data centres of the cell.
 	dataCentres []string
 }
@@ -41,6 +43,8 @@
 	Logger     *slog.Logger
 	// Timeline receives events; may be nil.
 	Timeline *timeline.Ring
+	// Scope receives metrics; may be nil.
+	Scope tally.Scope
 	// Groups holds the data centre groups the process has replicas of.
 	Groups []*DataCentreGroup
 	// Fleet is nil if the process has no replica of the fleet group.
@@ -56,10 +60,11 @@
 func New(c Config) *Server {
 	s := &Server{
 		name: c.Name, dataCentre: c.DataCentre, clock: c.Clock, logger: c.Logger,
-		groups: map[string]*DataCentreGroup{}, fleet: c.Fleet, fleetCalls: c.FleetCalls, events: c.Timeline, dataCentres: c.DataCentres,
+		groups: map[string]*DataCentreGroup{}, fleet: c.Fleet, fleetCalls: c.FleetCalls, events: c.Timeline, meter: newMeter(c.Scope), dataCentres: c.DataCentres,
 	}
 	for _, g := range c.Groups {
 		s.groups[g.Name] = g
+		g.meter = s.meter
 		g.mirror = newMirror(g, c.Scheduler, c.Clock.Now)
 	}
 	s.follower = follower.New(follower.Config{
@@ -84,6 +89,7 @@
 // Run does the leaders' periodic work until the context ends.
 func (s *Server) Run(ctx context.Context) {
 	go s.follower.Run(ctx)
+	go s.gauges(ctx)
 	for _, g := range s.groups {
 		go s.schedule(ctx, g)
 		go s.expire(ctx, g)
