--- /dev/null
+++ b/internal/ctl/call.go
@@ -0,0 +1,72 @@
+package ctl
+
+import (
+	"fmt"
+	"time"
+
+	"laburnumgrade/gen/apiv1"
+	"laburnumgrade/gen/apiv1/apiv1connect"
+)
+
+// callVerb is the verb call.
+type callVerb struct {
+	app       *app
+	Body      string        `long:"body" value-name:"FILE" description:"file with the request's body, - for the standard input"`
+	Deadline  time.Duration `long:"deadline" value-name:"TIME" default:"10s" description:"time budget of the call"`
+	RequestID string        `long:"request-id" value-name:"UUIDv7" description:"id of the request, to resend one whose answer was lost (default: a new one)"`
+	Arguments struct {
+		Team    string `positional-arg-name:"TEAM"`
+		Service string `positional-arg-name:"SERVICE"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (v *callVerb) Execute(rest []string) error { return v.app.run(rest, v.call) }
+
+// call sends one request and prints the body of its answer.
+func (v *callVerb) call() *report {
+	id, problem := checkID("--request-id", v.RequestID)
+	if problem != nil {
+		return problem
+	}
+	if v.Deadline < time.Millisecond {
+		return usage(fmt.Sprintf("--deadline: found %v, allowed 1ms or more", v.Deadline), "")
+	}
+	body, problem := v.app.input(v.Body)
+	if problem != nil {
+		return problem
+	}
+	question := &apiv1.CallRequest{
+		RequestId: id, Team: v.Arguments.Team, Service: v.Arguments.Service, Body: body, DeadlineMs: v.Deadline.Milliseconds(),
+	}
+	e := teamChange(id)
+	e.extra = v.Deadline
+	answer, problem := askCaller(v.app, e, apiv1connect.CallerServiceClient.Call, question)
+	if problem != nil {
+		return problem
+	}
+	return callReport(id, answer)
+}
+
+// callReport reports the answer to a call.
+func callReport(id string, answer *apiv1.CallResponse) *report {
+	if answer.GetRequestId() != id {
+		return &report{
+			Exit: ExitUnknown, ID: id, Message: "outcome unknown: the answer belongs to request " + answer.GetRequestId(),
+			Next: "run the same command with --request-id " + id,
+		}
+	}
+	r := &report{Exit: outcomeExit(answer.GetOutcome()), ID: id, Answer: answer}
+	switch r.Exit {
+	case ExitOK:
+		r.Text = answer.GetBody()
+	case ExitRefused:
+		r.Message, r.Next = "not run: "+answer.GetDetail(), "run the same command again later"
+	case ExitFailed:
+		r.Message = "failed: " + answer.GetDetail()
+	default:
+		r.Message = prefixUnknown + ": " + answer.GetDetail()
+		r.Next = "run the same command with --request-id " + id + " to ask for a late answer; it never runs twice"
+	}
+	return r
+}
