--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -51,7 +51,7 @@
 	parser := flags.NewNamedParser("lgctl", flags.HelpFlag|flags.PassDoubleDash)
 	parser.SubcommandsOptional = true
 	a.addVerbs(parser)
-	_, err := parser.ParseArgs(arguments)
+	rest, err := parser.ParseArgs(arguments)
 	var parse *flags.Error
 	switch {
 	case errors.As(err, &parse) && parse.Type == flags.ErrHelp:
@@ -61,6 +61,8 @@
 		// The parser may have stopped before this option.
 		a.JSON = a.JSON || slices.Contains(arguments, "--json")
 		a.report = usage(err.Error(), "run lgctl --help")
+	case a.report == nil && len(rest) > 0:
+		a.report = usage(fmt.Sprintf("unknown verb %q", rest[0]), "run lgctl --help")
 	case a.report == nil && a.Check:
 		a.report = a.check()
 	case a.report == nil:
@@ -106,6 +108,8 @@
 	switch {
 	case len(rest) > 0:
 		a.report = usage(fmt.Sprintf("unexpected argument %q", rest[0]), "run the verb with --help")
+	case a.Timeout <= 0:
+		a.report = usage(fmt.Sprintf("--timeout: found %v, allowed a time above 0", a.Timeout), "")
 	case a.Check:
 		a.report = a.check()
 	default:
--- a/internal/ctl/change.go
+++ b/internal/ctl/change.go
@@ -32,22 +32,16 @@
 	if o.OperationID != "" {
 		return o.OperationID, nil
 	}
-	return newID()
+	return newID(), nil
 }
 
 // newID returns a new UUIDv7.
-func newID() (string, *report) {
-	id, err := uuid.NewV7()
-	if err != nil {
-		return "", &report{Exit: ExitUnreachable, Message: "no random numbers for an id: " + err.Error()}
-	}
-	return id.String(), nil
-}
+func newID() string { return uuid.Must(uuid.NewV7()).String() }
 
 // checkID returns the given id if it is a UUIDv7, or a new one if none is given.
 func checkID(option, given string) (string, *report) {
 	if given == "" {
-		return newID()
+		return newID(), nil
 	}
 	id, err := uuid.Parse(given)
 	if err != nil || id.Version() != 7 || len(given) != 36 {
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -26,7 +26,8 @@
 	ExitFailed Exit = 3
 	// ExitUnknown means that the work or change may or may not have run.
 	ExitUnknown Exit = 4
-	// ExitUnreachable means that no entry could be reached and nothing was sent.
+	// ExitUnreachable means that no entry could be reached: nothing was sent, or
+	// only a question that changes nothing.
 	ExitUnreachable Exit = 5
 	// ExitWaiting means that the work has not ended, or that the change is
 	// accepted and not yet in force everywhere.
--- a/internal/ctl/job.go
+++ b/internal/ctl/job.go
@@ -57,7 +57,7 @@
 	}
 	id = answer.GetJobId()
 	if v.Wait > 0 {
-		return v.app.awaitJob(id, v.Wait)
+		return v.app.awaitAccepted(id, v.Wait)
 	}
 	message := "job accepted in data centre " + answer.GetDataCentre()
 	if answer.GetDuplicate() {
@@ -105,6 +105,20 @@
 	return v.app.run(rest, func() *report { return v.app.awaitJob(v.Arguments.ID, v.Wait) })
 }
 
+// awaitAccepted waits for the end of a job that has just been accepted. If its
+// state cannot be asked for, the job is still accepted.
+func (a *app) awaitAccepted(id string, wait time.Duration) *report {
+	r := a.awaitJob(id, wait)
+	if r.Answer != nil {
+		return r
+	}
+	return &report{
+		Exit: ExitWaiting, ID: id, Text: []byte(id + "\n"),
+		Message: "the job is accepted; its state could not be asked for: " + r.Message,
+		Next:    "lgctl job result --wait 1m " + id,
+	}
+}
+
 // awaitJob waits for a job's end and reports its outcome.
 func (a *app) awaitJob(id string, wait time.Duration) *report {
 	for end := time.Now().Add(wait); ; {
--- /dev/null
+++ b/internal/ctl/timeline_test.go
@@ -0,0 +1,60 @@
+package ctl
+
+import (
+	"encoding/json"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumgrade/gen/apiv1"
+	"laburnumgrade/internal/hlc"
+	"laburnumgrade/internal/timeline"
+)
+
+// serveRing serves the events of a process and returns its admin address.
+func serveRing(t *testing.T, process string, wallMs int64, events ...timeline.Event) string {
+	ring := timeline.New(hlc.New(func() time.Time { return time.UnixMilli(wallMs) }), process, "Patan", 1024)
+	for _, e := range events {
+		ring.Record(e)
+	}
+	server := httptest.NewServer(timeline.Handler(ring))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// Guards against lists that are not merged in order, a filter that is not
+// passed on, a process without answer that goes unmentioned or hides the
+// others, and unescaped text in the page.
+func TestTimeline(t *testing.T) {
+	first := serveRing(t, "entry-1", 1e12, timeline.Event{Kind: timeline.Submitted, Job: "j"},
+		timeline.Event{Kind: timeline.Refused, Job: "other", Detail: "<script>alert(1)</script>"})
+	second := serveRing(t, "control-1", 1e12+5, timeline.Event{Kind: timeline.Planned, Job: "j", Task: "0", Attempt: 4})
+	down := closedPort(t)
+	page := filepath.Join(t.TempDir(), "page.html")
+
+	got := lgctl(nil, "", "timeline", "--admin", second, "--admin", down, "--admin", first, "--job", "j", "--html", page)
+	assert.Equal(t, got.exit, ExitOK, "%+v", got)
+	assert.Equal(t, got.stdout, "2001-09-09T01:46:40.000Z entry-1 Patan submitted job=j\n"+
+		"2001-09-09T01:46:40.005Z control-1 Patan planned job=j task=0 attempt=4\n")
+	assert.Assert(t, strings.Contains(got.stderr, "no time line from: fetch time line (peer "+down+")"), got.stderr)
+
+	// Without --admin the members' addresses are asked.
+	entry := &fakeEntry{members: []*apiv1.Member{{AdminAddress: first}, {AdminAddress: second}, {}}}
+	got = lgctl(nil, "", "timeline", "--json", "--html", page, "--entry", entry.start(t))
+	assert.Equal(t, got.exit, ExitOK, "%+v", got)
+	var object struct{ Answer merged }
+	assert.NilError(t, json.Unmarshal([]byte(got.stdout), &object))
+	assert.Equal(t, len(object.Answer.Events), 3)
+	html, err := os.ReadFile(page)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(html), "<th>control-1</th><th>entry-1</th>"))
+	assert.Assert(t, !strings.Contains(string(html), "<script>alert"))
+	assert.Assert(t, !strings.Contains(string(html), "http"), "the page must load nothing else")
+
+	assert.Equal(t, lgctl(nil, "", "timeline", "--admin", down).exit, ExitUnreachable)
+}
