--- /dev/null
+++ b/internal/config/start_test.go
@@ -0,0 +1,93 @@
+package config
+
+import (
+	"bytes"
+	"io/fs"
+	"maps"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a process that starts with faulty settings or arguments, or
+// that runs although its settings were only to be checked.
+func TestStart(t *testing.T) {
+	folder := t.TempDir()
+	good, faulty := filepath.Join(folder, "good.ini"), filepath.Join(folder, "faulty.ini")
+	assert.NilError(t, os.WriteFile(good, []byte(goodEntry), 0o600))
+	assert.NilError(t, os.WriteFile(faulty, []byte(strings.Replace(goodEntry, "vm-1", "vm 1", 1)), 0o600))
+	tests := []struct {
+		arguments string
+		exit      int
+		done      bool
+		stdout    string
+		stderr    string
+	}{
+		{"--settings " + good, 0, false, "", ""},
+		{"--check --settings " + good, 0, true, "drain = 20s", ""},
+		{"--check --settings " + faulty, 1, true, "", `faulty.ini:3: process.vm: found "vm 1", allowed`},
+		{"--settings " + faulty, 1, true, "", "faulty.ini:3"},
+		{"--settings " + filepath.Join(folder, "none"), 1, true, "", "no such file"},
+		{"--check", 1, true, "", "--settings"},
+		{"--settings " + good + " more", 1, true, "", `unexpected argument "more"`},
+		{"--help", 0, true, "settings file", ""},
+	}
+	for _, test := range tests {
+		t.Run(test.arguments, func(t *testing.T) {
+			var stdout, stderr bytes.Buffer
+			_, exit, done := Start("lg-entry", strings.Fields(test.arguments), ReadEntry, &stdout, &stderr)
+			assert.Equal(t, exit, test.exit, stderr.String())
+			assert.Equal(t, done, test.done)
+			assert.Assert(t, strings.Contains(stdout.String(), test.stdout), stdout.String())
+			assert.Assert(t, strings.Contains(stderr.String(), test.stderr), stderr.String())
+		})
+	}
+}
+
+// Guards against examples that the checks refuse, and against the control
+// processes of one site that disagree on its voters or addresses.
+func TestExamples(t *testing.T) {
+	sites := map[string]*Control{}
+	count := 0
+	err := filepath.WalkDir("../../examples", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || filepath.Ext(path) != ".ini" {
+			return err
+		}
+		count++
+		site := filepath.Dir(path)
+		switch name := filepath.Base(path); {
+		case filepath.Base(site) == "documents":
+			text, err := os.ReadFile(path)
+			assert.NilError(t, err)
+			_, err = ParseDocument(path, text)
+			assert.NilError(t, err)
+		case strings.HasPrefix(name, "entry"):
+			_, err := ReadEntry(path)
+			assert.NilError(t, err)
+		default:
+			c, err := ReadControl(path)
+			assert.NilError(t, err)
+			if other := sites[site]; other != nil {
+				assert.DeepEqual(t, other.Groups.Fleet, c.Groups.Fleet)
+				assert.DeepEqual(t, other.Groups.DataCentres, c.Groups.DataCentres)
+				assert.Assert(t, maps.Equal(peerMap(other.Peers), peerMap(c.Peers)), path)
+			}
+			sites[site] = c
+		}
+		return nil
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, count >= 10, "%d examples", count)
+}
+
+// peerMap returns the peers by name.
+func peerMap(peers Peers) map[string]Peer {
+	m := map[string]Peer{}
+	for _, p := range peers {
+		m[p.Name] = p
+	}
+	return m
+}
