--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -52,15 +52,20 @@
 func ParseDocument(file string, text []byte) (*Document, error) {
 	r := newReader(file, text)
 	d := &Document{}
+	d.read(r)
+	if err := r.finish(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// read reads and checks all sections.
+func (d *Document) read(r *reader) {
 	d.readService(r)
 	d.readSize(r)
 	d.readLimits(r)
 	d.readWhenFull(r)
 	d.checkTogether(r)
-	if err := r.finish(); err != nil {
-		return nil, err
-	}
-	return d, nil
 }
 
 // readService reads the sections service and tasks.
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -145,23 +145,27 @@
 // ParseEntry checks settings of lg-entry. The error is Faults.
 func ParseEntry(file string, text []byte) (*Entry, error) {
 	r := newReader(file, text)
-	e := &Entry{
-		Process:         readProcess(r),
-		Public:          required(r, "listen", "public", listenKind()),
-		Peer:            required(r, "listen", "peer", addressKind()),
-		Peers:           readPeers(r),
-		Limits:          readLimits(r, defaultEntryQueue),
-		OperatorKeyHash: required(r, "operator", "key_hash", hashKind),
-	}
-	if !r.has("peers", "") || len(r.keys("peers")) == 0 {
-		r.fault("peers", "", "no control process", "at least one 'name = ip:port data_centre'")
-	}
+	e := &Entry{}
+	e.read(r)
 	if err := r.finish(); err != nil {
 		return nil, err
 	}
 	return e, nil
 }
 
+// read reads and checks all sections.
+func (e *Entry) read(r *reader) {
+	e.Process = readProcess(r)
+	e.Public = required(r, "listen", "public", listenKind())
+	e.Peer = required(r, "listen", "peer", addressKind())
+	e.Peers = readPeers(r)
+	e.Limits = readLimits(r, defaultEntryQueue)
+	e.OperatorKeyHash = required(r, "operator", "key_hash", hashKind)
+	if len(r.keys("peers")) == 0 {
+		r.fault("peers", "", "no control process", "at least one 'name = ip:port data_centre'")
+	}
+}
+
 // ReadControl reads and checks the settings file of lg-control.
 func ReadControl(path string) (*Control, error) {
 	text, err := os.ReadFile(path)
@@ -174,12 +178,20 @@
 // ParseControl checks settings of lg-control. The error is Faults.
 func ParseControl(file string, text []byte) (*Control, error) {
 	r := newReader(file, text)
-	c := &Control{
-		Process: readProcess(r),
-		Peer:    required(r, "listen", "peer", addressKind()),
-		Peers:   readPeers(r),
-		Limits:  readLimits(r, defaultTaskQueue),
+	c := &Control{}
+	c.read(r)
+	if err := r.finish(); err != nil {
+		return nil, err
 	}
+	return c, nil
+}
+
+// read reads and checks all sections.
+func (c *Control) read(r *reader) {
+	c.Process = readProcess(r)
+	c.Peer = required(r, "listen", "peer", addressKind())
+	c.Peers = readPeers(r)
+	c.Limits = readLimits(r, defaultTaskQueue)
 	if r.has("disk", "") {
 		c.DataFolder = required(r, "disk", "folder", folderKind)
 	} else {
@@ -188,10 +200,6 @@
 	c.addSelf(r)
 	c.Groups = c.readGroups(r)
 	c.Scheduler = readScheduler(r)
-	if err := r.finish(); err != nil {
-		return nil, err
-	}
-	return c, nil
 }
 
 // folderKind is an absolute path.
--- a/internal/config/start_test.go
+++ b/internal/config/start_test.go
@@ -91,3 +91,35 @@
 	}
 	return m
 }
+
+// Guards against a setting or key of a document that the reference leaves out.
+func TestReferenceIsComplete(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	assert.NilError(t, err)
+	known := map[string][]string{}
+	for _, text := range []string{goodDocument, goodEntry, goodControl} {
+		r := newReader("f.ini", []byte(text))
+		switch text {
+		case goodDocument:
+			new(Document).read(r)
+		case goodEntry:
+			new(Entry).read(r)
+		default:
+			new(Control).read(r)
+		}
+		for section, keys := range r.known {
+			if section != "peers" {
+				known[section] = append(known[section], keys...)
+			}
+		}
+	}
+	for section, keys := range known {
+		for _, key := range keys {
+			if key == "Thiès" || key == "Pikine" {
+				continue
+			}
+			assert.Assert(t, strings.Contains(string(page), "| "+section+" | `"+key+"` |"), "%s.%s", section, key)
+		}
+	}
+	assert.Assert(t, len(known) >= 10, "%v", known)
+}
--- a/internal/ctl/timeline_test.go
+++ b/internal/ctl/timeline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -58,3 +59,15 @@
 
 	assert.Equal(t, lgctl(nil, "", "timeline", "--admin", down).exit, ExitUnreachable)
 }
+
+// Guards against exit codes and kinds of events that the reference leaves out.
+func TestReferenceIsComplete(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	assert.NilError(t, err)
+	for exit, name := range exitNames {
+		assert.Assert(t, strings.Contains(string(page), fmt.Sprintf("| %d | `%s` |", exit, name)), name)
+	}
+	for kind := timeline.Submitted; kind <= timeline.ProcessStopped; kind++ {
+		assert.Assert(t, strings.Contains(string(page), "`"+kind.String()+"`"), kind.String())
+	}
+}
