--- a/internal/config/fault.go
+++ b/internal/config/fault.go
@@ -9,13 +9,13 @@
 
 // Fault is one thing wrong with a text.
 type Fault struct {
-	File string
+	File string `json:"file"`
 	// Line counts from 1.
-	Line int
+	Line int `json:"line"`
 	// Key is "section.key", a section in brackets, or "line".
-	Key     string
-	Found   string
-	Allowed string
+	Key     string `json:"key"`
+	Found   string `json:"found"`
+	Allowed string `json:"allowed"`
 }
 
 // String returns the fault as "file:line: key: found X, allowed Y".
--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -46,7 +46,7 @@
 
 // Main runs the command line and returns its exit code.
 func Main(arguments []string, environment Environment) Exit {
-	a := &app{environment: environment, http: &http.Client{}}
+	a := &app{environment: environment, http: newHTTPClient()}
 	defer a.http.CloseIdleConnections()
 	parser := flags.NewNamedParser("lgctl", flags.HelpFlag|flags.PassDoubleDash)
 	parser.SubcommandsOptional = true
@@ -72,6 +72,17 @@
 	return a.report.Exit
 }
 
+// newHTTPClient returns a client that uses no proxy and follows no redirect,
+// either of which would show keys to another host.
+func newHTTPClient() *http.Client {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.Proxy = nil
+	return &http.Client{
+		Transport:     transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 // addVerbs declares the verbs.
 func (a *app) addVerbs(parser *flags.Parser) {
 	must(parser.AddGroup("Common options", "", a))
