--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -259,6 +259,19 @@
 	assert.ErrorContains(t, parsers["document"](text), "f.ini:28: when_full.may_preempt: found yes without may_checkpoint")
 }
 
+// Guards against a limit that cannot hold what must run at the same time, and
+// against one that is refused although batch tasks may run one after another.
+func TestLimitHoldsWhatRunsAtOnce(t *testing.T) {
+	tight := strings.Replace(goodDocument, "cpu = 40", "cpu = 9", 1)
+	for class, want := range map[string]string{
+		"gang": "allowed at least 10 for 4 task(s)", "service": "allowed at least 10 for 4 task(s)", "batch": "",
+	} {
+		err := parsers["document"](strings.Replace(tight, "class = gang", "class = "+class, 1))
+		assert.Equal(t, err == nil, want == "", class)
+		assert.Assert(t, err == nil || strings.Contains(err.Error(), want), "%v", err)
+	}
+}
+
 // Guards against amounts that are rounded, overflow or lack a unit.
 func TestAmounts(t *testing.T) {
 	for text, want := range map[string]int64{
