--- a/cmd/lg-control/main.go
+++ b/cmd/lg-control/main.go
@@ -10,8 +10,6 @@
 	"slices"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
 	"laburnumgrade/internal/adapter/httpserver"
 	"laburnumgrade/internal/adapter/peer"
 	"laburnumgrade/internal/config"
@@ -22,26 +20,10 @@
 	"laburnumgrade/internal/scheduler"
 )
 
-type options struct {
-	Settings string `long:"settings" required:"true" description:"settings file (INI)"`
-	Check    bool   `long:"check" description:"check the settings and exit"`
-}
-
 func main() {
-	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		os.Exit(1)
-	}
-	c, err := config.ReadControl(o.Settings)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	if o.Check {
-		return
+	c, code, done := config.Start("lg-control", os.Args[1:], config.ReadControl, os.Stdout, os.Stderr)
+	if done {
+		os.Exit(code)
 	}
 	if err := run(c); err != nil {
 		fmt.Fprintln(os.Stderr, "lg-control:", err)
--- a/test/demo/main.go
+++ b/test/demo/main.go
@@ -7,7 +7,9 @@
 	"context"
 	"fmt"
 	"os"
+	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -93,6 +95,8 @@
 	unknown   int
 	answers   map[string]int
 	problems  []string
+	// shown is the job whose time line is printed.
+	shown string
 }
 
 func (t *tally) answered(id string) {
@@ -178,9 +182,25 @@
 	if err != nil {
 		return false, err
 	}
+	if err := showTimeline(ctx, c, t); err != nil {
+		return false, err
+	}
 	return judge(t, report), nil
 }
 
+// showTimeline prints the time line of one job across the processes.
+func showTimeline(ctx context.Context, c *cluster.Cluster, t *tally) error {
+	args := []string{"timeline", "--job", t.shown}
+	for _, p := range append(slices.Clone(c.Controls), c.Entries...) {
+		args = append(args, "--admin", p.Admin)
+	}
+	fmt.Println("demo: time line of job", t.shown)
+	cmd := exec.CommandContext(ctx, filepath.Join(c.Spec.Bin, "lgctl"), args...)
+	cmd.Stdout = os.Stdout
+	cmd.Stderr = os.Stderr
+	return errors.Wrap(cmd.Run(), "lgctl timeline")
+}
+
 func load(ctx context.Context, c *cluster.Cluster, o *options, t *tally, jobKey, callKey string) {
 	var wg sync.WaitGroup
 	for i := range o.Jobs {
@@ -247,6 +267,9 @@
 		return
 	}
 	t.answered(id + "/0")
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.shown = id
 }
 
 // call makes one call, resending it with the same id until the outcome is known.
