Fence ends of worker leases and charge attempts that are not open

Cause: a leader paused between finding a lease run out and committing the loss could commit it after leadership was lost and regained, when another leader had renewed the lease; a late duplicate of the command could lose a worker that was taken on again; a delayed heartbeat could take back a smaller capacity. Change: leaderships are numbered in the log, LoseWorker names leadership and registration, registrations are ordered by heartbeat sequence, running attempts that are not open are charged, retries back off and are bounded, late answers replace unknown outcomes.

--- a/internal/control/expire.go
+++ b/internal/control/expire.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"laburnumgrade/gen/statev1"
+	"laburnumgrade/internal/state"
 	"laburnumgrade/internal/structs"
 )
 
@@ -32,11 +34,21 @@
 func (s *Server) expireOnce(ctx context.Context, g *DataCentreGroup, since time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, opTimeout)
 	defer cancel()
+	epoch, err := g.epoch(ctx, since)
+	if err != nil {
+		s.logger.Warn("leadership not begun", "step", "begin leadership", "group", g.Name, "error", err)
+		return
+	}
 	now := s.clock.Now()
 	s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_AdvanceTime{AdvanceTime: &statev1.AdvanceTime{UnixMs: time.Now().UnixMilli()}}})
 	for _, id := range g.Store.WorkerIDs() {
-		if w, ok := g.Store.Worker(id); ok && !w.Lost {
-			s.expireWorker(ctx, g, &w, since, now)
+		w, ok := g.Store.Worker(id)
+		switch {
+		case ok && !w.Lost:
+			s.expireWorker(ctx, g, &w, since, now, epoch)
+		case ok:
+			// The loss may be known only now, if the proposal's outcome was not.
+			g.workers.EndDone(id, since)
 		}
 	}
 	for _, in := range g.Store.Instances() {
@@ -45,12 +57,14 @@
 	s.assignSlots(ctx, g, since, now)
 }
 
-func (s *Server) expireWorker(ctx context.Context, g *DataCentreGroup, w *structs.Worker, since, now time.Duration) {
+func (s *Server) expireWorker(ctx context.Context, g *DataCentreGroup, w *structs.Worker, since, now time.Duration, epoch uint64) {
 	if !g.workers.BeginEnd(w.ID, since, now) {
 		return
 	}
 	s.logger.Warn("worker lost: its lease has run out", "step", "expire worker", "peer", w.ID, "attempts", len(w.Attempts))
-	if s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_LoseWorker{LoseWorker: &statev1.LoseWorker{WorkerId: w.ID, Incarnation: w.Incarnation}}}) {
+	if s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_LoseWorker{LoseWorker: &statev1.LoseWorker{
+		WorkerId: w.ID, Incarnation: w.Incarnation, Registration: w.Registration, Epoch: epoch,
+	}}}) {
 		g.workers.EndDone(w.ID, since)
 	}
 }
@@ -116,9 +130,13 @@
 // applied, refused or not. A failure is logged and the command is tried again
 // at the next interval.
 func (s *Server) try(ctx context.Context, g *DataCentreGroup, c *statev1.DataCentreCommand) bool {
-	if _, err := g.propose(ctx, c); err != nil {
+	result, err := g.propose(ctx, c)
+	if err != nil {
 		s.logger.Warn("proposal failed", "step", "propose", "group", g.Name, "error", err)
 		return false
 	}
+	if strings.HasPrefix(result.Refusal, state.RefusalEpoch) {
+		g.forgetEpoch()
+	}
 	return true
 }
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -31,6 +31,9 @@
 	mu sync.Mutex
 	// entries holds the address of each entry that asked for instances.
 	entries map[string]string
+	// begun is the number of the leadership since begunSince, 0 if none.
+	begun      uint64
+	begunSince time.Duration
 }
 
 // FleetGroup is the process's replica of the fleet group with the volatile
@@ -70,6 +73,53 @@
 	return 0, peer.NotLeader(&port.NotLeaderError{Group: name, Leader: id, Address: address})
 }
 
+// epoch returns the number of the leadership since the given time, committing
+// its beginning first. Commands that end leases carry it, so that one delayed
+// beyond its leadership is refused.
+func (g *DataCentreGroup) epoch(ctx context.Context, since time.Duration) (uint64, error) {
+	g.mu.Lock()
+	begun, begunSince := g.begun, g.begunSince
+	g.mu.Unlock()
+	if begun != 0 && begunSince == since {
+		return begun, nil
+	}
+	result, err := g.propose(ctx, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_BeginLeadership{BeginLeadership: &statev1.BeginLeadership{}}})
+	if err != nil {
+		return 0, err
+	}
+	// The command belongs to this leadership only if it still lasts.
+	if err := g.stillLeads(since); err != nil {
+		return 0, err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.begunSince < since || result.Epoch > g.begun {
+		g.begun, g.begunSince = result.Epoch, since
+	}
+	return g.begun, nil
+}
+
+// forgetEpoch makes the leader begin again after a delayed command of an
+// earlier leadership has taken its number.
+func (g *DataCentreGroup) forgetEpoch() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.begun = 0
+}
+
+// stillLeads returns a not-leader error unless the replica has led since then
+// without interruption.
+func (g *DataCentreGroup) stillLeads(since time.Duration) error {
+	now, err := lead(g.Name, g.Log)
+	if err != nil {
+		return err
+	}
+	if now != since {
+		return peer.NotLeader(&port.NotLeaderError{Group: g.Name})
+	}
+	return nil
+}
+
 // propose commits a command of the data centre group.
 func (g *DataCentreGroup) propose(ctx context.Context, c *statev1.DataCentreCommand) (*state.Result, error) {
 	b, err := proto.Marshal(c)
--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -11,47 +10,49 @@
 	"laburnumgrade/gen/statev1"
 	"laburnumgrade/internal/lease"
 	"laburnumgrade/internal/state"
-	"laburnumgrade/internal/structs"
 )
 
 // Heartbeat renews a worker's lease, records what has ended, and answers what
 // the worker is to start and stop. It is held while there is nothing to tell.
+// The lease is renewed before anything is committed, so that a worker just
+// taken on is not found without a lease; the worker counts from earlier still.
 func (d *DataCentreServer) Heartbeat(ctx context.Context, r *apiv1.HeartbeatRequest) (*apiv1.HeartbeatResponse, error) {
 	g, since, err := d.leading(r.DataCentre)
 	if err != nil {
 		return nil, err
 	}
-	if err := d.register(ctx, g, r); err != nil {
+	if _, err := g.epoch(ctx, since); err != nil {
 		return nil, err
 	}
-	acknowledged, err := d.recordEnds(ctx, g, r)
-	if err != nil {
-		return nil, err
+	if w, known := g.Store.Worker(r.WorkerId); known && r.Incarnation < w.Incarnation {
+		return nil, twirp.NewError(twirp.InvalidArgument, "worker "+r.WorkerId+" has a later incarnation")
 	}
 	if !g.workers.Renew(r.WorkerId, since, d.server.clock.Now()) {
 		return nil, twirp.NewError(twirp.Aborted, "the lease of worker "+r.WorkerId+" is being ended; ask again")
 	}
-	if _, err := lead(g.Name, g.Log); err != nil {
+	if err := d.register(ctx, g, r); err != nil {
+		return nil, err
+	}
+	acknowledged, err := d.recordEnds(ctx, g, r)
+	if err != nil {
 		return nil, err
 	}
 	reply := d.awaitWork(ctx, g, r, len(acknowledged) > 0)
 	reply.Acknowledged = acknowledged
-	reply.LeaseMs = lease.Worker.Milliseconds()
+	reply.LeaseMs = (lease.Worker - lease.StopMargin).Milliseconds()
 	reply.Sequence = r.Sequence
-	_, err = lead(g.Name, g.Log)
-	return reply, err
+	return reply, g.stillLeads(since)
 }
 
-// register commits a worker that is new or has changed.
+// register commits a worker that is new, has changed, or runs attempts that are
+// not open.
 func (d *DataCentreServer) register(ctx context.Context, g *DataCentreGroup, r *apiv1.HeartbeatRequest) error {
-	w, known := g.Store.Worker(r.WorkerId)
-	same := known && w.Incarnation == r.Incarnation && !w.Lost && w.Leaving == r.Leaving &&
-		w.Rack == r.Rack && w.Capacity == structs.ResourcesFromProto(r.Capacity)
-	if same {
+	if g.Store.Registered(r) {
 		return nil
 	}
 	result, err := g.propose(ctx, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_RegisterWorker{RegisterWorker: &statev1.RegisterWorker{
 		WorkerId: r.WorkerId, Incarnation: r.Incarnation, Rack: r.Rack, Capacity: r.Capacity, Leaving: r.Leaving,
+		Sequence: r.Sequence, Running: runningAttempts(r),
 	}}})
 	if err != nil {
 		return err
@@ -62,6 +63,20 @@
 	return nil
 }
 
+// runningAttempts returns the running attempts with the sizes that the worker
+// states; an attempt without a size counts as the whole worker.
+func runningAttempts(r *apiv1.HeartbeatRequest) []*apiv1.RunningAttempt {
+	sizes := map[uint64]*apiv1.Resources{}
+	for _, a := range r.Attempts {
+		sizes[a.AttemptId] = a.Size
+	}
+	var list []*apiv1.RunningAttempt
+	for _, id := range r.Running {
+		list = append(list, &apiv1.RunningAttempt{AttemptId: id, Size: sizes[id]})
+	}
+	return list
+}
+
 func (d *DataCentreServer) recordEnds(ctx context.Context, g *DataCentreGroup, r *apiv1.HeartbeatRequest) ([]uint64, error) {
 	if len(r.Ended) == 0 {
 		return nil, nil
@@ -71,6 +86,7 @@
 		c.Ended = append(c.Ended, &statev1.EndAttempt{
 			AttemptId: e.AttemptId, WorkerId: r.WorkerId, Incarnation: r.Incarnation,
 			Outcome: e.Outcome, Answer: e.Answer, Detail: e.Detail, NeverStarted: e.NeverStarted,
+			JobId: e.JobId, Task: e.Task, Checkpointed: e.Checkpointed,
 		})
 	}
 	result, err := g.propose(ctx, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_EndAttempts{EndAttempts: c}})
@@ -86,8 +102,9 @@
 	timeout := time.After(time.Duration(r.WaitMs) * time.Millisecond)
 	for {
 		changed := g.changes.wait("worker/" + r.WorkerId)
-		reply := compare(r, g.Store.Assignments(r.WorkerId, r.Incarnation))
-		if now || len(reply.Start) > 0 || len(reply.Stop) > 0 {
+		directives := g.Store.Directives(r.WorkerId, r.Incarnation, r.Running)
+		reply := directivesMessage(&directives)
+		if now || directives.Pending() {
 			return reply
 		}
 		select {
@@ -100,25 +117,10 @@
 	}
 }
 
-// compare returns what the worker is to start and stop.
-func compare(r *apiv1.HeartbeatRequest, assigned []state.Assigned) *apiv1.HeartbeatResponse {
-	reply := &apiv1.HeartbeatResponse{}
-	open := map[uint64]bool{}
-	for i := range assigned {
-		a := &assigned[i]
-		open[a.Attempt.ID] = true
-		running := slices.Contains(r.Running, a.Attempt.ID)
-		switch {
-		case a.Attempt.Stopping:
-			reply.Stop = append(reply.Stop, a.Attempt.ID)
-		case !running:
-			reply.Start = append(reply.Start, assignment(a))
-		}
-	}
-	for _, id := range r.Running {
-		if !open[id] {
-			reply.Stop = append(reply.Stop, id)
-		}
+func directivesMessage(d *state.Directives) *apiv1.HeartbeatResponse {
+	reply := &apiv1.HeartbeatResponse{Stop: d.Stop, Throttle: d.Throttle, Checkpoint: d.Checkpoint}
+	for i := range d.Start {
+		reply.Start = append(reply.Start, assignment(&d.Start[i]))
 	}
 	return reply
 }
--- a/internal/lease/doc.go
+++ b/internal/lease/doc.go
@@ -10,6 +10,9 @@
 	MaxClockDriftPercent = 1
 	// Worker is how long a worker may run its tasks after it asked.
 	Worker = 4 * time.Second
+	// StopMargin is how long before the end of its lease a worker begins to stop
+	// its tasks, since stopping takes time; it is told a lease shorter by it.
+	StopMargin = 200 * time.Millisecond
 	// Config is how long a process may serve under a configuration.
 	Config = 1500 * time.Millisecond
 	// Slot is how long an entry may hand out an instance's slots.
--- a/internal/lease/table.go
+++ b/internal/lease/table.go
@@ -62,11 +62,15 @@
 	return true
 }
 
-// EndDone forgets the holder after the end of its lease was committed.
+// EndDone forgets a holder whose lease is being ended, after the end was
+// committed. A lease that was granted since then stays.
 func (t *Table) EndDone(holder string, since time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.enter(since) {
+	if !t.enter(since) {
+		return
+	}
+	if g := t.holders[holder]; g != nil && g.ending {
 		delete(t.holders, holder)
 	}
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -110,8 +110,9 @@
 		WorkerId: w.c.ID, Incarnation: w.incarnation, DataCentre: w.c.DataCentre, Rack: w.c.Rack,
 		Capacity: w.c.Capacity.Proto(), Leaving: w.leaving, WaitMs: heartbeatHold.Milliseconds(), Sequence: n,
 	}
-	for id := range w.tasks {
+	for id, t := range w.tasks {
 		r.Running = append(r.Running, id)
+		r.Attempts = append(r.Attempts, &apiv1.RunningAttempt{AttemptId: id, Size: t.size.Proto()})
 	}
 	for _, e := range w.ended {
 		r.Ended = append(r.Ended, e)
@@ -125,7 +126,10 @@
 func (w *Worker) accept(asked time.Time, r *apiv1.HeartbeatResponse) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.expires = asked.Add(time.Duration(r.LeaseMs) * time.Millisecond)
+	// A reply that was overtaken by a later one does not shorten the lease.
+	if expires := asked.Add(time.Duration(r.LeaseMs) * time.Millisecond); expires.After(w.expires) {
+		w.expires = expires
+	}
 	for _, id := range r.Acknowledged {
 		delete(w.ended, id)
 	}
@@ -167,7 +171,7 @@
 
 func (w *Worker) runTask(a *apiv1.Assignment, t *task) {
 	work := parseWork(a.Payload)
-	end := &apiv1.EndedAttempt{AttemptId: a.AttemptId, Outcome: apiv1.Outcome_OUTCOME_OK, Answer: []byte("done " + t.run.ID)}
+	end := &apiv1.EndedAttempt{AttemptId: a.AttemptId, JobId: a.JobId, Task: a.Task, Outcome: apiv1.Outcome_OUTCOME_OK, Answer: []byte("done " + t.run.ID)}
 	completed := true
 	select {
 	case <-time.After(w.c.Behaviour.runTime(work)):
--- a/internal/state/plan.go
+++ b/internal/state/plan.go
@@ -117,9 +117,12 @@
 	if p.Task < 0 || int(p.Task) >= len(j.Tasks) {
 		return fmt.Sprintf("job %s has no task %d", p.JobId, p.Task)
 	}
-	if j.Tasks[p.Task].State != structs.TaskWaiting {
+	if j.Cancelled || j.Tasks[p.Task].State != structs.TaskWaiting {
 		return fmt.Sprintf("task %d of job %s is not waiting", p.Task, p.JobId)
 	}
+	if wait := j.Tasks[p.Task].NotBefore - s.d.LogTime; wait > 0 {
+		return fmt.Sprintf("task %d of job %s waits %d ms before its next attempt", p.Task, p.JobId, wait)
+	}
 	w, refusal := s.currentWorker(p.WorkerId, p.Incarnation)
 	if refusal != "" {
 		return refusal
--- a/internal/state/read.go
+++ b/internal/state/read.go
@@ -52,6 +52,7 @@
 	}
 	copied := *w
 	copied.Attempts = maps.Clone(w.Attempts)
+	copied.Charged = maps.Clone(w.Charged)
 	return copied, true
 }
 
@@ -62,30 +63,6 @@
 	return slices.Sorted(maps.Keys(s.d.Workers))
 }
 
-// Assigned is an open attempt with what its worker needs to run it.
-type Assigned struct {
-	Attempt structs.Attempt
-	Spec    structs.WorkSpec
-	Payload []byte
-}
-
-// Assignments returns the open attempts of a worker's incarnation, by id.
-func (s *Store) Assignments(worker string, incarnation uint64) []Assigned {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	w := s.d.Workers[worker]
-	if w == nil || w.Incarnation != incarnation {
-		return nil
-	}
-	list := make([]Assigned, 0, len(w.Attempts))
-	for _, id := range sortedAttempts(w) {
-		a := s.d.Attempts[id]
-		j := s.d.Jobs[a.JobID]
-		list = append(list, Assigned{Attempt: *a, Spec: j.Spec, Payload: j.Payload})
-	}
-	return list
-}
-
 // Request returns a copy of a request's record; false if there is none.
 func (s *Store) Request(id string) (structs.Request, bool) {
 	s.mu.RLock()
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -34,6 +34,9 @@
 		if w.Attempts == nil {
 			w.Attempts = map[uint64]struct{}{}
 		}
+		if w.Charged == nil {
+			w.Charged = map[uint64]structs.Resources{}
+		}
 	}
 	for _, t := range s.d.Teams {
 		if t.Given == nil {
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -31,6 +31,8 @@
 	Request *structs.Request
 	// Acknowledged holds the attempts whose end is recorded.
 	Acknowledged []uint64
+	// Epoch is the number of the leadership that began.
+	Epoch uint64
 }
 
 // PlacementResult says whether a placement was accepted.
@@ -60,12 +62,14 @@
 	Index       uint64
 	LogTime     int64
 	NextAttempt uint64
-	Workers     map[string]*structs.Worker
-	Jobs        map[string]*structs.Job
-	Attempts    map[uint64]*structs.Attempt
-	Teams       map[string]*teamUsage
-	Requests    map[string]*structs.Request
-	Instances   map[string]*structs.Instance
+	// Epoch numbers the leaderships that have begun.
+	Epoch     uint64
+	Workers   map[string]*structs.Worker
+	Jobs      map[string]*structs.Job
+	Attempts  map[uint64]*structs.Attempt
+	Teams     map[string]*teamUsage
+	Requests  map[string]*structs.Request
+	Instances map[string]*structs.Instance
 }
 
 // Store is the state of a data centre group. Reads may run beside one writer.
@@ -137,6 +141,11 @@
 		return s.removeInstance(c.RemoveInstance)
 	case *statev1.DataCentreCommand_AssignSlots:
 		return s.assignSlots(c.AssignSlots)
+	case *statev1.DataCentreCommand_BeginLeadership:
+		s.d.Epoch++
+		return &Result{Epoch: s.d.Epoch}
+	case *statev1.DataCentreCommand_ShedAttempts:
+		return s.shedAttempts(c.ShedAttempts)
 	}
 	return &Result{Refusal: "unknown command"}
 }
--- a/internal/structs/work.go
+++ b/internal/structs/work.go
@@ -76,25 +76,39 @@
 	Incarnation uint64
 	Rack        string
 	Capacity    Resources
-	// Committed is the sum of the sizes of the worker's open attempts.
+	// Committed is the sum of the sizes of the worker's open attempts and of
+	// what is charged.
 	Committed Resources
-	Leaving   bool
+	// Leaving is announced by the worker and lasts as long as its incarnation.
+	Leaving bool
+	// Draining is set by an operator.
+	Draining  bool
 	Probation bool
 	Lost      bool
+	// LostAt is the log time of the loss, in ms since the Unix epoch.
+	LostAt int64
 	// Attempts holds the open attempts by id.
 	Attempts map[uint64]struct{}
+	// Charged holds the sizes of attempts that the worker reports to run though
+	// they are not open, by id.
+	Charged map[uint64]Resources
+	// Sequence is that of the heartbeat that the last registration followed.
+	Sequence uint64
+	// Registration grows each time the worker is taken on.
+	Registration uint64
 }
 
 // Free returns the capacity that is not committed.
 func (w *Worker) Free() Resources { return w.Capacity.Sub(w.Committed) }
 
 // Placeable reports whether new work may be placed on the worker.
-func (w *Worker) Placeable() bool { return !w.Leaving && !w.Lost }
+func (w *Worker) Placeable() bool { return !w.Leaving && !w.Draining && !w.Lost }
 
 // TaskState is the state of a task.
 type TaskState int
 
-// States of a task. An ended task never changes again.
+// States of a task. An ended task changes only if its outcome was unknown and
+// the lost attempt's worker reports it late.
 const (
 	TaskWaiting TaskState = iota
 	TaskRunning
@@ -120,9 +134,18 @@
 	// Attempt is the id of the open attempt, 0 if none.
 	Attempt  uint64
 	Attempts int
-	Outcome  Outcome
-	Answer   []byte
-	Detail   string
+	// NotBefore is the log time before which the task is not placed again.
+	NotBefore int64
+	// LostAttempt is the attempt whose outcome is not known, 0 if none, with
+	// the worker that may still report it.
+	LostAttempt     uint64
+	LostWorker      string
+	LostIncarnation uint64
+	// Checkpoint is the attempt whose checkpoint the next one resumes, 0 if none.
+	Checkpoint uint64
+	Outcome    Outcome
+	Answer     []byte
+	Detail     string
 }
 
 // Job is a piece of accepted work, made of one or more tasks.
@@ -156,8 +179,13 @@
 	Incarnation uint64
 	Size        Resources
 	Team        string
-	// Stopping is set when the worker is to stop the attempt.
-	Stopping bool
+	// Stopping, Throttled and Checkpointing are set when the worker is to stop,
+	// throttle or checkpoint the attempt.
+	Stopping      bool
+	Throttled     bool
+	Checkpointing bool
+	// Reason says why the attempt was shed; empty if it was not.
+	Reason string
 }
 
 // Request is the record of a non-idempotent call.
@@ -191,6 +219,8 @@
 	// Entry hands out the instance's slots; empty if none does.
 	Entry        string
 	EntryAddress string
+	// Assignment counts the changes of Entry.
+	Assignment uint64
 }
 
 // Outcome returns the outcome of an ended job: OK only if every task is OK,
