--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -48,10 +48,10 @@
 	}
 }
 
-func (s *Server) recordEnd(worker string, e *apiv1.EndedAttempt, a state.Assigned) {
+func (s *Server) recordEnd(worker string, e *apiv1.EndedAttempt) {
 	s.events.Record(timeline.Event{
-		Kind: timeline.Ended, Job: a.Attempt.JobID, Task: strconv.Itoa(a.Attempt.Task), Attempt: e.AttemptId,
-		Team: a.Attempt.Team, Worker: worker, Detail: e.Outcome.String(),
+		Kind: timeline.Ended, Job: e.JobId, Task: strconv.Itoa(int(e.Task)), Attempt: e.AttemptId,
+		Worker: worker, Detail: e.Outcome.String(),
 	})
 }
 
--- a/internal/control/mirror.go
+++ b/internal/control/mirror.go
@@ -23,6 +23,9 @@
 	// accepted is when a job was first seen waiting, by job id.
 	accepted map[string]time.Duration
 	teamsAt  time.Duration
+	// delayed is when the jobs with tasks that wait out a back-off are mirrored
+	// again.
+	delayed map[string]time.Duration
 }
 
 // teamsInterval is how often shares and allotments are mirrored.
@@ -40,10 +43,17 @@
 		m.since = since
 		m.scheduler = scheduler.New(m.options)
 		m.accepted = map[string]time.Duration{}
+		m.delayed = map[string]time.Duration{}
 		m.teamsAt = 0
 		workers, jobs = m.everything()
 	}
 	now := m.clock()
+	for id, at := range m.delayed {
+		if now >= at {
+			delete(m.delayed, id)
+			jobs[id] = struct{}{}
+		}
+	}
 	for id := range workers {
 		m.syncWorker(id)
 	}
@@ -76,7 +86,7 @@
 	}
 	m.scheduler.UpsertWorker(placement.Worker{
 		ID: w.ID, Incarnation: w.Incarnation, Rack: w.Rack, Capacity: w.Capacity,
-		Leaving: w.Leaving, Lost: w.Lost, Probation: w.Probation,
+		Leaving: w.Leaving || w.Draining, Lost: w.Lost, Probation: w.Probation,
 	})
 }
 
@@ -119,7 +129,7 @@
 		t := &j.Tasks[i]
 		if t.State != structs.TaskRunning {
 			m.scheduler.AttemptEnded(j.ID, i, now, t.State == structs.TaskEnded && t.Outcome == structs.OutcomeOK)
-			if t.State == structs.TaskWaiting && !j.Cancelled {
+			if t.State == structs.TaskWaiting && !j.Cancelled && !m.delay(j.ID, t.NotBefore, now) {
 				waiting = append(waiting, i)
 			}
 			continue
@@ -155,3 +165,15 @@
 	e := m.scheduler.Explain(id)
 	return e, e.Known
 }
+
+// delay notes a task that waits out a back-off until the log time notBefore.
+func (m *mirror) delay(id string, notBefore int64, now time.Duration) bool {
+	left := time.Duration(notBefore-m.group.Store.LogTime()) * time.Millisecond
+	if left <= 0 {
+		return false
+	}
+	if at, known := m.delayed[id]; !known || now+left < at {
+		m.delayed[id] = now + left
+	}
+	return true
+}
