--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,118 @@
+package admission
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"laburnumgrade/internal/placement"
+	"laburnumgrade/internal/structs"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+const gib = int64(1) << 30
+
+func workers(capacities ...structs.Resources) *placement.Fleet {
+	f := placement.NewFleet()
+	for i, c := range capacities {
+		f.Upsert(placement.Worker{ID: fmt.Sprint(i), Capacity: c, Lost: i == 0})
+	}
+	return f
+}
+
+// Guards against a refusal that is false or names the wrong dimension, and
+// against accepting what can never run.
+func TestNever(t *testing.T) {
+	f := workers(structs.Resources{MilliCPU: 64_000, MemoryBytes: 32 * gib},
+		structs.Resources{MilliCPU: 16_000, MemoryBytes: 128 * gib, Accelerators: 4})
+	for _, tc := range []struct {
+		name  string
+		size  structs.Resources
+		tasks int
+		want  string
+	}{
+		{"fits a lost worker", structs.Resources{MilliCPU: 64_000}, 1, ""},
+		{"processors", structs.Resources{MilliCPU: 96_000, MemoryBytes: 900 * gib}, 1, "not run: needs 96 cores; the largest worker has 64"},
+		{"memory", structs.Resources{MemoryBytes: 129 * gib}, 1, "not run: needs 129 GiB of memory; the largest worker has 128 GiB"},
+		{"accelerators", structs.Resources{Accelerators: 5}, 1, "not run: needs 5 accelerators; the largest worker has 4"},
+		{"combination", structs.Resources{MilliCPU: 32_000, MemoryBytes: 64 * gib}, 1,
+			"not run: needs 32 cores, 64 GiB of memory and 0 accelerators on one worker; no worker has all of them"},
+		{"gang fits", structs.Resources{MilliCPU: 16_000, MemoryBytes: 8 * gib}, 5, ""},
+		{"gang", structs.Resources{MilliCPU: 16_000, MemoryBytes: 8 * gib}, 6,
+			"not run: needs 6 tasks at once; all workers together hold 5 of this size"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			reason, never := Never(f, tc.size, tc.tasks)
+			assert.Equal(t, reason, tc.want)
+			assert.Equal(t, never, tc.want != "")
+		})
+	}
+	_, never := Never(workers(), structs.Resources{MilliCPU: 1 << 40}, 1)
+	assert.Assert(t, !never, "nothing is known to be impossible before workers announce themselves")
+}
+
+// Guards against one team filling the queue of another: a team within its
+// entitlement is always admitted, and the total stays bounded.
+func TestSheddingKeepsEntitlement(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := Limits{Total: 100, Overload: 0.8, PerTeam: 90}
+		c := NewController(limits, workers(structs.Resources{MilliCPU: 1000}))
+		c.SetTeam("a", 3)
+		c.SetTeam("b", 1)
+		entitled := map[string]int{"a": 75, "b": 25}
+		waiting := map[string]int{}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			spec := structs.WorkSpec{Team: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "team"), Size: structs.Resources{MilliCPU: 1}}
+			n := rapid.IntRange(1, 20).Draw(t, "tasks")
+			if rapid.IntRange(0, 4).Draw(t, "leave") == 0 {
+				n = min(n, waiting[spec.Team])
+				c.Left(&spec, n)
+				waiting[spec.Team] -= n
+				continue
+			}
+			refusal := c.Admit(&spec, n, 0, 0)
+			if refusal == nil {
+				waiting[spec.Team] += n
+			} else if waiting[spec.Team]+n <= entitled[spec.Team] {
+				t.Fatalf("team %s with %d waiting was refused %d: %s", spec.Team, waiting[spec.Team], n, refusal.Reason)
+			}
+			if c.Waiting() > 180 || waiting[spec.Team] > limits.PerTeam {
+				t.Fatalf("%d tasks wait, %d of team %s", c.Waiting(), waiting[spec.Team], spec.Team)
+			}
+		}
+	})
+}
+
+// Guards against unbounded queues, and against work accepted that cannot
+// start before its deadline.
+func TestQueueLimitAndDeadline(t *testing.T) {
+	c := NewController(DefaultLimits(), workers(structs.Resources{MilliCPU: 1000}))
+	c.SetTeam("a", 1)
+	spec := structs.WorkSpec{Team: "a", Service: "s", QueueLimit: 60, Size: structs.Resources{MilliCPU: 1}}
+	assert.Assert(t, c.Admit(&spec, 60, 0, 0) == nil)
+	assert.Equal(t, c.Admit(&spec, 1, 0, 0).Reason, `not run: 60 tasks of service "s" wait; its queue holds 60`)
+	spec.QueueLimit = 0
+	assert.Assert(t, c.Admit(&spec, 1, time.Second, 0) == nil, "no rate is known yet")
+	for i := range 600 {
+		now := time.Duration(i) * time.Second
+		c.Started(&spec, 1, now)
+		c.Returned(&spec, 1)
+	}
+	now := 600 * time.Second
+	assert.Assert(t, c.Admit(&spec, 1, 70*time.Second, now) == nil)
+	refusal := c.Admit(&spec, 1, 50*time.Second, now)
+	assert.ErrorContains(t, refusal, `not run: team "a" has 62 tasks waiting, about 1m2`)
+	assert.Assert(t, !refusal.Never)
+}
