--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -102,7 +102,7 @@
 	for _, b := range s.active {
 		p.longest = max(p.longest, p.now-b.head.submitted)
 		p.ranks[b.rank] = append(p.ranks[b.rank], s.entry(p, b))
-		if s.options.Policy.Starved(b.head.submitted, p.now) {
+		if s.starved(p, b) {
 			p.starved = append(p.starved, starvedEntry(b))
 		}
 	}
@@ -112,6 +112,11 @@
 	p.starved.build()
 }
 
+func (s *Scheduler) starved(p *plan, b *bucket) bool {
+	o := &s.options.Policy
+	return o.Starved(b.head.submitted, p.now) && b.team.excess <= o.MaxStarvedExcess()
+}
+
 func starvedEntry(b *bucket) entry {
 	return entry{score: float64(b.head.submitted), head: b.head}
 }
@@ -131,7 +136,7 @@
 	if s.sinceStarved >= s.options.Policy.StarvedEvery-1 {
 		for len(p.starved) > 0 {
 			e := p.starved.pop()
-			if b := e.head.bucket; b.head == e.head && b.blocked != s.planNumber {
+			if b := e.head.bucket; b.head == e.head && b.blocked != s.planNumber && s.starved(p, b) {
 				return b, true
 			}
 		}
@@ -170,7 +175,7 @@
 		return
 	}
 	p.ranks[b.rank].push(s.entry(p, b))
-	if s.options.Policy.Starved(b.head.submitted, p.now) {
+	if s.starved(p, b) {
 		p.starved.push(starvedEntry(b))
 	}
 }
--- a/internal/share/order.go
+++ b/internal/share/order.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"math"
 	"time"
 
 	"laburnumgrade/internal/structs"
@@ -38,7 +39,7 @@
 	// time.
 	RunTimeFactor float64
 	// MaxBypass is the wait after which a job is starved: it is ordered before
-	// all work of its rank submitted later, by the rule of StarvedEvery.
+	// other work, by the rules of StarvedEvery and MaxStarvedExcess.
 	MaxBypass time.Duration
 	// StarvedEvery is the number of decisions in a row of which at least one goes
 	// to the longest waiting starved job. 1 orders starved jobs before all
@@ -84,3 +85,12 @@
 func (p *Policy) Starved(submitted, now time.Duration) bool {
 	return now-submitted >= p.MaxBypass
 }
+
+// MaxStarvedExcess returns the excess of a team from which its starved jobs do
+// not go first: it is then the team's own use that keeps them waiting.
+func (p *Policy) MaxStarvedExcess() float64 {
+	if p.FairnessWeight <= 0 {
+		return math.Inf(1)
+	}
+	return 1 / p.FairnessWeight
+}
--- /dev/null
+++ b/test/bench/driver.go
@@ -0,0 +1,385 @@
+package main
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"time"
+
+	"laburnumgrade/internal/health"
+	"laburnumgrade/internal/placement"
+	"laburnumgrade/internal/scheduler"
+	"laburnumgrade/internal/share"
+	"laburnumgrade/internal/structs"
+)
+
+// engine is a scheduler under measurement.
+type engine interface {
+	SetTeam(name string, weight float64, allotment structs.Resources)
+	UpsertWorker(w placement.Worker)
+	AddJob(j scheduler.Job)
+	RemoveJob(id string)
+	AttemptEnded(id string, task int, now time.Duration, completed bool)
+	ResizeAttempt(id string, task int, size structs.Resources, now time.Duration)
+	Plan(now time.Duration, max int) scheduler.Batch
+	Fleet() *placement.Fleet
+	Waiting() int
+}
+
+// tick is the resolution of the fake clock: the engine plans once per tick in
+// which something happened.
+const tick = 100 * time.Millisecond
+
+// planMax is the most placements asked for in one plan.
+const planMax = 256
+
+// faults are what goes wrong during a play.
+type faults struct {
+	badWorkers float64       // part of the workers that fail each task after badAfter
+	cancelAt   time.Duration // wave of cancellations
+	cancels    int
+	lostAt     time.Duration // a quarter of the workers is lost
+	backAt     time.Duration
+	usage      bool // observed usage raises commitments
+}
+
+const (
+	badAfter    = time.Second
+	usageAfter  = 5 * time.Second
+	restartWait = time.Second // of an engine without health
+)
+
+type eventKind int
+
+const (
+	taskEnds eventKind = iota
+	usageSeen
+	jobReturns
+	trialCheck
+)
+
+type event struct {
+	at      time.Duration
+	seq     int
+	kind    eventKind
+	job     *jobRun
+	task    int
+	attempt int
+	failed  bool
+	worker  string
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	h := *e
+	x := h[len(h)-1]
+	*e = h[:len(h)-1]
+	return x
+}
+
+type jobRun struct {
+	arrival
+	placed   bool
+	ended    int
+	attempts []int // by task
+	on       []string
+	sizes    []structs.Resources
+}
+
+// driver plays an arrival list into an engine under a fake clock.
+type driver struct {
+	e       engine
+	site    site
+	faults  faults
+	now     time.Duration
+	events  events
+	seq     int
+	jobs    map[string]*jobRun
+	list    []arrival
+	next    int
+	workers []placement.Worker
+	byID    map[string]int
+	bad     map[string]bool
+	monitor *health.Monitor
+	backoff health.Backoff
+	random  *rand.Rand
+	result  result
+	waiting []int               // jobs not yet started, by team
+	teams   []structs.Resources // in use by team
+	used    structs.Resources
+}
+
+func newDriver(e engine, s site, list []arrival, f faults, withHealth bool) *driver {
+	d := &driver{
+		e: e, site: s, faults: f, list: list, jobs: map[string]*jobRun{}, byID: map[string]int{}, bad: map[string]bool{},
+		random: rand.New(rand.NewPCG(s.seed, 3)), backoff: health.DefaultRestartBackoff(), teams: make([]structs.Resources, len(s.weights)),
+		workers: s.fleet(), waiting: make([]int, len(s.weights)),
+	}
+	if withHealth {
+		d.monitor = health.NewMonitor(health.DefaultPolicy(), d.random.Float64)
+		d.monitor.SetFleet(len(d.workers))
+	}
+	for i, w := range s.weights {
+		e.SetTeam(teamName(i), w, share.Unlimited)
+	}
+	random := rand.New(rand.NewPCG(s.seed, 4))
+	for i, w := range d.workers {
+		d.byID[w.ID] = i
+		d.bad[w.ID] = random.Float64() < f.badWorkers
+		e.UpsertWorker(w)
+	}
+	d.result.windows = newWindows(s)
+	return d
+}
+
+// run plays the list until length, then until the queue is empty or drain has
+// passed.
+func (d *driver) run(length, drain time.Duration) result {
+	lost, back, cancelled := d.faults.lostAt == 0, d.faults.lostAt == 0, d.faults.cancels == 0
+	for d.now < length+drain {
+		busy := d.deliver()
+		if !cancelled && d.now >= d.faults.cancelAt {
+			cancelled = true
+			d.cancelWave()
+		}
+		if !lost && d.now >= d.faults.lostAt {
+			lost, busy = true, true
+			d.loseQuarter(true)
+		}
+		if !back && d.now >= d.faults.backAt {
+			back, busy = true, true
+			d.loseQuarter(false)
+		}
+		if busy || d.now%time.Second == 0 {
+			d.plan()
+		}
+		if d.next == len(d.list) && d.e.Waiting() == 0 && d.now >= length {
+			break
+		}
+		d.result.observe(d, tick)
+		d.now += tick
+	}
+	d.result.finish(d)
+	return d.result
+}
+
+// deliver applies arrivals and events up to now.
+func (d *driver) deliver() bool {
+	busy := false
+	for d.next < len(d.list) && d.list[d.next].job.Submitted <= d.now {
+		a := d.list[d.next]
+		d.next++
+		n := len(a.job.Tasks)
+		j := &jobRun{arrival: a, attempts: make([]int, n), on: make([]string, n), sizes: make([]structs.Resources, n)}
+		d.jobs[a.job.ID] = j
+		d.waiting[d.team(j)]++
+		d.e.AddJob(a.job)
+		busy = true
+	}
+	for len(d.events) > 0 && d.events[0].at <= d.now {
+		d.apply(heap.Pop(&d.events).(event))
+		busy = true
+	}
+	return busy
+}
+
+func (d *driver) push(e event) {
+	d.seq++
+	e.seq = d.seq
+	heap.Push(&d.events, e)
+}
+
+func (d *driver) apply(e event) {
+	switch e.kind {
+	case trialCheck:
+		d.setProbation(e.worker, true)
+		return
+	case jobReturns:
+		d.add(e.job, e.task)
+		return
+	}
+	if e.job.attempts[e.task] != e.attempt || e.job.on[e.task] == "" {
+		return
+	}
+	if e.kind == usageSeen {
+		d.raise(e.job, e.task)
+		return
+	}
+	worker := e.job.on[e.task]
+	d.end(e.job, e.task, !e.failed)
+	if e.failed {
+		d.result.failed++
+		d.failed(e.job, e.task, worker)
+		return
+	}
+	e.job.ended++
+	if d.monitor != nil && d.monitor.Succeeded(worker, e.job.job.ID).Restored {
+		d.setProbation(worker, false)
+	}
+}
+
+// failed returns a failed task to the queue; a gang's other tasks run on.
+func (d *driver) failed(j *jobRun, task int, worker string) {
+	wait := restartWait
+	if d.monitor != nil {
+		wait = d.backoff.Delay(j.attempts[task], d.random.Float64())
+		v := d.monitor.Failed(worker, j.job.ID, d.now)
+		if v.Probation {
+			d.result.probations++
+			d.setProbation(worker, true)
+		}
+		if v.StopJob {
+			d.result.stopped++
+			return
+		}
+	}
+	d.push(event{at: d.now + wait, kind: jobReturns, job: j, task: task})
+}
+
+func (d *driver) add(j *jobRun, task int) {
+	again := j.job
+	again.Tasks = []int{task}
+	d.e.AddJob(again)
+}
+
+// setProbation tells the engine a worker's state and schedules its next trial.
+func (d *driver) setProbation(id string, on bool) {
+	w := &d.workers[d.byID[id]]
+	w.Probation = on
+	w.Trial = on && d.monitor.TrialDue(id, d.now)
+	d.e.UpsertWorker(*w)
+	if on {
+		d.push(event{at: d.now + 5*time.Second, kind: trialCheck, worker: id})
+	}
+}
+
+func (d *driver) plan() {
+	for {
+		b := d.e.Plan(d.now, planMax)
+		for _, p := range b.Placements {
+			d.start(p)
+		}
+		for _, p := range b.Preemptions {
+			j := d.jobs[p.JobID]
+			d.end(j, p.Task, false)
+			d.result.preempted++
+			d.add(j, p.Task)
+		}
+		if len(b.Placements) < planMax && len(b.Preemptions) == 0 {
+			return
+		}
+	}
+}
+
+func (d *driver) start(p scheduler.Placement) {
+	j := d.jobs[p.JobID]
+	d.result.decisions++
+	if !j.placed {
+		j.placed = true
+		d.waiting[d.team(j)]--
+		d.result.wait(j, d.now-j.job.Submitted)
+	}
+	j.attempts[p.Task]++
+	j.on[p.Task] = p.WorkerID
+	d.charge(j, p.Task, j.job.Spec.Size)
+	speed := d.workers[d.byID[p.WorkerID]].Speed
+	e := event{at: d.now + time.Duration(float64(j.actual)/speed), kind: taskEnds, job: j, task: p.Task, attempt: j.attempts[p.Task]}
+	if d.bad[p.WorkerID] {
+		e.at = d.now + badAfter
+		e.failed = true
+	}
+	d.push(e)
+	if d.faults.usage && e.at > d.now+usageAfter {
+		d.push(event{at: d.now + usageAfter, kind: usageSeen, job: j, task: p.Task, attempt: j.attempts[p.Task]})
+	}
+}
+
+func (d *driver) team(j *jobRun) int { return slices.Index(d.result.windows.names, j.job.Spec.Team) }
+
+// charge sets the size committed for a task.
+func (d *driver) charge(j *jobRun, task int, size structs.Resources) {
+	by := size.Sub(j.sizes[task])
+	j.sizes[task] = size
+	team := d.team(j)
+	d.teams[team] = d.teams[team].Add(by)
+	d.used = d.used.Add(by)
+}
+
+func (d *driver) end(j *jobRun, task int, completed bool) {
+	d.e.AttemptEnded(j.job.ID, task, d.now, completed)
+	d.charge(j, task, structs.Resources{})
+	j.on[task] = ""
+	j.attempts[task]++
+}
+
+// raise commits what a task really uses as far as its worker has room.
+func (d *driver) raise(j *jobRun, task int) {
+	slot, known := d.e.Fleet().Lookup(j.on[task])
+	if !known {
+		return
+	}
+	size := j.sizes[task].Max(j.used.Min(j.sizes[task].Add(d.e.Fleet().Free(slot).Max(structs.Resources{}))))
+	d.e.ResizeAttempt(j.job.ID, task, size, d.now)
+	d.charge(j, task, size)
+}
+
+// loseQuarter loses the workers of one data centre, or brings them back.
+func (d *driver) loseQuarter(lost bool) {
+	for i := range len(d.workers) / 4 {
+		d.workers[i].Lost = lost
+		d.e.UpsertWorker(d.workers[i])
+	}
+	if !lost {
+		return
+	}
+	var ids []string
+	for id := range d.jobs {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		j := d.jobs[id]
+		for task, on := range j.on {
+			if on != "" && d.workers[d.byID[on]].Lost {
+				d.end(j, task, false)
+				d.add(j, task)
+				d.result.lost++
+			}
+		}
+	}
+}
+
+// cancelWave submits jobs that cannot start yet and cancels them at once.
+func (d *driver) cancelWave() {
+	spec := d.list[0].job.Spec
+	spec.Service, spec.Size = "cancelled", d.site.size
+	id := func(i int) string { return "cancelled/" + teamName(i) }
+	for i := range d.faults.cancels {
+		d.e.AddJob(scheduler.Job{ID: id(i), Spec: spec, Submitted: d.now, Tasks: []int{0}})
+	}
+	start := time.Now()
+	for i := range d.faults.cancels {
+		d.e.RemoveJob(id(i))
+	}
+	d.result.cancelCost = time.Since(start) / time.Duration(d.faults.cancels)
+}
+
+func sortArrivals(all []arrival) {
+	sort.SliceStable(all, func(i, j int) bool { return all[i].job.Submitted < all[j].job.Submitted })
+}
+
+func percentile(sorted []time.Duration, q float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[max(int(math.Ceil(q*float64(len(sorted))))-1, 0)]
+}
--- /dev/null
+++ b/test/bench/main.go
@@ -0,0 +1,97 @@
+// Command bench plays fixed arrival lists into the decision packages under a
+// fake clock and prints what they reach against the baselines.
+package main
+
+import (
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"laburnumgrade/internal/scheduler"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// options are the command's arguments.
+type options struct {
+	Case     string        `long:"case" description:"run only this case" choice:"wait" choice:"share" choice:"packing" choice:"faults" choice:"scale" choice:"slopes"`
+	HalfLife time.Duration `long:"half-life" description:"override the half-life of past usage"`
+	Instant  float64       `long:"instant" description:"override the part of current usage in the order by share" default:"-1"`
+	Weight   string        `long:"weight" description:"override the fairness weight of the sites, 0 to 1"`
+}
+
+// overrides are the options given, for trials.
+var overrides options
+
+// row is one line of the table.
+type row struct {
+	name, measure  string
+	baseline, ours float64
+	unit           string
+}
+
+type table struct{ rows []row }
+
+func (t *table) add(name, measure, unit string, baseline, ours float64) {
+	t.rows = append(t.rows, row{name, measure, baseline, ours, unit})
+}
+
+func (t *table) print() {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "case\tmeasure\tbaseline\tours\tratio")
+	for _, r := range t.rows {
+		relative := "-"
+		if r.baseline != 0 {
+			relative = fmt.Sprintf("%.3f", r.ours/r.baseline)
+		}
+		fmt.Fprintf(w, "%s\t%s (%s)\t%.4g\t%.4g\t%s\n", r.name, r.measure, r.unit, r.baseline, r.ours, relative)
+	}
+	w.Flush()
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	if o.Weight != "" {
+		if _, err := fmt.Sscan(o.Weight, &sajha.fairness); err != nil {
+			fmt.Fprintf(os.Stderr, "weight %q: %v\n", o.Weight, err)
+			os.Exit(2)
+		}
+		dakar.fairness = sajha.fairness
+	}
+	overrides = o
+	var t table
+	start := time.Now()
+	for _, c := range []struct {
+		name string
+		run  func(*table)
+	}{
+		{"wait", waitCases}, {"share", shareCases}, {"packing", packingCases}, {"faults", faultCases},
+		{"scale", scaleCase}, {"slopes", slopeCase},
+	} {
+		if o.Case == "" || o.Case == c.name {
+			c.run(&t)
+			fmt.Fprintf(os.Stderr, "%s done after %v\n", c.name, time.Since(start).Round(time.Second))
+		}
+	}
+	t.print()
+}
+
+// ours returns the scheduler with a site's setting.
+func ours(s site) *scheduler.Scheduler {
+	o := scheduler.DefaultOptions()
+	o.Policy.FairnessWeight = s.fairness
+	if overrides.HalfLife > 0 {
+		o.HalfLife = overrides.HalfLife
+	}
+	if overrides.Instant >= 0 {
+		o.Instant = overrides.Instant
+	}
+	return scheduler.New(o)
+}
+
+// fifoSkip is how many jobs the stronger FIFO baseline passes over.
+const fifoSkip = 64
--- /dev/null
+++ b/test/bench/measure.go
@@ -0,0 +1,152 @@
+package main
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math"
+	"slices"
+	"time"
+)
+
+// settleTime is how long every team must have been backlogged before windows
+// count.
+const settleTime = time.Minute
+
+// windowLength is the span over which usage is compared with the shares.
+const windowLength = time.Minute
+
+// result holds what a play measured.
+type result struct {
+	waits      [kinds][]time.Duration
+	waitingFor time.Duration // time during which work waited
+	boundUse   float64       // bounding resource in use, summed over that time
+	windows    windows
+	decisions  int
+	failed     int
+	probations int
+	stopped    int
+	preempted  int
+	lost       int
+	unstarted  int
+	unfinished int
+	cancelCost time.Duration
+	digest     uint64
+}
+
+func (r *result) wait(j *jobRun, w time.Duration) { r.waits[j.kind] = append(r.waits[j.kind], w) }
+
+// observe adds a span of time at the present state.
+func (r *result) observe(d *driver, span time.Duration) {
+	if d.e.Waiting() > 0 {
+		capacity := d.site.capacity()
+		r.waitingFor += span
+		r.boundUse += span.Seconds() * max(ratio(d.used.MilliCPU, capacity.MilliCPU), ratio(d.used.MemoryBytes, capacity.MemoryBytes))
+	}
+	r.windows.observe(d, span)
+}
+
+// finish counts what never started with the wait until now.
+func (r *result) finish(d *driver) {
+	for _, a := range d.list[:d.next] {
+		j := d.jobs[a.job.ID]
+		if !j.placed {
+			r.unstarted++
+			r.wait(j, d.now-j.job.Submitted)
+		}
+		if j.ended < len(j.on) {
+			r.unfinished++
+		}
+	}
+	h := fnv.New64a()
+	for k := range r.waits {
+		for _, w := range r.waits[k] {
+			fmt.Fprintln(h, k, w)
+		}
+		slices.Sort(r.waits[k])
+	}
+	fmt.Fprintln(h, r.decisions, r.failed, r.windows.largest)
+	r.digest = h.Sum64()
+}
+
+// packing returns the mean use of the bounding resource while work waited.
+func (r *result) packing() float64 {
+	if r.waitingFor == 0 {
+		return 0
+	}
+	return r.boundUse / r.waitingFor.Seconds()
+}
+
+// windows compares each team's dominant usage with its share over windows in
+// which every team was backlogged, after settleTime.
+type windows struct {
+	names      []string
+	weights    []float64
+	use        [][2]float64 // by team: processors, memory
+	span       time.Duration
+	backlogged time.Duration
+	largest    float64
+	sum        float64
+	count      int
+}
+
+func newWindows(s site) windows {
+	w := windows{weights: s.weights, use: make([][2]float64, len(s.weights))}
+	for i := range s.weights {
+		w.names = append(w.names, teamName(i))
+	}
+	return w
+}
+
+func (w *windows) observe(d *driver, span time.Duration) {
+	if !d.backlogged() {
+		w.backlogged = 0
+		w.reset()
+		return
+	}
+	w.backlogged += span
+	if w.backlogged <= settleTime {
+		return
+	}
+	capacity := d.site.capacity()
+	for i, u := range d.teams {
+		w.use[i][0] += span.Seconds() * ratio(u.MilliCPU, capacity.MilliCPU)
+		w.use[i][1] += span.Seconds() * ratio(u.MemoryBytes, capacity.MemoryBytes)
+	}
+	w.span += span
+	if w.span >= windowLength {
+		w.close()
+		w.reset()
+	}
+}
+
+func (w *windows) reset() {
+	w.span = 0
+	clear(w.use)
+}
+
+// close adds the deviations of a window: how far each team's part of the
+// dominant usage is from its share, relative to the share.
+func (w *windows) close() {
+	total, weights := 0.0, 0.0
+	for i, u := range w.use {
+		total += max(u[0], u[1])
+		weights += w.weights[i]
+	}
+	for i, u := range w.use {
+		share := w.weights[i] / weights
+		deviation := math.Abs(max(u[0], u[1])/total-share) / share
+		w.largest = max(w.largest, deviation)
+		w.sum += deviation
+		w.count++
+	}
+}
+
+func (w *windows) mean() float64 {
+	if w.count == 0 {
+		return 0
+	}
+	return w.sum / float64(w.count)
+}
+
+// backlogged reports whether every team has a waiting job.
+func (d *driver) backlogged() bool { return !slices.Contains(d.waiting, 0) }
--- /dev/null
+++ b/test/bench/slopes.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"fmt"
+	"runtime"
+	"time"
+)
+
+// heap returns the bytes in use after a collection.
+func heapInUse() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// slopeCase measures what each worker, waiting job, running task and team
+// costs in memory, and a decision in processor time at two sizes.
+func slopeCase(t *table) {
+	const name = "slopes"
+	bytesPer := func(n int, grow func()) float64 {
+		before := heapInUse()
+		grow()
+		return (heapInUse() - before) / float64(n)
+	}
+	base := heapInUse()
+	l := newLoad(0, 0)
+	t.add(name, "memory of an empty scheduler*", "bytes", 0, heapInUse()-base)
+	t.add(name, "memory per worker*", "bytes", 0, bytesPer(10_000, func() { l = newLoad(10_000, 0) }))
+	t.add(name, "memory per team with three documents*", "bytes", 0, bytesPer(1000, func() {
+		filled := newLoad(10_000, 1000)
+		for range 20_000 {
+			filled.add(1000)
+		}
+		for i := range filled.nextID {
+			filled.s.RemoveJob(jobID(i + 1))
+		}
+		l = filled
+	}))
+	t.add(name, "memory per waiting job*", "bytes", 0, bytesPer(50_000, func() {
+		for range 50_000 {
+			l.add(1000)
+		}
+	}))
+	t.add(name, "memory per running task*", "bytes", 0, runningSlope())
+	for _, workers := range []int{1_400, 14_000} {
+		t.add(name, "planning per decision, workers "+thousands(workers)+"*", "ns", 0, decisionCost(workers))
+	}
+	runtime.KeepAlive(l)
+}
+
+// runningSlope returns the memory that each running task adds.
+func runningSlope() float64 {
+	l := newLoad(10_000, 1000)
+	l.fill(10_000, 1000)
+	before, n := heapInUse(), l.s.Running()
+	l.fill(60_000, 1000)
+	after := heapInUse()
+	slope := (after - before) / float64(l.s.Running()-n)
+	runtime.KeepAlive(l)
+	return slope
+}
+
+// decisionCost returns the planning time per decision in a steady state.
+func decisionCost(workers int) float64 {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	l := newLoad(workers, 100)
+	l.fill(workers*scaleRunning/scaleWorkers, 100)
+	placed, planning := 0, time.Duration(0)
+	for range 2000 {
+		l.now += scaleMax * time.Second / 10_000
+		for range scaleMax {
+			l.end()
+			l.add(100)
+		}
+		before := time.Now()
+		b := l.s.Plan(l.now, scaleMax)
+		planning += time.Since(before)
+		placed += len(b.Placements)
+		l.running = append(l.running, b.Placements...)
+	}
+	return float64(planning.Nanoseconds()) / float64(placed)
+}
+
+func jobID(n int) string { return fmt.Sprintf("j%08d", n) }
+
+func thousands(n int) string { return fmt.Sprintf("%d,%03d", n/1000, n%1000) }
