Admission, health and preemption in the control process

Cause: work that no worker can hold waited for ever; workers that fail everything kept receiving work; urgent work could not interrupt. Change: internal/control admits before it commits, feeds ends to the health monitor, and commits the scheduler's preemptions.

--- a/internal/control/datacentre.go
+++ b/internal/control/datacentre.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -22,6 +23,13 @@
 	if err != nil {
 		return nil, err
 	}
+	// A resend of an accepted job is not refused for lack of room.
+	if _, known := g.Store.Job(r.Job.JobId); !known {
+		spec := structs.WorkSpecFromProto(r.Job.Spec)
+		if refusal := g.mirror.admit(&spec, spec.Tasks, time.Duration(r.Job.DeadlineMs)*time.Millisecond); refusal != "" {
+			return &peerv1.SubmitJobReply{Refusal: strings.TrimPrefix(refusal, "not run: ")}, nil
+		}
+	}
 	result, err := g.propose(ctx, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_SubmitJob{SubmitJob: r.Job}})
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/control/health.go
@@ -0,0 +1,74 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"laburnumgrade/gen/apiv1"
+	"laburnumgrade/gen/statev1"
+	"laburnumgrade/internal/health"
+	"laburnumgrade/internal/placement"
+	"laburnumgrade/internal/structs"
+	"laburnumgrade/internal/timeline"
+)
+
+// judge feeds the ends that a worker reports to the health monitor and acts on
+// its verdicts.
+func (s *Server) judge(ctx context.Context, g *DataCentreGroup, r *apiv1.HeartbeatRequest) {
+	for _, e := range r.Ended {
+		v := g.mirror.judge(r.WorkerId, e)
+		if v.Probation || v.Restored {
+			s.setProbation(ctx, g, r, v)
+		}
+		if v.StopJob {
+			s.logger.Warn("job stopped", "step", "judge", "job", e.JobId, "reason", v.Reason)
+			s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_CancelJob{CancelJob: &statev1.CancelJob{JobId: e.JobId, Reason: "stopped: it " + v.Reason}}})
+		}
+	}
+}
+
+func (s *Server) setProbation(ctx context.Context, g *DataCentreGroup, r *apiv1.HeartbeatRequest, v health.Verdict) {
+	w, _ := g.Store.Worker(r.WorkerId)
+	s.logger.Warn("probation changed", "step", "judge", "peer", r.WorkerId, "probation", v.Probation, "reason", v.Reason)
+	s.events.Record(timeline.Event{Kind: timeline.WorkerProbation, Worker: r.WorkerId, Detail: v.Reason})
+	s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_SetWorkerState{SetWorkerState: &statev1.SetWorkerState{
+		WorkerId: r.WorkerId, Incarnation: r.Incarnation, Leaving: w.Draining, Probation: v.Probation,
+	}}})
+}
+
+// judge returns the consequence of one end.
+func (m *mirror) judge(worker string, e *apiv1.EndedAttempt) health.Verdict {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.health == nil {
+		return health.Verdict{}
+	}
+	switch e.Outcome {
+	case apiv1.Outcome_OUTCOME_OK:
+		return m.health.Succeeded(worker, e.JobId)
+	case apiv1.Outcome_OUTCOME_FAILED:
+		return m.health.Failed(worker, e.JobId, m.clock())
+	}
+	return health.Verdict{}
+}
+
+// grantTrials lets workers on probation run a trial task when one is due.
+func (m *mirror) grantTrials(now time.Duration) {
+	for id := range m.probation {
+		w, known := m.group.Store.Worker(id)
+		if !known || !w.Probation {
+			delete(m.probation, id)
+			continue
+		}
+		if m.health.TrialDue(id, now) {
+			m.scheduler.UpsertWorker(workerView(&w, true))
+		}
+	}
+}
+
+func workerView(w *structs.Worker, trial bool) placement.Worker {
+	return placement.Worker{
+		ID: w.ID, Incarnation: w.Incarnation, Rack: w.Rack, Capacity: w.Capacity,
+		Leaving: w.Leaving || w.Draining, Lost: w.Lost, Probation: w.Probation, Trial: trial,
+	}
+}
--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -97,6 +97,7 @@
 	for _, e := range r.Ended {
 		d.server.recordEnd(r.WorkerId, e)
 	}
+	d.server.judge(ctx, g, r)
 	return result.Acknowledged, nil
 }
 
--- a/internal/control/mirror.go
+++ b/internal/control/mirror.go
@@ -1,10 +1,12 @@
 package control
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
-	"laburnumgrade/internal/placement"
+	"laburnumgrade/internal/admission"
+	"laburnumgrade/internal/health"
 	"laburnumgrade/internal/scheduler"
 	"laburnumgrade/internal/structs"
 )
@@ -21,8 +23,12 @@
 	// since is the start of the leadership that the scheduler was made for.
 	since time.Duration
 	// accepted is when a job was first seen waiting, by job id.
-	accepted map[string]time.Duration
-	teamsAt  time.Duration
+	accepted  map[string]time.Duration
+	teamsAt   time.Duration
+	admission *admission.Controller
+	health    *health.Monitor
+	waiting   map[string]taskCounts
+	probation map[string]struct{}
 	// delayed is when the jobs with tasks that wait out a back-off are mirrored
 	// again.
 	delayed map[string]time.Duration
@@ -44,6 +50,10 @@
 		m.scheduler = scheduler.New(m.options)
 		m.accepted = map[string]time.Duration{}
 		m.delayed = map[string]time.Duration{}
+		m.admission = admission.NewController(admission.DefaultLimits(), m.scheduler.Fleet())
+		m.health = health.NewMonitor(health.DefaultPolicy(), rand.Float64)
+		m.waiting = map[string]taskCounts{}
+		m.probation = map[string]struct{}{}
 		m.teamsAt = 0
 		workers, jobs = m.everything()
 	}
@@ -60,6 +70,8 @@
 	if m.teamsAt == 0 || now >= m.teamsAt+teamsInterval {
 		m.teamsAt = now
 		m.syncTeams(shares())
+		m.health.SetFleet(m.scheduler.Fleet().Len())
+		m.grantTrials(now)
 	}
 	for id := range jobs {
 		m.syncJob(id, now)
@@ -84,15 +96,16 @@
 		m.scheduler.RemoveWorker(id)
 		return
 	}
-	m.scheduler.UpsertWorker(placement.Worker{
-		ID: w.ID, Incarnation: w.Incarnation, Rack: w.Rack, Capacity: w.Capacity,
-		Leaving: w.Leaving || w.Draining, Lost: w.Lost, Probation: w.Probation,
-	})
+	m.scheduler.UpsertWorker(workerView(&w, false))
+	if w.Probation {
+		m.probation[id] = struct{}{}
+	}
 }
 
 func (m *mirror) syncTeams(shares map[string]float64) {
 	for _, t := range m.group.Store.Teams() {
 		m.scheduler.SetTeam(t.Name, max(shares[t.Name], 1), t.Allotment)
+		m.admission.SetTeam(t.Name, max(shares[t.Name], 1))
 	}
 }
 
@@ -112,6 +125,7 @@
 	} else {
 		m.scheduler.AddJob(m.job(&j, waiting))
 	}
+	m.countWaiting(&j, len(waiting), len(j.Tasks)-j.EndedTasks-len(waiting), now)
 	if j.Ended() {
 		delete(m.accepted, id)
 	}
--- a/internal/control/schedule.go
+++ b/internal/control/schedule.go
@@ -49,6 +49,7 @@
 	for _, r := range batch.Rejections {
 		s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_RejectJob{RejectJob: &statev1.RejectJob{JobId: r.JobID, Reason: r.Reason}}})
 	}
+	s.preempt(ctx, g, batch.Preemptions)
 	if len(batch.Placements) > 0 {
 		s.commitPlan(ctx, g, batch.Placements)
 	}
--- a/internal/state/job.go
+++ b/internal/state/job.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -51,7 +52,7 @@
 	for i := range j.Tasks {
 		switch j.Tasks[i].State {
 		case structs.TaskWaiting:
-			s.endTask(j, i, structs.OutcomeCancelled, nil, "cancelled before it ran")
+			s.endTask(j, i, structs.OutcomeCancelled, nil, cmp.Or(c.Reason, "cancelled before it ran"))
 		case structs.TaskRunning:
 			a := s.d.Attempts[j.Tasks[i].Attempt]
 			a.Stopping = true
