Services: documents of class service run instances on workers

Cause: a service's document started nothing; instances announced themselves without a task, so no capacity was committed for them. Ruled out: one job per instance; a version change would need a rule across jobs. Change: command SetService, one job per service and data centre whose tasks are restarted, one instance at a time replaced by a newer version; lg-standin serves calls from service tasks.

--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -10,6 +10,7 @@
 	"laburnumgrade/gen/statev1"
 	"laburnumgrade/internal/lease"
 	"laburnumgrade/internal/state"
+	"laburnumgrade/internal/structs"
 )
 
 // Heartbeat renews a worker's lease, records what has ended, and answers what
@@ -134,5 +135,6 @@
 	return &apiv1.Assignment{
 		AttemptId: a.Attempt.ID, JobId: a.Attempt.JobID, Task: int32(a.Attempt.Task), Attempt: int32(a.Attempt.Number),
 		Team: a.Spec.Team, Service: a.Spec.Service, Command: a.Spec.Command, Payload: a.Payload, Size: a.Spec.Size.Proto(),
+		ServiceInstance: a.Spec.Class == structs.ClassService,
 	}
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -94,6 +94,7 @@
 		go s.schedule(ctx, g)
 		go s.expire(ctx, g)
 		go s.takeGrants(ctx, g)
+		go s.runServices(ctx, g)
 		go s.watchLeader(ctx, g.Name, g.Log.Leader)
 	}
 	if s.fleet != nil {
--- /dev/null
+++ b/internal/control/service.go
@@ -0,0 +1,85 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"laburnumgrade/gen/statev1"
+	"laburnumgrade/internal/state"
+	"laburnumgrade/internal/structs"
+)
+
+// serviceInterval is how often services are compared with their documents.
+const serviceInterval = 300 * time.Millisecond
+
+// runServices keeps the services of a data centre as their documents say,
+// while this process leads the group and holds a configuration lease.
+func (s *Server) runServices(ctx context.Context, g *DataCentreGroup) {
+	ticker := time.NewTicker(serviceInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if _, valid := g.Log.Lease(); valid && s.follower.Valid(0) {
+			s.runServicesOnce(ctx, g)
+		}
+	}
+}
+
+func (s *Server) runServicesOnce(ctx context.Context, g *DataCentreGroup) {
+	ctx, cancel := context.WithTimeout(ctx, opTimeout)
+	defer cancel()
+	for _, d := range s.follower.Store().Documents() {
+		if structs.Class(d.Spec.GetClass()) != structs.ClassService {
+			continue
+		}
+		spec := proto.Clone(d.Spec).(*statev1.WorkSpec)
+		spec.Tasks = int32(part(int(d.Spec.Tasks), slices.Index(s.dataCentres, g.Name), len(s.dataCentres)))
+		j, known := g.Store.Job(state.ServiceJob(d.Team, d.Service))
+		if !known && spec.Tasks == 0 {
+			continue
+		}
+		if !known || j.Spec.Version != d.Version || j.Wanted != int(spec.Tasks) {
+			s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_SetService{SetService: &statev1.SetService{Spec: spec}}})
+			continue
+		}
+		s.roll(ctx, g, &j)
+	}
+}
+
+// part returns what the data centre with the index runs of n instances; the
+// first ones run one more if n does not divide.
+func part(n, index, dataCentres int) int {
+	share := n / dataCentres
+	if index < n%dataCentres {
+		share++
+	}
+	return share
+}
+
+// roll stops one running instance of an earlier version, once all instances
+// run, so that at most one is missing for the change of version.
+func (s *Server) roll(ctx context.Context, g *DataCentreGroup, j *structs.Job) {
+	var old *structs.Attempt
+	for i := range min(j.Wanted, len(j.Tasks)) {
+		a, open := g.Store.Attempt(j.Tasks[i].Attempt)
+		if !open || a.Stopping {
+			return
+		}
+		if a.Version < j.Spec.Version && old == nil {
+			old = &a
+		}
+	}
+	if old == nil {
+		return
+	}
+	s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_ShedAttempts{ShedAttempts: &statev1.ShedAttempts{
+		Attempts: []*statev1.ShedAttempt{{AttemptId: old.ID, Means: statev1.ShedAttempt_STOP, Reason: "replaced by a newer version"}},
+	}}})
+}
--- a/internal/standin/instance.go
+++ b/internal/standin/instance.go
@@ -62,6 +62,29 @@
 	return in, nil
 }
 
+// leaveTime is how long a leaving instance goes on serving, since entries may
+// send it calls until they hear of it.
+const leaveTime = 3 * time.Second
+
+// drain serves on while entries may send calls, finishes the calls in progress,
+// and closes the server. It ends at once when abort is closed.
+func (in *Instance) drain(abort <-chan struct{}) {
+	select {
+	case <-time.After(leaveTime):
+	case <-abort:
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		select {
+		case <-abort:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	_ = in.server.Shutdown(ctx)
+}
+
 // Leave announces that the instance takes no new work.
 func (in *Instance) Leave() { in.leaving.Store(true) }
 
--- a/internal/state/plan.go
+++ b/internal/state/plan.go
@@ -94,7 +94,7 @@
 	task.Attempts++
 	a := &structs.Attempt{
 		ID: s.d.NextAttempt, JobID: j.ID, Task: int(p.Task), Number: task.Attempts,
-		WorkerID: p.WorkerId, Incarnation: p.Incarnation, Size: j.Spec.Size, Team: j.Spec.Team,
+		WorkerID: p.WorkerId, Incarnation: p.Incarnation, Size: j.Spec.Size, Team: j.Spec.Team, Version: j.Spec.Version,
 	}
 	s.d.Attempts[a.ID] = a
 	w := s.d.Workers[p.WorkerId]
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -143,6 +143,8 @@
 		return s.assignSlots(c.AssignSlots)
 	case *statev1.DataCentreCommand_RejectJob:
 		return s.rejectJob(c.RejectJob)
+	case *statev1.DataCentreCommand_SetService:
+		return s.setService(c.SetService)
 	case *statev1.DataCentreCommand_BeginLeadership:
 		s.d.Epoch++
 		return &Result{Epoch: s.d.Epoch}
--- a/internal/structs/work.go
+++ b/internal/structs/work.go
@@ -162,6 +162,9 @@
 	Cancelled bool
 	// AcceptedAt is the log time of the acceptance, in ms since the Unix epoch.
 	AcceptedAt int64
+	// Wanted is the number of instances of a service; tasks from there on end
+	// instead of being restarted.
+	Wanted int
 	// EndedTasks counts the tasks that have ended.
 	EndedTasks int
 }
@@ -179,6 +182,8 @@
 	Incarnation uint64
 	Size        Resources
 	Team        string
+	// Version is that of the document the attempt was placed for.
+	Version uint64
 	// Stopping, Throttled and Checkpointing are set when the worker is to stop,
 	// throttle or checkpoint the attempt.
 	Stopping      bool
--- a/test/faults/judge.go
+++ b/test/faults/judge.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"laburnumgrade/gen/apiv1"
@@ -27,6 +28,10 @@
 	v := &verdict{name: name, operations: len(operations), missed: missed(operations, began)}
 	started, completed := map[string]int{}, map[string]int{}
 	for _, r := range report.Runs {
+		// Instances of services are restarted.
+		if strings.HasPrefix(r.ID, "service/") {
+			continue
+		}
 		started[r.ID]++
 		if r.Completed {
 			completed[r.ID]++
