--- a/cmd/lg-entry/main.go
+++ b/cmd/lg-entry/main.go
@@ -4,21 +4,23 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
+	"sync/atomic"
 	"time"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
 
 	"laburnumgrade/internal/adapter/httpserver"
 	"laburnumgrade/internal/adapter/peer"
 	"laburnumgrade/internal/config"
 	"laburnumgrade/internal/entry"
-	"laburnumgrade/internal/port"
+	"laburnumgrade/internal/process"
 )
 
+// instanceConnections is the number of connections that an instance accepts.
+const instanceConnections = 64
+
 type options struct {
 	Settings string `long:"settings" required:"true" description:"settings file (INI)"`
 	Check    bool   `long:"check" description:"check the settings and exit"`
@@ -47,35 +49,58 @@
 }
 
 func run(c *config.Entry) error {
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
-	logger := slog.New(slog.NewJSONHandler(os.Stderr, nil)).With("process", c.Process.Name, "data_centre", c.Process.DataCentre)
-	controls := map[string][]string{}
-	for _, p := range c.Peers {
-		controls[p.DataCentre] = append(controls[p.DataCentre], p.Address.String())
-	}
-	s := entry.New(entry.Config{
-		Name: fmt.Sprintf("%s#%d", c.Process.Name, time.Now().UnixNano()), DataCentre: c.Process.DataCentre,
-		PeerAddress: c.Peer.String(), Clock: port.NewSystemClock(), Logger: logger, Controls: controls,
-		OperatorKeyHash: c.OperatorKeyHash, MaxBody: c.Limits.MaxBody, Client: peer.NewHTTPClient(c.AddressMap),
+	first, second := process.Signals()
+	var serving atomic.Pointer[entry.Server]
+	p, err := process.Start(c.Process, c.Limits.Timeline, c.AddressMap, func() error {
+		if s := serving.Load(); s != nil {
+			return s.Ready()
+		}
+		return errors.New("the process is starting")
 	})
+	if err != nil {
+		return err
+	}
+	s := build(c, p)
 	public, err := httpserver.Start(c.Public.String(), s.Public())
 	if err != nil {
 		return err
 	}
-	peers, err := httpserver.Start(c.Peer.String(), s.Peer())
+	peers, err := httpserver.Start(c.Peer.String(), p.Peer(s.Peer()))
 	if err != nil {
 		return err
 	}
 	background, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
 	go s.Run(background)
-	<-ctx.Done()
-	s.Drain()
-	stop, cancelStop := context.WithTimeout(context.Background(), c.Limits.Drain)
-	defer cancelStop()
-	if err := public.Shutdown(stop); err != nil {
+	serving.Store(s)
+	select {
+	case <-first.Done():
+	case err := <-public.Failed():
 		return err
+	case err := <-peers.Failed():
+		return err
+	}
+	limit, cancel := context.WithTimeout(context.Background(), c.Limits.Drain)
+	defer cancel()
+	go func() {
+		<-second
+		cancel()
+	}()
+	defer p.Close(limit)
+	return s.Shutdown(limit, public, peers)
+}
+
+// build returns the server that the settings describe.
+func build(c *config.Entry, p *process.Process) *entry.Server {
+	controls := map[string][]string{}
+	for _, other := range c.Peers {
+		controls[other.DataCentre] = append(controls[other.DataCentre], other.Address.String())
 	}
-	return peers.Shutdown(stop)
+	return entry.New(entry.Config{
+		Name: fmt.Sprintf("%s#%d", c.Process.Name, time.Now().UnixNano()), DataCentre: c.Process.DataCentre,
+		PeerAddress: c.Peer.String(), Clock: p.Clock, Logger: p.Logger, Controls: controls,
+		OperatorKeyHash: c.OperatorKeyHash, MaxBody: c.Limits.MaxBody, Client: p.Client,
+		Targets:  peer.NewInstanceClient(c.AddressMap, instanceConnections),
+		MaxCalls: c.Limits.MaxCalls, TeamQueue: c.Limits.TeamQueue,
+	})
 }
--- a/internal/adapter/peer/client.go
+++ b/internal/adapter/peer/client.go
@@ -4,7 +4,9 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,18 +26,46 @@
 // NewHTTPClient returns a client for calls between processes. Addresses that
 // the map names are replaced before they are dialled.
 func NewHTTPClient(addressMap map[string]string) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer(addressMap),
+		MaxIdleConnsPerHost: 256,
+		IdleConnTimeout:     90 * time.Second,
+	}}
+}
+
+// instanceIdle is how long a connection to an instance stays open unused. It is
+// short because the entry that gets the slots next needs connections too.
+const instanceIdle = 10 * time.Second
+
+// NewInstanceClient returns a client for calls to instances. It never has more
+// than the given number of connections to an address, open or being opened.
+func NewInstanceClient(addressMap map[string]string, connections int) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer(addressMap),
+		MaxConnsPerHost:     connections,
+		MaxIdleConnsPerHost: connections,
+		IdleConnTimeout:     instanceIdle,
+		DisableCompression:  true,
+	}}
+}
+
+func dialer(addressMap map[string]string) func(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		if mapped := addressMap[address]; mapped != "" {
 			address = mapped
 		}
 		return dialer.DialContext(ctx, network, address)
 	}
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         dial,
-		MaxIdleConnsPerHost: 256,
-		IdleConnTimeout:     90 * time.Second,
-	}}
+}
+
+// TraceSent returns a context for one request and a function that reports
+// whether any of the request may have been sent, which is so once it has a
+// connection.
+func TraceSent(ctx context.Context) (context.Context, func() bool) {
+	sent := new(atomic.Bool)
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	return httptrace.WithClientTrace(ctx, trace), sent.Load
 }
 
 // NotLeader returns the twirp error for a process that does not lead.
--- a/internal/control/expire.go
+++ b/internal/control/expire.go
@@ -65,53 +65,6 @@
 	}
 }
 
-// assignSlots gives each instance without a live entry to the live entry that
-// has the fewest.
-func (s *Server) assignSlots(ctx context.Context, g *DataCentreGroup, since, now time.Duration) {
-	for _, entry := range g.liveEntries() {
-		if g.slots.BeginEnd(entry, since, now) {
-			g.dropEntry(entry)
-			g.slots.EndDone(entry, since)
-		}
-	}
-	live := g.liveEntries()
-	held := map[string]int{}
-	var free []structs.Instance
-	for _, in := range g.Store.Instances() {
-		if g.entryAddress(in.Entry) != "" {
-			held[in.Entry]++
-			continue
-		}
-		// An entry that an earlier leader knew may hold a lease until it has
-		// run out, counted from when this process began to lead.
-		if in.Entry != "" && !g.slots.BeginEnd(in.Entry, since, now) {
-			continue
-		}
-		g.slots.EndDone(in.Entry, since)
-		free = append(free, in)
-	}
-	for i := range free {
-		entry := fewest(live, held)
-		if entry == "" {
-			return
-		}
-		held[entry]++
-		s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_AssignSlots{AssignSlots: &statev1.AssignSlots{
-			InstanceId: free[i].ID, Incarnation: free[i].Incarnation, Entry: entry, EntryAddress: g.entryAddress(entry),
-		}}})
-	}
-}
-
-func fewest(entries []string, held map[string]int) string {
-	best := ""
-	for _, e := range entries {
-		if best == "" || held[e] < held[best] {
-			best = e
-		}
-	}
-	return best
-}
-
 // try proposes a command of the leader's own and reports whether it was
 // applied, refused or not. A failure is logged and the command is tried again
 // at the next interval.
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,10 +26,7 @@
 	workers   *lease.Table
 	instances *lease.Table
 	slots     *lease.Table
-
-	mu sync.Mutex
-	// entries holds the address of each entry that asked for instances.
-	entries map[string]string
+	holders   *slotHolders
 }
 
 // FleetGroup is the process's replica of the fleet group with the volatile
@@ -49,7 +45,7 @@
 	g := &DataCentreGroup{
 		Name: name, changes: newBroadcast(),
 		workers: lease.NewTable(lease.Worker), instances: lease.NewTable(lease.Instance), slots: lease.NewTable(lease.Slot),
-		entries: map[string]string{},
+		holders: newSlotHolders(),
 	}
 	g.Store = state.New(&observer{g.changes})
 	return g
--- a/internal/control/instance.go
+++ b/internal/control/instance.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
+	"time"
 
 	"github.com/twitchtv/twirp"
 
@@ -14,31 +13,44 @@
 	"laburnumgrade/internal/structs"
 )
 
-// Announce registers an instance and renews its announcement.
+// Announce registers an instance and renews its announcement, which counts from
+// when it arrived.
 func (d *DataCentreServer) Announce(ctx context.Context, r *apiv1.AnnounceRequest) (*apiv1.AnnounceResponse, error) {
+	arrived := d.server.clock.Now()
 	g, since, err := d.leading(r.DataCentre)
 	if err != nil {
 		return nil, err
 	}
 	if !d.sameInstance(g, r) {
-		result, err := g.propose(ctx, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_RegisterInstance{RegisterInstance: &statev1.RegisterInstance{
-			InstanceId: r.InstanceId, Incarnation: r.Incarnation, Team: r.Team, Service: r.Service,
-			Address: r.Address, Slots: r.Slots, Connections: r.Connections, Leaving: r.Leaving,
-		}}})
-		if err != nil {
+		if err := d.registerInstance(ctx, g, since, r); err != nil {
 			return nil, err
 		}
-		if result.Refusal != "" {
-			return nil, twirp.NewError(twirp.InvalidArgument, result.Refusal)
-		}
 	}
-	if !g.instances.Renew(r.InstanceId, since, d.server.clock.Now()) {
+	if !g.instances.Renew(r.InstanceId, since, arrived) {
 		return nil, twirp.NewError(twirp.Aborted, "instance "+r.InstanceId+" is being removed; announce again")
 	}
+	g.holders.hear(since, arrived, d.server.clock.Now(), r.InstanceId, r.Incarnation)
 	_, err = lead(g.Name, g.Log)
 	return &apiv1.AnnounceResponse{LeaseMs: lease.Instance.Milliseconds()}, err
 }
 
+func (d *DataCentreServer) registerInstance(ctx context.Context, g *DataCentreGroup, since time.Duration, r *apiv1.AnnounceRequest) error {
+	if old, known := g.Store.Instance(r.InstanceId); known && old.Incarnation < r.Incarnation {
+		g.holders.replace(since, &old)
+	}
+	result, err := g.propose(ctx, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_RegisterInstance{RegisterInstance: &statev1.RegisterInstance{
+		InstanceId: r.InstanceId, Incarnation: r.Incarnation, Team: r.Team, Service: r.Service,
+		Address: r.Address, Slots: r.Slots, Connections: r.Connections, Leaving: r.Leaving,
+	}}})
+	if err != nil {
+		return err
+	}
+	if result.Refusal != "" {
+		return twirp.NewError(twirp.InvalidArgument, result.Refusal)
+	}
+	return nil
+}
+
 func (d *DataCentreServer) sameInstance(g *DataCentreGroup, r *apiv1.AnnounceRequest) bool {
 	in, known := g.Store.Instance(r.InstanceId)
 	return known && in.Incarnation == r.Incarnation && in.Leaving == r.Leaving && in.Address == r.Address &&
@@ -47,27 +59,42 @@
 
 // ListInstances returns the instances and renews the asking entry's slot
 // leases. Only entries of the same data centre hand out slots.
-func (d *DataCentreServer) ListInstances(_ context.Context, r *peerv1.ListInstancesRequest) (*peerv1.ListInstancesResponse, error) {
+func (d *DataCentreServer) ListInstances(ctx context.Context, r *peerv1.ListInstancesRequest) (*peerv1.ListInstancesResponse, error) {
 	g, since, err := d.leading(r.DataCentre)
 	if err != nil {
 		return nil, err
 	}
-	renewed := false
-	if r.EntryAddress != "" {
-		renewed = g.slots.Renew(r.Entry, since, d.server.clock.Now())
-		g.setEntry(r.Entry, r.EntryAddress)
-	}
 	reply := &peerv1.ListInstancesResponse{}
-	if renewed {
+	if r.EntryAddress != "" && d.renewSlots(ctx, g, since, r) {
 		reply.LeaseMs = lease.Slot.Milliseconds()
 	}
+	now := d.server.clock.Now()
 	for _, in := range g.Store.Instances() {
-		reply.Instances = append(reply.Instances, instanceMessage(&in, g.Name))
+		m := instanceMessage(&in, g.Name)
+		m.ValidMs = g.holders.valid(since, now, &in).Milliseconds()
+		if in.Entry == r.Entry {
+			r, _ := g.holders.releaseOf(since, &in)
+			m.Release = r.number
+		}
+		reply.Instances = append(reply.Instances, m)
 	}
 	_, err = lead(g.Name, g.Log)
 	return reply, err
 }
 
+// renewSlots renews the entry's slot leases and takes back what it has released.
+func (d *DataCentreServer) renewSlots(ctx context.Context, g *DataCentreGroup, since time.Duration, r *peerv1.ListInstancesRequest) bool {
+	now := d.server.clock.Now()
+	if !g.slots.Renew(r.Entry, since, now) {
+		return false
+	}
+	g.holders.setEntry(since, r.Entry, r.EntryAddress, r.Draining)
+	if g.holders.complete(since, r.Entry, r.Released) {
+		d.server.assignSlots(ctx, g, since, now)
+	}
+	return true
+}
+
 func instanceMessage(in *structs.Instance, dataCentre string) *peerv1.Instance {
 	return &peerv1.Instance{
 		InstanceId: in.ID, Incarnation: in.Incarnation, Team: in.Team, Service: in.Service, Address: in.Address,
@@ -75,33 +102,3 @@
 		Entry: in.Entry, EntryAddress: in.EntryAddress, DataCentre: dataCentre,
 	}
 }
-
-func (g *DataCentreGroup) setEntry(entry, address string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.entries[entry] = address
-}
-
-// liveEntries returns the entries with a slot lease, in order.
-func (g *DataCentreGroup) liveEntries() []string {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var names []string
-	for name := range g.entries {
-		names = append(names, name)
-	}
-	slices.SortFunc(names, strings.Compare)
-	return names
-}
-
-func (g *DataCentreGroup) entryAddress(entry string) string {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.entries[entry]
-}
-
-func (g *DataCentreGroup) dropEntry(entry string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	delete(g.entries, entry)
-}
--- /dev/null
+++ b/internal/entry/attempt.go
@@ -0,0 +1,209 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"laburnumgrade/gen/apiv1"
+	"laburnumgrade/gen/apiv1/apiv1connect"
+	"laburnumgrade/gen/peerv1"
+	"laburnumgrade/internal/adapter/peer"
+	"laburnumgrade/internal/port"
+	"laburnumgrade/internal/routing"
+)
+
+// attempt is one try to get a call answered.
+type attempt struct {
+	number    int32
+	tried     []string
+	forwarded bool
+	// deadline is when the caller's time ends, by the entry's clock.
+	deadline time.Duration
+	progress *progress
+}
+
+// attemptResult is how an attempt ended. The answer is "not run" only if
+// nothing was sent.
+type attemptResult struct {
+	answer *apiv1.CallResponse
+	// instance is empty if it is not known.
+	instance string
+	// refused is set if routing found no instance to send to.
+	refused bool
+}
+
+func (r attemptResult) sent() bool { return r.answer.Outcome != apiv1.Outcome_OUTCOME_NOT_RUN }
+
+func (r attemptResult) final() bool {
+	return r.answer.Outcome == apiv1.Outcome_OUTCOME_OK || r.answer.Outcome == apiv1.Outcome_OUTCOME_FAILED
+}
+
+// attempt waits for a slot until the context ends, sends the call and waits for
+// the answer until some time after the deadline.
+func (s *Server) attempt(ctx context.Context, m *apiv1.CallRequest, a attempt) attemptResult {
+	g, err := s.acquire(ctx, routing.Call{Service: serviceOf(m), Deadline: a.deadline, Forwarded: a.forwarded, Tried: a.tried})
+	if err != nil {
+		return attemptResult{answer: notRunAnswer(m, err), refused: true}
+	}
+	if !a.progress.beginSend() {
+		s.routes.Release(g, routing.Report{}, s.clock.Now())
+		return attemptResult{answer: notRunAnswer(m, routing.Refusal("the call was answered already")), refused: true}
+	}
+	started := s.clock.Now()
+	left := a.deadline - started
+	send, cancel := context.WithTimeout(context.Background(), left+lateLimit)
+	defer cancel()
+	var result *apiv1.CallResponse
+	var report routing.Report
+	if g.Local {
+		result, report = s.invoke(send, m, g, a.number, left)
+	} else {
+		result, report = s.forward(send, m, g, a, left)
+	}
+	now := s.clock.Now()
+	report.Took = now - started
+	s.routes.Release(g, report, now)
+	if result.Outcome == apiv1.Outcome_OUTCOME_NOT_RUN {
+		a.progress.notSent()
+	}
+	return attemptResult{answer: result, instance: result.InstanceId}
+}
+
+// acquire returns a grant, or why there is none.
+func (s *Server) acquire(ctx context.Context, c routing.Call) (routing.Grant, error) {
+	ticket, err := s.routes.Submit(c, s.clock.Now())
+	if err != nil {
+		return routing.Grant{}, err
+	}
+	reason := "no instance of " + c.Service.Team + "/" + c.Service.Service + " had a free slot within the deadline"
+	select {
+	case g := <-ticket.Ready():
+		return g, nil
+	case <-ctx.Done():
+	case <-s.abandoned:
+		reason = reasonAbandoned
+	}
+	if !s.routes.Cancel(ticket) {
+		s.routes.Release(<-ticket.Ready(), routing.Report{}, s.clock.Now())
+	}
+	return routing.Grant{}, routing.Refusal(reason)
+}
+
+// invoke sends the call to an instance whose slot is held here.
+func (s *Server) invoke(ctx context.Context, m *apiv1.CallRequest, g routing.Grant, number int32, left time.Duration) (*apiv1.CallResponse, routing.Report) {
+	ctx, sent := peer.TraceSent(ctx)
+	reply, err := s.instanceClient(g.Address).Invoke(ctx, connect.NewRequest(&apiv1.InvokeRequest{
+		RequestId: m.RequestId, Attempt: number, Body: m.Body, DeadlineMs: max(left.Milliseconds(), 1),
+	}))
+	if err == nil {
+		err = checkAnswer(m, number, reply.Msg)
+	}
+	if err != nil {
+		return s.lost(m, number, g.InstanceID, port.AtStep("call instance", g.InstanceID+" at "+g.Address, err), sent())
+	}
+	return &apiv1.CallResponse{
+		RequestId: m.RequestId, Outcome: reply.Msg.Outcome, Body: reply.Msg.Body, Detail: reply.Msg.Detail, Attempt: number, InstanceId: g.InstanceID,
+	}, routing.Report{Result: routing.Answered}
+}
+
+// lost is the answer to a call without a valid answer.
+func (s *Server) lost(m *apiv1.CallRequest, number int32, instance string, err error, sent bool) (*apiv1.CallResponse, routing.Report) {
+	s.logger.Warn("call without a valid answer", "step", "call", "request", m.RequestId, "attempt", number, "sent", sent, "error", err)
+	result, report := notRunAnswer(m, err), routing.Report{Result: routing.Unreachable}
+	if sent {
+		result, report = unknownAnswer(m, err.Error()), routing.Report{Result: routing.Broken}
+	}
+	result.Attempt = number
+	result.InstanceId = instance
+	return result, report
+}
+
+// checkAnswer refuses an answer to another request, one that is not whole and
+// one that does not say how the request ended.
+func checkAnswer(m *apiv1.CallRequest, number int32, reply *apiv1.InvokeResponse) error {
+	if reply.RequestId != m.RequestId || reply.Attempt != number {
+		return errors.Errorf("the answer belongs to request %s, attempt %d", reply.RequestId, reply.Attempt)
+	}
+	if reply.Length != int64(len(reply.Body)) || reply.Digest != xxhash.Sum64(reply.Body) {
+		return errors.Errorf("the answer of %d bytes does not match its length %d or its digest", len(reply.Body), reply.Length)
+	}
+	if reply.Outcome != apiv1.Outcome_OUTCOME_OK && reply.Outcome != apiv1.Outcome_OUTCOME_FAILED {
+		return errors.Errorf("the instance answered with outcome %v", reply.Outcome)
+	}
+	return nil
+}
+
+// maxInstanceClients bounds the cached clients; it is far above the number of
+// instances of a cell.
+const maxInstanceClients = 4096
+
+// instanceClient returns the client of an instance's address.
+func (s *Server) instanceClient(address string) apiv1connect.InstanceServiceClient {
+	if c, ok := s.instances.Load(address); ok {
+		return c.(apiv1connect.InstanceServiceClient)
+	}
+	c := apiv1connect.NewInstanceServiceClient(s.targets, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(int(s.maxBody)))
+	if s.cached.Add(1) > maxInstanceClients {
+		s.instances.Clear()
+		s.cached.Store(1)
+	}
+	s.instances.Store(address, c)
+	return c
+}
+
+// forward sends the call to the entry that hands out the slots.
+func (s *Server) forward(ctx context.Context, m *apiv1.CallRequest, g routing.Grant, a attempt, left time.Duration) (*apiv1.CallResponse, routing.Report) {
+	ctx, sent := peer.TraceSent(ctx)
+	client := peerv1.NewEntryServiceProtobufClient("http://"+g.EntryAddress, s.client)
+	call := &apiv1.CallRequest{RequestId: m.RequestId, Team: m.Team, Service: m.Service, Body: m.Body, DeadlineMs: max(left.Milliseconds(), 1)}
+	reply, err := client.Forward(ctx, &peerv1.ForwardRequest{Call: call, Attempt: a.number, Tried: a.tried})
+	if err == nil && (reply.RequestId != m.RequestId || reply.Outcome == apiv1.Outcome_OUTCOME_UNSPECIFIED) {
+		err = errors.Errorf("the answer belongs to request %s and has outcome %v", reply.RequestId, reply.Outcome)
+	}
+	if err != nil {
+		return s.lost(m, a.number, "", port.AtStep("forward", g.Entry+" at "+g.EntryAddress, err), sent())
+	}
+	report := routing.Report{Result: routing.Answered, Load: loadOf(reply.Load)}
+	if reply.Load == nil {
+		report.Result = routing.Unreachable
+	}
+	reply.Load = nil
+	return reply, report
+}
+
+func loadOf(m *apiv1.EntryLoad) *routing.Load {
+	if m == nil {
+		return nil
+	}
+	return &routing.Load{
+		FreeSlots: int(m.FreeSlots), Waiting: int(m.Waiting),
+		Wait: time.Duration(m.WaitUs) * time.Microsecond, Service: time.Duration(m.ServiceUs) * time.Microsecond,
+	}
+}
+
+// forwardService serves other entries.
+type forwardService struct{ *Server }
+
+// Forward runs a call on an instance whose slots this entry hands out. An entry
+// that shuts down answers without its load, so that it gets no more forwards.
+func (s *forwardService) Forward(ctx context.Context, r *peerv1.ForwardRequest) (*apiv1.CallResponse, error) {
+	m := r.Call
+	p := s.progress.begin(m, false)
+	defer s.progress.end(p)
+	if s.draining.Load() {
+		return notRunAnswer(m, routing.Refusal(reasonDraining)), nil
+	}
+	left := time.Duration(m.DeadlineMs) * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	result := s.attempt(ctx, m, attempt{number: r.Attempt, tried: r.Tried, forwarded: true, deadline: s.clock.Now() + left, progress: p})
+	l := s.routes.Load(serviceOf(m), s.clock.Now())
+	result.answer.Load = &apiv1.EntryLoad{
+		FreeSlots: int32(l.FreeSlots), Waiting: int32(l.Waiting), WaitUs: l.Wait.Microseconds(), ServiceUs: l.Service.Microseconds(),
+	}
+	return result.answer, nil
+}
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -30,7 +30,7 @@
 	if s.draining.Load() {
 		return nil, notRun(refusal("this entry is shutting down; try another entry"))
 	}
-	d, err := s.admitKey(r.Header(), m.Team, m.Service)
+	d, err := s.admitKey(bearer(r.Header()), m.Team, m.Service)
 	if err != nil {
 		return nil, notRun(err)
 	}
--- a/internal/entry/key.go
+++ b/internal/entry/key.go
@@ -52,9 +52,9 @@
 
 func (r refusal) Error() string { return "not run: " + string(r) }
 
-// admitKey returns the document if the key in the header allows work for it.
+// admitKey returns the document if the key allows work for it.
 // Open queues need neither a key nor a configuration lease.
-func (s *Server) admitKey(h http.Header, team, service string) (*statev1.Document, error) {
+func (s *Server) admitKey(key, team, service string) (*statev1.Document, error) {
 	d := s.follower.Store().Document(team, service)
 	if d != nil && d.Spec.OpenQueue {
 		return d, nil
@@ -66,7 +66,7 @@
 	if !s.follower.Valid(grace) {
 		return nil, refusal("this entry has no valid configuration lease; try another entry")
 	}
-	if !s.keyAllows(bearer(h), team) {
+	if !s.keyAllows(key, team) {
 		return nil, refusal("the key does not allow work for team " + team)
 	}
 	if d == nil {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -5,10 +5,11 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"sync"
 	"sync/atomic"
-	"time"
 
 	"connectrpc.com/connect"
+	"github.com/pkg/errors"
 
 	"laburnumgrade/gen/apiv1/apiv1connect"
 	"laburnumgrade/gen/peerv1"
@@ -32,11 +33,24 @@
 	dataCentres []string
 	follower    *follower.Follower
 	routes      *routing.Table
-	operator    [32]byte
-	maxBody     int64
+	admission   *routing.Admission
+	progress    *registry
+	// targets calls instances; instances caches a client for each address.
+	targets   *http.Client
+	instances sync.Map
+	cached    atomic.Int64
+	operator  [32]byte
+	maxBody   int64
 	// tries numbers the process's attempts to own a request record.
 	tries    atomic.Uint64
 	draining atomic.Bool
+	// background counts runs and settlements that a drain waits for.
+	background atomic.Int64
+	// abandoned is closed when the process ends without waiting any longer.
+	abandoned   chan struct{}
+	abandonOnce sync.Once
+	// relist wakes the listing of the own data centre's instances.
+	relist chan struct{}
 }
 
 // Config configures a Server.
@@ -51,8 +65,11 @@
 	// Controls holds the addresses of the control processes by data centre.
 	Controls        map[string][]string
 	OperatorKeyHash [32]byte
-	// Client calls the system's own processes and the instances.
-	Client *http.Client
+	// Client calls the system's own processes, Targets the instances.
+	Client, Targets *http.Client
+	// MaxCalls bounds the calls in progress, TeamQueue those of one team that
+	// wait for a slot.
+	MaxCalls, TeamQueue int
 	// MaxBody bounds one request or answer, in bytes.
 	MaxBody int64
 }
@@ -62,6 +79,8 @@
 	s := &Server{
 		name: c.Name, dataCentre: c.DataCentre, peerAddress: c.PeerAddress, clock: c.Clock, logger: c.Logger,
 		client: c.Client, groups: map[string]*peer.Group{}, operator: c.OperatorKeyHash, maxBody: c.MaxBody,
+		targets: c.Targets, admission: routing.NewAdmission(c.MaxCalls), progress: newRegistry(),
+		abandoned: make(chan struct{}), relist: make(chan struct{}, 1),
 	}
 	var all []string
 	for _, dc := range sortedKeys(c.Controls) {
@@ -73,17 +92,21 @@
 	}
 	s.fleet = peer.NewGroup("fleet", s.client, ownFirst(c.Controls[c.DataCentre], all))
 	s.follower = follower.New(follower.Config{Holder: c.Name, DataCentre: c.DataCentre, Fleet: s.fleet, Clock: c.Clock, Logger: c.Logger})
-	s.routes = routing.NewTable(c.Name)
+	s.routes = routing.NewTable(routing.Config{Self: c.Name, DataCentre: c.DataCentre, TeamQueue: c.TeamQueue})
 	return s
 }
 
+// compressFrom is the size from which answers are compressed, in bytes. Smaller
+// ones gain less on the wire than the compression costs.
+const compressFrom = 16 << 10
+
 // Public returns the handler for callers, operators and targets.
 func (s *Server) Public() http.Handler {
 	mux := http.NewServeMux()
-	limit := connect.WithReadMaxBytes(int(s.maxBody))
-	mux.Handle(apiv1connect.NewCallerServiceHandler(&callerService{s}, limit))
-	mux.Handle(apiv1connect.NewOperatorServiceHandler(&operatorService{s}, limit))
-	mux.Handle(apiv1connect.NewTargetServiceHandler(&targetService{s}, limit))
+	options := connect.WithHandlerOptions(connect.WithReadMaxBytes(int(s.maxBody)), connect.WithCompressMinBytes(compressFrom))
+	mux.Handle(apiv1connect.NewCallerServiceHandler(&callerService{s}, options))
+	mux.Handle(apiv1connect.NewOperatorServiceHandler(&operatorService{s}, options))
+	mux.Handle(apiv1connect.NewTargetServiceHandler(&targetService{s}, options))
 	return mux
 }
 
@@ -97,15 +120,24 @@
 
 // Run keeps the configuration and the instances current until the context ends.
 func (s *Server) Run(ctx context.Context) {
-	go s.follower.Run(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { s.follower.Run(ctx) })
 	for _, dc := range s.dataCentres {
-		go s.followInstances(ctx, dc)
+		wg.Go(func() { s.followInstances(ctx, dc) })
 	}
-	<-ctx.Done()
+	wg.Wait()
 }
 
-// Drain stops the acceptance of new work.
-func (s *Server) Drain() { s.draining.Store(true) }
+// Ready returns why the entry takes no new work, nil if it does.
+func (s *Server) Ready() error {
+	if s.draining.Load() {
+		return errors.New(reasonDraining)
+	}
+	if s.follower.Store().Index() == 0 && !s.follower.Valid(0) {
+		return errors.New("no configuration has been received yet")
+	}
+	return nil
+}
 
 // owner returns a new name for an attempt to own a request record.
 func (s *Server) owner() string { return fmt.Sprintf("%s/%d", s.name, s.tries.Add(1)) }
@@ -115,42 +147,3 @@
 	dc := state.Home(id, s.dataCentres)
 	return dc, s.groups[dc]
 }
-
-const (
-	instancesInterval = 400 * time.Millisecond
-	instancesTimeout  = time.Second
-)
-
-// followInstances keeps the instances of one data centre current, and renews
-// this entry's slot leases if it is the entry's own data centre.
-func (s *Server) followInstances(ctx context.Context, dataCentre string) {
-	ticker := time.NewTicker(instancesInterval)
-	defer ticker.Stop()
-	for {
-		s.listInstances(ctx, dataCentre)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-func (s *Server) listInstances(ctx context.Context, dataCentre string) {
-	ctx, cancel := context.WithTimeout(ctx, instancesTimeout)
-	defer cancel()
-	request := &peerv1.ListInstancesRequest{DataCentre: dataCentre, Entry: s.name}
-	if dataCentre == s.dataCentre && !s.draining.Load() {
-		request.EntryAddress = s.peerAddress
-	}
-	var asked time.Duration
-	reply, err := peer.Call(ctx, s.groups[dataCentre], func(ctx context.Context, c *http.Client, url string) (*peerv1.ListInstancesResponse, error) {
-		asked = s.clock.Now()
-		return peerv1.NewDataCentreServiceProtobufClient(url, c).ListInstances(ctx, request)
-	})
-	if err != nil {
-		s.logger.Warn("instances not listed", "step", "list instances", "peer", dataCentre, "error", err)
-		return
-	}
-	s.routes.Update(dataCentre, reply.Instances, asked, time.Duration(reply.LeaseMs)*time.Millisecond)
-}
--- a/internal/entry/target.go
+++ b/internal/entry/target.go
@@ -16,8 +16,14 @@
 // targetService serves targets of the entry's own data centre.
 type targetService struct{ *Server }
 
-// maxHold bounds the time a heartbeat is held.
-const maxHold = time.Second
+const (
+	// maxHold bounds the time a heartbeat is held.
+	maxHold = time.Second
+	// announceLimit bounds how late an announcement may reach the leader, which
+	// counts its validity from then: an instance that has fallen silent in the
+	// meantime must get no new work 3 s later.
+	announceLimit = 400 * time.Millisecond
+)
 
 // Heartbeat passes a worker's heartbeat to its data centre's leader. It is not
 // retried once a process may have received it: the worker asks again.
@@ -27,6 +33,10 @@
 		return nil, err
 	}
 	r.Msg.WaitMs = min(r.Msg.WaitMs, maxHold.Milliseconds())
+	if s.draining.Load() {
+		// The worker is answered at once and asks another entry next.
+		r.Msg.WaitMs = 0
+	}
 	ctx, cancel := context.WithTimeout(ctx, maxHold+controlTimeout)
 	defer cancel()
 	reply, err := peer.Call(ctx, group, func(ctx context.Context, c *http.Client, url string) (*apiv1.HeartbeatResponse, error) {
@@ -44,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	ctx, cancel := context.WithTimeout(ctx, announceLimit)
 	defer cancel()
 	reply, err := peer.Call(ctx, group, func(ctx context.Context, c *http.Client, url string) (*apiv1.AnnounceResponse, error) {
 		return peerv1.NewDataCentreServiceProtobufClient(url, c).Announce(ctx, r.Msg)
--- /dev/null
+++ b/internal/routing/main_test.go
@@ -0,0 +1,20 @@
+package routing
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of rapid, so that a verdict can be repeated.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	fixed := map[string]string{"rapid.seed": "20260101", "rapid.nofailfile": "true", "rapid.checks": "400"}
+	flag.Visit(func(f *flag.Flag) { delete(fixed, f.Name) })
+	for name, value := range fixed {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/internal/routing/model_test.go
@@ -0,0 +1,313 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"laburnumgrade/gen/peerv1"
+)
+
+const (
+	testLease     = 3 * time.Second
+	announceEvery = 500 * time.Millisecond
+	announceValid = 2 * time.Second
+	// leaveLimit is the time after which a target that left gets nothing.
+	leaveLimit = 3 * time.Second
+)
+
+// target is an instance as it really is.
+type target struct {
+	m *peerv1.Instance
+	// gone is when it left or fell silent; -1 while it serves.
+	gone time.Duration
+	// silent is set if it fell silent without saying that it leaves.
+	silent bool
+	// used counts the calls that this entry sent and that have not ended.
+	used int
+}
+
+// announced returns when the leader last heard from the target.
+func (x *target) announced(now time.Duration) time.Duration {
+	if x.gone >= 0 && x.silent {
+		now = min(now, x.gone)
+	}
+	return now - now%announceEvery
+}
+
+// model drives a table and checks what it grants against the truth.
+type model struct {
+	t       *rapid.T
+	table   *Table
+	now     time.Duration
+	targets []*target
+	tickets []*Ticket
+	grants  []Grant
+	leased  time.Duration
+	// listed is the assignment that this entry was told last, by instance.
+	listed map[string]string
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{t: t, table: NewTable(Config{Self: "a", DataCentre: "x", TeamQueue: 20}), listed: map[string]string{}}
+	for i := range rapid.IntRange(1, 4).Draw(t, "targets") {
+		m.targets = append(m.targets, &target{gone: -1, m: &peerv1.Instance{
+			InstanceId: fmt.Sprintf("i%d", i), Incarnation: 1, Team: "t", Service: "s", Address: "addr",
+			Slots: int32(rapid.IntRange(1, 3).Draw(t, "slots")), Connections: int32(rapid.IntRange(1, 4).Draw(t, "connections")),
+			Entry: rapid.SampledFrom([]string{"a", "a", "b", ""}).Draw(t, "entry"), EntryAddress: "b:1",
+		}})
+	}
+	return m
+}
+
+// list is one question to the leader; it may fail, and its answer takes time.
+func (m *model) list() {
+	asked := m.now
+	m.now += time.Duration(rapid.IntRange(0, 300).Draw(m.t, "delay ms")) * time.Millisecond
+	if rapid.IntRange(0, 3).Draw(m.t, "lost") == 0 {
+		return
+	}
+	var list []*peerv1.Instance
+	listed := map[string]string{}
+	for _, x := range m.targets {
+		valid := x.announced(asked) + announceValid - asked
+		if valid <= 0 {
+			continue
+		}
+		c := &peerv1.Instance{
+			InstanceId: x.m.InstanceId, Incarnation: 1, Team: "t", Service: "s", Address: "addr", Slots: x.m.Slots,
+			Connections: x.m.Connections, Entry: x.m.Entry, EntryAddress: x.m.EntryAddress, Release: x.m.Release,
+			Leaving: x.gone >= 0 && !x.silent && x.gone+announceEvery <= asked, ValidMs: valid.Milliseconds(),
+		}
+		list = append(list, c)
+		listed[x.m.InstanceId] = x.m.Entry
+	}
+	lease := testLease * time.Duration(rapid.IntRange(0, 1).Draw(m.t, "lease"))
+	if lease > 0 {
+		m.leased = asked + lease
+	}
+	m.listed = listed
+	m.table.Update("x", list, asked, lease, m.now)
+	m.collect()
+}
+
+func (m *model) submit() {
+	c := Call{Service: ServiceID{"t", "s"}, Deadline: m.now + 10*time.Second, Forwarded: rapid.Bool().Draw(m.t, "forwarded")}
+	ticket, err := m.table.Submit(c, m.now)
+	if err == nil {
+		m.tickets = append(m.tickets, ticket)
+	}
+	m.collect()
+}
+
+func (m *model) release() {
+	if len(m.grants) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.grants)-1).Draw(m.t, "which")
+	g := m.grants[i]
+	m.grants = append(m.grants[:i], m.grants[i+1:]...)
+	if g.Local {
+		m.find(g.InstanceID).used--
+	}
+	result := rapid.SampledFrom([]Result{Answered, Answered, Broken, Unused, Unreachable}).Draw(m.t, "result")
+	m.table.Release(g, Report{Result: result, Took: 20 * time.Millisecond}, m.now)
+	m.collect()
+}
+
+func (m *model) find(id string) *target {
+	for _, x := range m.targets {
+		if x.m.InstanceId == id {
+			return x
+		}
+	}
+	m.t.Fatalf("grant of the unknown instance %q", id)
+	return nil
+}
+
+// change alters the truth: targets leave, fall silent or change hands.
+func (m *model) change() {
+	x := rapid.SampledFrom(m.targets).Draw(m.t, "target")
+	switch rapid.IntRange(0, 3).Draw(m.t, "change") {
+	case 0:
+		if x.gone < 0 {
+			x.gone = m.now
+			x.silent = rapid.Bool().Draw(m.t, "silent")
+		}
+	case 1:
+		x.m.Release = uint64(rapid.IntRange(0, 3).Draw(m.t, "release"))
+	case 2:
+		x.m.Entry = rapid.SampledFrom([]string{"a", "b", ""}).Draw(m.t, "new entry")
+	}
+}
+
+func (m *model) pass() {
+	m.now += time.Duration(rapid.IntRange(1, 1500).Draw(m.t, "pass ms")) * time.Millisecond
+	m.table.Tick(m.now)
+	m.collect()
+}
+
+// collect takes the new grants and checks each against the truth.
+func (m *model) collect() {
+	rest := m.tickets[:0]
+	for _, ticket := range m.tickets {
+		select {
+		case g := <-ticket.Ready():
+			m.check(ticket, g)
+			m.grants = append(m.grants, g)
+		default:
+			rest = append(rest, ticket)
+		}
+	}
+	m.tickets = rest
+}
+
+func (m *model) check(ticket *Ticket, g Grant) {
+	if !g.Local {
+		if ticket.call.Forwarded {
+			m.t.Fatalf("a forwarded call was forwarded again")
+		}
+		return
+	}
+	x := m.find(g.InstanceID)
+	x.used++
+	if limit := int(min(x.m.Slots, x.m.Connections)); x.used > limit {
+		m.t.Fatalf("%d calls on instance %s with %d slots", x.used, g.InstanceID, limit)
+	}
+	if x.gone >= 0 && m.now > x.gone+leaveLimit {
+		m.t.Fatalf("instance %s got work %v after it was gone (silent: %v)", g.InstanceID, m.now-x.gone, x.silent)
+	}
+	if m.now >= m.leased {
+		m.t.Fatalf("a slot was handed out at %v under a lease until %v", m.now, m.leased)
+	}
+	if m.listed[g.InstanceID] != "a" {
+		m.t.Fatalf("a slot of instance %s was handed out, which is assigned to %q", g.InstanceID, m.listed[g.InstanceID])
+	}
+}
+
+// TestTableProperties guards against more calls than slots or connections,
+// slots handed out without a lease or assignment, and work for targets that left
+// or fell silent more than 3 s ago, under any sequence of lost and late
+// listings, changes of hands, failures and time.
+func TestTableProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		m.list()
+		t.Repeat(map[string]func(*rapid.T){
+			"list":    func(*rapid.T) { m.list() },
+			"submit":  func(*rapid.T) { m.submit() },
+			"submit2": func(*rapid.T) { m.submit() },
+			"release": func(*rapid.T) { m.release() },
+			"change":  func(*rapid.T) { m.change() },
+			"pass":    func(*rapid.T) { m.pass() },
+		})
+	})
+}
+
+// TestNobodyStarves guards against a waiting call that later calls overtake for
+// ever: with slots that keep coming free, calls are granted in order of arrival.
+func TestNobodyStarves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := NewTable(Config{Self: "a", DataCentre: "x", TeamQueue: 1000})
+		table.Update("x", []*peerv1.Instance{{InstanceId: "i", Incarnation: 1, Team: "t", Service: "s", Slots: 1, Entry: "a", ValidMs: 1 << 40}}, 0, time.Hour, 0)
+		var waiting []*Ticket
+		var held []Grant
+		for step := range 200 {
+			now := time.Duration(step) * time.Millisecond
+			if rapid.Bool().Draw(t, "arrive") {
+				ticket, err := table.Submit(Call{Service: ServiceID{"t", "s"}, Deadline: time.Hour, Forwarded: rapid.Bool().Draw(t, "forwarded")}, now)
+				if err != nil {
+					t.Fatal(err)
+				}
+				waiting = append(waiting, ticket)
+			} else if len(held) > 0 {
+				table.Release(held[0], Report{Result: Answered, Took: time.Millisecond}, now)
+				held = held[1:]
+			}
+			for i, ticket := range waiting {
+				select {
+				case g := <-ticket.Ready():
+					if i != 0 {
+						t.Fatalf("call %d was granted before the one that waited longest", i)
+					}
+					held = append(held, g)
+					waiting = waiting[1:]
+				default:
+				}
+				break
+			}
+			for i, ticket := range waiting[min(1, len(waiting)):] {
+				if len(ticket.Ready()) > 0 {
+					t.Fatalf("call %d was granted before the one that waited longest", i+1)
+				}
+			}
+		}
+	})
+}
+
+// TestRetryBudget guards against retries that multiply the load of a service
+// that fails: they stay within a tenth of the successes.
+func TestRetryBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := NewTable(Config{Self: "a"})
+		id := ServiceID{"t", "s"}
+		successes, retries := 0, 0
+		for range rapid.IntRange(0, 3000).Draw(t, "calls") {
+			if rapid.IntRange(0, 3).Draw(t, "outcome") > 0 {
+				table.Succeed(id)
+				successes++
+			} else if table.TakeRetry(id) {
+				retries++
+			}
+			if retries*10 > successes {
+				t.Fatalf("%d retries for %d successes", retries, successes)
+			}
+		}
+	})
+}
+
+// TestAdmissionShares guards against one team that fills an entry and shuts the
+// others out: a team within its share is admitted while the reserve lasts, and
+// the limit is never exceeded.
+func TestAdmissionShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limit = 64
+		a := NewAdmission(limit)
+		shares := map[string]int64{"p": 1, "q": 2, "r": 5}
+		calls := map[string]int{}
+		total := 0
+		t.Repeat(map[string]func(*rapid.T){
+			"enter": func(t *rapid.T) {
+				team := rapid.SampledFrom([]string{"p", "p", "p", "q", "r"}).Draw(t, "team")
+				err := a.Enter(team, shares[team])
+				within := int64(calls[team])*8 < limit*shares[team]
+				if err != nil && within && total < limit {
+					t.Fatalf("team %s within its share was refused: %v", team, err)
+				}
+				if err == nil {
+					calls[team]++
+					total++
+				}
+				if total > limit {
+					t.Fatalf("%d calls were admitted", total)
+				}
+				if err == nil && !within && total > limit-limit/reservePart+1 && len(calls) == 3 {
+					active := calls["p"] > 0 && calls["q"] > 0 && calls["r"] > 0
+					if active {
+						t.Fatalf("team %s beyond its share took the reserve", team)
+					}
+				}
+			},
+			"leave": func(t *rapid.T) {
+				team := rapid.SampledFrom([]string{"p", "q", "r"}).Draw(t, "team")
+				if calls[team] > 0 {
+					a.Leave(team)
+					calls[team]--
+					total--
+				}
+			},
+		})
+	})
+}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -1,152 +1,283 @@
 package routing
 
 import (
-	"context"
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
+	"github.com/cespare/xxhash/v2"
 
 	"laburnumgrade/gen/peerv1"
 )
 
-// Choice is an instance chosen for a call.
-type Choice struct {
-	ID           string
-	Incarnation  uint64
-	Address      string
-	Entry        string
-	EntryAddress string
-	// Local is true if this entry hands out the instance's slots.
-	Local bool
+// shardCount is a power of two; services are spread over the shards by hash.
+const shardCount = 32
+
+type shard struct {
+	mu    sync.Mutex
+	pools map[ServiceID]*pool
 }
 
-type instance struct {
-	Choice
-	team, service string
-	dataCentre    string
-	slots, used   int
-	leaving       bool
+// Config configures a Table.
+type Config struct {
+	// Self is the name of the entry, DataCentre its data centre.
+	Self       string
+	DataCentre string
+	// TeamQueue bounds the calls of one team that wait in this entry.
+	TeamQueue int
 }
 
-// Table holds the instances of all data centres.
+// Table holds the instances of all data centres. Its methods may be called
+// concurrently.
 type Table struct {
-	self string
-
-	mu        sync.Mutex
-	instances map[string]*instance
-	// expires is when this entry's slot leases run out.
-	expires time.Duration
-	changed chan struct{}
+	self       string
+	dataCentre string
+	teamQueue  int64
+	shards     [shardCount]shard
+	// expires is when this entry's slot leases run out, a time.Duration.
+	expires  atomic.Int64
+	draining atomic.Bool
+	// teams holds the number of waiting calls by team, as *atomic.Int64.
+	teams sync.Map
 }
 
-// NewTable returns an empty table of the named entry.
-func NewTable(self string) *Table {
-	return &Table{self: self, instances: map[string]*instance{}, changed: make(chan struct{})}
+// NewTable returns an empty table.
+func NewTable(c Config) *Table {
+	t := &Table{self: c.Self, dataCentre: c.DataCentre, teamQueue: int64(c.TeamQueue)}
+	for i := range t.shards {
+		t.shards[i].pools = map[ServiceID]*pool{}
+	}
+	return t
 }
 
-// Update replaces the instances of a data centre. A positive lease renews this
-// entry's slot leases, counted from when it asked.
-func (t *Table) Update(dataCentre string, list []*peerv1.Instance, asked, lease time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if lease > 0 {
-		t.expires = max(t.expires, asked+lease)
+func (t *Table) leaseEnd() time.Duration { return time.Duration(t.expires.Load()) }
+
+func (t *Table) waiting(team string) *atomic.Int64 {
+	n, ok := t.teams.Load(team)
+	if !ok {
+		n, _ = t.teams.LoadOrStore(team, new(atomic.Int64))
 	}
-	seen := map[string]bool{}
-	for _, m := range list {
-		seen[m.InstanceId] = true
-		t.updateOne(dataCentre, m)
+	return n.(*atomic.Int64)
+}
+
+func (t *Table) shard(id ServiceID) *shard {
+	h := xxhash.Sum64String(id.Team) ^ xxhash.Sum64String(id.Service)*31
+	return &t.shards[h%shardCount]
+}
+
+// pool returns the pool of a service; the shard is locked.
+func (s *shard) pool(t *Table, id ServiceID) *pool {
+	p := s.pools[id]
+	if p == nil {
+		p = &pool{table: t, shard: s, id: id, remotes: map[string]*remote{}}
+		s.pools[id] = p
 	}
-	for id, in := range t.instances {
-		if in.dataCentre == dataCentre && !seen[id] {
-			delete(t.instances, id)
+	return p
+}
+
+// Update replaces the instances of a data centre by what its leader listed, and
+// grants what has become possible. Times count from asked, when the question
+// was sent. A positive lease renews this entry's slot leases.
+func (t *Table) Update(dataCentre string, listed []*peerv1.Instance, asked, lease, now time.Duration) {
+	byShard := map[*shard]map[ServiceID][]*peerv1.Instance{}
+	for _, m := range listed {
+		id := ServiceID{m.Team, m.Service}
+		s := t.shard(id)
+		if byShard[s] == nil {
+			byShard[s] = map[ServiceID][]*peerv1.Instance{}
 		}
+		byShard[s][id] = append(byShard[s][id], m)
+	}
+	for i := range t.shards {
+		t.shards[i].update(t, dataCentre, byShard[&t.shards[i]], asked)
 	}
-	t.wake()
+	// The lease covers the assignments of this listing only, so it is renewed
+	// after they have replaced the earlier ones.
+	if lease > 0 && asked+lease > t.leaseEnd() {
+		t.expires.Store(int64(asked + lease))
+	}
+	t.Tick(now)
 }
 
-func (t *Table) updateOne(dataCentre string, m *peerv1.Instance) {
-	in := t.instances[m.InstanceId]
-	if in == nil || in.Incarnation != m.Incarnation {
-		in = &instance{}
-		t.instances[m.InstanceId] = in
+func (s *shard) update(t *Table, dataCentre string, listed map[ServiceID][]*peerv1.Instance, asked time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range listed {
+		s.pool(t, id)
 	}
-	in.Choice = Choice{
-		ID: m.InstanceId, Incarnation: m.Incarnation, Address: m.Address,
-		Entry: m.Entry, EntryAddress: m.EntryAddress, Local: m.Entry == t.self,
+	for id, p := range s.pools {
+		p.update(dataCentre, listed[id], asked)
 	}
-	in.team, in.service, in.dataCentre = m.Team, m.Service, dataCentre
-	in.slots = int(m.Slots)
-	in.leaving = m.Leaving
 }
 
-func (t *Table) wake() {
-	close(t.changed)
-	t.changed = make(chan struct{})
+// Tick grants what the passing of time has made possible.
+func (t *Table) Tick(now time.Duration) {
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for _, p := range s.pools {
+			p.dispatch(now)
+		}
+		s.mu.Unlock()
+	}
 }
 
-// Acquire chooses an instance, preferring one whose slots are handed out here,
-// and waits for a free slot until the context ends.
-func (t *Table) Acquire(ctx context.Context, team, service string, now func() time.Duration) (Choice, error) {
-	return t.acquire(ctx, team, service, now, true)
+// Submit grants the call a slot or a forward, lets it wait, or refuses it. The
+// error is a Refusal.
+func (t *Table) Submit(c Call, now time.Duration) (*Ticket, error) {
+	s := t.shard(c.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.pool(t, c.Service)
+	ticket := &Ticket{call: c, ready: make(chan Grant, 1), pool: p}
+	if now >= c.Deadline {
+		return nil, Refusal("the deadline has passed")
+	}
+	if len(c.Tried) > 0 && !p.another(&c, now) {
+		return nil, Refusal(fmt.Sprintf("no other instance of %s/%s is available", c.Service.Team, c.Service.Service))
+	}
+	g, granted, wait, known := p.choose(&c, now)
+	if granted {
+		ticket.ready <- g
+		return ticket, nil
+	}
+	if known && now+wait > c.Deadline {
+		return nil, Refusal(fmt.Sprintf("the expected wait of %v for a slot of %s/%s exceeds the deadline, which is in %v",
+			wait.Round(time.Millisecond), c.Service.Team, c.Service.Service, (c.Deadline - now).Round(time.Millisecond)))
+	}
+	n := t.waiting(c.Service.Team)
+	if n.Add(1) > t.teamQueue {
+		n.Add(-1)
+		return nil, Refusal(fmt.Sprintf("team %s has %d calls waiting in this entry, its limit", c.Service.Team, t.teamQueue))
+	}
+	ticket.waiting = true
+	p.waiters.PushBack(ticket)
+	return ticket, nil
 }
 
-// AcquireLocal is Acquire among the instances whose slots are handed out here.
-func (t *Table) AcquireLocal(ctx context.Context, team, service string, now func() time.Duration) (Choice, error) {
-	return t.acquire(ctx, team, service, now, false)
+// another reports whether an instance that was not tried exists.
+func (p *pool) another(c *Call, now time.Duration) bool {
+	for _, in := range p.instances {
+		if in.entry != "" && in.eligible(c, now) && (in.local || !c.Forwarded) {
+			return true
+		}
+	}
+	return false
 }
 
-func (t *Table) acquire(ctx context.Context, team, service string, now func() time.Duration, remote bool) (Choice, error) {
-	for {
-		t.mu.Lock()
-		changed := t.changed
-		c, ok := t.pick(team, service, now(), remote)
-		t.mu.Unlock()
-		if ok {
-			return c, nil
+// Cancel withdraws a waiting call. It returns false if the call was granted: the
+// grant is in the ticket and must be released.
+func (t *Table) Cancel(ticket *Ticket) bool {
+	s := ticket.pool.shard
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !ticket.waiting {
+		return false
+	}
+	for e := ticket.pool.waiters.Front(); e != nil; e = e.Next() {
+		if e.Value.(*Ticket) == ticket {
+			ticket.pool.leave(e, ticket)
+			break
 		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return Choice{}, errors.Errorf("no instance of %s/%s had a free slot within the deadline", team, service)
+	}
+	return true
+}
+
+// Release ends the use of a grant and hands its slot to the next call.
+func (t *Table) Release(g Grant, r Report, now time.Duration) {
+	s := t.shard(g.service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.pool(t, g.service)
+	if g.Local {
+		g.instance.used--
+		g.instance.learn(r, now)
+	} else {
+		g.remote.outstanding--
+		g.remote.learn(r, now)
+	}
+	if g.Local && r.Result == Answered {
+		p.service = blend(p.service, r.Took, poolWeight)
+	}
+	p.dispatch(now)
+}
+
+// Load returns how busy the service's instances with slots handed out here are.
+func (t *Table) Load(id ServiceID, now time.Duration) Load {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool(t, id).load(now)
+}
+
+// Succeed adds a success to the retry budget of a service.
+func (t *Table) Succeed(id ServiceID) {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool(t, id).budget.succeed()
+}
+
+// TakeRetry takes one retry from the budget of a service, if it has one.
+func (t *Table) TakeRetry(id ServiceID) bool {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool(t, id).budget.take()
+}
+
+// Drain lets the slots that the leader asks back serve the calls that wait
+// already, since no new ones are accepted.
+func (t *Table) Drain() { t.draining.Store(true) }
+
+// Released returns the numbers of the releases that are complete: no call of
+// this entry uses the instance and none will.
+func (t *Table) Released() []uint64 {
+	var numbers []uint64
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for _, p := range s.pools {
+			numbers = append(numbers, p.released()...)
 		}
+		s.mu.Unlock()
 	}
+	return numbers
 }
 
-func (t *Table) pick(team, service string, now time.Duration, remote bool) (Choice, bool) {
-	var best *instance
-	var other *instance
-	for _, in := range t.instances {
-		if in.team != team || in.service != service || in.leaving {
+func (p *pool) released() []uint64 {
+	var numbers []uint64
+	for _, in := range p.instances {
+		if !in.local || in.release == 0 || in.used > 0 {
 			continue
 		}
-		if !in.Local {
-			if in.EntryAddress != "" {
-				other = in
-			}
+		if p.table.draining.Load() && p.waiters.Len() > 0 && !in.given {
 			continue
 		}
-		if in.used < in.slots && now < t.expires && (best == nil || in.used < best.used) {
-			best = in
-		}
-	}
-	if best != nil {
-		best.used++
-		return best.Choice, true
-	}
-	if remote && other != nil {
-		return other.Choice, true
+		in.given = true
+		numbers = append(numbers, in.release)
 	}
-	return Choice{}, false
+	return numbers
 }
 
-// Release frees the slot of a local choice.
-func (t *Table) Release(c Choice) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if in := t.instances[c.ID]; in != nil && in.Incarnation == c.Incarnation {
-		in.used--
+// Holds returns the number of instances whose slots this entry hands out, and
+// the number that it is asked to give back.
+func (t *Table) Holds() (held, asked int) {
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for _, p := range s.pools {
+			for _, in := range p.instances {
+				if in.listed && in.local {
+					held++
+					if in.release != 0 {
+						asked++
+					}
+				}
+			}
+		}
+		s.mu.Unlock()
 	}
-	t.wake()
+	return held, asked
 }
--- /dev/null
+++ b/internal/routing/table_test.go
@@ -0,0 +1,230 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumgrade/gen/peerv1"
+)
+
+var testService = ServiceID{"t", "s"}
+
+func listed(id, entry string, slots int32) *peerv1.Instance {
+	return &peerv1.Instance{
+		InstanceId: id, Incarnation: 1, Team: "t", Service: "s", Address: "addr-" + id, Slots: slots, Connections: 64,
+		Entry: entry, EntryAddress: "entry-" + entry, ValidMs: 2000,
+	}
+}
+
+func newTestTable(list ...*peerv1.Instance) *Table {
+	t := NewTable(Config{Self: "a", DataCentre: "x", TeamQueue: 3})
+	t.Update("x", list, 0, testLease, 0)
+	return t
+}
+
+func call(deadline time.Duration) Call { return Call{Service: testService, Deadline: deadline} }
+
+// granted returns the grant of a ticket that must have one.
+func granted(t *testing.T, ticket *Ticket, err error) Grant {
+	t.Helper()
+	assert.NilError(t, err)
+	select {
+	case g := <-ticket.Ready():
+		return g
+	default:
+		t.Fatal("the call was not granted")
+		return Grant{}
+	}
+}
+
+// teach makes an instance's speed known.
+func teach(table *Table, g Grant, took, now time.Duration) {
+	table.Release(g, Report{Result: Answered, Took: took}, now)
+}
+
+// TestChoice guards against calls sent to a slow, leaving, silent or failing
+// instance while a better one is free, and to instances this entry may not use.
+func TestChoice(t *testing.T) {
+	leaving := listed("i2", "a", 8)
+	leaving.Leaving = true
+	silent := listed("i2", "a", 8)
+	silent.ValidMs = 0
+	asked := listed("i2", "a", 8)
+	asked.Release = 7
+	cases := []struct {
+		name string
+		list []*peerv1.Instance
+		now  time.Duration
+		want string
+	}{
+		{"leaving", []*peerv1.Instance{listed("i1", "a", 1), leaving}, 0, "i1"},
+		{"silent", []*peerv1.Instance{listed("i1", "a", 1), silent}, 0, "i1"},
+		{"asked back", []*peerv1.Instance{listed("i1", "a", 1), asked}, 0, "i1"},
+		{"no entry", []*peerv1.Instance{listed("i1", "a", 1), listed("i2", "", 8)}, 0, "i1"},
+		{"local before remote", []*peerv1.Instance{listed("i1", "a", 1), listed("i2", "b", 8)}, 0, "i1"},
+		{"only remote", []*peerv1.Instance{listed("i2", "b", 8)}, 0, "entry b"},
+		{"remote by name when equal", []*peerv1.Instance{listed("i1", "b", 1), listed("i2", "c", 8)}, 0, "entry b"},
+		{"all silent", []*peerv1.Instance{listed("i1", "a", 1)}, 2 * time.Second, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := newTestTable(c.list...)
+			ticket, err := table.Submit(call(time.Hour), c.now)
+			assert.NilError(t, err)
+			got := ""
+			select {
+			case g := <-ticket.Ready():
+				got = g.InstanceID
+				if !g.Local {
+					got = "entry " + g.Entry
+				}
+			default:
+			}
+			assert.Equal(t, got, c.want)
+		})
+	}
+}
+
+// TestLearnedSpeed guards against equal use of instances of unequal speed.
+func TestLearnedSpeed(t *testing.T) {
+	table := newTestTable(listed("fast", "a", 4), listed("slow", "a", 4))
+	counts := map[string]int{}
+	for i := range 100 {
+		now := time.Duration(i) * time.Millisecond
+		ticket, err := table.Submit(call(time.Hour), now)
+		g := granted(t, ticket, err)
+		counts[g.InstanceID]++
+		took := 10 * time.Millisecond
+		if g.InstanceID == "slow" {
+			took = 100 * time.Millisecond
+		}
+		teach(table, g, took, now)
+	}
+	assert.Assert(t, counts["fast"] > 90, "%v", counts)
+}
+
+// TestEarlyRefusal guards against a call that waits in vain: one that cannot get
+// a slot before its deadline is refused at once, and one that can is not.
+func TestEarlyRefusal(t *testing.T) {
+	table := newTestTable(listed("i1", "a", 1))
+	ticket, err := table.Submit(call(time.Hour), 0)
+	teach(table, granted(t, ticket, err), 100*time.Millisecond, 0)
+	ticket, err = table.Submit(call(time.Hour), 0)
+	granted(t, ticket, err)
+	_, err = table.Submit(call(50*time.Millisecond), 0)
+	assert.ErrorContains(t, err, "not run: the expected wait of 100ms")
+	_, err = table.Submit(call(150*time.Millisecond), 0)
+	assert.NilError(t, err)
+}
+
+// TestQueueBound guards against a queue of a team that grows without bound.
+func TestQueueBound(t *testing.T) {
+	table := newTestTable()
+	var last *Ticket
+	for range 3 {
+		var err error
+		last, err = table.Submit(call(time.Hour), 0)
+		assert.NilError(t, err)
+	}
+	_, err := table.Submit(call(time.Hour), 0)
+	assert.ErrorContains(t, err, "team t has 3 calls waiting")
+	assert.Assert(t, table.Cancel(last))
+	_, err = table.Submit(call(time.Hour), 0)
+	assert.NilError(t, err)
+}
+
+// TestForwardWhenBusy guards against calls that wait for a slot here while
+// another entry has free ones, and against forwards to an entry that reported a
+// longer wait or could not be reached.
+func TestForwardWhenBusy(t *testing.T) {
+	table := newTestTable(listed("i1", "a", 1), listed("i2", "b", 8))
+	ticket, err := table.Submit(call(time.Hour), 0)
+	teach(table, granted(t, ticket, err), 100*time.Millisecond, 0)
+	ticket, err = table.Submit(call(time.Hour), 0)
+	assert.Assert(t, granted(t, ticket, err).Local)
+	ticket, err = table.Submit(call(time.Hour), 0)
+	forwarded := granted(t, ticket, err)
+	assert.Equal(t, forwarded.EntryAddress, "entry-b")
+	table.Release(forwarded, Report{Result: Answered, Load: &Load{Wait: time.Second, Service: 100 * time.Millisecond}}, 0)
+	ticket, err = table.Submit(call(time.Hour), 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(ticket.Ready()), 0)
+	assert.Assert(t, table.Cancel(ticket))
+	// The report is no longer believed.
+	table.Update("x", []*peerv1.Instance{listed("i1", "a", 1), listed("i2", "b", 8)}, time.Second, testLease, time.Second)
+	ticket, err = table.Submit(call(time.Hour), time.Second)
+	forwarded = granted(t, ticket, err)
+	assert.Equal(t, forwarded.Entry, "b")
+	table.Release(forwarded, Report{Result: Unreachable}, time.Second)
+	ticket, err = table.Submit(call(time.Hour), time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, len(ticket.Ready()), 0)
+}
+
+// TestReturningInstance guards against slots that are counted as free because
+// the instance was missing from a listing while calls were on it.
+func TestReturningInstance(t *testing.T) {
+	table := newTestTable(listed("i1", "a", 1))
+	ticket, err := table.Submit(call(time.Hour), 0)
+	g := granted(t, ticket, err)
+	table.Update("x", nil, 0, testLease, 0)
+	table.Update("x", []*peerv1.Instance{listed("i1", "a", 1)}, 0, testLease, 0)
+	ticket, err = table.Submit(call(time.Hour), 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(ticket.Ready()), 0)
+	table.Release(g, Report{}, 0)
+	assert.Equal(t, len(ticket.Ready()), 1)
+}
+
+// TestTried guards against a retry on the instance that failed, and against a
+// retry that waits although there is no other instance.
+func TestTried(t *testing.T) {
+	table := newTestTable(listed("i1", "a", 1), listed("i2", "a", 1))
+	c := call(time.Hour)
+	c.Tried = []string{"i1"}
+	ticket, err := table.Submit(c, 0)
+	assert.Equal(t, granted(t, ticket, err).InstanceID, "i2")
+	c.Tried = []string{"i1", "i2"}
+	_, err = table.Submit(c, 0)
+	assert.ErrorContains(t, err, "no other instance")
+}
+
+// TestHandBack guards against slots that are reported as given back while a call
+// uses them or, in a drain, while calls wait for them, and against their use
+// after they were given back.
+func TestHandBack(t *testing.T) {
+	for _, draining := range []bool{false, true} {
+		table := newTestTable(listed("i1", "a", 1))
+		ticket, err := table.Submit(call(time.Hour), 0)
+		first := granted(t, ticket, err)
+		waiting, err := table.Submit(call(time.Hour), 0)
+		assert.NilError(t, err)
+		asked := listed("i1", "a", 1)
+		asked.Release = 9
+		if draining {
+			table.Drain()
+		}
+		table.Update("x", []*peerv1.Instance{asked}, 0, testLease, 0)
+		assert.Equal(t, len(table.Released()), 0)
+		table.Release(first, Report{}, 0)
+		assert.Equal(t, len(waiting.Ready()) == 1, draining, "only a drain serves waiting calls")
+		if draining {
+			table.Release(<-waiting.Ready(), Report{}, 0)
+		}
+		assert.DeepEqual(t, table.Released(), []uint64{9})
+		late, err := table.Submit(call(time.Hour), 0)
+		assert.NilError(t, err)
+		assert.Equal(t, len(late.Ready()), 0)
+	}
+}
+
+// TestPausedEntry guards against the use of slots after a pause longer than the
+// lease, before a listing has said which are still held.
+func TestPausedEntry(t *testing.T) {
+	table := newTestTable(listed("i1", "a", 1))
+	table.Update("x", []*peerv1.Instance{listed("i1", "b", 1)}, 4*time.Second, testLease, 4*time.Second)
+	ticket, err := table.Submit(call(time.Hour), 4*time.Second)
+	assert.Equal(t, granted(t, ticket, err).Entry, "b")
+}
