--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -32,11 +32,10 @@
 	slots     *lease.Table
 
 	mu sync.Mutex
-	// entries holds the address of each entry that asked for instances.
-	entries map[string]string
 	// begun is the number of the leadership since begunSince, 0 if none.
 	begun      uint64
 	begunSince time.Duration
+	holders    *slotHolders
 }
 
 // FleetGroup is the process's replica of the fleet group with the volatile
@@ -55,7 +54,7 @@
 	g := &DataCentreGroup{
 		Name: name, changes: newBroadcast(), dirty: newDirty(),
 		workers: lease.NewTable(lease.Worker), instances: lease.NewTable(lease.Instance), slots: lease.NewTable(lease.Slot),
-		entries: map[string]string{},
+		holders: newSlotHolders(), meter: newMeter(nil),
 	}
 	g.Store = state.New(&observer{g.changes, g.dirty})
 	return g
