--- /dev/null
+++ b/internal/raft/log.go
@@ -0,0 +1,130 @@
+package raft
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"laburnumgrade/gen/peerv1"
+)
+
+// entryLog holds the entries after (prevIndex, prevTerm) in memory.
+type entryLog struct {
+	prevIndex uint64
+	prevTerm  uint64
+	entries   []*peerv1.RaftEntry
+	// snapshot is the newest snapshot; it covers at least prevIndex.
+	snapshot *peerv1.RaftSnapshot
+	stable   uint64 // highest index that is stored
+	commit   uint64
+	applied  uint64
+}
+
+func newEntryLog(snapshot *peerv1.RaftSnapshot, entries []*peerv1.RaftEntry) *entryLog {
+	l := &entryLog{
+		prevIndex: snapshot.GetIndex(),
+		prevTerm:  snapshot.GetTerm(),
+		entries:   entries,
+		snapshot:  snapshot,
+		commit:    snapshot.GetIndex(),
+		applied:   snapshot.GetIndex(),
+	}
+	l.stable = l.last()
+	return l
+}
+
+func (l *entryLog) first() uint64 { return l.prevIndex + 1 }
+
+func (l *entryLog) last() uint64 { return l.prevIndex + uint64(len(l.entries)) }
+
+func (l *entryLog) lastTerm() uint64 {
+	t, _ := l.term(l.last())
+	return t
+}
+
+// term returns the term of the entry at index; false if it is not in memory.
+func (l *entryLog) term(index uint64) (uint64, bool) {
+	switch {
+	case index == l.prevIndex:
+		return l.prevTerm, true
+	case index < l.prevIndex || index > l.last():
+		return 0, false
+	}
+	return l.entries[index-l.first()].Term, true
+}
+
+func (l *entryLog) matches(index, term uint64) bool {
+	t, ok := l.term(index)
+	return ok && t == term
+}
+
+// upToDate reports whether a log that ends at (index, term) is at least as
+// complete as this one.
+func (l *entryLog) upToDate(index, term uint64) bool {
+	return term > l.lastTerm() || term == l.lastTerm() && index >= l.last()
+}
+
+// slice returns the entries from..to, both included, up to maxBytes but at
+// least one.
+func (l *entryLog) slice(from, to uint64, maxBytes int) []*peerv1.RaftEntry {
+	if from > to {
+		return nil
+	}
+	found := l.entries[from-l.first() : to-l.first()+1]
+	size := 0
+	for i, e := range found {
+		size += len(e.Data) + 16
+		if i > 0 && size > maxBytes {
+			return found[:i:i]
+		}
+	}
+	return found[:len(found):len(found)]
+}
+
+// truncate drops the entries from index on. The slice is copied because
+// messages that are being sent share it.
+func (l *entryLog) truncate(index uint64) {
+	if index <= l.commit {
+		panic("raft: truncation of a committed entry")
+	}
+	kept := l.entries[:index-l.first()]
+	l.entries = append(make([]*peerv1.RaftEntry, 0, len(kept)+16), kept...)
+	l.stable = min(l.stable, index-1)
+}
+
+// findConflict returns the largest index up to index whose term is at most
+// term: a leader whose entry at index has that term can match no later entry.
+func (l *entryLog) findConflict(index, term uint64) uint64 {
+	index = min(index, l.last())
+	for index > l.commit {
+		t, ok := l.term(index)
+		if !ok || t <= term {
+			break
+		}
+		index--
+	}
+	return index
+}
+
+// install replaces the whole log by a snapshot.
+func (l *entryLog) install(s *peerv1.RaftSnapshot) {
+	*l = *newEntryLog(s, nil)
+}
+
+// compact notes a snapshot of the applied state and drops the entries that are
+// more than tail before it.
+func (l *entryLog) compact(s *peerv1.RaftSnapshot, tail uint64) {
+	l.snapshot = s
+	if s.Index <= l.prevIndex+tail {
+		return
+	}
+	prev := s.Index - tail
+	term, _ := l.term(prev)
+	l.entries = append([]*peerv1.RaftEntry(nil), l.entries[prev-l.prevIndex:]...)
+	l.prevIndex, l.prevTerm = prev, term
+}
+
+func cloneMembership(m *peerv1.RaftMembership) *peerv1.RaftMembership {
+	if m == nil {
+		return &peerv1.RaftMembership{}
+	}
+	return proto.Clone(m).(*peerv1.RaftMembership)
+}
--- /dev/null
+++ b/internal/raft/sim_test.go
@@ -0,0 +1,358 @@
+package raft
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"laburnumgrade/gen/peerv1"
+)
+
+// simNode is one replica in the simulated cluster.
+type simNode struct {
+	id       string
+	node     *Node
+	disk     bool
+	up       bool
+	pausedTo time.Duration
+	crashAt  crashPoint
+	rate     float64 // of its clock relative to true time
+	offset   time.Duration
+	nextTick time.Duration // local time
+	hard     *peerv1.RaftHardState
+	snapshot *peerv1.RaftSnapshot
+	entries  []*peerv1.RaftEntry
+	applied  uint64
+	commit   uint64
+	inbox    []*peerv1.RaftMessage // received while paused
+}
+
+type crashPoint int
+
+const (
+	crashNever crashPoint = iota
+	crashBeforeStore
+	crashAfterStore
+)
+
+type flight struct {
+	due time.Duration
+	m   *peerv1.RaftMessage
+}
+
+type entryKey struct{ index, term uint64 }
+
+// simCluster runs nodes over a network that loses, delays, duplicates and
+// reorders messages, and checks the invariants after every event.
+type simCluster struct {
+	t       *rapid.T
+	rng     *rand.Rand
+	now     time.Duration // true time
+	nodes   map[string]*simNode
+	flights []flight
+	loss    float64
+	delay   time.Duration
+	cut     map[string]bool // side of the partition
+	lost    map[string]bool // ids whose state is gone
+
+	leaders   map[uint64]string
+	committed map[uint64]uint64 // index -> term
+	maxCommit uint64
+	written   map[entryKey]string
+	commands  int
+	elections int
+	transfers int
+	replaced  int
+}
+
+var simBase = []string{"a.1", "b.1", "c.1"}
+
+func newSimCluster(t *rapid.T, diskless int) *simCluster {
+	c := &simCluster{
+		t: t, rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
+		nodes: map[string]*simNode{}, cut: map[string]bool{}, lost: map[string]bool{},
+		leaders: map[uint64]string{}, committed: map[uint64]uint64{}, written: map[entryKey]string{},
+		delay: 5 * time.Millisecond,
+	}
+	m := &peerv1.RaftMembership{}
+	for _, id := range simBase {
+		m.Voters = append(m.Voters, &peerv1.RaftReplica{Id: id})
+	}
+	for i, id := range simBase {
+		c.start(id, m, i >= diskless)
+	}
+	return c
+}
+
+func (c *simCluster) start(id string, m *peerv1.RaftMembership, disk bool) *simNode {
+	s := &simNode{id: id, disk: disk, rate: 0.9951 + 0.0098*c.rng.Float64()}
+	s.offset = time.Duration(c.rng.Int64N(int64(time.Hour)))
+	c.nodes[id] = s
+	c.boot(s, m)
+	return s
+}
+
+func (c *simCluster) boot(s *simNode, m *peerv1.RaftMembership) {
+	now := c.local(s)
+	s.node = New(Config{
+		ID: s.id, Membership: m, Hard: s.hard, Snapshot: s.snapshot,
+		Entries: slices.Clone(s.entries), Tail: 3, Seed: c.rng.Uint64(), Now: now,
+	})
+	s.up, s.crashAt, s.commit = true, crashNever, 0
+	s.applied = s.snapshot.GetIndex()
+	s.nextTick = now + time.Duration(c.rng.Int64N(int64(TickInterval)))
+}
+
+func (c *simCluster) local(s *simNode) time.Duration {
+	return s.offset + time.Duration(float64(c.now)*s.rate)
+}
+
+func (c *simCluster) ids() []string {
+	var ids []string
+	for id := range c.nodes {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (c *simCluster) running() []*simNode {
+	var found []*simNode
+	for _, id := range c.ids() {
+		if c.nodes[id].up {
+			found = append(found, c.nodes[id])
+		}
+	}
+	return found
+}
+
+// run advances true time in steps of 5 ms.
+func (c *simCluster) run(d time.Duration) {
+	for end := c.now + d; c.now < end; {
+		c.now += 5 * time.Millisecond
+		c.deliver()
+		for _, s := range c.running() {
+			if s.pausedTo > c.now {
+				continue
+			}
+			for _, m := range s.inbox {
+				c.step(s, m)
+			}
+			s.inbox = nil
+			if s.up && c.local(s) >= s.nextTick {
+				s.nextTick = c.local(s) + TickInterval
+				s.node.Tick(c.local(s))
+				c.handle(s)
+			}
+		}
+		c.checkLeases()
+	}
+}
+
+func (c *simCluster) deliver() {
+	due := c.flights
+	c.flights = nil
+	for _, f := range due {
+		s := c.nodes[f.m.To]
+		switch {
+		case f.due > c.now:
+			c.flights = append(c.flights, f)
+		case s == nil || !s.up || c.cut[f.m.From] != c.cut[f.m.To]:
+		case s.pausedTo > c.now:
+			s.inbox = append(s.inbox, f.m)
+		default:
+			c.step(s, f.m)
+		}
+	}
+}
+
+func (c *simCluster) step(s *simNode, m *peerv1.RaftMessage) {
+	if s.up {
+		s.node.Step(c.local(s), m)
+		c.handle(s)
+	}
+}
+
+// handle does what the driver does with a Ready.
+func (c *simCluster) handle(s *simNode) {
+	c.checkNode(s)
+	for s.up {
+		r := s.node.Ready()
+		if r.Empty() {
+			return
+		}
+		c.transmit(r.Early)
+		if s.crashAt == crashBeforeStore && (r.Hard != nil || r.Snapshot != nil) {
+			c.crash(s)
+			return
+		}
+		c.store(s, r)
+		if s.crashAt == crashAfterStore && r.Hard != nil {
+			c.crash(s)
+			return
+		}
+		c.transmit(r.Messages)
+		if r.Snapshot != nil {
+			s.applied = r.Snapshot.Index
+		}
+		c.apply(s, r.Committed)
+		s.node.Advance()
+		c.checkNode(s)
+	}
+}
+
+func (c *simCluster) store(s *simNode, r Ready) {
+	if r.Snapshot != nil {
+		s.snapshot = r.Snapshot
+		s.entries = nil
+	}
+	if r.Hard != nil {
+		s.hard = r.Hard
+	}
+	for _, e := range r.Entries {
+		keep := e.Index - s.snapshot.GetIndex() - 1
+		s.entries = append(s.entries[:keep:keep], e)
+		c.checkWritten(s, e)
+	}
+}
+
+// checkWritten checks log matching: entries of equal index and term are equal
+// and follow entries of equal term.
+func (c *simCluster) checkWritten(s *simNode, e *peerv1.RaftEntry) {
+	prev, _ := s.node.log.term(e.Index - 1)
+	content := fmt.Sprintf("%d %v %x", prev, e.Kind, e.Data)
+	key := entryKey{e.Index, e.Term}
+	if old, ok := c.written[key]; ok && old != content {
+		c.t.Fatalf("log matching: entry %v on %s is %q, elsewhere %q", key, s.id, content, old)
+	}
+	c.written[key] = content
+}
+
+func (c *simCluster) apply(s *simNode, entries []*peerv1.RaftEntry) {
+	for _, e := range entries {
+		if e.Index != s.applied+1 {
+			c.t.Fatalf("%s applies %d after %d", s.id, e.Index, s.applied)
+		}
+		s.applied = e.Index
+		if term, ok := c.committed[e.Index]; ok && term != e.Term {
+			c.t.Fatalf("%s commits index %d of term %d, which was committed with term %d", s.id, e.Index, e.Term, term)
+		}
+		c.committed[e.Index] = e.Term
+	}
+}
+
+func (c *simCluster) transmit(messages []*peerv1.RaftMessage) {
+	for _, m := range messages {
+		copies := 1
+		if c.rng.Float64() < c.loss {
+			copies = c.rng.IntN(2) * 2 // lost or duplicated
+		}
+		for range copies {
+			due := c.now + time.Duration(c.rng.Int64N(int64(c.delay)+1))
+			c.flights = append(c.flights, flight{due, m})
+		}
+	}
+}
+
+// crash stops a node; without a disk its state is lost, and it returns with a
+// new id as a blank replica that belongs to no membership.
+func (c *simCluster) crash(s *simNode) {
+	s.up, s.inbox = false, nil
+	if s.disk {
+		return
+	}
+	c.lost[s.id] = true
+	delete(c.nodes, s.id)
+	name, number, _ := strings.Cut(s.id, ".")
+	var n int
+	fmt.Sscan(number, &n)
+	c.start(fmt.Sprintf("%s.%d", name, n+1), nil, false)
+}
+
+// mayLose reports whether a diskless replica may crash: every membership in use
+// must keep a quorum of voters that have not lost their state.
+func (c *simCluster) mayLose(id string) bool {
+	for _, s := range c.nodes {
+		voters := s.node.members().Voters
+		lost := 0
+		for _, v := range voters {
+			if c.lost[v.Id] || v.Id == id {
+				lost++
+			}
+		}
+		if len(voters) > 0 && lost > (len(voters)-1)/2 {
+			return false
+		}
+	}
+	return true
+}
+
+// checkNode checks one leader per term, leader completeness and monotonic
+// commit.
+func (c *simCluster) checkNode(s *simNode) {
+	n := s.node
+	if n.log.commit < s.commit {
+		c.t.Fatalf("%s: commit went back from %d to %d", s.id, s.commit, n.log.commit)
+	}
+	s.commit = n.log.commit
+	if n.role != Leader {
+		return
+	}
+	if other, ok := c.leaders[n.term]; ok && other != s.id {
+		c.t.Fatalf("%s and %s lead term %d", other, s.id, n.term)
+	}
+	if _, ok := c.leaders[n.term]; !ok {
+		c.elections++
+		for index, term := range c.committed {
+			if index >= n.log.first() && !n.log.matches(index, term) {
+				c.t.Fatalf("leader %s of term %d lacks committed entry %d", s.id, n.term, index)
+			}
+		}
+	}
+	c.leaders[n.term] = s.id
+	c.maxCommit = max(c.maxCommit, n.log.commit)
+}
+
+// checkLeases checks at one true instant that at most one replica, running or
+// paused, holds a valid lease, and that it has seen every commit.
+func (c *simCluster) checkLeases() {
+	holder := ""
+	for _, s := range c.running() {
+		until, _, _ := s.node.Lease()
+		if until == 0 || c.local(s) >= until {
+			continue
+		}
+		if holder != "" {
+			c.t.Fatalf("%s and %s both hold a valid lease at %v", holder, s.id, c.now)
+		}
+		holder = s.id
+		if s.node.log.commit < c.maxCommit {
+			c.t.Fatalf("lease holder %s has commit %d, another leader committed %d", s.id, s.node.log.commit, c.maxCommit)
+		}
+	}
+}
+
+func (c *simCluster) leader() *simNode {
+	var found *simNode
+	for _, s := range c.running() {
+		if s.node.role == Leader && (found == nil || s.node.term > found.node.term) {
+			found = s
+		}
+	}
+	return found
+}
+
+func (c *simCluster) compact(s *simNode) {
+	snapshot := s.node.Snapshot(nil)
+	if snapshot.Index <= s.snapshot.GetIndex() {
+		return
+	}
+	s.entries = slices.Clone(s.entries[snapshot.Index-s.snapshot.GetIndex():])
+	s.snapshot = proto.Clone(snapshot).(*peerv1.RaftSnapshot)
+	s.node.Compact(snapshot)
+}
