--- /dev/null
+++ b/internal/adapter/disk/fault_test.go
@@ -0,0 +1,193 @@
+package disk
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumgrade/gen/peerv1"
+)
+
+// faultFS fails one operation on files whose base name matches.
+type faultFS struct {
+	OS
+	step string
+	name string
+	err  error
+}
+
+func (f *faultFS) fails(step, path string) bool {
+	return f.step == step && filepath.Base(path) == f.name
+}
+
+func (f *faultFS) Open(path string) (File, error) {
+	file, err := f.OS.Open(path)
+	return &faultFile{File: file, fs: f, path: path}, err
+}
+
+func (f *faultFS) Rename(from, to string) error {
+	if f.fails("rename", to) {
+		return f.err
+	}
+	return f.OS.Rename(from, to)
+}
+
+func (f *faultFS) SyncFolder(path string) error {
+	if f.step == "sync folder" {
+		return f.err
+	}
+	return f.OS.SyncFolder(path)
+}
+
+type faultFile struct {
+	File
+	fs   *faultFS
+	path string
+}
+
+func (f *faultFile) Write(data []byte) (int, error) {
+	if f.fs.fails("write", f.path) {
+		n, _ := f.File.Write(data[:len(data)/2])
+		return n, f.fs.err
+	}
+	return f.File.Write(data)
+}
+
+func (f *faultFile) Sync() error {
+	if f.fs.fails("sync", f.path) {
+		return f.fs.err
+	}
+	return f.File.Sync()
+}
+
+// TestFailedWrites guards against a storage that answers after a failed write or
+// sync, and against acknowledged entries that are missing after the restart.
+func TestFailedWrites(t *testing.T) {
+	cases := []struct {
+		step, name string
+		err        error
+		snapshot   bool // the failing call is SaveSnapshot, else Append
+	}{
+		{"write", walFile, syscall.ENOSPC, false},
+		{"sync", walFile, syscall.EIO, false},
+		{"write", snapshotFile + tempSuffix, syscall.ENOSPC, true},
+		{"sync", snapshotFile + tempSuffix, syscall.EIO, true},
+		{"rename", snapshotFile, syscall.EIO, true},
+		{"sync folder", "", syscall.EIO, true},
+		{"write", walFile + tempSuffix, syscall.ENOSPC, true},
+		{"sync", walFile + tempSuffix, syscall.EIO, true},
+		{"rename", walFile, syscall.EIO, true},
+	}
+	for _, c := range cases {
+		t.Run(c.step+" "+c.name, func(t *testing.T) {
+			folder := t.TempDir()
+			fs := &faultFS{name: c.name, err: c.err}
+			s, err := Create(fs, folder, "g", "a.1")
+			assert.NilError(t, err)
+			assert.NilError(t, s.Append(hardState(1, "a"), entries(1, 4, 1)))
+			fs.step = c.step
+			if c.snapshot {
+				err = s.SaveSnapshot(&peerv1.RaftSnapshot{Index: 2, Term: 1})
+			} else {
+				err = s.Append(nil, entries(5, 5, 1))
+			}
+			var failed *WriteError
+			assert.Assert(t, errors.As(err, &failed), "error %v", err)
+			assert.ErrorIs(t, err, c.err)
+			fs.step = ""
+			assert.ErrorIs(t, s.Append(nil, entries(5, 5, 1)), ErrUnusable)
+			assert.NilError(t, s.Close())
+
+			s, err = Open(OS{}, folder, "g")
+			assert.NilError(t, err)
+			defer s.Close()
+			hard, snapshot, got, err := s.Load()
+			assert.NilError(t, err)
+			assert.Equal(t, hard.GetTerm(), uint64(1))
+			assert.Assert(t, snapshot.GetIndex()+uint64(len(got)) >= 4, "entries 1 to 4 were acknowledged")
+		})
+	}
+}
+
+// TestDamage guards against damage that is taken for a torn tail and the
+// reverse: a torn tail loses nothing that was acknowledged, corruption is
+// reported, an emptied folder is no replica.
+func TestDamage(t *testing.T) {
+	flip := func(offset int) func([]byte) []byte {
+		return func(data []byte) []byte {
+			data[(offset+len(data))%len(data)] ^= 0x40
+			return data
+		}
+	}
+	cut := func(n int) func([]byte) []byte { return func(data []byte) []byte { return data[:len(data)-n] } }
+	var corrupt *CorruptError
+	cases := []struct {
+		name, file string
+		damage     func([]byte) []byte // nil removes the file
+		want       any                 // error, or the number of entries left
+	}{
+		{"incomplete payload", walFile, cut(1), 3},
+		{"incomplete header", walFile, cut(22), 3},
+		{"zeros after the end", walFile, func(d []byte) []byte { return append(d, make([]byte, 100)...) }, 4},
+		{"last payload not written", walFile, flip(-1), 3},
+		{"payload before the tail", walFile, flip(headerSize + 3), &corrupt},
+		{"length before the tail", walFile, flip(1), &corrupt},
+		{"emptied wal", walFile, func([]byte) []byte { return nil }, &corrupt},
+		{"missing wal", walFile, nil, &corrupt},
+		{"snapshot cut", snapshotFile, cut(1), &corrupt},
+		{"snapshot payload", snapshotFile, flip(-1), &corrupt},
+		{"missing snapshot", snapshotFile, nil, &corrupt},
+		{"identity payload", identityFile, flip(-1), &corrupt},
+		{"missing identity", identityFile, nil, ErrIdentityMissing},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			folder := t.TempDir()
+			s, err := Create(OS{}, folder, "g", "a.1")
+			assert.NilError(t, err)
+			assert.NilError(t, s.Append(hardState(1, "a"), entries(1, 5, 1)))
+			assert.NilError(t, s.SaveSnapshot(&peerv1.RaftSnapshot{Index: 2, Term: 1, Data: []byte("state")}))
+			assert.NilError(t, s.Append(nil, entries(6, 6, 1)))
+			assert.NilError(t, s.Close())
+
+			path := filepath.Join(folder, c.file)
+			data, err := os.ReadFile(path)
+			assert.NilError(t, err)
+			if c.damage == nil {
+				assert.NilError(t, os.Remove(path))
+			} else {
+				assert.NilError(t, os.WriteFile(path, c.damage(data), fileMode))
+			}
+			s, err = Open(OS{}, folder, "g")
+			switch want := c.want.(type) {
+			case int:
+				assert.NilError(t, err)
+				defer s.Close()
+				check(t, s, hardState(1, "a"), 2, entries(3, 2+uint64(want), 1))
+				last := 3 + uint64(want)
+				assert.NilError(t, s.Append(nil, entries(last, last, 2)))
+				_, _, got, _ := s.Load()
+				assert.Equal(t, len(got), want+1)
+			case **CorruptError:
+				assert.Assert(t, errors.As(err, want), "error %v", err)
+			case error:
+				assert.ErrorIs(t, err, want)
+			}
+		})
+	}
+}
+
+// TestOtherGroup guards against a folder used for two groups.
+func TestOtherGroup(t *testing.T) {
+	folder := t.TempDir()
+	s, err := Create(OS{}, folder, "g", "a.1")
+	assert.NilError(t, err)
+	assert.NilError(t, s.Close())
+	_, err = Open(OS{}, folder, "h")
+	var other *IdentityError
+	assert.Assert(t, errors.As(err, &other), "error %v", err)
+}
--- /dev/null
+++ b/internal/adapter/disk/memory.go
@@ -0,0 +1,69 @@
+package disk
+
+import (
+	"sync"
+
+	"laburnumgrade/gen/peerv1"
+)
+
+// Memory is a port.LogStorage for a VM without a disk. It does not outlive the
+// process, so the replica must return under a new id.
+type Memory struct {
+	mu       sync.Mutex
+	closed   bool
+	state    logState
+	snapshot *peerv1.RaftSnapshot
+}
+
+// NewMemory returns an empty storage.
+func NewMemory() *Memory { return &Memory{} }
+
+// Load implements port.LogStorage.
+func (m *Memory) Load() (*peerv1.RaftHardState, *peerv1.RaftSnapshot, []*peerv1.RaftEntry, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return nil, nil, nil, ErrUnusable
+	}
+	return m.state.hard, m.snapshot, m.state.copyEntries(), nil
+}
+
+// Append implements port.LogStorage.
+func (m *Memory) Append(hard *peerv1.RaftHardState, entries []*peerv1.RaftEntry) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return ErrUnusable
+	}
+	if err := m.state.putAll(entries); err != nil {
+		m.closed = true
+		return err
+	}
+	if hard != nil {
+		m.state.hard = hard
+	}
+	return nil
+}
+
+// SaveSnapshot implements port.LogStorage.
+func (m *Memory) SaveSnapshot(snapshot *peerv1.RaftSnapshot) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return ErrUnusable
+	}
+	m.snapshot = snapshot
+	m.state.cover(snapshot)
+	return nil
+}
+
+// Durable implements port.LogStorage.
+func (m *Memory) Durable() bool { return false }
+
+// Close implements port.LogStorage.
+func (m *Memory) Close() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.closed = true
+	return nil
+}
--- /dev/null
+++ b/internal/adapter/disk/wal.go
@@ -0,0 +1,157 @@
+package disk
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"laburnumgrade/gen/peerv1"
+)
+
+// partKind is the first byte of each part of a record; the length of the part
+// follows. A record holds all parts of one Append, so that a write cut short by
+// a crash damages the last record only.
+type partKind byte
+
+const (
+	// partBase starts a wal: index and term of the entry before the first.
+	partBase  partKind = 1
+	partHard  partKind = 2
+	partEntry partKind = 3
+
+	partHeaderSize = 5
+)
+
+// logState is the content of a wal, and of Memory.
+type logState struct {
+	hasBase   bool
+	baseIndex uint64
+	baseTerm  uint64
+	hard      *peerv1.RaftHardState
+	entries   []*peerv1.RaftEntry
+}
+
+func (l *logState) last() uint64 { return l.baseIndex + uint64(len(l.entries)) }
+
+// put adds an entry, replacing those with the same or a higher index.
+func (l *logState) put(e *peerv1.RaftEntry) error {
+	if e.Index <= l.baseIndex || e.Index > l.last()+1 {
+		return fmt.Errorf("entry %d does not follow entries %d to %d", e.Index, l.baseIndex, l.last())
+	}
+	kept := e.Index - l.baseIndex - 1
+	l.entries = append(l.entries[:kept:kept], e)
+	return nil
+}
+
+// putAll adds entries in order. Only the first may replace others, so the rest
+// is appended without copying.
+func (l *logState) putAll(entries []*peerv1.RaftEntry) error {
+	for i, e := range entries {
+		if i == 0 || e.Index != l.last()+1 {
+			if err := l.put(e); err != nil {
+				return err
+			}
+			continue
+		}
+		l.entries = append(l.entries, e)
+	}
+	return nil
+}
+
+// cover drops what a snapshot replaces: the entries up to its index, and all
+// entries unless the one at its index has its term, because then the rest
+// belongs to a history that was never committed.
+func (l *logState) cover(s *peerv1.RaftSnapshot) {
+	index, term := s.GetIndex(), s.GetTerm()
+	keep := index == l.baseIndex && term == l.baseTerm
+	if index > l.baseIndex && index <= l.last() {
+		keep = l.entries[index-l.baseIndex-1].Term == term
+	}
+	if keep {
+		l.entries = append([]*peerv1.RaftEntry(nil), l.entries[index-l.baseIndex:]...)
+	} else {
+		l.entries = nil
+	}
+	l.baseIndex, l.baseTerm = index, term
+}
+
+func (l *logState) copyEntries() []*peerv1.RaftEntry {
+	return append([]*peerv1.RaftEntry(nil), l.entries...)
+}
+
+// replay applies the payload of one record: the parts of one Append.
+func (l *logState) replay(payload []byte) error {
+	for len(payload) > 0 {
+		if len(payload) < partHeaderSize {
+			return errors.New("malformed record")
+		}
+		kind := partKind(payload[0])
+		length := binary.LittleEndian.Uint32(payload[1:])
+		payload = payload[partHeaderSize:]
+		if int64(length) > int64(len(payload)) {
+			return errors.New("malformed record")
+		}
+		if err := l.replayPart(kind, payload[:length]); err != nil {
+			return err
+		}
+		payload = payload[length:]
+	}
+	return nil
+}
+
+func (l *logState) replayPart(kind partKind, body []byte) error {
+	switch kind {
+	case partBase:
+		if len(body) != 16 {
+			return errors.New("malformed base")
+		}
+		l.baseIndex = binary.LittleEndian.Uint64(body)
+		l.baseTerm = binary.LittleEndian.Uint64(body[8:])
+		l.hasBase = true
+		return nil
+	case partHard:
+		l.hard = &peerv1.RaftHardState{}
+		return proto.Unmarshal(body, l.hard)
+	case partEntry:
+		e := &peerv1.RaftEntry{}
+		if err := proto.Unmarshal(body, e); err != nil {
+			return err
+		}
+		return l.putAll([]*peerv1.RaftEntry{e})
+	}
+	return fmt.Errorf("unknown kind %d", kind)
+}
+
+// appendParts appends a hard state (if not nil) and entries to a payload.
+func appendParts(payload []byte, hard *peerv1.RaftHardState, entries []*peerv1.RaftEntry) ([]byte, error) {
+	var err error
+	if hard != nil {
+		if payload, err = appendPart(payload, partHard, hard); err != nil {
+			return nil, err
+		}
+	}
+	for _, e := range entries {
+		if payload, err = appendPart(payload, partEntry, e); err != nil {
+			return nil, err
+		}
+	}
+	return payload, nil
+}
+
+func appendPart(payload []byte, kind partKind, m proto.Message) ([]byte, error) {
+	payload = append(payload, byte(kind))
+	payload = binary.LittleEndian.AppendUint32(payload, uint32(proto.Size(m)))
+	return proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(payload, m)
+}
+
+// encode returns a wal that holds the state in one record.
+func (l *logState) encode() ([]byte, error) {
+	payload := []byte{byte(partBase)}
+	payload = binary.LittleEndian.AppendUint32(payload, 16)
+	payload = binary.LittleEndian.AppendUint64(payload, l.baseIndex)
+	payload = binary.LittleEndian.AppendUint64(payload, l.baseTerm)
+	payload, err := appendParts(payload, l.hard, l.entries)
+	return appendRecord(nil, payload), err
+}
