--- /dev/null
+++ b/internal/raft/lease_test.go
@@ -0,0 +1,158 @@
+package raft
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumgrade/gen/peerv1"
+)
+
+func members(ids ...string) *peerv1.RaftMembership {
+	m := &peerv1.RaftMembership{}
+	for _, id := range ids {
+		m.Voters = append(m.Voters, &peerv1.RaftReplica{Id: id})
+	}
+	return m
+}
+
+// drain returns the messages of all pending Readys.
+func drain(n *Node) []*peerv1.RaftMessage {
+	var sent []*peerv1.RaftMessage
+	for {
+		r := n.Ready()
+		if r.Empty() {
+			return sent
+		}
+		sent = append(append(sent, r.Early...), r.Messages...)
+		n.Advance()
+	}
+}
+
+func message(kind peerv1.RaftMessage_Type, term uint64) *peerv1.RaftMessage {
+	return &peerv1.RaftMessage{Type: kind, From: "b.1", To: "a.1", Term: term, Generation: 1}
+}
+
+// TestPromise guards against a vote at any instant at which the leader that the
+// voter answered may still hold its lease, its clock being 1% slower.
+func TestPromise(t *testing.T) {
+	answered := func() *Node {
+		n := New(Config{ID: "a.1", Membership: members("a.1", "b.1", "c.1")})
+		n.Step(0, message(peerv1.RaftMessage_HEARTBEAT, 3))
+		return n
+	}
+	restarted := func() *Node {
+		return New(Config{
+			ID: "a.1", Membership: members("a.1", "b.1", "c.1"),
+			Hard: &peerv1.RaftHardState{Term: 3, Generation: 1},
+		})
+	}
+	end := LeaseDuration * 101 / 100
+	cases := []struct {
+		name     string
+		node     func() *Node
+		at       time.Duration
+		kind     peerv1.RaftMessage_Type
+		term     uint64
+		transfer bool
+		want     bool
+	}{
+		{"vote before the end", answered, end - 1, peerv1.RaftMessage_VOTE, 4, false, false},
+		{"vote at the end", answered, end, peerv1.RaftMessage_VOTE, 4, false, true},
+		{"pre-vote before the end", answered, end - 1, peerv1.RaftMessage_PRE_VOTE, 4, false, false},
+		{"pre-vote at the end", answered, end, peerv1.RaftMessage_PRE_VOTE, 4, false, true},
+		{"vote after a restart", restarted, end - 1, peerv1.RaftMessage_VOTE, 4, false, false},
+		{"vote after the wait", restarted, end, peerv1.RaftMessage_VOTE, 4, false, true},
+		{"transfer by the leader", answered, 0, peerv1.RaftMessage_VOTE, 4, true, true},
+		{"transfer after a restart", restarted, 0, peerv1.RaftMessage_VOTE, 4, true, true},
+		{"transfer by an older leader", answered, 0, peerv1.RaftMessage_VOTE, 3, true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			n := c.node()
+			drain(n)
+			m := message(c.kind, c.term)
+			m.Transfer = c.transfer
+			n.Step(c.at, m)
+			granted := false
+			for _, reply := range drain(n) {
+				granted = granted || !reply.Reject
+			}
+			assert.Equal(t, granted, c.want)
+		})
+	}
+}
+
+// newLeader returns a leader of term 4 whose log holds one entry of term 2 and
+// none of it committed, elected and having sent its first round at time at.
+func newLeader(t *testing.T, at time.Duration) *Node {
+	n := New(Config{
+		ID: "a.1", Membership: members("a.1", "b.1", "c.1"),
+		Hard:    &peerv1.RaftHardState{Term: 3, Generation: 1},
+		Entries: []*peerv1.RaftEntry{{Index: 1, Term: 2}},
+	})
+	for range electionTicksMax {
+		n.Tick(at)
+	}
+	drain(n)
+	n.Step(at, message(peerv1.RaftMessage_PRE_VOTE_REPLY, 4))
+	n.Step(at, message(peerv1.RaftMessage_VOTE_REPLY, 4))
+	drain(n)
+	assert.Equal(t, n.role, Leader)
+	return n
+}
+
+// TestLease guards against a lease that starts when the answer arrives, and
+// against one that is reported before the leader has committed in its term.
+func TestLease(t *testing.T) {
+	const elected = 2 * time.Second
+	n := newLeader(t, elected)
+	reply := message(peerv1.RaftMessage_HEARTBEAT_REPLY, 4)
+	reply.Round = 1
+	n.Step(elected+500*time.Millisecond, reply)
+	_, _, valid := n.Lease()
+	assert.Assert(t, !valid, "lease without an own commit")
+
+	ack := message(peerv1.RaftMessage_APPEND_REPLY, 4)
+	ack.LogIndex = 1
+	n.Step(elected+500*time.Millisecond, ack)
+	assert.Equal(t, n.log.commit, uint64(0), "entry of an earlier term committed by count")
+	_, _, err := n.ProposeChange(Change{Remove, &peerv1.RaftReplica{Id: "c.1"}})
+	assert.ErrorIs(t, err, ErrNoOwnCommit)
+
+	ack.LogIndex = 2
+	n.Step(elected+500*time.Millisecond, ack)
+	until, since, valid := n.Lease()
+	assert.Assert(t, valid)
+	assert.Equal(t, since, elected)
+	assert.Equal(t, until, elected+LeaseDuration)
+	n.Step(until, message(peerv1.RaftMessage_APPEND_REPLY, 4))
+	_, _, valid = n.Lease()
+	assert.Assert(t, !valid, "lease past its end")
+
+	_, _, err = n.ProposeChange(Change{Remove, &peerv1.RaftReplica{Id: "c.1"}})
+	assert.NilError(t, err)
+	_, _, err = n.ProposeChange(Change{AddLearner, &peerv1.RaftReplica{Id: "d.1"}})
+	assert.ErrorIs(t, err, ErrChangePending)
+}
+
+// TestRecover guards against a recovered group that its old replicas can still
+// reach, and against one that cannot continue alone.
+func TestRecover(t *testing.T) {
+	n := New(Config{ID: "a.1", Membership: members("a.1", "b.1", "c.1")})
+	heartbeat := message(peerv1.RaftMessage_HEARTBEAT, 3)
+	n.Step(0, heartbeat)
+	assert.NilError(t, n.Recover(0, &peerv1.RaftReplica{Id: "a.1"}))
+	drain(n)
+	heartbeat.Term = 9
+	n.Step(0, heartbeat)
+	assert.Equal(t, n.term, uint64(4), "message of the old generation accepted")
+	for i := range electionTicksMax {
+		n.Tick(time.Duration(i) * TickInterval)
+	}
+	drain(n)
+	_, _, valid := n.Lease()
+	assert.Assert(t, valid)
+	assert.Equal(t, n.Status().Generation, uint64(2))
+}
--- a/internal/raft/node_test.go
+++ b/internal/raft/node_test.go
@@ -32,7 +32,8 @@
 func TestFaults(t *testing.T) {
 	var elections, transfers, replaced, commands, committed int
 	rapid.Check(t, func(t *rapid.T) {
-		c := newSimCluster(t, rapid.IntRange(0, 3).Draw(t, "diskless"))
+		voters := rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "voters")
+		c := newSimCluster(t, voters, rapid.IntRange(0, 3).Draw(t, "diskless"))
 		c.run(2 * time.Second)
 		t.Repeat(c.actions())
 		c.settle()
@@ -63,7 +64,10 @@
 			s := any(t)
 			c.cut[s.id] = !c.cut[s.id]
 		},
-		"heal": func(t *rapid.T) { c.cut = map[string]bool{} },
+		"cutLink": func(t *rapid.T) { c.links[link(any(t).id, any(t).id)] = true },
+		"heal": func(t *rapid.T) {
+			c.cut, c.links = map[string]bool{}, map[[2]string]bool{}
+		},
 		"network": func(t *rapid.T) {
 			c.loss = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "loss")
 			c.delay = time.Duration(rapid.SampledFrom([]int{5, 40, 400}).Draw(t, "delay")) * time.Millisecond
@@ -83,10 +87,17 @@
 		"restart": func(t *rapid.T) {
 			for _, id := range c.ids() {
 				if s := c.nodes[id]; !s.up {
-					c.boot(s, simMembership())
+					c.boot(s, c.initial)
 				}
 			}
 		},
+		"bounce": func(t *rapid.T) {
+			if s := any(t); s.up && s.disk {
+				c.crash(s)
+				c.run(50 * time.Millisecond)
+				c.boot(s, c.initial)
+			}
+		},
 		"transfer": func(t *rapid.T) {
 			if l := c.leader(); l != nil && l.node.TransferLeadership("") == nil {
 				c.transfers++
@@ -103,14 +114,6 @@
 	}
 }
 
-func simMembership() *peerv1.RaftMembership {
-	m := &peerv1.RaftMembership{}
-	for _, id := range simBase {
-		m.Voters = append(m.Voters, &peerv1.RaftReplica{Id: id})
-	}
-	return m
-}
-
 func (c *simCluster) propose(count int) {
 	l := c.leader()
 	if l == nil {
@@ -170,12 +173,13 @@
 // settle ends all faults and checks that the group becomes live again: a leader
 // with a lease commits a new command and every running member applies it.
 func (c *simCluster) settle() {
-	c.cut, c.loss, c.delay = map[string]bool{}, 0, 5*time.Millisecond
+	c.cut, c.links = map[string]bool{}, map[[2]string]bool{}
+	c.loss, c.delay = 0, 5*time.Millisecond
 	for _, id := range c.ids() {
 		s := c.nodes[id]
 		s.pausedTo = 0
 		if !s.up {
-			c.boot(s, simMembership())
+			c.boot(s, c.initial)
 		}
 		s.crashAt = crashNever
 	}
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -58,10 +58,12 @@
 	now     time.Duration // true time
 	nodes   map[string]*simNode
 	flights []flight
+	initial *peerv1.RaftMembership
 	loss    float64
 	delay   time.Duration
-	cut     map[string]bool // side of the partition
-	lost    map[string]bool // ids whose state is gone
+	cut     map[string]bool    // side of the partition
+	links   map[[2]string]bool // cut links between two replicas
+	lost    map[string]bool    // ids whose state is gone
 
 	leaders   map[uint64]string
 	committed map[uint64]committedEntry // by index
@@ -73,21 +75,20 @@
 	replaced  int
 }
 
-var simBase = []string{"a.1", "b.1", "c.1"}
-
-func newSimCluster(t *rapid.T, diskless int) *simCluster {
+func newSimCluster(t *rapid.T, voters, diskless int) *simCluster {
 	c := &simCluster{
 		t: t, rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
 		nodes: map[string]*simNode{}, cut: map[string]bool{}, lost: map[string]bool{},
 		leaders: map[uint64]string{}, committed: map[uint64]committedEntry{}, written: map[entryKey]string{},
-		delay: 5 * time.Millisecond,
+		delay: 5 * time.Millisecond, links: map[[2]string]bool{},
 	}
-	m := &peerv1.RaftMembership{}
-	for _, id := range simBase {
-		m.Voters = append(m.Voters, &peerv1.RaftReplica{Id: id})
+	c.initial = &peerv1.RaftMembership{}
+	for i := range voters {
+		id := fmt.Sprintf("%c.1", 'a'+i)
+		c.initial.Voters = append(c.initial.Voters, &peerv1.RaftReplica{Id: id})
 	}
-	for i, id := range simBase {
-		c.start(id, m, i >= diskless)
+	for i, v := range c.initial.Voters {
+		c.start(v.Id, c.initial, i >= diskless)
 	}
 	return c
 }
@@ -169,7 +170,7 @@
 		switch {
 		case f.due > c.now:
 			c.flights = append(c.flights, f)
-		case s == nil || !s.up || c.cut[f.m.From] != c.cut[f.m.To]:
+		case s == nil || !s.up || c.cut[f.m.From] != c.cut[f.m.To], c.links[link(f.m.From, f.m.To)]:
 		case s.pausedTo > c.now:
 			s.inbox = append(s.inbox, f.m)
 		default:
@@ -178,6 +179,13 @@
 	}
 }
 
+// link names the link between two VMs; it stays cut when a VM gets a new id.
+func link(a, b string) [2]string {
+	a, _, _ = strings.Cut(a, ".")
+	b, _, _ = strings.Cut(b, ".")
+	return [2]string{min(a, b), max(a, b)}
+}
+
 func (c *simCluster) step(s *simNode, m *peerv1.RaftMessage) {
 	if s.up {
 		s.node.Step(c.local(s), m)
@@ -274,7 +282,7 @@
 func (c *simCluster) crash(s *simNode) {
 	s.up, s.inbox = false, nil
 	if s.disk {
-		c.load(s, simMembership()) // for mayLose: what was not stored is gone
+		c.load(s, c.initial) // for mayLose: what was not stored is gone
 		return
 	}
 	c.lost[s.id] = true
@@ -286,17 +294,34 @@
 }
 
 // mayLose reports whether a diskless replica may crash: every membership in use
-// must keep a quorum of voters that have not lost their state.
+// or on its way must keep a quorum of voters that have not lost their state.
 func (c *simCluster) mayLose(id string) bool {
+	var memberships []*peerv1.RaftMembership
+	messages := []*peerv1.RaftMessage{}
+	for _, f := range c.flights {
+		messages = append(messages, f.m)
+	}
 	for _, s := range c.nodes {
-		voters := s.node.members().Voters
+		memberships = append(memberships, s.node.members())
+		messages = append(messages, s.inbox...)
+	}
+	for _, m := range messages {
+		n := &Node{}
+		for _, e := range m.Entries {
+			n.noteMembership(e)
+		}
+		for _, at := range n.memberships {
+			memberships = append(memberships, at.members)
+		}
+	}
+	for _, m := range memberships {
 		lost := 0
-		for _, v := range voters {
+		for _, v := range m.Voters {
 			if c.lost[v.Id] || v.Id == id {
 				lost++
 			}
 		}
-		if len(voters) > 0 && lost > (len(voters)-1)/2 {
+		if len(m.Voters) > 0 && lost > (len(m.Voters)-1)/2 {
 			return false
 		}
 	}
