--- a/internal/raft/config.go
+++ b/internal/raft/config.go
@@ -37,7 +37,7 @@
 	ErrTransferring  = errors.New("leadership is being transferred")
 	ErrChangePending = errors.New("a membership change is not yet committed")
 	ErrNoOwnCommit   = errors.New("the leader has not yet committed an entry of its term")
-	ErrNotCaughtUp   = errors.New("the learner does not yet hold all committed entries")
+	ErrNotCaughtUp   = errors.New("the learner does not yet hold the entries committed at the last heartbeat")
 	ErrNotMember     = errors.New("the replica is not a member of the group")
 	ErrAlreadyMember = errors.New("the replica is already a member of the group")
 	ErrRemoveLeader  = errors.New("the leader cannot remove itself: transfer leadership first")
@@ -122,6 +122,8 @@
 	Commit     uint64
 	Applied    uint64
 	Membership *peerv1.RaftMembership
+	// Transferring is true while a leader hands leadership over.
+	Transferring bool
 	// Match maps each member to the highest index known to be stored there;
 	// nil unless the node leads.
 	Match map[string]uint64
--- a/internal/raft/lease.go
+++ b/internal/raft/lease.go
@@ -12,6 +12,9 @@
 	since  time.Duration // when it was elected
 	round  uint64
 	rounds []sentRound // the newest heartbeat rounds, oldest first
+	// commit is the commit index when the last round was sent. A learner that
+	// holds it is caught up: under load none ever holds the current one.
+	commit uint64
 	// released is set for the rest of the term once TIMEOUT_NOW may be sent.
 	released bool
 }
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -144,7 +144,7 @@
 		if learner < 0 {
 			return nil, ErrNotMember
 		}
-		if p := n.progress[id]; p == nil || !p.active || p.match < n.log.commit {
+		if p := n.progress[id]; p == nil || !p.active || p.match < n.lease.commit {
 			return nil, ErrNotCaughtUp
 		}
 		next.Voters = append(next.Voters, next.Learners[learner])
--- a/internal/raft/replicate.go
+++ b/internal/raft/replicate.go
@@ -64,6 +64,7 @@
 func (n *Node) beat() {
 	n.sinceBeat = 0
 	n.lease.round++
+	n.lease.commit = n.log.commit
 	n.lease.rounds = append(n.lease.rounds, sentRound{n.lease.round, n.now})
 	if len(n.lease.rounds) > maxRounds {
 		n.lease.rounds = n.lease.rounds[1:]
