--- /dev/null
+++ b/internal/adapter/peer/raft_test.go
@@ -0,0 +1,93 @@
+package peer
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"laburnumgrade/gen/peerv1"
+)
+
+type collector struct {
+	mu     sync.Mutex
+	rounds []uint64
+}
+
+func (c *collector) Step(messages []*peerv1.RaftMessage) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range messages {
+		c.rounds = append(c.rounds, m.Round)
+	}
+}
+
+func (c *collector) holds(count int) poll.Check {
+	return func(poll.LogT) poll.Result {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if len(c.rounds) == count {
+			return poll.Success()
+		}
+		return poll.Continue("%d messages received, want %d", len(c.rounds), count)
+	}
+}
+
+// TestRaftTransport guards against lost or reordered messages on a healthy
+// connection, against messages that reach another group, and against an address
+// that stays in use after a replica has moved.
+func TestRaftTransport(t *testing.T) {
+	receivers := map[string]*collector{"g": {}, "h": {}}
+	server := NewRaftServer()
+	for group, c := range receivers {
+		server.Register(group, c)
+	}
+	listener := httptest.NewServer(server.Handler())
+	defer listener.Close()
+
+	var mu sync.Mutex
+	address := "127.0.0.1:1" // nothing listens there
+	transport := NewRaftTransport(&http.Client{}, func(id string) string {
+		mu.Lock()
+		defer mu.Unlock()
+		return map[string]string{"b.1": address}[id]
+	}, slog.New(slog.DiscardHandler))
+	defer transport.Close()
+
+	transport.Send("g", []*peerv1.RaftMessage{{To: "b.1", Round: 99}, {To: "unknown.1"}})
+	mu.Lock()
+	address = strings.TrimPrefix(listener.URL, "http://")
+	mu.Unlock()
+	const count = 200
+	for i := range uint64(count) {
+		transport.Send("g", []*peerv1.RaftMessage{{To: "b.1", Round: i}})
+		transport.Send("h", []*peerv1.RaftMessage{{To: "b.1", Round: i}, {To: "b.1", Round: i}})
+	}
+	poll.WaitOn(t, receivers["g"].holds(count), poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+	poll.WaitOn(t, receivers["h"].holds(2*count), poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+	for i, round := range receivers["g"].rounds {
+		assert.Equal(t, round, uint64(i))
+	}
+	server.Register("g", nil)
+	_, err := server.Deliver(context.Background(), &peerv1.RaftBatch{Group: "g"})
+	assert.ErrorContains(t, err, "no replica of group g")
+}
+
+// TestRaftQueueDropsOldest guards against a queue that grows without bound for
+// a dead peer, and against one that keeps old messages rather than new ones.
+func TestRaftQueueDropsOldest(t *testing.T) {
+	s := &sender{wake: make(chan struct{}, 1)}
+	for i := range uint64(maxQueued + 10) {
+		s.add([]item{{"g", &peerv1.RaftMessage{Round: i}}})
+	}
+	batch, _ := s.take()
+	assert.Equal(t, len(batch.Messages), maxQueued)
+	assert.Equal(t, batch.Messages[0].Round, uint64(10))
+}
--- a/internal/raft/config.go
+++ b/internal/raft/config.go
@@ -122,6 +122,8 @@
 	Commit     uint64
 	Applied    uint64
 	Membership *peerv1.RaftMembership
+	// Pending is true while the newest membership is not committed.
+	Pending bool
 	// Transferring is true while a leader hands leadership over.
 	Transferring bool
 	// Match maps each member to the highest index known to be stored there;
--- a/internal/raft/lease_test.go
+++ b/internal/raft/lease_test.go
@@ -137,6 +137,37 @@
 	assert.ErrorIs(t, err, ErrChangePending)
 }
 
+// TestTransferReleasesLease guards against a lease that is still valid, or valid
+// again in the same term, when another voter may be elected by a transfer.
+func TestTransferReleasesLease(t *testing.T) {
+	now := 2 * time.Second
+	n := newLeader(t, now)
+	answer := func() {
+		ack := message(peerv1.RaftMessage_APPEND_REPLY, 4)
+		ack.LogIndex = n.log.last()
+		n.Step(now, ack)
+		reply := message(peerv1.RaftMessage_HEARTBEAT_REPLY, 4)
+		reply.Round = n.lease.round
+		n.Step(now, reply)
+	}
+	answer()
+	_, _, valid := n.Lease()
+	assert.Assert(t, valid)
+	assert.NilError(t, n.TransferLeadership("b.1"))
+	_, _, valid = n.Lease()
+	assert.Assert(t, !valid, "lease kept after TIMEOUT_NOW")
+	for range electionTicksMin + heartbeatTicks {
+		now += TickInterval
+		n.Tick(now)
+		if n.role == Leader {
+			answer()
+		}
+		_, _, valid = n.Lease()
+		assert.Assert(t, !valid, "lease regained in the term of the transfer")
+	}
+	assert.Equal(t, n.role, Follower, "a failed transfer must end the leadership")
+}
+
 // TestRecover guards against a recovered group that its old replicas can still
 // reach, and against one that cannot continue alone.
 func TestRecover(t *testing.T) {
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -246,7 +246,7 @@
 	s := Status{
 		ID: n.id, Role: n.role, Term: n.term, Generation: n.generation, Leader: n.leader,
 		First: n.log.first(), Last: n.log.last(), Commit: n.log.commit, Applied: n.log.applied,
-		Membership: n.members(), Transferring: n.transferTo != "",
+		Membership: n.members(), Pending: n.changePending(), Transferring: n.transferTo != "",
 	}
 	if n.role == Leader {
 		s.Match = map[string]uint64{n.id: n.log.stable}
--- a/internal/replica/replace.go
+++ b/internal/replica/replace.go
@@ -52,7 +52,7 @@
 	return r.retry(ctx, func() error {
 		s := r.Status()
 		if has(s.Voters, n.Id) || has(s.Learners, n.Id) {
-			return nil
+			return r.settled()
 		}
 		return r.AddLearner(ctx, n)
 	})
@@ -61,7 +61,7 @@
 func (r *Replica) promoteReplacement(ctx context.Context, _ string, n *peerv1.RaftReplica) error {
 	return r.retry(ctx, func() error {
 		if has(r.Status().Voters, n.Id) {
-			return nil
+			return r.settled()
 		}
 		return r.Promote(ctx, n.Id)
 	})
@@ -71,7 +71,7 @@
 	return r.retry(ctx, func() error {
 		s := r.Status()
 		if !has(s.Voters, oldID) && !has(s.Learners, oldID) {
-			return nil
+			return r.settled()
 		}
 		return r.Remove(ctx, oldID)
 	})
@@ -89,9 +89,20 @@
 	})
 }
 
-// retry repeats a change while it is refused for a reason that passes. A change
-// seen in the membership but not yet committed is made to commit by the next
-// change, which is refused until then.
+// settled returns an error until the newest membership is committed: a change
+// that an earlier attempt made may still be undone by another leader.
+func (r *Replica) settled() error {
+	s := r.view.Load().status
+	switch {
+	case s.Role != raft.Leader:
+		return r.notLeader()
+	case s.Pending:
+		return raft.ErrChangePending
+	}
+	return nil
+}
+
+// retry repeats a change while it is refused for a reason that passes.
 func (r *Replica) retry(ctx context.Context, change func() error) error {
 	return r.wait(ctx, func() (bool, error) {
 		err := change()
