--- /dev/null
+++ b/internal/control/join.go
@@ -0,0 +1,214 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"laburnumgrade/gen/apiv1"
+	"laburnumgrade/gen/peerv1"
+	"laburnumgrade/internal/adapter/peer"
+	"laburnumgrade/internal/membership"
+	"laburnumgrade/internal/port"
+	"laburnumgrade/internal/timeline"
+)
+
+const (
+	// announceInterval is how often a replica announces itself to its leader.
+	announceInterval = time.Second
+	// repairInterval is how often a leader looks for changes to its group.
+	repairInterval = 500 * time.Millisecond
+	// repairTimeout bounds one change, including the copy of the state.
+	repairTimeout = time.Minute
+)
+
+// Replica is the process's replica of a group, as seen by membership changes.
+type Replica interface {
+	port.Log
+	// ID returns the id of the replica itself.
+	ID() string
+	// Known reports whether the replica holds any state of the group.
+	Known() bool
+	// Membership returns the members as far as the replica knows.
+	Membership() *peerv1.RaftMembership
+	// Term returns the current term and the commit index.
+	Term() (term, commit uint64)
+	// Add makes a new replica a voter once it holds every entry.
+	Add(ctx context.Context, r *peerv1.RaftReplica) error
+	// Replace makes a new replica a voter in the place of another.
+	Replace(ctx context.Context, old string, r *peerv1.RaftReplica) error
+	// Remove removes a replica.
+	Remove(ctx context.Context, id string) error
+}
+
+// Member is a group of which the process hosts a replica.
+type Member struct {
+	Group   string
+	Replica Replica
+	// Address is where other replicas reach this one.
+	Address string
+	// Listed are the processes meant to be voters, most wanted first.
+	Listed []string
+	// Peers reaches the group's leader through the listed processes.
+	Peers *peer.Group
+
+	mu         sync.Mutex
+	candidates map[string]membership.Candidate
+}
+
+// GroupServer serves GroupService.
+type GroupServer struct{ server *Server }
+
+// Describe says whether the process holds state of the group.
+func (s *GroupServer) Describe(_ context.Context, r *peerv1.DescribeRequest) (*peerv1.DescribeReply, error) {
+	m := s.server.members[r.Group]
+	if m == nil {
+		return &peerv1.DescribeReply{}, nil
+	}
+	leader, _ := m.Replica.Leader()
+	return &peerv1.DescribeReply{Known: m.Replica.Known(), Leader: leader}, nil
+}
+
+// Join notes a replica that announces itself; the repair loop takes it in.
+func (s *GroupServer) Join(_ context.Context, r *peerv1.JoinRequest) (*peerv1.JoinReply, error) {
+	m := s.server.members[r.Group]
+	if m == nil {
+		return nil, twirp.NewError(twirp.FailedPrecondition, "this process holds no replica of group "+r.Group)
+	}
+	if _, err := lead(r.Group, m.Replica); err != nil {
+		return nil, err
+	}
+	if r.Replica.GetId() != "" {
+		m.note(r.Replica, s.server.clock.Now())
+	}
+	reply := &peerv1.JoinReply{}
+	for _, v := range m.Replica.Membership().GetVoters() {
+		reply.Voter = reply.Voter || v.Id == r.Replica.GetId()
+	}
+	return reply, nil
+}
+
+func (m *Member) note(r *peerv1.RaftReplica, now time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.candidates == nil {
+		m.candidates = map[string]membership.Candidate{}
+	}
+	m.candidates[membership.Name(r.GetId())] = membership.Candidate{
+		Replica: membership.Replica{ID: r.GetId(), Address: r.GetAddress()}, Seen: now,
+	}
+}
+
+// announce tells the group's leader that the replica lives, until the context
+// ends.
+func (s *Server) announce(ctx context.Context, m *Member) {
+	ticker := time.NewTicker(announceInterval)
+	defer ticker.Stop()
+	for {
+		// The id is empty until the replica is started; the leader ignores it.
+		request := &peerv1.JoinRequest{Group: m.Group, Replica: &peerv1.RaftReplica{Id: m.Replica.ID(), Address: m.Address}}
+		call, cancel := context.WithTimeout(ctx, announceInterval)
+		_, err := peer.Call(call, m.Peers, func(ctx context.Context, c *http.Client, url string) (*peerv1.JoinReply, error) {
+			return peerv1.NewGroupServiceProtobufClient(url, c).Join(ctx, request)
+		})
+		cancel()
+		if err != nil && ctx.Err() == nil {
+			s.logger.Debug("replica not announced", "step", "join", "group", m.Group, "error", err)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// repair makes the membership changes that are due, while this process leads
+// the group.
+func (s *Server) repair(ctx context.Context, m *Member) {
+	ticker := time.NewTicker(repairInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if since, valid := m.Replica.Lease(); valid {
+			s.repairOnce(ctx, m, since)
+		}
+	}
+}
+
+func (s *Server) repairOnce(ctx context.Context, m *Member, since time.Duration) {
+	change := membership.Next(m.view(since, s.clock.Now()))
+	if change.Kind == membership.None {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, repairTimeout)
+	defer cancel()
+	began := time.Now()
+	added := &peerv1.RaftReplica{Id: change.New.ID, Address: change.New.Address}
+	var err error
+	switch change.Kind {
+	case membership.Add:
+		err = m.Replica.Add(ctx, added)
+	case membership.Replace:
+		err = m.Replica.Replace(ctx, change.Old, added)
+	case membership.Remove:
+		err = m.Replica.Remove(ctx, change.Old)
+	}
+	log := s.logger.With("step", "repair", "group", m.Group, "old", change.Old, "new", change.New.ID, "duration_ms", time.Since(began).Milliseconds())
+	if err != nil {
+		log.Warn("membership change failed", "error", err)
+		return
+	}
+	log.Info("membership changed")
+	s.events.Record(timeline.Event{Kind: timeline.MembershipChanged, Peer: change.New.ID, Detail: "group " + m.Group + ", old " + change.Old})
+}
+
+// view returns what the leader knows of its group. A voter that has not
+// announced itself yet counts as heard of when the leadership began.
+func (m *Member) view(since, now time.Duration) *membership.View {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	v := &membership.View{Listed: m.Listed, Candidates: map[string]membership.Candidate{}, Now: now}
+	for name, c := range m.candidates {
+		v.Candidates[name] = c
+	}
+	members := m.Replica.Membership()
+	for _, r := range members.GetVoters() {
+		v.Voters = append(v.Voters, membership.Replica{ID: r.Id, Address: r.Address})
+	}
+	for _, r := range members.GetLearners() {
+		v.Learners = append(v.Learners, membership.Replica{ID: r.Id, Address: r.Address})
+	}
+	self := m.Replica.ID()
+	v.Heard = func(id string) time.Duration {
+		if id == self {
+			return now
+		}
+		if c, ok := v.Candidates[membership.Name(id)]; ok && c.ID == id {
+			return max(c.Seen, since)
+		}
+		return since
+	}
+	return v
+}
+
+func (m *Member) status() *apiv1.GroupStatus {
+	leader, _ := m.Replica.Leader()
+	term, commit := m.Replica.Term()
+	s := &apiv1.GroupStatus{Group: m.Group, Leader: leader, Term: term, Commit: commit}
+	members := m.Replica.Membership()
+	for _, v := range members.GetVoters() {
+		s.Voters = append(s.Voters, v.Id)
+	}
+	for _, l := range members.GetLearners() {
+		s.Learners = append(s.Learners, l.Id)
+	}
+	return s
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -30,6 +30,8 @@
 	fleetCalls *peer.Group
 	events     *timeline.Ring
 	meter      *meter
+	// members holds the process's replicas by group.
+	members map[string]*Member
 	// dataCentres lists all data centres of the cell.
 	dataCentres []string
 }
@@ -49,6 +51,8 @@
 	Groups []*DataCentreGroup
 	// Fleet is nil if the process has no replica of the fleet group.
 	Fleet *FleetGroup
+	// Members are the replicas of all groups of the process.
+	Members []*Member
 	// FleetCalls reaches the fleet group's leader.
 	FleetCalls  *peer.Group
 	DataCentres []string
@@ -60,13 +64,16 @@
 func New(c Config) *Server {
 	s := &Server{
 		name: c.Name, dataCentre: c.DataCentre, clock: c.Clock, logger: c.Logger,
-		groups: map[string]*DataCentreGroup{}, fleet: c.Fleet, fleetCalls: c.FleetCalls, events: c.Timeline, meter: newMeter(c.Scope), dataCentres: c.DataCentres,
+		groups: map[string]*DataCentreGroup{}, members: map[string]*Member{}, fleet: c.Fleet, fleetCalls: c.FleetCalls, events: c.Timeline, meter: newMeter(c.Scope), dataCentres: c.DataCentres,
 	}
 	for _, g := range c.Groups {
 		s.groups[g.Name] = g
 		g.meter = s.meter
 		g.mirror = newMirror(g, c.Scheduler, c.Clock.Now)
 	}
+	for _, m := range c.Members {
+		s.members[m.Group] = m
+	}
 	s.follower = follower.New(follower.Config{
 		Holder: c.Name, DataCentre: c.DataCentre, Fleet: c.FleetCalls, Clock: c.Clock, Logger: c.Logger, Demand: s.demand,
 		Applied: func(index uint64) {
@@ -83,6 +90,8 @@
 	mux.Handle(fleetServer.PathPrefix(), fleetServer)
 	dataCentreServer := peerv1.NewDataCentreServiceServer(&DataCentreServer{s})
 	mux.Handle(dataCentreServer.PathPrefix(), dataCentreServer)
+	groupServer := peerv1.NewGroupServiceServer(&GroupServer{s})
+	mux.Handle(groupServer.PathPrefix(), groupServer)
 	return mux
 }
 
@@ -97,6 +106,10 @@
 		go s.runServices(ctx, g)
 		go s.watchLeader(ctx, g.Name, g.Log.Leader)
 	}
+	for _, m := range s.members {
+		go s.announce(ctx, m)
+		go s.repair(ctx, m)
+	}
 	if s.fleet != nil {
 		go s.divideLimits(ctx)
 		go s.watchLeader(ctx, "fleet", s.fleet.Log.Leader)
@@ -116,19 +129,16 @@
 // Status returns the state of the groups as this process sees it.
 func (s *Server) status() *apiv1.StatusResponse {
 	r := &apiv1.StatusResponse{ConfigIndex: s.follower.Store().Index()}
+	for _, m := range s.members {
+		r.Groups = append(r.Groups, m.status())
+	}
 	for _, g := range s.groups {
-		id, _ := g.Log.Leader()
-		r.Groups = append(r.Groups, &apiv1.GroupStatus{Group: g.Name, Leader: id})
 		if _, valid := g.Log.Lease(); valid {
 			s.addTeams(r, g)
 			r.Workers += int64(len(g.Store.WorkerIDs()))
 			r.Instances += int64(len(g.Store.Instances()))
 		}
 	}
-	if s.fleet != nil {
-		id, _ := s.fleet.Log.Leader()
-		r.Groups = append(r.Groups, &apiv1.GroupStatus{Group: "fleet", Leader: id})
-	}
 	return r
 }
 
--- a/test/demo/main.go
+++ b/test/demo/main.go
@@ -142,12 +142,13 @@
 func spec(o *options, bin, folder string) cluster.Spec {
 	s := cluster.Spec{
 		Bin: bin, Folder: folder, DataCentres: []string{"Balaju", "Patan", "Bhaktapur", "Kalanki"},
-		VMs: 2, Disks: 1, Voters: 1, FleetVoters: 1,
+		VMs: 2, Disks: 1, Voters: 3, FleetVoters: 5,
 		Standin: []string{"--workers", "3"},
 	}
 	if o.Small {
 		s.DataCentres = s.DataCentres[:2]
 		s.VMs = 1
+		s.Voters, s.FleetVoters = 1, 1
 	}
 	return s
 }
@@ -173,6 +174,9 @@
 	if err := c.AwaitForce(ctx, entry, audit.Change.Index); err != nil {
 		return false, errors.Wrap(err, "wait for the configuration")
 	}
+	if err := c.AwaitVoters(ctx); err != nil {
+		return false, errors.Wrap(err, "wait for all replicas")
+	}
 	fmt.Printf("demo: documents (first version %d) and keys are in force\n", version)
 	t := &tally{answers: map[string]int{}}
 	load(ctx, c, o, t, refit.Key, audit.Key)
