--- a/test/faults/cases.go
+++ b/test/faults/cases.go
@@ -35,6 +35,8 @@
 	{"second VM lost after repair", secondLoss},
 	{"data centre cut off 6 s", cutDataCentre},
 	{"VM isolated, key withdrawn", isolateVM},
+	{"entry and leader shut down", shutDown},
+	{"all targets paused 6 s", pauseTargets},
 }
 
 // killLeader kills the leader of a data centre group and starts it again.
@@ -174,3 +176,49 @@
 	time.Sleep(settle)
 	return nil
 }
+
+// drainLimit bounds a graceful shutdown.
+const drainLimit = 25 * time.Second
+
+// shutDown shuts an entry down gracefully, then a group's leader. Neither may
+// cut off a request, so no outcome may be unknown.
+func shutDown(ctx context.Context, e *environment, add func(func(*verdict))) error {
+	leader, err := e.c.Leader(ctx, 0)
+	if err != nil {
+		return err
+	}
+	for _, p := range []*cluster.Process{e.c.Entries[0], leader} {
+		if err := p.Signal(syscall.SIGTERM); err != nil {
+			return err
+		}
+		if code := p.Wait(drainLimit); code != 0 {
+			return errors.Errorf("%s ended with exit code %d", p.Name, code)
+		}
+		time.Sleep(time.Second)
+		if err := e.c.Start(p); err != nil {
+			return err
+		}
+		time.Sleep(settle)
+	}
+	add(func(v *verdict) {
+		if v.unknown > 0 {
+			v.wrong += v.unknown
+			v.notes = append(v.notes, "a graceful shutdown left outcomes unknown")
+		}
+	})
+	return nil
+}
+
+// pauseTargets pauses all workers for longer than their leases. What ran then
+// is lost; non-idempotent work must not run again.
+func pauseTargets(_ context.Context, e *environment, _ func(func(*verdict))) error {
+	if err := e.c.Standin.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	time.Sleep(pauseLength)
+	if err := e.c.Standin.Signal(syscall.SIGCONT); err != nil {
+		return err
+	}
+	time.Sleep(settle)
+	return nil
+}
