--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,360 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"laburnumgrade/gen/peerv1"
+	"laburnumgrade/internal/adapter/disk"
+	"laburnumgrade/internal/port"
+	"laburnumgrade/internal/raft"
+)
+
+// machine is a state machine that keeps every command.
+type machine struct {
+	mu       sync.Mutex
+	commands []string
+}
+
+func (m *machine) Apply(index uint64, command []byte) any {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.commands = append(m.commands, string(command))
+	return index
+}
+
+func (m *machine) Snapshot() ([]byte, error) {
+	return []byte(strings.Join(m.all(), "\n")), nil
+}
+
+func (m *machine) Restore(_ uint64, snapshot []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.commands = strings.Split(string(snapshot), "\n")
+	return nil
+}
+
+func (m *machine) all() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.commands)
+}
+
+type clock struct{ origin time.Time }
+
+func (c clock) Now() time.Duration { return time.Since(c.origin) }
+
+// network delivers messages in the process, except to and from cut replicas.
+type network struct {
+	mu       sync.Mutex
+	replicas map[string]*Replica
+	cut      map[string]bool
+}
+
+func (n *network) Send(_ string, messages []*peerv1.RaftMessage) {
+	for _, m := range messages {
+		n.mu.Lock()
+		to := n.replicas[m.To]
+		cut := n.cut[m.To] || n.cut[m.From]
+		n.mu.Unlock()
+		if to != nil && !cut {
+			to.Step([]*peerv1.RaftMessage{m})
+		}
+	}
+}
+
+func (n *network) setCut(id string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[id] = cut
+}
+
+// cluster runs replicas of one group in this process.
+type cluster struct {
+	t        testing.TB
+	folder   string
+	net      *network
+	machines map[string]*machine
+	initial  *peerv1.RaftMembership
+	config   func(*Config)
+}
+
+func newCluster(t testing.TB, config func(*Config), ids ...string) *cluster {
+	c := &cluster{
+		t: t, folder: t.TempDir(), machines: map[string]*machine{}, config: config,
+		net:     &network{replicas: map[string]*Replica{}, cut: map[string]bool{}},
+		initial: &peerv1.RaftMembership{},
+	}
+	for _, id := range ids {
+		c.initial.Voters = append(c.initial.Voters, &peerv1.RaftReplica{Id: id, Address: "host-" + id})
+	}
+	for _, id := range ids {
+		c.start(id, c.diskOf(id), c.initial)
+	}
+	t.Cleanup(func() {
+		for _, r := range c.all() {
+			r.Stop()
+		}
+	})
+	return c
+}
+
+func (c *cluster) all() []*Replica {
+	c.net.mu.Lock()
+	defer c.net.mu.Unlock()
+	var found []*Replica
+	for _, r := range c.net.replicas {
+		found = append(found, r)
+	}
+	return found
+}
+
+func (c *cluster) diskOf(id string) port.LogStorage {
+	folder := filepath.Join(c.folder, id)
+	s, err := disk.Open(disk.OS{}, folder, "g")
+	if errors.Is(err, disk.ErrIdentityMissing) {
+		s, err = disk.Create(disk.OS{}, folder, "g", id)
+	}
+	assert.NilError(c.t, err)
+	return s
+}
+
+func (c *cluster) start(id string, storage port.LogStorage, initial *peerv1.RaftMembership) *Replica {
+	c.machines[id] = &machine{}
+	cfg := Config{
+		Group: "g", ID: id, Address: "host-" + id, Membership: initial, Storage: storage,
+		Machine: c.machines[id], Transport: c.net, Clock: clock{time.Now()},
+		SnapshotThreshold: 50, Seed: uint64(len(id)) + uint64(id[0]),
+	}
+	if c.config != nil {
+		c.config(&cfg)
+	}
+	r, err := Start(cfg)
+	assert.NilError(c.t, err)
+	c.net.mu.Lock()
+	c.net.replicas[id] = r
+	c.net.mu.Unlock()
+	return r
+}
+
+func (c *cluster) stop(r *Replica) {
+	c.net.mu.Lock()
+	delete(c.net.replicas, r.cfg.ID)
+	c.net.mu.Unlock()
+	r.Stop()
+}
+
+func wait(t testing.TB, what string, ready func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if ready() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+func (c *cluster) leader() *Replica {
+	var found *Replica
+	wait(c.t, "no replica holds a lease", func() bool {
+		for _, r := range c.all() {
+			if _, valid := r.Lease(); valid {
+				found = r
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+func (c *cluster) propose(from, to int) {
+	l := c.leader()
+	for i := from; i < to; i++ {
+		_, err := l.Propose(context.Background(), fmt.Append(nil, i))
+		assert.NilError(c.t, err)
+	}
+}
+
+func (c *cluster) waitCommands(id string, count int) {
+	c.t.Helper()
+	want := make([]string, count)
+	for i := range want {
+		want[i] = fmt.Sprint(i)
+	}
+	wait(c.t, id+" lacks commands", func() bool { return slices.Equal(c.machines[id].all(), want) })
+}
+
+// TestKillAndRestart guards against acknowledged commands lost by the crash of
+// the leader, and against replicas that do not catch up from log or snapshot.
+func TestKillAndRestart(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, nil, "a.1", "b.1", "c.1")
+	c.propose(0, 30)
+	killed := c.leader()
+	c.stop(killed)
+	_, err := killed.Propose(context.Background(), nil)
+	assert.ErrorIs(t, err, ErrStopped)
+	c.propose(30, 200) // more than the log tail: the killed one needs a snapshot
+	id := killed.cfg.ID
+	c.start(id, c.diskOf(id), nil)
+	for _, id := range []string{"a.1", "b.1", "c.1"} {
+		c.waitCommands(id, 200)
+	}
+	for _, r := range c.all() {
+		c.stop(r)
+	}
+	for _, v := range c.initial.Voters {
+		c.start(v.Id, c.diskOf(v.Id), nil)
+	}
+	c.propose(200, 201)
+	for _, id := range []string{"a.1", "b.1", "c.1"} {
+		c.waitCommands(id, 201)
+	}
+}
+
+// TestErrors guards against a proposal that hangs past its context, one that is
+// reported as not run although it may be committed, and a follower that does not
+// name the leader.
+func TestErrors(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, nil, "a.1", "b.1", "c.1")
+	l := c.leader()
+	for _, r := range c.all() {
+		if r == l {
+			continue
+		}
+		wait(t, "the follower knows no leader", func() bool { id, _ := r.Leader(); return id != "" })
+		_, err := r.Propose(context.Background(), nil)
+		var other *port.NotLeaderError
+		assert.Assert(t, errors.As(err, &other), "error %v", err)
+		assert.Equal(t, other.Address, "host-"+l.cfg.ID)
+	}
+	c.net.setCut(l.cfg.ID, true)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := l.Propose(ctx, []byte("x"))
+	var unknown *OutcomeUnknownError
+	assert.Assert(t, errors.As(err, &unknown), "error %v", err)
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+
+	_, err = l.Propose(context.Background(), []byte("y"))
+	assert.Assert(t, errors.As(err, &unknown), "error %v", err)
+	_, valid := l.Lease()
+	assert.Assert(t, !valid, "lease of an isolated leader")
+}
+
+// TestTransfer guards against a transfer that leaves the group without a leader
+// for an election timeout.
+func TestTransfer(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, nil, "a.1", "b.1", "c.1")
+	c.propose(0, 1)
+	old := c.leader()
+	begin := time.Now()
+	assert.NilError(t, old.TransferLeadership(context.Background()))
+	assert.Assert(t, c.leader() != old)
+	assert.Assert(t, time.Since(begin) < 500*time.Millisecond, "transfer took %v", time.Since(begin))
+	c.propose(1, 2)
+}
+
+// TestReplace guards against a repair that is reported as done before the new
+// replica holds everything and the old one is out, for a dead diskless voter
+// that returned as a new incarnation and for a live one.
+func TestReplace(t *testing.T) {
+	t.Parallel()
+	sameVM := func(newID, oldID string) bool { return newID[0] == oldID[0] }
+	for _, replacement := range []string{"b.2", "d.1"} {
+		t.Run(replacement, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, func(cfg *Config) { cfg.Supersedes = sameVM }, "a.1", "b.1", "c.1")
+			c.propose(0, 60)
+			var old *Replica
+			for _, r := range c.all() {
+				if r != c.leader() && (old == nil || r.cfg.ID == "b.1") {
+					old = r
+				}
+			}
+			if sameVM(replacement, "b.1") {
+				replacement = old.cfg.ID[:1] + ".2"
+				c.stop(old)
+			}
+			c.start(replacement, disk.NewMemory(), nil)
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			l := c.leader()
+			err := l.Replace(ctx, old.cfg.ID, &peerv1.RaftReplica{Id: replacement})
+			assert.NilError(t, err)
+			s := l.Status()
+			assert.Equal(t, len(s.Voters), 3)
+			assert.Assert(t, has(s.Voters, replacement) && !has(s.Voters, old.cfg.ID))
+			assert.Assert(t, s.Match[replacement] >= s.Commit)
+			c.propose(60, 61)
+			c.waitCommands(replacement, 61)
+			assert.ErrorIs(t, l.Replace(ctx, l.cfg.ID, &peerv1.RaftReplica{Id: "e.1"}), raft.ErrRemoveLeader)
+		})
+	}
+}
+
+// TestRecovery guards against a survivor that cannot continue after the quorum
+// is lost for good.
+func TestRecovery(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, nil, "a.1", "b.1", "c.1")
+	c.propose(0, 3)
+	survivor := c.leader()
+	for _, r := range c.all() {
+		if r != survivor {
+			c.stop(r)
+		}
+	}
+	wait(t, "the survivor still leads", func() bool { return survivor.Status().Role != raft.Leader })
+	assert.NilError(t, survivor.Recover(context.Background()))
+	c.propose(3, 4)
+	c.waitCommands(survivor.cfg.ID, 4)
+	assert.Equal(t, survivor.Status().Generation, uint64(2))
+}
+
+type failingStorage struct {
+	port.LogStorage
+	fail chan struct{}
+}
+
+var errDisk = errors.New("no space left")
+
+func (f *failingStorage) Append(hard *peerv1.RaftHardState, entries []*peerv1.RaftEntry) error {
+	select {
+	case <-f.fail:
+		return errDisk
+	default:
+		return f.LogStorage.Append(hard, entries)
+	}
+}
+
+// TestStorageError guards against a replica that goes on after a failed write.
+func TestStorageError(t *testing.T) {
+	t.Parallel()
+	fail := make(chan struct{})
+	c := newCluster(t, func(cfg *Config) {
+		cfg.Storage = &failingStorage{cfg.Storage, fail}
+	}, "a.1")
+	l := c.leader()
+	close(fail)
+	_, err := l.Propose(context.Background(), []byte("x"))
+	var unknown *OutcomeUnknownError
+	assert.Assert(t, errors.As(err, &unknown), "error %v", err)
+	<-l.Done()
+	assert.ErrorIs(t, l.Err(), errDisk)
+	_, valid := l.Lease()
+	assert.Assert(t, !valid)
+}
