gang: reservations leave the spare part of a worker to others

Cause: a reservation held whole workers, so a gang of 4-core tasks kept 64-core workers from work that outlives its start, and teams with large work fell behind their share. Change: a hold carries what its owner is predicted to leave free; work that does not end in time may use that.

--- a/internal/gang/gang_test.go
+++ b/internal/gang/gang_test.go
@@ -51,7 +51,11 @@
 			assert.Equal(t, ok, tc.ok)
 			if ok {
 				assert.Equal(t, r.Start, tc.start)
-				assert.DeepEqual(t, r.Workers, tc.workers)
+				var workers []int
+				for _, p := range r.Parts {
+					workers = append(workers, p.Worker)
+				}
+				assert.DeepEqual(t, workers, tc.workers)
 			}
 		})
 	}
@@ -77,14 +81,17 @@
 			return
 		}
 		held := 0
-		for _, w := range r.Workers {
-			free := lines[w].Free
-			for _, e := range lines[w].Endings {
+		for _, p := range r.Parts {
+			free := lines[p.Worker].Free
+			for _, e := range lines[p.Worker].Endings {
 				if e.At <= r.Start {
 					free = free.Add(e.Size)
 				}
 			}
-			held += count(free, size)
+			if free.Sub(p.Spare) != size.Scale(int64(p.Tasks)) || p.Tasks > count(free, size) {
+				t.Fatalf("worker %d with %v free holds %d tasks and spares %v", p.Worker, free, p.Tasks, p.Spare)
+			}
+			held += p.Tasks
 		}
 		if held < tasks {
 			t.Fatalf("reserved workers hold %d of %d tasks at %d", held, tasks, r.Start)
--- a/internal/gang/reserve.go
+++ b/internal/gang/reserve.go
@@ -21,18 +21,27 @@
 	Endings []Ending
 }
 
+// Part is a worker of a reservation.
+type Part struct {
+	Worker int
+	Tasks  int
+	// Spare is what the worker is predicted to have free at the start beyond its
+	// tasks.
+	Spare structs.Resources
+}
+
 // Reservation is a set of workers and the time at which they are predicted to
 // be able to hold all tasks.
 type Reservation struct {
-	Start   time.Duration
-	Workers []int
+	Start time.Duration
+	Parts []Part
 }
 
 // fit is a time at which a worker can hold further tasks.
 type fit struct {
-	at     time.Duration
-	worker int
-	tasks  int
+	at    time.Duration
+	line  int
+	tasks int
 }
 
 // Reserve returns the earliest predicted time at which the given workers can
@@ -41,7 +50,7 @@
 func Reserve(timelines []Timeline, size structs.Resources, tasks int, now time.Duration) (Reservation, bool) {
 	var fits []fit
 	for i := range timelines {
-		fits = appendFits(fits, &timelines[i], size, tasks, now)
+		fits = appendFits(fits, &timelines[i], i, size, tasks, now)
 	}
 	slices.SortStableFunc(fits, func(a, b fit) int {
 		switch {
@@ -50,28 +59,48 @@
 		case a.tasks != b.tasks:
 			return b.tasks - a.tasks
 		}
-		return a.worker - b.worker
+		return a.line - b.line
 	})
 	r := Reservation{Start: now}
+	parts := map[int]int{} // by line: position in r.Parts
 	for _, f := range fits {
 		if tasks <= 0 {
 			break
 		}
-		tasks -= f.tasks
-		r.Start = f.at
-		if !slices.Contains(r.Workers, f.worker) {
-			r.Workers = append(r.Workers, f.worker)
+		at, known := parts[f.line]
+		if !known {
+			at = len(r.Parts)
+			parts[f.line] = at
+			r.Parts = append(r.Parts, Part{Worker: f.line})
 		}
+		n := min(f.tasks, tasks)
+		r.Parts[at].Tasks += n
+		tasks -= n
+		r.Start = f.at
+	}
+	for i := range r.Parts {
+		r.Parts[i].finish(&timelines[r.Parts[i].Worker], size, r.Start)
 	}
 	return r, tasks <= 0
 }
 
-func appendFits(fits []fit, t *Timeline, size structs.Resources, tasks int, now time.Duration) []fit {
+// finish sets the worker and what it has to spare.
+func (p *Part) finish(t *Timeline, size structs.Resources, start time.Duration) {
+	p.Worker = t.Worker
+	p.Spare = t.Free.Sub(size.Scale(int64(p.Tasks)))
+	for _, e := range t.Endings {
+		if e.At <= start {
+			p.Spare = p.Spare.Add(e.Size)
+		}
+	}
+}
+
+func appendFits(fits []fit, t *Timeline, line int, size structs.Resources, tasks int, now time.Duration) []fit {
 	slices.SortFunc(t.Endings, func(a, b Ending) int { return compare(a.At, b.At) })
 	free := t.Free
 	held := min(count(free, size), tasks)
 	if held > 0 {
-		fits = append(fits, fit{now, t.Worker, held})
+		fits = append(fits, fit{now, line, held})
 	}
 	for _, e := range t.Endings {
 		if held == tasks {
@@ -79,7 +108,7 @@
 		}
 		free = free.Add(e.Size)
 		if n := min(count(free, size), tasks); n > held {
-			fits = append(fits, fit{max(e.At, now), t.Worker, n - held})
+			fits = append(fits, fit{max(e.At, now), line, n - held})
 			held = n
 		}
 	}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -154,7 +154,7 @@
 	if !n.usable() || !r.Size.Fits(n.free()) {
 		return false
 	}
-	return n.hold.Owner == 0 || n.hold.Owner == r.Owner || r.End <= n.hold.From
+	return n.hold.permits(r)
 }
 
 func (f *Fleet) consider(best *candidate, s Slot, r *Request) bool {
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -29,10 +29,17 @@
 const NoSlot Slot = -1
 
 // Hold keeps a worker for one owner from a point in time; other work may use
-// the worker only if it is predicted to end by then.
+// the worker if it is predicted to end by then, or within what the owner is
+// predicted to leave.
 type Hold struct {
 	Owner uint64
 	From  time.Duration
+	Spare structs.Resources
+}
+
+// permits reports whether r may use a worker with this hold.
+func (h *Hold) permits(r *Request) bool {
+	return h.Owner == 0 || h.Owner == r.Owner || r.End <= h.From || r.Size.Fits(h.Spare)
 }
 
 type node struct {
@@ -214,6 +221,23 @@
 	f.version++
 }
 
+// TakeSpare takes what r uses of a hold for another owner beyond its start, and
+// returns it, for ReturnSpare.
+func (f *Fleet) TakeSpare(s Slot, r *Request) structs.Resources {
+	h := &f.nodes[s].hold
+	if h.Owner == 0 || h.Owner == r.Owner || r.End <= h.From {
+		return structs.Resources{}
+	}
+	h.Spare = h.Spare.Sub(r.Size)
+	return r.Size
+}
+
+// ReturnSpare undoes TakeSpare.
+func (f *Fleet) ReturnSpare(s Slot, size structs.Resources) {
+	h := &f.nodes[s].hold
+	h.Spare = h.Spare.Add(size)
+}
+
 // ClearTrial ends the permission of a worker on probation to run a trial.
 func (f *Fleet) ClearTrial(s Slot) {
 	f.detach(s)
--- a/internal/placement/fleet_test.go
+++ b/internal/placement/fleet_test.go
@@ -54,9 +54,10 @@
 		{"probation, trial due", func(w *Worker) { w.Probation, w.Trial = true, true }, Hold{}, Request{Trial: true}, true},
 		{"probation, other work", func(w *Worker) { w.Probation, w.Trial = true, true }, Hold{}, Request{}, false},
 		{"too small", func(w *Worker) { w.Capacity = cores(1, 0, 0) }, Hold{}, Request{}, false},
-		{"held for another", func(*Worker) {}, Hold{1, time.Second}, Request{Owner: 2, End: 2 * time.Second}, false},
-		{"held, ends before", func(*Worker) {}, Hold{1, time.Second}, Request{Owner: 2, End: time.Second}, true},
-		{"held for it", func(*Worker) {}, Hold{1, time.Second}, Request{Owner: 1, End: time.Hour}, true},
+		{"held for another", func(*Worker) {}, Hold{Owner: 1, From: time.Second}, Request{Owner: 2, End: 2 * time.Second}, false},
+		{"held, ends before", func(*Worker) {}, Hold{Owner: 1, From: time.Second}, Request{Owner: 2, End: time.Second}, true},
+		{"held, within the spare", func(*Worker) {}, Hold{Owner: 1, Spare: size}, Request{Owner: 2, End: time.Hour}, true},
+		{"held for it", func(*Worker) {}, Hold{Owner: 1, From: time.Second}, Request{Owner: 1, End: time.Hour}, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			f := NewFleet()
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -221,7 +221,7 @@
 		s.failures.add(&r)
 		return limitRoom
 	}
-	s.place(p, j, slot, r.End)
+	s.place(p, j, slot, &r)
 	return limitNone
 }
 
@@ -283,31 +283,37 @@
 		}
 	}
 	ok := true
+	chosen := len(slots)
+	var spare []structs.Resources
 	for ok && len(slots) < len(j.tasks) {
 		var slot placement.Slot
 		slot, ok = s.fleet.Choose(&r)
 		if ok {
+			spare = append(spare, s.fleet.TakeSpare(slot, &r))
 			s.fleet.Commit(slot, r.Size)
 			slots = append(slots, slot)
 		}
 	}
-	for _, slot := range slots {
+	for i, slot := range slots {
 		s.fleet.Release(slot, r.Size)
+		if i >= chosen {
+			s.fleet.ReturnSpare(slot, spare[i-chosen])
+		}
 	}
 	s.failures.unchanged(s.fleet.Version())
 	return slots, ok
 }
 
 func (s *Scheduler) placeAll(p *plan, j *job, slots []placement.Slot) {
-	end := s.backfillEnd(p.now, j.bucket)
+	r := s.request(p, j)
 	s.endReservation(j.res)
 	for _, slot := range slots {
-		s.place(p, j, slot, end)
+		s.place(p, j, slot, &r)
 	}
 }
 
 // place plans the first waiting task of a job on a worker.
-func (s *Scheduler) place(p *plan, j *job, slot placement.Slot, end time.Duration) {
+func (s *Scheduler) place(p *plan, j *job, slot placement.Slot, r *placement.Request) {
 	b := j.bucket
 	w := s.fleet.Worker(slot)
 	if w.Probation {
@@ -316,7 +322,9 @@
 	a := &attempt{
 		key: taskKey{j.id, j.tasks[0]}, bucket: b, slot: slot, incarnation: w.Incarnation, size: b.spec.Size,
 		started: p.now, end: p.now + b.doc.history.Predict(b.spec.RunTime, endQuantile),
-		backfill: s.holder(slot, j), backfillBy: s.fleet.HoldOf(slot).From,
+	}
+	if s.fleet.TakeSpare(slot, r).IsZero() {
+		a.backfill, a.backfillBy = s.holder(slot, j), s.fleet.HoldOf(slot).From
 	}
 	p.batch.Placements = append(p.batch.Placements, Placement{j.id, int(a.key.task), w.ID, w.Incarnation})
 	s.start(a, p.now)
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -80,10 +80,10 @@
 	}
 	s.release(r)
 	r.start = chosen.Start
-	for _, w := range chosen.Workers {
-		slot := placement.Slot(w)
+	for _, part := range chosen.Parts {
+		slot := placement.Slot(part.Worker)
 		r.slots = append(r.slots, slot)
-		s.fleet.SetHold(slot, placement.Hold{Owner: r.owner, From: r.backfillUntil()})
+		s.fleet.SetHold(slot, placement.Hold{Owner: r.owner, From: r.backfillUntil(), Spare: part.Spare})
 	}
 	return true
 }
@@ -226,7 +226,7 @@
 	for _, slot := range r.slots {
 		if s.fleet.Eligible(slot, &q) {
 			s.endReservation(r)
-			s.place(p, j, slot, q.End)
+			s.place(p, j, slot, &q)
 			return true
 		}
 	}
