scheduler: a job of a team behind its share reserves room

Cause: a team whose waiting work is large stayed below its share, because small work of others took each fragment that was freed. Change: a job that does not fit reserves room when its team is below its share by 0.1 at full weight.

--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -27,6 +27,10 @@
 	triesPerPlan      = 64
 )
 
+// behindShare is how far below its share a team must be, at full weight, for a
+// job of it to reserve room.
+const behindShare = 0.1
+
 // gangRetry is the least time between two tries to place the same gang in
 // whole, which costs one search per task.
 const gangRetry = 50 * time.Millisecond
@@ -191,12 +195,18 @@
 		s.reject(p, j, "not run: "+s.limitText(b, why))
 		return
 	}
-	if why == limitRoom && (starved || b.spec.Class == structs.ClassGang) {
+	if why == limitRoom && (starved || b.spec.Class == structs.ClassGang || s.behind(b.team)) {
 		s.reserve(p, j)
 	}
 	b.blocked = s.planNumber
 }
 
+// behind reports whether a team is so far below its share that a job of it
+// that does not fit is to reserve room.
+func (s *Scheduler) behind(t *team) bool {
+	return s.options.Policy.FairnessWeight*(1-t.excess) >= behindShare
+}
+
 // tryJob places one task of a job, or all tasks of a gang.
 func (s *Scheduler) tryJob(p *plan, j *job) limit {
 	b := j.bucket
