scheduler: fewer reservations at a time, kept when a prediction proves wrong; bench counts the wait for a good attempt

Cause: with four reservations, gangs of large tasks held most of 50 workers; each renewal chose other workers and gave up what had been freed. The bench counted a start on a faulty worker as the end of the wait. Change: two reservations and one more per 256 workers; a renewal keeps workers that can hold all tasks; waits run to the last start of a job's tasks.

--- a/internal/scheduler/mirror.go
+++ b/internal/scheduler/mirror.go
@@ -11,8 +11,9 @@
 	"laburnumgrade/internal/structs"
 )
 
-// DefaultMaxReservations bounds the reservations held at a time.
-const DefaultMaxReservations = 4
+// DefaultMaxReservations bounds the reservations held at a time on a small
+// fleet. With 4 on 50 workers, gangs of large tasks held most workers.
+const DefaultMaxReservations = 2
 
 // DefaultOptions returns the default policy.
 func DefaultOptions() Options {
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -17,6 +17,10 @@
 // reservation that could not be used when it was due.
 const reservationRenew = time.Second
 
+// workersPerReservation is the number of workers for which one more
+// reservation is permitted.
+const workersPerReservation = 256
+
 // Limits on the workers looked at for a reservation.
 const (
 	reserveScan        = 512
@@ -58,7 +62,7 @@
 
 // reserve makes a reservation for a job, if another one is permitted.
 func (s *Scheduler) reserve(p *plan, j *job) {
-	if len(s.reservations) >= s.options.MaxReservations || j.res != nil {
+	if len(s.reservations) >= s.maxReservations() || j.res != nil {
 		return
 	}
 	s.nextOwner++
@@ -70,11 +74,23 @@
 	s.reservations = append(s.reservations, r)
 }
 
-// chooseWorkers sets the workers and the start of a reservation.
+// maxReservations grows with the fleet, so that on a large one gangs do not
+// wait for each other's reservations.
+func (s *Scheduler) maxReservations() int {
+	return s.options.MaxReservations + s.fleet.Len()/workersPerReservation
+}
+
+// chooseWorkers sets the workers and the start of a reservation. Workers that
+// are reserved already are kept if they can hold all tasks: choosing others
+// each time a prediction proves wrong would give up what has been freed.
 func (s *Scheduler) chooseWorkers(p *plan, r *reservation) bool {
 	r.renewedAt = p.now
 	tasks := r.tasks()
-	chosen, ok := gang.Reserve(s.timelines(p, r, tasks), r.job.bucket.spec.Size, tasks, p.now)
+	size := r.job.bucket.spec.Size
+	chosen, ok := gang.Reserve(s.reserved(p, r), size, tasks, p.now)
+	if !ok {
+		chosen, ok = gang.Reserve(s.timelines(p, r, tasks), size, tasks, p.now)
+	}
 	if !ok {
 		return false
 	}
@@ -98,14 +114,9 @@
 // timelines returns what workers not held for others release and when. On a
 // large fleet it looks at a part of the workers, another one each time.
 func (s *Scheduler) timelines(p *plan, r *reservation, tasks int) []gang.Timeline {
-	var lines []gang.Timeline
+	lines := s.reserved(p, r)
 	slots := s.fleet.Slots()
 	size := r.job.bucket.spec.Size
-	for _, slot := range r.slots {
-		if s.fleet.Usable(slot) {
-			lines = append(lines, s.timeline(p, slot))
-		}
-	}
 	want := max(reserveScan, reserveScanPerTask*tasks)
 	for range slots {
 		if len(lines) >= want {
@@ -120,6 +131,17 @@
 	return lines
 }
 
+// reserved returns the timelines of the usable workers of a reservation.
+func (s *Scheduler) reserved(p *plan, r *reservation) []gang.Timeline {
+	var lines []gang.Timeline
+	for _, slot := range r.slots {
+		if s.fleet.Usable(slot) {
+			lines = append(lines, s.timeline(p, slot))
+		}
+	}
+	return lines
+}
+
 func (s *Scheduler) timeline(p *plan, slot placement.Slot) gang.Timeline {
 	t := gang.Timeline{Worker: int(slot), Free: s.fleet.Free(slot)}
 	for _, a := range s.onWorker[slot] {
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -81,7 +81,7 @@
 	// be interrupted is left to end by itself.
 	GangGrace time.Duration
 	// MaxReservations bounds the gangs and starved jobs that hold reservations at
-	// a time.
+	// a time; one more is permitted for each workersPerReservation workers.
 	MaxReservations int
 	// HalfLife is the age at which past usage counts half.
 	HalfLife time.Duration
--- a/test/bench/cases.go
+++ b/test/bench/cases.go
@@ -133,7 +133,7 @@
 		t.add(name, "jobs stopped wrongly", "count", float64(base.stopped), float64(mine.stopped))
 		t.add(name, "attempts interrupted", "count", float64(base.preempted), float64(mine.preempted))
 		t.add(name, "attempts lost with workers", "count", float64(base.lost), float64(mine.lost))
-		t.add(name, "jobs not finished", "count", float64(base.unfinished), float64(mine.unfinished))
+		t.add(name, "jobs waiting at the end", "count", float64(base.unstarted), float64(mine.unstarted))
 		t.add(name, "cost of one cancellation*", "ns", float64(base.cancelCost.Nanoseconds()), float64(mine.cancelCost.Nanoseconds()))
 	}
 }
--- a/test/bench/driver.go
+++ b/test/bench/driver.go
@@ -88,11 +88,12 @@
 
 type jobRun struct {
 	arrival
-	placed   bool
-	ended    int
-	attempts []int // by task
-	on       []string
-	sizes    []structs.Resources
+	placed    bool
+	ended     int
+	lastStart time.Duration
+	attempts  []int // by task
+	on        []string
+	sizes     []structs.Resources
 }
 
 // driver plays an arrival list into an engine under a fake clock.
@@ -286,9 +287,9 @@
 	if !j.placed {
 		j.placed = true
 		d.waiting[d.team(j)]--
-		d.result.wait(j, d.now-j.job.Submitted)
 	}
 	j.attempts[p.Task]++
+	j.lastStart = d.now
 	j.on[p.Task] = p.WorkerID
 	d.charge(j, p.Task, j.job.Spec.Size)
 	speed := d.workers[d.byID[p.WorkerID]].Speed
--- a/test/bench/main.go
+++ b/test/bench/main.go
@@ -18,6 +18,7 @@
 	Case     string        `long:"case" description:"run only this case" choice:"wait" choice:"share" choice:"packing" choice:"faults" choice:"scale" choice:"slopes"`
 	HalfLife time.Duration `long:"half-life" description:"override the half-life of past usage"`
 	Instant  float64       `long:"instant" description:"override the part of current usage in the order by share" default:"-1"`
+	Reserve  int           `long:"reservations" description:"override the number of reservations held at a time"`
 	Weight   string        `long:"weight" description:"override the fairness weight of the sites, 0 to 1"`
 }
 
@@ -90,6 +91,9 @@
 	if overrides.Instant >= 0 {
 		o.Instant = overrides.Instant
 	}
+	if overrides.Reserve > 0 {
+		o.MaxReservations = overrides.Reserve
+	}
 	return scheduler.New(o)
 }
 
--- a/test/bench/measure.go
+++ b/test/bench/measure.go
@@ -28,12 +28,28 @@
 	preempted  int
 	lost       int
 	unstarted  int
-	unfinished int
 	cancelCost time.Duration
 	digest     uint64
 }
 
-func (r *result) wait(j *jobRun, w time.Duration) { r.waits[j.kind] = append(r.waits[j.kind], w) }
+// wait records how long a job waited: until the last start of any of its
+// tasks, so that an attempt on a faulty worker does not count as the end of
+// the wait, or until now if a task still waits.
+func (r *result) wait(j *jobRun, now time.Duration) {
+	running := 0
+	for _, on := range j.on {
+		if on != "" {
+			running++
+		}
+	}
+	until := now
+	if j.ended+running == len(j.on) {
+		until = j.lastStart
+	} else {
+		r.unstarted++
+	}
+	r.waits[j.kind] = append(r.waits[j.kind], until-j.job.Submitted)
+}
 
 // observe adds a span of time at the present state.
 func (r *result) observe(d *driver, span time.Duration) {
@@ -45,17 +61,11 @@
 	r.windows.observe(d, span)
 }
 
-// finish counts what never started with the wait until now.
+// finish records the waits.
 func (r *result) finish(d *driver) {
 	for _, a := range d.list[:d.next] {
 		j := d.jobs[a.job.ID]
-		if !j.placed {
-			r.unstarted++
-			r.wait(j, d.now-j.job.Submitted)
-		}
-		if j.ended < len(j.on) {
-			r.unfinished++
-		}
+		r.wait(j, d.now)
 	}
 	h := fnv.New64a()
 	for k := range r.waits {
--- a/test/bench/slopes.go
+++ b/test/bench/slopes.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// heap returns the bytes in use after a collection.
+// heapInUse returns the bytes in use after a collection.
 func heapInUse() float64 {
 	runtime.GC()
 	runtime.GC()
@@ -19,35 +19,39 @@
 // costs in memory, and a decision in processor time at two sizes.
 func slopeCase(t *table) {
 	const name = "slopes"
-	bytesPer := func(n int, grow func()) float64 {
-		before := heapInUse()
-		grow()
-		return (heapInUse() - before) / float64(n)
-	}
-	base := heapInUse()
-	l := newLoad(0, 0)
-	t.add(name, "memory of an empty scheduler*", "bytes", 0, heapInUse()-base)
-	t.add(name, "memory per worker*", "bytes", 0, bytesPer(10_000, func() { l = newLoad(10_000, 0) }))
-	t.add(name, "memory per team with three documents*", "bytes", 0, bytesPer(1000, func() {
-		filled := newLoad(10_000, 1000)
+	t.add(name, "memory of an empty scheduler*", "bytes", 0, held(1, func() *load { return newLoad(0, 0) }))
+	t.add(name, "memory per worker*", "bytes", 0, held(10_000, func() *load { return newLoad(10_000, 0) }))
+	withTeams := func() *load {
+		l := newLoad(0, 1000)
 		for range 20_000 {
-			filled.add(1000)
+			l.add(1000)
 		}
-		for i := range filled.nextID {
-			filled.s.RemoveJob(jobID(i + 1))
+		for i := range l.nextID {
+			l.s.RemoveJob(jobID(i + 1))
 		}
-		l = filled
-	}))
-	t.add(name, "memory per waiting job*", "bytes", 0, bytesPer(50_000, func() {
+		return l
+	}
+	t.add(name, "memory per team with three documents*", "bytes", 0, held(1000, withTeams))
+	l := withTeams()
+	t.add(name, "memory per waiting job*", "bytes", 0, held(50_000, func() *load {
 		for range 50_000 {
 			l.add(1000)
 		}
+		return l
 	}))
 	t.add(name, "memory per running task*", "bytes", 0, runningSlope())
 	for _, workers := range []int{1_400, 14_000} {
 		t.add(name, "planning per decision, workers "+thousands(workers)+"*", "ns", 0, decisionCost(workers))
 	}
+}
+
+// held returns the memory held by what grow returns, by unit.
+func held(units int, grow func() *load) float64 {
+	before := heapInUse()
+	l := grow()
+	after := heapInUse()
 	runtime.KeepAlive(l)
+	return (after - before) / float64(units)
 }
 
 // runningSlope returns the memory that each running task adds.
