--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -23,8 +23,8 @@
 
 // Limits on the workers looked at for a reservation.
 const (
-	reserveScan        = 512
-	reserveScanPerTask = 4
+	reserveScan        = 64
+	reserveScanPerTask = 8
 )
 
 // reservation holds workers for a gang or a starved job from a point in time.
