--- a/internal/state/directives.go
+++ b/internal/state/directives.go
@@ -73,7 +73,7 @@
 	if w == nil || w.Incarnation != r.Incarnation || w.Lost {
 		return false
 	}
-	if w.Rack != r.Rack || r.Leaving && !w.Leaving || w.Capacity != structs.ResourcesFromProto(r.Capacity) {
+	if w.Rack != r.Rack || w.Leaving != r.Leaving || w.Capacity != structs.ResourcesFromProto(r.Capacity) {
 		return false
 	}
 	charged := 0
--- a/internal/state/worker.go
+++ b/internal/state/worker.go
@@ -29,7 +29,7 @@
 	}
 	w.Rack = c.Rack
 	w.Capacity = structs.ResourcesFromProto(c.Capacity)
-	w.Leaving = w.Leaving || c.Leaving
+	w.Leaving = c.Leaving
 	w.Sequence = c.Sequence
 	charge(w, c.Running)
 	s.observer.WorkerChanged(w.ID)
--- a/internal/structs/work.go
+++ b/internal/structs/work.go
@@ -79,7 +79,7 @@
 	// Committed is the sum of the sizes of the worker's open attempts and of
 	// what is charged.
 	Committed Resources
-	// Leaving is announced by the worker and lasts as long as its incarnation.
+	// Leaving is announced by the worker.
 	Leaving bool
 	// Draining is set by an operator.
 	Draining  bool
