--- a/internal/control/slots_test.go
+++ b/internal/control/slots_test.go
@@ -21,7 +21,7 @@
 // TestMain fixes the seed of rapid, so that a verdict can be repeated.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	fixed := map[string]string{"rapid.seed": "20260101", "rapid.nofailfile": "true", "rapid.checks": "300"}
+	fixed := map[string]string{"rapid.seed": "20260101", "rapid.nofailfile": "true", "rapid.checks": "300", "rapid.steps": "150"}
 	flag.Visit(func(f *flag.Flag) { delete(fixed, f.Name) })
 	for name, value := range fixed {
 		if err := flag.Set(name, value); err != nil {
@@ -69,6 +69,14 @@
 	l.delayed = nil
 }
 
+// commitOne applies the first command that is under way.
+func (l *testLog) commitOne() {
+	if len(l.delayed) > 0 {
+		l.apply(l.delayed[0])
+		l.delayed = l.delayed[1:]
+	}
+}
+
 func (l *testLog) Propose(_ context.Context, command []byte) (any, error) {
 	fate := fateApplied
 	if l.fate != nil {
@@ -177,12 +185,16 @@
 // list is a whole exchange without delay.
 func (m *slotModel) list() {
 	for _, e := range m.entries {
-		m.ask(e)
-		m.serve(e)
-		m.receive(e)
+		m.exchange(e)
 	}
 }
 
+func (m *slotModel) exchange(e *testEntry) {
+	m.ask(e)
+	m.serve(e)
+	m.receive(e)
+}
+
 // grant makes one call in the entry; it returns false if no slot is had here.
 func (m *slotModel) grant(e *testEntry, tried []string) (routing.Grant, bool) {
 	ticket, err := e.table.Submit(routing.Call{
@@ -213,6 +225,22 @@
 	return holders
 }
 
+// pause stops an entry for longer than its lease while the others go on.
+func (m *slotModel) pause(t *rapid.T, paused *testEntry) {
+	for range 8 {
+		m.clock.now += 400 * time.Millisecond
+		m.announceAll()
+		for _, e := range m.entries {
+			if e != paused {
+				m.exchange(e)
+			}
+		}
+		if rapid.Bool().Draw(t, "pass of the leader") {
+			m.assign()
+		}
+	}
+}
+
 // lead starts a new leadership, after what was in the log has been applied.
 func (m *slotModel) lead() {
 	m.log.flush()
@@ -226,26 +254,28 @@
 func TestOneHolder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newSlotModel(3)
+		for i := range 4 {
+			m.versions[fmt.Sprintf("i%d", i)] = 1
+		}
+		m.settle(4 * time.Second)
 		m.log.fate = func() int {
-			if rapid.IntRange(0, 5).Draw(t, "unknown") > 0 {
+			if rapid.IntRange(0, 3).Draw(t, "unknown") > 0 {
 				return fateApplied
 			}
 			return rapid.IntRange(1, fateCount-1).Draw(t, "fate")
 		}
-		for i := range 4 {
-			m.versions[fmt.Sprintf("i%d", i)] = 1
-		}
 		entry := func(t *rapid.T) *testEntry { return rapid.SampledFrom(m.entries).Draw(t, "entry") }
 		t.Repeat(map[string]func(*rapid.T){
 			"ask":     func(t *rapid.T) { m.ask(entry(t)) },
 			"serve":   func(t *rapid.T) { m.serve(entry(t)) },
 			"receive": func(t *rapid.T) { m.receive(entry(t)) },
-			"list":    func(*rapid.T) { m.list() },
-			"list2":   func(*rapid.T) { m.announceAll(); m.assign(); m.list() },
+			"list":    func(t *rapid.T) { m.exchange(entry(t)) },
+			"list2":   func(t *rapid.T) { m.exchange(entry(t)) },
+			"list3":   func(t *rapid.T) { m.exchange(entry(t)) },
 			"assign":  func(*rapid.T) { m.assign() },
 			"announce": func(t *rapid.T) {
 				id := fmt.Sprintf("i%d", rapid.IntRange(0, 3).Draw(t, "instance"))
-				if rapid.IntRange(0, 5).Draw(t, "restart") == 0 {
+				if rapid.IntRange(0, 2).Draw(t, "restart") == 0 {
 					m.versions[id]++
 				}
 				m.announce(id, m.versions[id])
@@ -275,9 +305,12 @@
 					m.entries[rapid.IntRange(0, 2).Draw(t, "which")] = newTestEntry(fmt.Sprintf("r%d", m.restarts))
 				}
 			},
-			"lead": func(*rapid.T) { m.lead() },
+			"lead":   func(*rapid.T) { m.lead() },
+			"commit": func(*rapid.T) { m.log.commitOne() },
+			"pause":  func(t *rapid.T) { m.pause(t, entry(t)) },
 			"pass": func(t *rapid.T) {
-				m.clock.now += time.Duration(rapid.IntRange(1, 1500).Draw(t, "pass ms")) * time.Millisecond
+				m.clock.now += time.Duration(rapid.IntRange(1, 1200).Draw(t, "pass ms")) * time.Millisecond
+				m.announceAll()
 			},
 			"": func(t *rapid.T) {
 				for address, names := range m.holders() {
@@ -362,3 +395,35 @@
 	m.settle(400 * time.Millisecond)
 	assert.Equal(t, m.held()["e0"], 2)
 }
+
+// TestUnconfirmedAssignment guards against a second assignment of slots while an
+// earlier one may still be committed, and against the use of slots by an entry
+// that has said that it gave them back.
+func TestUnconfirmedAssignment(t *testing.T) {
+	m := newSlotModel(3)
+	m.versions["i0"] = 1
+	m.settle(4 * time.Second)
+	assert.DeepEqual(t, m.holders(), map[string][]string{"addr-i0": {"e0"}})
+	m.log.fate = func() int { return fateUnknownDelayed }
+	drain := func(e *testEntry) {
+		e.draining = true
+		e.table.Drain()
+		m.exchange(e)
+		m.assign()
+		m.exchange(e)
+		m.exchange(e)
+	}
+	drain(m.entries[0])
+	assert.Equal(t, len(m.holders()), 0, "the slots were given back")
+	drain(m.entries[1])
+	m.assign()
+	for len(m.log.delayed) > 0 {
+		m.log.commitOne()
+		for _, e := range m.entries[1:] {
+			if len(m.holders()) == 0 || e.name == "e2" {
+				m.exchange(e)
+			}
+			assert.Assert(t, len(m.holders()["addr-i0"]) <= 1, "%v", m.holders())
+		}
+	}
+}
--- a/internal/routing/main_test.go
+++ b/internal/routing/main_test.go
@@ -9,7 +9,7 @@
 // TestMain fixes the seed of rapid, so that a verdict can be repeated.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	fixed := map[string]string{"rapid.seed": "20260101", "rapid.nofailfile": "true", "rapid.checks": "400"}
+	fixed := map[string]string{"rapid.seed": "20260101", "rapid.nofailfile": "true", "rapid.checks": "300", "rapid.steps": "150"}
 	flag.Visit(func(f *flag.Flag) { delete(fixed, f.Name) })
 	for name, value := range fixed {
 		if err := flag.Set(name, value); err != nil {
