--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -84,7 +84,7 @@
 		}
 		s.logger.Error("call abandoned", "step", "drain", "request", p.id, "team", p.team, "service", p.service, "answered", answered)
 	}
-	s.abandonOnce.Do(func() { close(s.abandoned) })
+	s.endBase()
 	return len(calls)
 }
 
--- a/internal/entry/idempotent.go
+++ b/internal/entry/idempotent.go
@@ -90,7 +90,9 @@
 		c.doubt = r.answer
 		c.retry(ctx)
 	} else {
-		c.notRun = r.answer
+		if !r.refused || c.notRun == nil {
+			c.notRun = r.answer
+		}
 		c.reroute(ctx, r)
 	}
 	switch {
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -149,8 +149,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), deadline-s.clock.Now())
 	defer cancel()
 	var tried []string
+	var last *apiv1.CallResponse
 	for number := int32(1); ; number++ {
 		r := s.attempt(ctx, m, attempt{number: number, tried: tried, deadline: deadline, progress: p})
+		if r.refused && last != nil {
+			return last
+		}
+		last = r.answer
 		if r.sent() || r.refused || number > maxReroutes || !s.pause(ctx, reroutePause) {
 			return r.answer
 		}
@@ -185,7 +190,7 @@
 // endRequest records the outcome, through changes of the leader. If the record
 // may still be on its way, a refusal is not final.
 func (s *Server) endRequest(r *record, end *statev1.EndRequest, mayFollow bool) {
-	limit, cancel := context.WithTimeout(context.Background(), endLimit)
+	limit, cancel := context.WithTimeout(s.base, endLimit)
 	defer cancel()
 	for poll := firstPoll; ; poll = min(2*poll, maxPoll) {
 		refusal, err := s.endOnce(limit, r, end)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -46,9 +46,11 @@
 	draining atomic.Bool
 	// background counts runs and settlements that a drain waits for.
 	background atomic.Int64
-	// abandoned is closed when the process ends without waiting any longer.
-	abandoned   chan struct{}
-	abandonOnce sync.Once
+	// base ends when the process ends without waiting any longer; abandoned is
+	// its Done channel.
+	base      context.Context
+	endBase   context.CancelFunc
+	abandoned <-chan struct{}
 	// relist wakes the listing of the own data centre's instances.
 	relist chan struct{}
 }
@@ -80,8 +82,10 @@
 		name: c.Name, dataCentre: c.DataCentre, peerAddress: c.PeerAddress, clock: c.Clock, logger: c.Logger,
 		client: c.Client, groups: map[string]*peer.Group{}, operator: c.OperatorKeyHash, maxBody: c.MaxBody,
 		targets: c.Targets, admission: routing.NewAdmission(c.MaxCalls), progress: newRegistry(),
-		abandoned: make(chan struct{}), relist: make(chan struct{}, 1),
+		relist: make(chan struct{}, 1),
 	}
+	s.base, s.endBase = context.WithCancel(context.Background())
+	s.abandoned = s.base.Done()
 	var all []string
 	for _, dc := range sortedKeys(c.Controls) {
 		s.dataCentres = append(s.dataCentres, dc)
