--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -109,3 +109,11 @@
 func unknownAnswer(m *apiv1.CallRequest, reason string) *apiv1.CallResponse {
 	return answer(m, apiv1.Outcome_OUTCOME_UNKNOWN, prefixUnknown+strings.TrimPrefix(reason, prefixUnknown))
 }
+
+// reasonOf says why a context ended.
+func reasonOf(ctx context.Context) string {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return "the deadline has passed"
+	}
+	return "the connection of the caller has ended"
+}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"flag"
@@ -302,24 +303,43 @@
 	caller        apiv1connect.CallerServiceClient
 	peerFates     *fates
 	client        *http.Client
+	log           *logBuffer
 	stop          context.CancelFunc
 	stopped       chan struct{}
 }
 
+// logBuffer is a log that may be read while it is written.
+type logBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
 func startEntry(t *testing.T, name string, controls ...*fakeControl) *testEntry {
 	t.Helper()
 	var addresses []string
 	for _, c := range controls {
 		addresses = append(addresses, c.address())
 	}
-	e := &testEntry{peerFates: newFates(), client: peer.NewHTTPClient(nil), stopped: make(chan struct{})}
+	e := &testEntry{peerFates: newFates(), client: peer.NewHTTPClient(nil), stopped: make(chan struct{}), log: &logBuffer{}}
 	late := &lateHandler{}
 	var err error
 	e.peers, err = httpserver.Start("127.0.0.1:0", e.peerFates.handler(late))
 	assert.NilError(t, err)
 	processes, targets := peer.NewHTTPClient(nil), peer.NewInstanceClient(nil, 64)
 	e.Server = New(Config{
-		Name: name, DataCentre: "x", PeerAddress: e.peers.Address(), Clock: port.NewSystemClock(), Logger: slog.New(slog.DiscardHandler),
+		Name: name, DataCentre: "x", PeerAddress: e.peers.Address(), Clock: port.NewSystemClock(), Logger: slog.New(slog.NewJSONHandler(e.log, nil)),
 		Controls: map[string][]string{"x": addresses}, MaxBody: 1 << 20, Client: processes, Targets: targets, MaxCalls: 1000, TeamQueue: 100,
 	})
 	late.set(e.Server.Peer())
--- a/internal/entry/idempotent.go
+++ b/internal/entry/idempotent.go
@@ -58,7 +58,7 @@
 		case <-slow.C:
 			c.retry(wait)
 		case <-ctx.Done():
-			return c.outOfTime("the deadline has passed")
+			return c.outOfTime(reasonOf(ctx))
 		case <-s.abandoned:
 			return c.outOfTime(reasonAbandoned)
 		}
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -168,11 +168,12 @@
 // awaitRun returns the recorded result of the run. At the deadline it returns
 // what is known by then; the owner's call also ends a run that has sent nothing.
 func (s *Server) awaitRun(ctx context.Context, m *apiv1.CallRequest, r *run, owner bool) *apiv1.CallResponse {
-	reason := "no answer came within the deadline; ask again with the same id"
+	var reason string
 	select {
 	case <-r.ended:
 		return r.result
 	case <-ctx.Done():
+		reason = reasonOf(ctx) + "; ask again with the same id"
 	case <-s.abandoned:
 		reason = reasonAbandoned
 	}
