--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build gen lint test demo
+.PHONY: build gen lint test demo load
 
 build:
 	go build -o bin/ ./cmd/...
@@ -17,3 +17,6 @@
 
 demo: build
 	go run ./test/demo
+
+load: build
+	go run ./test/load
--- /dev/null
+++ b/cmd/lg-load/main.go
@@ -0,0 +1,129 @@
+// Command lg-load sends calls and jobs at planned times and reports how long
+// they took.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"laburnumgrade/internal/load"
+)
+
+type options struct {
+	Entries  []string          `long:"entry" required:"true" description:"address of an entry; may be repeated"`
+	Calls    []string          `long:"call" description:"calls, as team/service=rate per second; may be repeated"`
+	Batch    []string          `long:"batch" description:"jobs of one task, as team/service=rate per second; may be repeated"`
+	Gang     []string          `long:"gang" description:"jobs of several tasks, as team/service/tasks=rate per second; may be repeated"`
+	Keys     map[string]string `long:"key" description:"key of a team, as team:key; may be repeated"`
+	Direct   []string          `long:"direct" description:"address of an instance; the first kind of calls is first sent straight to these"`
+	Body     string            `long:"body" default:"{\"run_ms\":10}" description:"body of the calls and payload of the jobs"`
+	Deadline time.Duration     `long:"deadline" default:"5s" description:"time budget of a call"`
+	Warmup   time.Duration     `long:"warmup" default:"2s" description:"time before the measurement"`
+	Duration time.Duration     `long:"duration" default:"10s" description:"time of the measurement"`
+	Seed     uint64            `long:"seed" default:"1" description:"seed of the arrival times"`
+	JSON     bool              `long:"json" description:"report as JSON"`
+	Check    bool              `long:"check" description:"check the arguments and exit"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(1)
+	}
+	if err := run(&o); err != nil {
+		fmt.Fprintln(os.Stderr, "lg-load:", err)
+		os.Exit(1)
+	}
+}
+
+func run(o *options) error {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	client := load.NewClient()
+	streams, err := o.streams(load.NewSender(client, o.Entries, []byte(o.Body), o.Deadline))
+	if err != nil || o.Check {
+		return err
+	}
+	plan := load.Plan{Warmup: o.Warmup, Duration: o.Duration, Seed: o.Seed}
+	result := &load.Result{}
+	if len(o.Direct) > 0 && len(o.Calls) > 0 {
+		direct := load.Stream{Name: "direct to instances", Rate: streams[0].Rate, Send: load.Direct(client, o.Direct, []byte(o.Body), o.Deadline)}
+		result.Direct = &load.Run(ctx, plan, []load.Stream{direct})[0]
+	}
+	result.Streams = load.Run(ctx, plan, streams)
+	if result.Direct != nil {
+		share := result.Streams[0].P99 - result.Direct.P99
+		result.EntryShareP99 = &share
+	}
+	if o.JSON {
+		return json.NewEncoder(os.Stdout).Encode(result)
+	}
+	return result.Print(os.Stdout)
+}
+
+// streams returns the streams that the arguments describe, calls first.
+func (o *options) streams(s *load.Sender) ([]load.Stream, error) {
+	var streams []load.Stream
+	add := func(kind string, list []string, parts int, send func(p []string) (load.Send, error)) error {
+		for _, text := range list {
+			name, rate, err := parseRate(text, parts)
+			if err != nil {
+				return errors.Wrapf(err, "--%s %q", kind, text)
+			}
+			fn, err := send(strings.Split(name, "/"))
+			if err != nil {
+				return errors.Wrapf(err, "--%s %q", kind, text)
+			}
+			streams = append(streams, load.Stream{Name: kind + " " + name, Rate: rate, Send: fn})
+		}
+		return nil
+	}
+	err := add("call", o.Calls, 2, func(p []string) (load.Send, error) { return s.Call(p[0], p[1], o.Keys[p[0]]), nil })
+	if err != nil {
+		return nil, err
+	}
+	err = add("batch", o.Batch, 2, func(p []string) (load.Send, error) { return s.Job(p[0], p[1], o.Keys[p[0]], 1), nil })
+	if err != nil {
+		return nil, err
+	}
+	err = add("gang", o.Gang, 3, func(p []string) (load.Send, error) {
+		tasks, err := strconv.ParseInt(p[2], 10, 32)
+		if err != nil || tasks < 1 {
+			return nil, errors.Errorf("%q is not a number of tasks", p[2])
+		}
+		return s.Job(p[0], p[1], o.Keys[p[0]], int32(tasks)), nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	if len(streams) == 0 {
+		return nil, errors.New("nothing to send: give --call, --batch or --gang")
+	}
+	return streams, nil
+}
+
+// parseRate parses name=rate, where the name has a number of parts.
+func parseRate(text string, parts int) (name string, rate float64, err error) {
+	name, number, ok := strings.Cut(text, "=")
+	if !ok || strings.Count(name, "/") != parts-1 {
+		return "", 0, errors.Errorf("want %d names separated by slashes, =, and a rate", parts)
+	}
+	rate, err = strconv.ParseFloat(number, 64)
+	if err != nil || rate <= 0 {
+		return "", 0, errors.Errorf("the rate %q is not a positive number", number)
+	}
+	return name, rate, nil
+}
--- a/cmd/lg-standin/main.go
+++ b/cmd/lg-standin/main.go
@@ -74,6 +74,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /records", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(f.records.Report()) })
+	mux.HandleFunc("GET /instances", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(f.addresses()) })
 	mux.HandleFunc("POST /leave", func(w http.ResponseWriter, r *http.Request) { f.leave(r.URL.Query().Get("target")) })
 	if _, err := httpserver.Start(o.Admin, mux); err != nil {
 		return err
@@ -154,6 +155,15 @@
 	return nil
 }
 
+// addresses returns the addresses of the instances.
+func (f *fleet) addresses() []string {
+	var list []string
+	for _, in := range f.instances {
+		list = append(list, in.Address())
+	}
+	return list
+}
+
 func (f *fleet) leave(target string) {
 	if w := f.workers[target]; w != nil {
 		w.Leave()
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,50 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumgrade/gen/apiv1"
+)
+
+// TestNoCoordinatedOmission guards against measurements that leave out the work
+// which would have been sent while a slow answer was awaited: a stall of the
+// whole service shows in the times of everything planned during it.
+func TestNoCoordinatedOmission(t *testing.T) {
+	began := time.Now()
+	const stall = 300 * time.Millisecond
+	send := func(context.Context) (apiv1.Outcome, error) {
+		if left := stall - time.Since(began); left > 0 {
+			time.Sleep(left)
+		}
+		return apiv1.Outcome_OUTCOME_OK, nil
+	}
+	r := Run(context.Background(), Plan{Duration: 600 * time.Millisecond, Seed: 1}, []Stream{{Name: "s", Rate: 500, Send: send}})[0]
+	assert.Assert(t, r.Sent > 200 && r.OK == r.Sent, "%+v", r)
+	assert.Assert(t, r.P90 > 100, "half of the arrivals were planned during the stall: %+v", r)
+}
+
+// TestCounts guards against errors and refusals counted as answers, and against
+// warm-up that is counted at all.
+func TestCounts(t *testing.T) {
+	var n atomic.Int64
+	send := func(context.Context) (apiv1.Outcome, error) {
+		switch n.Add(1) % 3 {
+		case 0:
+			return 0, errors.New("refused")
+		case 1:
+			return apiv1.Outcome_OUTCOME_NOT_RUN, nil
+		}
+		return apiv1.Outcome_OUTCOME_OK, nil
+	}
+	r := Run(context.Background(), Plan{Warmup: 100 * time.Millisecond, Duration: 100 * time.Millisecond, Seed: 1}, []Stream{{Name: "s", Rate: 1000, Send: send}})[0]
+	assert.Equal(t, r.OK+r.NotRun+r.Errors, r.Sent)
+	assert.Equal(t, r.LastError, "refused")
+	assert.Assert(t, r.Sent < n.Load())
+	assert.Assert(t, r.OK > 0 && r.NotRun > 0 && r.Errors > 0)
+}
--- /dev/null
+++ b/internal/load/stream.go
@@ -0,0 +1,119 @@
+package load
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"laburnumgrade/gen/apiv1"
+)
+
+const (
+	// longest is the longest time that is told apart; precision is the number of
+	// decimal digits kept.
+	longest   = 10 * time.Minute
+	precision = 3
+)
+
+// Send sends one piece of work and returns its outcome.
+type Send func(ctx context.Context) (apiv1.Outcome, error)
+
+// Stream is a kind of work that arrives at random times with a mean rate.
+type Stream struct {
+	Name string
+	// Rate is the number of arrivals in a second.
+	Rate float64
+	Send Send
+}
+
+// recorder collects the results of one stream.
+type recorder struct {
+	mu       sync.Mutex
+	times    *hdrhistogram.Histogram
+	late     *hdrhistogram.Histogram
+	outcomes map[apiv1.Outcome]int64
+	errors   int64
+	last     string
+	sent     int64
+}
+
+func newRecorder() *recorder {
+	return &recorder{
+		times:    hdrhistogram.New(1, longest.Microseconds(), precision),
+		late:     hdrhistogram.New(1, longest.Microseconds(), precision),
+		outcomes: map[apiv1.Outcome]int64{},
+	}
+}
+
+func (r *recorder) record(took, late time.Duration, o apiv1.Outcome, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent++
+	_ = r.late.RecordValue(max(late.Microseconds(), 1))
+	if err != nil {
+		r.errors++
+		r.last = err.Error()
+		return
+	}
+	r.outcomes[o]++
+	if o == apiv1.Outcome_OUTCOME_OK {
+		_ = r.times.RecordValue(min(max(took.Microseconds(), 1), longest.Microseconds()))
+	}
+}
+
+// Plan is how long streams run.
+type Plan struct {
+	// Warmup is sent but not measured.
+	Warmup, Duration time.Duration
+	Seed             uint64
+}
+
+// Run sends the streams and returns a report of each after all answers came.
+func Run(ctx context.Context, plan Plan, streams []Stream) []Report {
+	reports := make([]Report, len(streams))
+	var wg sync.WaitGroup
+	for i, s := range streams {
+		wg.Go(func() {
+			reports[i] = s.run(ctx, plan, rand.New(rand.NewPCG(plan.Seed, uint64(i))))
+		})
+	}
+	wg.Wait()
+	return reports
+}
+
+// run sends at planned times. Arrivals are exponential; one that is late is sent
+// at once and measured from its planned time.
+func (s *Stream) run(ctx context.Context, plan Plan, random *rand.Rand) Report {
+	r := newRecorder()
+	var wg sync.WaitGroup
+	start := time.Now()
+	end := plan.Warmup + plan.Duration
+	for at := time.Duration(0); ; {
+		at += time.Duration(random.ExpFloat64() / s.Rate * float64(time.Second))
+		if at >= end || !sleepUntil(ctx, start.Add(at)) {
+			break
+		}
+		planned := start.Add(at)
+		measured := at >= plan.Warmup
+		wg.Go(func() {
+			late := time.Since(planned)
+			o, err := s.Send(ctx)
+			if measured {
+				r.record(time.Since(planned), late, o, err)
+			}
+		})
+	}
+	wg.Wait()
+	return r.report(s.Name, plan.Duration)
+}
+
+// sleepUntil reports whether the context lasted.
+func sleepUntil(ctx context.Context, t time.Time) bool {
+	if d := time.Until(t); d > 0 {
+		time.Sleep(d)
+	}
+	return ctx.Err() == nil
+}
--- a/internal/standin/instance.go
+++ b/internal/standin/instance.go
@@ -19,6 +19,8 @@
 const (
 	announceInterval = 500 * time.Millisecond
 	announceTimeout  = 1500 * time.Millisecond
+	// compressFrom is the size in bytes from which answers are compressed.
+	compressFrom = 16 << 10
 )
 
 // InstanceConfig configures an emulated instance.
@@ -53,7 +55,7 @@
 func NewInstance(c InstanceConfig) (*Instance, error) {
 	in := &Instance{c: c, incarnation: uint64(time.Now().UnixNano()), random: newSource(c.Seed)}
 	mux := http.NewServeMux()
-	mux.Handle(apiv1connect.NewInstanceServiceHandler(in))
+	mux.Handle(apiv1connect.NewInstanceServiceHandler(in, connect.WithCompressMinBytes(compressFrom)))
 	server, err := httpserver.Start(c.Listen, mux)
 	if err != nil {
 		return nil, err
@@ -62,6 +64,9 @@
 	return in, nil
 }
 
+// Address returns the address that the instance serves on.
+func (in *Instance) Address() string { return in.server.Address() }
+
 // Leave announces that the instance takes no new work.
 func (in *Instance) Leave() { in.leaving.Store(true) }
 
