--- a/internal/entry/idempotent.go
+++ b/internal/entry/idempotent.go
@@ -58,7 +58,7 @@
 		case <-slow.C:
 			c.retry(wait)
 		case <-ctx.Done():
-			return c.outOfTime("the deadline has passed")
+			return c.outOfTime(reasonOf(ctx))
 		case <-s.abandoned:
 			return c.outOfTime(reasonAbandoned)
 		}
@@ -90,7 +90,9 @@
 		c.doubt = r.answer
 		c.retry(ctx)
 	} else {
-		c.notRun = r.answer
+		if !r.refused || c.notRun == nil {
+			c.notRun = r.answer
+		}
 		c.reroute(ctx, r)
 	}
 	switch {
