control: test the leader's logic and mend what the tests found

Tests of admission, deadlines, services, preemption, probation, the mirror and Explain with a one-replica log and a moved clock. Found and mended: a probation did not end after a change of leadership; a restarted worker was judged as its earlier incarnation; an end reported twice counted as two trials; a service that failed on three workers was cancelled for ever; an idempotent service was restarted though no instance was wanted; a document that left class service kept its instances; the scheduler kept the size and version of an earlier document; charged attempts and the sizes of attempts of earlier versions were not mirrored; a rejection or interruption whose proposal was lost was never repeated; a resend could be refused as not run while the first submission was still to be committed; a job that waited out a back-off had no explanation.

--- a/internal/control/datacentre.go
+++ b/internal/control/datacentre.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"strings"
+	"fmt"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -25,15 +25,17 @@
 	}
 	// A resend of an accepted job is not refused for lack of room.
 	if _, known := g.Store.Job(r.Job.JobId); !known {
-		spec := structs.WorkSpecFromProto(r.Job.Spec)
-		if refusal := g.mirror.admit(&spec, spec.Tasks, time.Duration(r.Job.DeadlineMs)*time.Millisecond); refusal != "" {
-			return &peerv1.SubmitJobReply{Refusal: strings.TrimPrefix(refusal, "not run: ")}, nil
+		refusal, err := g.refuse(ctx, r.Job)
+		if err != nil || refusal != "" {
+			return &peerv1.SubmitJobReply{Refusal: refusal}, err
 		}
 	}
+	g.submissions.begin(r.Job.JobId)
 	result, err := g.propose(ctx, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_SubmitJob{SubmitJob: r.Job}})
 	if err != nil {
 		return nil, err
 	}
+	g.submissions.end(r.Job.JobId)
 	d.server.recordSubmitted(r.Job, result)
 	return &peerv1.SubmitJobReply{Duplicate: result.Duplicate, Refusal: result.Refusal}, nil
 }
@@ -73,6 +75,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if j, known := g.Store.Job(r.JobId); known && state.IsService(&j) {
+		return nil, twirp.NewError(twirp.InvalidArgument, "the number of instances of a service is set by its document")
+	}
 	result, err := g.propose(ctx, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_CancelJob{CancelJob: &statev1.CancelJob{JobId: r.JobId}}})
 	if err != nil {
 		return nil, err
@@ -173,5 +178,28 @@
 		reply.Reasons = e.Reasons
 		reply.Impossible = e.Never
 	}
+	if left := backOffLeft(&j, g.Store.LogTime()); left > 0 {
+		reply.Reasons = append(reply.Reasons, fmt.Sprintf("the next attempt follows after a delay of %d ms", left))
+	}
 	return reply, nil
 }
+
+// backOffLeft returns the ms until the first task that waits out a back-off may
+// be placed, 0 if a waiting task may be placed now.
+func backOffLeft(j *structs.Job, logTime int64) int64 {
+	least := int64(0)
+	for i := range j.Tasks {
+		t := &j.Tasks[i]
+		if t.State != structs.TaskWaiting {
+			continue
+		}
+		left := t.NotBefore - logTime
+		if left <= 0 {
+			return 0
+		}
+		if least == 0 || left < least {
+			least = left
+		}
+	}
+	return least
+}
--- a/internal/control/expire.go
+++ b/internal/control/expire.go
@@ -40,7 +40,7 @@
 		return
 	}
 	now := s.clock.Now()
-	s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_AdvanceTime{AdvanceTime: &statev1.AdvanceTime{UnixMs: time.Now().UnixMilli()}}})
+	s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_AdvanceTime{AdvanceTime: &statev1.AdvanceTime{UnixMs: s.wall().UnixMilli()}}})
 	for _, id := range g.Store.WorkerIDs() {
 		w, ok := g.Store.Worker(id)
 		switch {
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -30,6 +30,8 @@
 	workers   *lease.Table
 	instances *lease.Table
 	slots     *lease.Table
+	// submissions holds the submitted jobs whose outcome is not known.
+	submissions *submissions
 
 	mu sync.Mutex
 	// begun is the number of the leadership since begunSince, 0 if none.
@@ -54,7 +56,7 @@
 	g := &DataCentreGroup{
 		Name: name, changes: newBroadcast(), dirty: newDirty(),
 		workers: lease.NewTable(lease.Worker), instances: lease.NewTable(lease.Instance), slots: lease.NewTable(lease.Slot),
-		holders: newSlotHolders(), meter: newMeter(nil),
+		holders: newSlotHolders(), meter: newMeter(nil), submissions: newSubmissions(),
 	}
 	g.Store = state.New(&observer{g.changes, g.dirty})
 	return g
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -8,19 +8,21 @@
 	"laburnumgrade/gen/statev1"
 	"laburnumgrade/internal/health"
 	"laburnumgrade/internal/placement"
+	"laburnumgrade/internal/state"
 	"laburnumgrade/internal/structs"
 	"laburnumgrade/internal/timeline"
 )
 
 // judge feeds the ends that a worker reports to the health monitor and acts on
 // its verdicts.
-func (s *Server) judge(ctx context.Context, g *DataCentreGroup, r *apiv1.HeartbeatRequest) {
-	for _, e := range r.Ended {
+func (s *Server) judge(ctx context.Context, g *DataCentreGroup, r *apiv1.HeartbeatRequest, ended []*apiv1.EndedAttempt) {
+	for _, e := range ended {
 		v := g.mirror.judge(r.WorkerId, e)
 		if v.Probation || v.Restored {
 			s.setProbation(ctx, g, r, v)
 		}
-		if v.StopJob {
+		// A service is restarted; only its document says how many instances run.
+		if j, known := g.Store.Job(e.JobId); v.StopJob && known && !state.IsService(&j) {
 			s.logger.Warn("job stopped", "step", "judge", "job", e.JobId, "reason", v.Reason)
 			s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_CancelJob{CancelJob: &statev1.CancelJob{JobId: e.JobId, Reason: "stopped: it " + v.Reason}}})
 		}
@@ -31,9 +33,19 @@
 	w, _ := g.Store.Worker(r.WorkerId)
 	s.logger.Warn("probation changed", "step", "judge", "peer", r.WorkerId, "probation", v.Probation, "reason", v.Reason)
 	s.events.Record(timeline.Event{Kind: timeline.WorkerProbation, Worker: r.WorkerId, Detail: v.Reason})
-	s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_SetWorkerState{SetWorkerState: &statev1.SetWorkerState{
+	if !s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_SetWorkerState{SetWorkerState: &statev1.SetWorkerState{
 		WorkerId: r.WorkerId, Incarnation: r.Incarnation, Leaving: w.Draining, Probation: v.Probation,
-	}}})
+	}}}) && v.Probation {
+		// The worker is judged anew: the monitor ignores failures of a worker that
+		// it takes to be on probation.
+		g.mirror.forgetHealth(r.WorkerId)
+	}
+}
+
+func (m *mirror) forgetHealth(worker string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.health.Forget(worker)
 }
 
 // judge returns the consequence of one end.
@@ -58,8 +70,13 @@
 		w, known := m.group.Store.Worker(id)
 		if !known || !w.Probation {
 			delete(m.probation, id)
+			m.health.Forget(id)
 			continue
 		}
+		if !m.health.Suspected(id) {
+			// An earlier leader or incarnation of the monitor decided the probation.
+			m.health.Adopt(id, now)
+		}
 		if m.health.TrialDue(id, now) {
 			m.scheduler.UpsertWorker(workerView(&w, true))
 		}
--- /dev/null
+++ b/internal/control/health_test.go
@@ -0,0 +1,156 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumgrade/gen/apiv1"
+	"laburnumgrade/gen/statev1"
+	"laburnumgrade/internal/structs"
+)
+
+func (l *leader) probation(id string) bool {
+	w, _ := l.group.Store.Worker(id)
+	return w.Probation
+}
+
+// faulty returns a leader with a worker w0 on probation.
+func faulty(t *testing.T) *leader {
+	l := newLeader(t)
+	l.addWorker("w0", cores(64))
+	l.allot("a", cores(1000))
+	for i := range 3 {
+		l.mustSubmit(i, batchSpec("a", cores(1)))
+	}
+	l.turn()
+	assert.Equal(t, len(l.workers["w0"].running), 3)
+	l.workers["w0"].endAll(apiv1.Outcome_OUTCOME_FAILED)
+	l.heartbeats()
+	assert.Assert(t, l.probation("w0"))
+	return l
+}
+
+// TestProbationEnds guards against a worker that stays on probation for ever,
+// in particular after a change of leadership, and against a probation that ends
+// without the trials, or because one end was reported twice.
+func TestProbationEnds(t *testing.T) {
+	for _, change := range []bool{false, true} {
+		t.Run(fmt.Sprintf("leadership changes %v", change), func(t *testing.T) {
+			l := faulty(t)
+			w := l.workers["w0"]
+			if change {
+				l.lead()
+			}
+			trials := 0
+			for range 2000 {
+				l.turn()
+				assert.Assert(t, len(w.running) <= 1, "a worker on probation runs %d tasks", len(w.running))
+				if !l.probation("w0") {
+					break
+				}
+				if len(w.running) == 1 {
+					trials++
+					w.endAll(apiv1.Outcome_OUTCOME_OK)
+					again := l.report(w)
+					_, _ = l.dc.Heartbeat(t.Context(), again)
+				}
+			}
+			assert.Assert(t, !l.probation("w0"))
+			assert.Equal(t, trials, 2)
+		})
+	}
+}
+
+// TestProbationOfRestarted guards against a restarted worker that the monitor
+// goes on ignoring and counts against the cap on probation.
+func TestProbationOfRestarted(t *testing.T) {
+	l := faulty(t)
+	w := l.workers["w0"]
+	w.incarnation++
+	l.heartbeat(w)
+	l.turn()
+	assert.Assert(t, !l.probation("w0"))
+	assert.Equal(t, l.group.mirror.health.OnProbation(), 0)
+	l.turns(30 * time.Second)
+	w.endAll(apiv1.Outcome_OUTCOME_FAILED)
+	l.heartbeats()
+	assert.Assert(t, l.probation("w0"))
+}
+
+// TestProbationNotCommitted guards against a worker that is never put on
+// probation because the first proposal was lost.
+func TestProbationNotCommitted(t *testing.T) {
+	l := newLeader(t)
+	w := l.addWorker("w0", cores(64))
+	l.allot("a", cores(1000))
+	for i := range 6 {
+		l.mustSubmit(i, batchSpec("a", cores(1)))
+	}
+	l.turn()
+	fail := func(n int) {
+		for id := range w.running {
+			if n--; n < 0 {
+				break
+			}
+			w.end(id, apiv1.Outcome_OUTCOME_FAILED)
+		}
+	}
+	fail(3)
+	sent := 0
+	l.log.fate = func() int {
+		if sent++; sent == 2 {
+			return fateUnknownLost
+		}
+		return fateApplied
+	}
+	l.heartbeats()
+	assert.Assert(t, !l.probation("w0"))
+	fail(3)
+	l.heartbeats()
+	assert.Assert(t, l.probation("w0"))
+}
+
+// TestFaultyJobIsStopped guards against a job that fails everywhere running on,
+// and against a service being stopped for it.
+func TestFaultyJobIsStopped(t *testing.T) {
+	for _, service := range []bool{false, true} {
+		t.Run(fmt.Sprintf("service %v", service), func(t *testing.T) {
+			l := newLeader(t)
+			for i := range 4 {
+				l.addWorker(fmt.Sprintf("w%d", i), cores(1))
+			}
+			l.allot("a", cores(100))
+			id := ""
+			if service {
+				l.put(serviceSpec(4, cores(1)))
+				id = "service/a/s"
+			} else {
+				spec := batchSpec("a", cores(1))
+				spec.Tasks = 4
+				id = l.jobID(1)
+				_, err := l.submit(&statev1.SubmitJob{JobId: id, Spec: spec.Proto()})
+				assert.NilError(t, err)
+			}
+			l.turns(time.Second)
+			for _, w := range l.workers {
+				w.endAll(apiv1.Outcome_OUTCOME_FAILED)
+			}
+			l.turn()
+			j := l.job(id)
+			assert.Equal(t, j.Cancelled, !service)
+			l.turns(10 * time.Second)
+			j = l.job(id)
+			if service {
+				assert.Equal(t, j.EndedTasks, 0)
+				return
+			}
+			assert.Assert(t, j.Ended())
+			for i := range j.Tasks {
+				assert.Assert(t, j.Tasks[i].Outcome != structs.OutcomeNotRun, "an attempted task cannot be not run")
+			}
+		})
+	}
+}
--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -84,7 +84,12 @@
 		return nil, nil
 	}
 	c := &statev1.EndAttempts{}
+	var open []*apiv1.EndedAttempt
 	for _, e := range r.Ended {
+		// An end that is reported again is not judged again.
+		if a, ok := g.Store.Attempt(e.AttemptId); ok && a.WorkerID == r.WorkerId && a.Incarnation == r.Incarnation {
+			open = append(open, e)
+		}
 		c.Ended = append(c.Ended, &statev1.EndAttempt{
 			AttemptId: e.AttemptId, WorkerId: r.WorkerId, Incarnation: r.Incarnation,
 			Outcome: e.Outcome, Answer: e.Answer, Detail: e.Detail, NeverStarted: e.NeverStarted,
@@ -98,7 +103,7 @@
 	for _, e := range r.Ended {
 		d.server.recordEnd(r.WorkerId, e)
 	}
-	d.server.judge(ctx, g, r)
+	d.server.judge(ctx, g, r, open)
 	return result.Acknowledged, nil
 }
 
--- /dev/null
+++ b/internal/control/leader_test.go
@@ -0,0 +1,363 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"laburnumgrade/gen/apiv1"
+	"laburnumgrade/gen/peerv1"
+	"laburnumgrade/gen/statev1"
+	"laburnumgrade/internal/scheduler"
+	"laburnumgrade/internal/state"
+	"laburnumgrade/internal/structs"
+)
+
+// baseMs is the wall clock at the origin of the test clock.
+const baseMs = 1_800_000_000_000
+
+// testingT is what *testing.T and *rapid.T have in common.
+type testingT interface {
+	assert.TestingT
+	Fatal(args ...any)
+	Helper()
+}
+
+// leader is a control process that leads the group of data centre x.
+type leader struct {
+	t       testingT
+	clock   *testClock
+	log     *testLog
+	group   *DataCentreGroup
+	server  *Server
+	dc      *DataCentreServer
+	workers map[string]*testWorker
+	grants  map[string]uint64
+	index   uint64
+}
+
+// testWorker runs what it is told to until the test ends it.
+type testWorker struct {
+	id          string
+	incarnation uint64
+	capacity    structs.Resources
+	sequence    uint64
+	running     map[uint64]*apiv1.Assignment
+	ended       map[uint64]*apiv1.EndedAttempt
+}
+
+func cores(n int64) structs.Resources { return structs.Resources{MilliCPU: n * 1000} }
+
+func newLeader(t testingT, dataCentres ...string) *leader {
+	if len(dataCentres) == 0 {
+		dataCentres = []string{"x"}
+	}
+	l := &leader{t: t, clock: &testClock{}, workers: map[string]*testWorker{}, grants: map[string]uint64{}}
+	l.group = NewDataCentreGroup("x")
+	l.log = &testLog{group: l.group}
+	l.group.Log = l.log
+	l.server = New(Config{
+		Name: "c", DataCentre: "x", Clock: l.clock, Logger: slog.New(slog.DiscardHandler),
+		Groups: []*DataCentreGroup{l.group}, DataCentres: dataCentres, Scheduler: scheduler.DefaultOptions(),
+	})
+	l.server.wall = func() time.Time { return time.UnixMilli(baseMs + l.clock.now.Milliseconds()) }
+	l.dc = &DataCentreServer{l.server}
+	l.pass(time.Millisecond)
+	return l
+}
+
+// apply commits a command whatever the fate of other proposals.
+func (l *leader) apply(c *statev1.DataCentreCommand) *state.Result {
+	b, err := proto.Marshal(c)
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	return l.log.apply(b).(*state.Result)
+}
+
+// pass moves the clock and the log time.
+func (l *leader) pass(d time.Duration) {
+	l.clock.now += d
+	l.apply(&statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_AdvanceTime{AdvanceTime: &statev1.AdvanceTime{UnixMs: l.server.wall().UnixMilli()}}})
+}
+
+func (l *leader) allot(team string, amount structs.Resources) {
+	l.grants[team]++
+	l.apply(&statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_TakeAllotment{TakeAllotment: &statev1.TakeAllotment{
+		Team: team, Grant: l.grants[team], Amount: amount.Proto(),
+	}}})
+}
+
+func (l *leader) addWorker(id string, capacity structs.Resources) *testWorker {
+	w := &testWorker{id: id, incarnation: 1, capacity: capacity, running: map[uint64]*apiv1.Assignment{}, ended: map[uint64]*apiv1.EndedAttempt{}}
+	l.workers[id] = w
+	l.heartbeat(w)
+	return w
+}
+
+func (l *leader) report(w *testWorker) *apiv1.HeartbeatRequest {
+	w.sequence++
+	r := &apiv1.HeartbeatRequest{WorkerId: w.id, Incarnation: w.incarnation, DataCentre: "x", Rack: "r", Capacity: w.capacity.Proto(), Sequence: w.sequence}
+	for _, id := range slices.Sorted(maps.Keys(w.running)) {
+		r.Running = append(r.Running, id)
+		r.Attempts = append(r.Attempts, &apiv1.RunningAttempt{AttemptId: id, Size: w.running[id].Size})
+	}
+	for _, id := range slices.Sorted(maps.Keys(w.ended)) {
+		r.Ended = append(r.Ended, w.ended[id])
+	}
+	return r
+}
+
+// heartbeat exchanges one heartbeat; a lost one changes nothing at the worker.
+func (l *leader) heartbeat(w *testWorker) {
+	reply, err := l.dc.Heartbeat(context.Background(), l.report(w))
+	if err != nil {
+		return
+	}
+	for _, id := range reply.Acknowledged {
+		delete(w.ended, id)
+	}
+	for _, a := range reply.Start {
+		w.running[a.AttemptId] = a
+	}
+	for _, id := range reply.Stop {
+		w.end(id, apiv1.Outcome_OUTCOME_CANCELLED)
+	}
+}
+
+// end makes the worker report the end of an attempt from its next heartbeat on.
+func (w *testWorker) end(id uint64, outcome apiv1.Outcome) {
+	e := &apiv1.EndedAttempt{AttemptId: id, Outcome: outcome, NeverStarted: true}
+	if a := w.running[id]; a != nil {
+		e.NeverStarted = false
+		e.JobId, e.Task = a.JobId, a.Task
+	}
+	delete(w.running, id)
+	w.ended[id] = e
+}
+
+func (w *testWorker) endAll(outcome apiv1.Outcome) {
+	for id := range w.running {
+		w.end(id, outcome)
+	}
+}
+
+func (l *leader) heartbeats() {
+	for _, id := range slices.Sorted(maps.Keys(l.workers)) {
+		l.heartbeat(l.workers[id])
+	}
+}
+
+func (l *leader) schedule() {
+	l.server.scheduleOnce(context.Background(), l.group, l.log.since)
+}
+
+// turn is one round of everything that the process does.
+func (l *leader) turn() {
+	l.pass(300 * time.Millisecond)
+	l.server.runServicesOnce(context.Background(), l.group)
+	l.schedule()
+	l.heartbeats()
+	l.server.expireOnce(context.Background(), l.group, l.log.since)
+}
+
+// lead starts a new leadership.
+func (l *leader) lead() {
+	l.log.flush()
+	l.pass(time.Millisecond)
+	l.log.since = l.clock.now
+}
+
+// jobID returns a UUIDv7 of about now.
+func (l *leader) jobID(n int) string {
+	ms := baseMs + l.clock.now.Milliseconds()
+	return fmt.Sprintf("%08x-%04x-7000-8000-%012x", ms>>16, ms&0xffff, n)
+}
+
+func batchSpec(team string, size structs.Resources) structs.WorkSpec {
+	return structs.WorkSpec{
+		Team: team, Service: "s", Class: structs.ClassBatch, Size: size, Tasks: 1, Idempotent: true, WaitWhenFull: true, RunTime: time.Second,
+	}
+}
+
+func (l *leader) submit(job *statev1.SubmitJob) (*peerv1.SubmitJobReply, error) {
+	return l.dc.SubmitJob(context.Background(), &peerv1.SubmitJobCommand{DataCentre: "x", Job: job})
+}
+
+func (l *leader) mustSubmit(n int, spec structs.WorkSpec) string {
+	l.t.Helper()
+	id := l.jobID(n)
+	reply, err := l.submit(&statev1.SubmitJob{JobId: id, Spec: spec.Proto()})
+	assert.NilError(l.t, err)
+	assert.Equal(l.t, reply.Refusal, "")
+	return id
+}
+
+func (l *leader) job(id string) structs.Job {
+	j, _ := l.group.Store.Job(id)
+	return j
+}
+
+// TestAdmissionOfImpossibleWork guards against accepting work that no worker
+// could ever hold, and against a refusal that does not say why.
+func TestAdmissionOfImpossibleWork(t *testing.T) {
+	l := newLeader(t)
+	reply, err := l.submit(&statev1.SubmitJob{JobId: l.jobID(1), Spec: batchSpec("a", cores(96)).Proto()})
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Refusal, "", "no worker is known yet")
+	l.addWorker("w1", structs.Resources{MilliCPU: 64_000, MemoryBytes: 32 << 30})
+	l.addWorker("w2", structs.Resources{MilliCPU: 16_000, MemoryBytes: 128 << 30, Accelerators: 2})
+	l.schedule()
+	for i, c := range []struct {
+		size structs.Resources
+		want string
+	}{
+		{cores(96), "needs 96 cores; the largest worker has 64"},
+		{structs.Resources{MemoryBytes: 256 << 30}, "needs 256 GiB of memory; the largest worker has 128 GiB"},
+		{structs.Resources{Accelerators: 4}, "needs 4 accelerators; the largest worker has 2"},
+		{structs.Resources{MilliCPU: 32_000, Accelerators: 1}, "needs 32 cores, 0 GiB of memory and 1 accelerators on one worker; no worker has all of them"},
+	} {
+		id := l.jobID(10 + i)
+		reply, err := l.submit(&statev1.SubmitJob{JobId: id, Spec: batchSpec("a", c.size).Proto()})
+		assert.NilError(t, err)
+		assert.Equal(t, reply.Refusal, c.want)
+		_, known := l.group.Store.Job(id)
+		assert.Assert(t, !known)
+	}
+}
+
+// TestResendIsNotRefused guards against "not run" as the answer to the resend
+// of a job that was accepted, or whose first submission commits late.
+func TestResendIsNotRefused(t *testing.T) {
+	for _, first := range []int{fateApplied, fateUnknownApplied, fateUnknownDelayed} {
+		t.Run(fmt.Sprint(first), func(t *testing.T) {
+			l := newLeader(t)
+			l.addWorker("w1", cores(8))
+			l.schedule()
+			job := &statev1.SubmitJob{JobId: l.jobID(1), Spec: batchSpec("a", cores(8)).Proto()}
+			l.log.fate = func() int { return first }
+			_, _ = l.submit(job)
+			l.log.fate = nil
+			// Only the mirror learns of the smaller worker: a command would commit the
+			// delayed submission.
+			l.group.mirror.scheduler.UpsertWorker(workerView(&structs.Worker{ID: "w1", Capacity: cores(4)}, false))
+			reply, err := l.submit(job)
+			assert.NilError(t, err)
+			assert.Equal(t, reply.Refusal, "")
+			assert.Assert(t, reply.Duplicate)
+			other, err := l.submit(&statev1.SubmitJob{JobId: l.jobID(2), Spec: job.Spec})
+			assert.NilError(t, err)
+			assert.Equal(t, other.Refusal, "needs 8 cores; the largest worker has 4")
+		})
+	}
+}
+
+// TestDeadline guards against work that waits silently past its deadline, and
+// against "not run" for work that had an attempt.
+func TestDeadline(t *testing.T) {
+	cases := []struct {
+		name string
+		// before happens while the only worker may run the job.
+		before func(l *leader)
+		want   structs.Outcome
+	}{
+		{"never placed", func(l *leader) { l.workers["w1"].capacity = cores(1); l.heartbeats() }, structs.OutcomeNotRun},
+		{"rejection not committed at first", func(l *leader) {
+			l.workers["w1"].capacity = cores(1)
+			l.heartbeats()
+			lost := 0
+			l.log.fate = func() int {
+				if l.clock.now > 5*time.Second && lost < 3 {
+					lost++
+					return fateUnknownLost
+				}
+				return fateApplied
+			}
+		}, structs.OutcomeNotRun},
+		{"attempted and lost", func(l *leader) {
+			l.schedule()
+			l.heartbeats()
+			w := l.workers["w1"]
+			w.incarnation++
+			w.capacity = cores(1)
+			w.running = map[uint64]*apiv1.Assignment{}
+			l.heartbeats()
+		}, structs.OutcomeNone},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := newLeader(t)
+			l.addWorker("w1", cores(8))
+			l.allot("a", cores(100))
+			l.schedule()
+			id := l.jobID(1)
+			_, err := l.submit(&statev1.SubmitJob{JobId: id, Spec: batchSpec("a", cores(8)).Proto(), DeadlineMs: 5000})
+			assert.NilError(t, err)
+			c.before(l)
+			for range 30 {
+				l.turn()
+			}
+			j := l.job(id)
+			assert.Equal(t, j.Tasks[0].Outcome, c.want, j.Tasks[0].Detail)
+			assert.Equal(t, j.Tasks[0].Attempts > 0, c.want == structs.OutcomeNone)
+		})
+	}
+}
+
+// TestPreemption guards against an interruption that the scheduler asked for
+// and that is never committed, also when its first proposal is lost.
+func TestPreemption(t *testing.T) {
+	l := newLeader(t)
+	w := l.addWorker("w1", cores(8))
+	l.allot("a", cores(100))
+	spec := batchSpec("a", cores(8))
+	spec.MayPreempt = true
+	victim := l.mustSubmit(1, spec)
+	l.turn()
+	assert.Equal(t, len(w.running), 1)
+	urgent := l.jobID(2)
+	_, err := l.submit(&statev1.SubmitJob{JobId: urgent, Spec: batchSpec("a", cores(8)).Proto(), Urgent: true})
+	assert.NilError(t, err)
+	l.log.fate = func() int { return fateUnknownLost }
+	l.schedule()
+	l.log.fate = nil
+	for range 3 {
+		l.turn()
+	}
+	j := l.job(urgent)
+	assert.Equal(t, j.Tasks[0].State, structs.TaskRunning)
+	assert.Equal(t, l.job(victim).Tasks[0].State, structs.TaskWaiting)
+}
+
+// TestExplain guards against a job that waits without a reason shown.
+func TestExplain(t *testing.T) {
+	l := newLeader(t)
+	w := l.addWorker("w1", cores(8))
+	l.allot("a", cores(4))
+	big := l.mustSubmit(1, batchSpec("a", cores(8)))
+	failed := l.mustSubmit(2, batchSpec("a", cores(1)))
+	l.turn()
+	w.endAll(apiv1.Outcome_OUTCOME_FAILED)
+	l.heartbeats()
+	l.schedule()
+	explain := func(id string) *apiv1.ExplainJobResponse {
+		e, err := l.dc.ExplainJob(context.Background(), &apiv1.ExplainJobRequest{JobId: id})
+		assert.NilError(t, err)
+		return e
+	}
+	assert.Equal(t, explain(big).Reasons[0], `team "a" is at its allotment: needs 8 cores; 0 of 4 are in use`)
+	assert.Assert(t, len(explain(failed).Reasons) == 1)
+	w.capacity = cores(4)
+	l.heartbeats()
+	l.schedule()
+	assert.Assert(t, explain(big).Impossible)
+	_, err := l.dc.ExplainJob(context.Background(), &apiv1.ExplainJobRequest{JobId: l.jobID(9)})
+	assert.ErrorContains(t, err, "is not known")
+}
--- a/internal/control/mirror.go
+++ b/internal/control/mirror.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"laburnumgrade/gen/statev1"
 	"laburnumgrade/internal/admission"
 	"laburnumgrade/internal/health"
 	"laburnumgrade/internal/scheduler"
@@ -28,7 +29,12 @@
 	admission *admission.Controller
 	health    *health.Monitor
 	waiting   map[string]taskCounts
+	// probation holds the workers that the state was seen to have on probation.
 	probation map[string]struct{}
+	// incarnations are those of the workers as last mirrored.
+	incarnations map[string]uint64
+	// unshed holds interruptions whose commit is not known to have succeeded.
+	unshed []*statev1.ShedAttempt
 	// delayed is when the jobs with tasks that wait out a back-off are mirrored
 	// again.
 	delayed map[string]time.Duration
@@ -54,6 +60,8 @@
 		m.health = health.NewMonitor(health.DefaultPolicy(), rand.Float64)
 		m.waiting = map[string]taskCounts{}
 		m.probation = map[string]struct{}{}
+		m.incarnations = map[string]uint64{}
+		m.unshed = nil
 		m.teamsAt = 0
 		workers, jobs = m.everything()
 	}
@@ -94,14 +102,35 @@
 	w, known := m.group.Store.Worker(id)
 	if !known {
 		m.scheduler.RemoveWorker(id)
+		m.health.Forget(id)
+		delete(m.incarnations, id)
 		return
 	}
-	m.scheduler.UpsertWorker(workerView(&w, false))
+	if before, seen := m.incarnations[id]; seen && before != w.Incarnation {
+		m.health.Forget(id)
+	}
+	m.incarnations[id] = w.Incarnation
+	m.scheduler.UpsertWorker(workerView(&w, w.Probation && m.trialDue(id)))
+	m.scheduler.SetCharged(id, charged(&w))
 	if w.Probation {
 		m.probation[id] = struct{}{}
 	}
 }
 
+// trialDue reports whether a trial was granted that has not been used.
+func (m *mirror) trialDue(id string) bool {
+	slot, known := m.scheduler.Fleet().Lookup(id)
+	return known && m.scheduler.Fleet().Worker(slot).Trial
+}
+
+func charged(w *structs.Worker) structs.Resources {
+	var sum structs.Resources
+	for _, size := range w.Charged {
+		sum = sum.Add(size)
+	}
+	return sum
+}
+
 func (m *mirror) syncTeams(shares map[string]float64) {
 	for _, t := range m.group.Store.Teams() {
 		m.scheduler.SetTeam(t.Name, max(shares[t.Name], 1), t.Allotment)
@@ -112,8 +141,7 @@
 func (m *mirror) syncJob(id string, now time.Duration) {
 	j, known := m.group.Store.Job(id)
 	if !known {
-		m.scheduler.RemoveJob(id)
-		delete(m.accepted, id)
+		m.forgetJob(id, now)
 		return
 	}
 	if _, seen := m.accepted[id]; !seen {
@@ -131,6 +159,21 @@
 	}
 }
 
+// forgetJob drops a job whose record is gone. Its end may not have been
+// mirrored.
+func (m *mirror) forgetJob(id string, now time.Duration) {
+	m.scheduler.RemoveJob(id)
+	counts := m.waiting[id]
+	for i := range counts.tasks {
+		m.scheduler.AttemptEnded(id, i, now, false)
+	}
+	if counts.spec != nil {
+		m.admission.Left(counts.spec, counts.waiting)
+	}
+	delete(m.waiting, id)
+	delete(m.accepted, id)
+}
+
 // waited returns how long the job has waited, by the log time.
 func (m *mirror) waited(j *structs.Job) time.Duration {
 	return max(0, time.Duration(m.group.Store.LogTime()-j.AcceptedAt)*time.Millisecond)
@@ -150,7 +193,7 @@
 		}
 		if a, open := m.group.Store.Attempt(t.Attempt); open {
 			m.scheduler.AttemptStarted(scheduler.Attempt{
-				JobID: j.ID, Task: i, WorkerID: a.WorkerID, Incarnation: a.Incarnation, Spec: j.Spec, Urgent: j.Urgent, Started: now,
+				ID: a.ID, JobID: j.ID, Task: i, WorkerID: a.WorkerID, Incarnation: a.Incarnation, Spec: j.Spec, Urgent: j.Urgent, Started: now, Size: a.Size,
 			}, now)
 		}
 	}
--- /dev/null
+++ b/internal/control/mirror_test.go
@@ -0,0 +1,164 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"laburnumgrade/gen/apiv1"
+	"laburnumgrade/gen/statev1"
+	"laburnumgrade/internal/scheduler"
+	"laburnumgrade/internal/structs"
+)
+
+// mirrorView is what a mirror holds of the state.
+type mirrorView struct {
+	Committed, Free  map[string]structs.Resources
+	Usable           map[string]bool
+	InUse            map[string]structs.Resources
+	Waiting          map[string]int
+	Jobs, Running    int
+	AdmissionWaiting int
+}
+
+func (l *leader) view(m *mirror) mirrorView {
+	v := mirrorView{
+		Committed: map[string]structs.Resources{}, Free: map[string]structs.Resources{}, Usable: map[string]bool{},
+		InUse: map[string]structs.Resources{}, Waiting: map[string]int{},
+		Jobs: m.scheduler.Waiting(), Running: m.scheduler.Running(), AdmissionWaiting: m.admission.Waiting(),
+	}
+	f := m.scheduler.Fleet()
+	for _, id := range l.group.Store.WorkerIDs() {
+		slot, _ := f.Lookup(id)
+		v.Committed[id], v.Free[id], v.Usable[id] = f.Committed(slot), f.Free(slot), f.Usable(slot)
+	}
+	for _, t := range l.group.Store.Teams() {
+		v.InUse[t.Name] = m.scheduler.Team(t.Name).InUse
+	}
+	for _, id := range l.group.Store.OpenJobs() {
+		v.Waiting[id] = m.scheduler.WaitingTasks(id)
+	}
+	return v
+}
+
+// checkMirror compares the mirror with one made from scratch and with the state.
+func (l *leader) checkMirror(t assert.TestingT) {
+	shares := func() map[string]float64 { return nil }
+	m := l.group.mirror
+	m.sync(l.log.since, shares)
+	fresh := newMirror(l.group, scheduler.DefaultOptions(), l.clock.Now)
+	fresh.sync(l.log.since, shares)
+	got := l.view(m)
+	assert.DeepEqual(t, got, l.view(fresh))
+	for id, committed := range got.Committed {
+		w, _ := l.group.Store.Worker(id)
+		assert.Equal(t, committed, w.Committed, "worker %s", id)
+	}
+	for _, team := range l.group.Store.Teams() {
+		assert.Equal(t, got.InUse[team.Name], team.Running, "team %s", team.Name)
+	}
+}
+
+// TestMirrorEqualsState guards against a mirror that drifts from the state:
+// work that is never placed, or placed where there is no room, in any sequence
+// of submissions, ends, losses, restarts, changes of documents and of the
+// leader, and proposals whose outcome is not known.
+func TestMirrorEqualsState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := newLeader(t)
+		l.log.fate = func() int {
+			if rapid.IntRange(0, 9).Draw(t, "unknown") > 0 {
+				return fateApplied
+			}
+			return rapid.IntRange(1, fateCount-1).Draw(t, "fate")
+		}
+		for i := range 3 {
+			l.addWorker(fmt.Sprintf("w%d", i), cores(8))
+		}
+		l.allot("a", cores(20))
+		l.allot("b", cores(6))
+		jobs := 0
+		worker := func(t *rapid.T) *testWorker {
+			return l.workers[fmt.Sprintf("w%d", rapid.IntRange(0, 2).Draw(t, "worker"))]
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": func(t *rapid.T) {
+				jobs++
+				spec := batchSpec(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "team"), cores(int64(rapid.IntRange(1, 4).Draw(t, "cores"))))
+				spec.Tasks = rapid.IntRange(1, 3).Draw(t, "tasks")
+				spec.MayPreempt = rapid.Bool().Draw(t, "preempt")
+				if spec.Tasks > 1 && rapid.Bool().Draw(t, "gang") {
+					spec.Class = structs.ClassGang
+				}
+				_, _ = l.submit(&statev1.SubmitJob{
+					JobId: l.jobID(jobs), Spec: spec.Proto(), Urgent: rapid.Bool().Draw(t, "urgent"),
+					DeadlineMs: int64(rapid.SampledFrom([]int{0, 400}).Draw(t, "deadline")),
+				})
+			},
+			"turn":      func(*rapid.T) { l.turn() },
+			"schedule":  func(*rapid.T) { l.schedule() },
+			"heartbeat": func(t *rapid.T) { l.heartbeat(worker(t)) },
+			"end": func(t *rapid.T) {
+				outcome := rapid.SampledFrom([]apiv1.Outcome{apiv1.Outcome_OUTCOME_OK, apiv1.Outcome_OUTCOME_FAILED, apiv1.Outcome_OUTCOME_CANCELLED}).Draw(t, "outcome")
+				worker(t).endAll(outcome)
+			},
+			"restart": func(t *rapid.T) {
+				w := worker(t)
+				w.incarnation++
+				if rapid.Bool().Draw(t, "clean") {
+					w.running = map[uint64]*apiv1.Assignment{}
+				}
+				l.heartbeat(w)
+			},
+			"resize": func(t *rapid.T) {
+				w := worker(t)
+				w.capacity = cores(int64(rapid.IntRange(1, 12).Draw(t, "capacity")))
+				l.heartbeat(w)
+			},
+			"lose": func(t *rapid.T) {
+				l.pass(5 * time.Second)
+				l.heartbeat(worker(t))
+				l.server.expireOnce(context.Background(), l.group, l.log.since)
+			},
+			"cancel": func(t *rapid.T) {
+				if open := l.group.Store.OpenJobs(); len(open) > 0 {
+					_, _ = l.dc.CancelJob(context.Background(), &apiv1.CancelJobRequest{JobId: rapid.SampledFrom(open).Draw(t, "job")})
+				}
+			},
+			"service": func(t *rapid.T) {
+				l.put(serviceSpec(rapid.IntRange(0, 3).Draw(t, "instances"), cores(int64(rapid.IntRange(1, 3).Draw(t, "cores")))))
+				l.server.runServicesOnce(context.Background(), l.group)
+			},
+			"allot": func(t *rapid.T) { l.allot("b", cores(1)) },
+			"lead":  func(*rapid.T) { l.lead() },
+			"forget": func(t *rapid.T) {
+				if rapid.IntRange(0, 3).Draw(t, "forget") == 0 {
+					l.pass(25 * time.Hour)
+				}
+			},
+			"": func(t *rapid.T) { l.checkMirror(t) },
+		})
+	})
+}
+
+// TestChargedWork guards against placing work, again and again, where a worker
+// still runs an attempt that was declared lost.
+func TestChargedWork(t *testing.T) {
+	l := newLeader(t)
+	w := l.addWorker("w0", cores(8))
+	l.allot("a", cores(100))
+	l.mustSubmit(1, batchSpec("a", cores(8)))
+	l.turn()
+	assert.Equal(t, len(w.running), 1)
+	w.incarnation++
+	l.heartbeat(w)
+	l.schedule()
+	l.checkMirror(t)
+	l.addWorker("w1", cores(8))
+	l.turns(6 * time.Second)
+	assert.Equal(t, len(l.workers["w1"].running), 1)
+}
--- a/internal/control/preempt.go
+++ b/internal/control/preempt.go
@@ -7,21 +7,27 @@
 	"laburnumgrade/internal/scheduler"
 )
 
-// preempt commits the interruptions that the scheduler asks for.
+// preempt commits the interruptions that the scheduler asks for. The scheduler
+// asks once, so they are kept until they are known to be committed.
 func (s *Server) preempt(ctx context.Context, g *DataCentreGroup, list []scheduler.Preemption) {
-	shed := &statev1.ShedAttempts{}
+	shed := &statev1.ShedAttempts{Attempts: g.mirror.unshed}
 	for _, p := range list {
 		j, known := g.Store.Job(p.JobID)
-		if !known || p.Task >= len(j.Tasks) || j.Tasks[p.Task].Attempt == 0 {
+		if !known || p.Task >= len(j.Tasks) {
+			continue
+		}
+		a, open := g.Store.Attempt(j.Tasks[p.Task].Attempt)
+		if !open || a.WorkerID != p.WorkerID || a.Incarnation != p.Incarnation {
 			continue
 		}
 		means := statev1.ShedAttempt_STOP
 		if p.Means == scheduler.Checkpoint {
 			means = statev1.ShedAttempt_CHECKPOINT
 		}
-		shed.Attempts = append(shed.Attempts, &statev1.ShedAttempt{AttemptId: j.Tasks[p.Task].Attempt, Means: means, Reason: p.Reason})
+		shed.Attempts = append(shed.Attempts, &statev1.ShedAttempt{AttemptId: a.ID, Means: means, Reason: p.Reason})
 	}
-	if len(shed.Attempts) > 0 {
-		s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_ShedAttempts{ShedAttempts: shed}})
+	g.mirror.unshed = shed.Attempts
+	if len(shed.Attempts) > 0 && s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_ShedAttempts{ShedAttempts: shed}}) {
+		g.mirror.unshed = nil
 	}
 }
--- a/internal/control/schedule.go
+++ b/internal/control/schedule.go
@@ -47,7 +47,10 @@
 	s.meter.plan.RecordDuration(time.Since(began))
 	s.meter.jobRejections.Inc(int64(len(batch.Rejections)))
 	for _, r := range batch.Rejections {
-		s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_RejectJob{RejectJob: &statev1.RejectJob{JobId: r.JobID, Reason: r.Reason}}})
+		if !s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_RejectJob{RejectJob: &statev1.RejectJob{JobId: r.JobID, Reason: r.Reason}}}) {
+			// The scheduler has dropped the job; it is mirrored and rejected again.
+			g.dirty.job(r.JobID)
+		}
 	}
 	s.preempt(ctx, g, batch.Preemptions)
 	if len(batch.Placements) > 0 {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"time"
 
 	"github.com/twitchtv/twirp"
 	"github.com/uber-go/tally/v4"
@@ -23,6 +24,8 @@
 	name       string
 	dataCentre string
 	clock      port.Clock
+	// wall is the wall clock, which moves the log time.
+	wall       func() time.Time
 	logger     *slog.Logger
 	groups     map[string]*DataCentreGroup
 	fleet      *FleetGroup
@@ -59,7 +62,7 @@
 // New returns a server.
 func New(c Config) *Server {
 	s := &Server{
-		name: c.Name, dataCentre: c.DataCentre, clock: c.Clock, logger: c.Logger,
+		name: c.Name, dataCentre: c.DataCentre, clock: c.Clock, wall: time.Now, logger: c.Logger,
 		groups: map[string]*DataCentreGroup{}, fleet: c.Fleet, fleetCalls: c.FleetCalls, events: c.Timeline, meter: newMeter(c.Scope), dataCentres: c.DataCentres,
 	}
 	for _, g := range c.Groups {
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -37,6 +37,7 @@
 	defer cancel()
 	for _, d := range s.follower.Store().Documents() {
 		if structs.Class(d.Spec.GetClass()) != structs.ClassService {
+			s.endService(ctx, g, d)
 			continue
 		}
 		spec := proto.Clone(d.Spec).(*statev1.WorkSpec)
@@ -53,6 +54,19 @@
 	}
 }
 
+// endService stops the instances of a document that is no longer of class
+// service.
+func (s *Server) endService(ctx context.Context, g *DataCentreGroup, d *statev1.Document) {
+	j, known := g.Store.Job(state.ServiceJob(d.Team, d.Service))
+	if !known || j.Wanted == 0 {
+		return
+	}
+	spec := proto.Clone(d.Spec).(*statev1.WorkSpec)
+	spec.Class = statev1.WorkSpec_SERVICE
+	spec.Tasks = 0
+	s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_SetService{SetService: &statev1.SetService{Spec: spec}}})
+}
+
 // part returns what the data centre with the index runs of n instances; the
 // first ones run one more if n does not divide.
 func part(n, index, dataCentres int) int {
--- /dev/null
+++ b/internal/control/service_test.go
@@ -0,0 +1,147 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumgrade/gen/apiv1"
+	"laburnumgrade/gen/statev1"
+	"laburnumgrade/internal/state"
+	"laburnumgrade/internal/structs"
+)
+
+// put makes a document known to the process.
+func (l *leader) put(spec structs.WorkSpec) {
+	l.index++
+	spec.Version = l.index
+	l.server.follower.Store().Follow(l.index, []*statev1.FleetChange{{
+		Index: l.index, Document: &statev1.Document{Team: spec.Team, Service: spec.Service, Version: l.index, Spec: spec.Proto(), Share: 1},
+	}}, nil)
+}
+
+func serviceSpec(n int, size structs.Resources) structs.WorkSpec {
+	return structs.WorkSpec{Team: "a", Service: "s", Class: structs.ClassService, Size: size, Tasks: n, Idempotent: true, WaitWhenFull: true}
+}
+
+// instances returns the running instances by version.
+func (l *leader) instances() map[uint64]int {
+	running := map[uint64]int{}
+	j := l.job(state.ServiceJob("a", "s"))
+	for i := range j.Tasks {
+		if a, open := l.group.Store.Attempt(j.Tasks[i].Attempt); open {
+			running[a.Version]++
+		}
+	}
+	return running
+}
+
+func (l *leader) turns(d time.Duration) {
+	for range int(d / (300 * time.Millisecond)) {
+		l.turn()
+	}
+}
+
+// TestServices guards against services that do not run as many instances, of
+// the version, that their documents say.
+func TestServices(t *testing.T) {
+	cases := []struct {
+		name string
+		do   func(l *leader)
+		want map[uint64]int
+	}{
+		{"start", func(*leader) {}, map[uint64]int{1: 4}},
+		{"failed instances are restarted", func(l *leader) {
+			for range 8 {
+				for _, w := range l.workers {
+					w.endAll(apiv1.Outcome_OUTCOME_FAILED)
+				}
+				l.turns(15 * time.Second)
+			}
+		}, map[uint64]int{1: 4}},
+		{"more", func(l *leader) { l.put(serviceSpec(6, cores(1))) }, map[uint64]int{2: 6}},
+		{"fewer", func(l *leader) { l.put(serviceSpec(2, cores(1))) }, map[uint64]int{2: 2}},
+		{"none", func(l *leader) { l.put(serviceSpec(0, cores(1))) }, map[uint64]int{}},
+		{"fewer, then more", func(l *leader) {
+			l.put(serviceSpec(1, cores(1)))
+			l.turns(3 * time.Second)
+			l.put(serviceSpec(3, cores(1)))
+		}, map[uint64]int{3: 3}},
+		{"document becomes batch", func(l *leader) {
+			spec := serviceSpec(4, cores(1))
+			spec.Class = structs.ClassBatch
+			l.put(spec)
+		}, map[uint64]int{}},
+		{"too large a version is corrected", func(l *leader) {
+			l.put(serviceSpec(4, cores(99)))
+			l.turns(3 * time.Second)
+			l.put(serviceSpec(4, cores(2)))
+		}, map[uint64]int{3: 4}},
+		{"worker lost", func(l *leader) { delete(l.workers, "w0") }, map[uint64]int{1: 4}},
+		{"its job may not be cancelled", func(l *leader) {
+			_, err := l.dc.CancelJob(t.Context(), &apiv1.CancelJobRequest{JobId: state.ServiceJob("a", "s")})
+			assert.ErrorContains(l.t, err, "set by its document")
+		}, map[uint64]int{1: 4}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := newLeader(t)
+			for i := range 4 {
+				l.addWorker(fmt.Sprintf("w%d", i), cores(8))
+			}
+			l.allot("a", cores(100))
+			l.put(serviceSpec(4, cores(1)))
+			l.turns(3 * time.Second)
+			c.do(l)
+			l.turns(30 * time.Second)
+			assert.DeepEqual(t, l.instances(), c.want)
+		})
+	}
+}
+
+// TestRoll guards against a change of version that stops more than one
+// instance at a time.
+func TestRoll(t *testing.T) {
+	l := newLeader(t)
+	for i := range 4 {
+		l.addWorker(fmt.Sprintf("w%d", i), cores(8))
+	}
+	l.allot("a", cores(100))
+	l.put(serviceSpec(4, cores(1)))
+	l.turns(3 * time.Second)
+	l.put(serviceSpec(4, cores(2)))
+	for range 40 {
+		l.turn()
+		available := 0
+		for _, w := range l.workers {
+			available += len(w.running)
+		}
+		assert.Assert(t, available >= 3, "%d instances run", available)
+	}
+	assert.DeepEqual(t, l.instances(), map[uint64]int{2: 4})
+}
+
+// TestPart guards against instances that are lost or run twice when a service
+// is split over data centres.
+func TestPart(t *testing.T) {
+	for n := range 20 {
+		for dataCentres := 1; dataCentres < 6; dataCentres++ {
+			sum, least, most := 0, n, 0
+			for i := range dataCentres {
+				p := part(n, i, dataCentres)
+				sum += p
+				least, most = min(least, p), max(most, p)
+			}
+			assert.Equal(t, sum, n)
+			assert.Assert(t, most-least <= 1)
+		}
+	}
+	l := newLeader(t, "w", "x", "y")
+	l.addWorker("w0", cores(8))
+	l.allot("a", cores(100))
+	l.put(serviceSpec(5, cores(1)))
+	l.turns(3 * time.Second)
+	assert.DeepEqual(t, l.instances(), map[uint64]int{1: 2})
+}
--- a/internal/scheduler/mirror.go
+++ b/internal/scheduler/mirror.go
@@ -34,7 +34,8 @@
 	active   []*bucket
 	jobs     map[string]*job
 	attempts map[taskKey]*attempt
-	onWorker [][]*attempt // by slot
+	onWorker [][]*attempt                 // by slot
+	charged  map[string]structs.Resources // by worker
 	dueJobs  deadlines
 	overTeam []*team
 	overSlot []placement.Slot
@@ -55,7 +56,7 @@
 	s := &Scheduler{
 		options: o, fleet: placement.NewFleet(), ledger: share.NewLedger(),
 		teams: map[string]*team{}, docs: map[[2]string]*document{}, buckets: map[bucketKey]*bucket{},
-		jobs: map[string]*job{}, attempts: map[taskKey]*attempt{},
+		jobs: map[string]*job{}, attempts: map[taskKey]*attempt{}, charged: map[string]structs.Resources{},
 	}
 	s.ledger.HalfLife = o.HalfLife
 	s.ledger.Instant = o.Instant
@@ -93,6 +94,7 @@
 
 // RemoveWorker forgets a worker.
 func (s *Scheduler) RemoveWorker(id string) {
+	s.SetCharged(id, structs.Resources{})
 	s.fleet.Remove(id)
 	s.ledger.SetCapacity(s.fleet.Total())
 }
@@ -108,6 +110,11 @@
 // planned attempt are left out.
 func (s *Scheduler) AddJob(in Job) {
 	j, known := s.jobs[in.ID]
+	if known && j.bucket.key != keyOf(in.Spec, in.Urgent) {
+		// A service keeps its job when its document changes.
+		s.RemoveJob(in.ID)
+		known = false
+	}
 	if !known {
 		j = &job{id: in.ID, submitted: in.Submitted}
 	}
@@ -180,8 +187,12 @@
 	b.active = -1
 }
 
+func keyOf(spec structs.WorkSpec, urgent bool) bucketKey {
+	return bucketKey{spec.Team, spec.Service, spec.Version, spec.Size, spec.Class, urgent}
+}
+
 func (s *Scheduler) bucket(spec structs.WorkSpec, urgent bool) *bucket {
-	key := bucketKey{spec.Team, spec.Service, spec.Version, spec.Size, spec.Class, urgent}
+	key := keyOf(spec, urgent)
 	b, known := s.buckets[key]
 	if known {
 		return b
@@ -220,8 +231,18 @@
 func (s *Scheduler) AttemptStarted(in Attempt, now time.Duration) {
 	key := taskKey{in.JobID, int32(in.Task)}
 	slot, known := s.fleet.Lookup(in.WorkerID)
+	size := in.Size
+	if size.IsZero() {
+		size = in.Spec.Size
+	}
 	if a, running := s.attempts[key]; running {
-		if known && a.slot == slot && a.incarnation == in.Incarnation {
+		// A planned attempt has no id yet.
+		same := a.id == 0 || in.ID == 0 || a.id == in.ID
+		if same && known && a.slot == slot && a.incarnation == in.Incarnation {
+			a.id = in.ID
+			if a.size != size {
+				s.ResizeAttempt(in.JobID, in.Task, size, now)
+			}
 			return
 		}
 		s.drop(a, now)
@@ -232,7 +253,7 @@
 	}
 	b := s.bucket(in.Spec, in.Urgent)
 	s.start(&attempt{
-		key: key, bucket: b, slot: slot, incarnation: in.Incarnation, size: in.Spec.Size,
+		key: key, id: in.ID, bucket: b, slot: slot, incarnation: in.Incarnation, size: size,
 		started: in.Started, end: in.Started + b.doc.history.Predict(in.Spec.RunTime, endQuantile),
 	}, now)
 }
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -24,6 +24,8 @@
 
 // Attempt is a committed attempt of a task.
 type Attempt struct {
+	// ID tells attempts of a task on one worker apart; 0 is not compared.
+	ID          uint64
 	JobID       string
 	Task        int
 	WorkerID    string
@@ -31,6 +33,8 @@
 	Spec        structs.WorkSpec
 	Urgent      bool
 	Started     time.Duration
+	// Size is what is committed; zero means the size in Spec.
+	Size structs.Resources
 }
 
 // Placement proposes an attempt of a task on a worker. The placements of a
@@ -155,6 +159,7 @@
 // attempt is a running or planned attempt.
 type attempt struct {
 	key         taskKey
+	id          uint64 // 0 while planned
 	bucket      *bucket
 	slot        placement.Slot
 	incarnation uint64
