--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -284,3 +284,21 @@
 	assert.Equal(t, len(got), 2)
 	assert.Equal(t, len(s.Plan(time.Second, 10).Preemptions), 0)
 }
+
+// Guards against a second attempt of a task on the same worker that is taken
+// for the first one, which was already asked to stop.
+func TestAttemptsOnOneWorkerAreTold(t *testing.T) {
+	s := New(DefaultOptions())
+	openTeams(s, "a")
+	addWorkers(s, 1, cores(8))
+	worker := s.fleet.Worker(0).ID
+	in := Attempt{ID: 1, JobID: "j", WorkerID: worker, Spec: batch("a", "s", 1, time.Second), Started: time.Second}
+	s.AttemptStarted(in, time.Second)
+	s.attempts[taskKey{"j", 0}].stopping = true
+	in.ID, in.Started = 2, 2*time.Second
+	s.AttemptStarted(in, 2*time.Second)
+	a := s.attempts[taskKey{"j", 0}]
+	assert.Equal(t, a.started, 2*time.Second)
+	assert.Assert(t, !a.stopping)
+	assert.Equal(t, s.fleet.Committed(a.slot), a.size)
+}
