raft: tests expect the lease only after the own entry is applied

Cause: TestLease and TestTransferReleasesLease expected a valid lease right after the commit of the leader's first entry. The lease now also needs that entry applied, because a read before could miss what an earlier leader acknowledged. Change: the tests check that there is no lease before the apply, then one after. Result: go test ./internal/raft passes; the check is stricter than before.

--- a/internal/raft/lease_test.go
+++ b/internal/raft/lease_test.go
@@ -104,7 +104,8 @@
 }
 
 // TestLease guards against a lease that starts when the answer arrives, and
-// against one that is reported before the leader has committed in its term.
+// against one that is reported before the leader has committed and applied an
+// entry of its term.
 func TestLease(t *testing.T) {
 	const elected = 2 * time.Second
 	n := newLeader(t, elected)
@@ -123,6 +124,9 @@
 
 	ack.LogIndex = 2
 	n.Step(elected+500*time.Millisecond, ack)
+	_, _, valid = n.Lease()
+	assert.Assert(t, !valid, "lease before the own entry is applied")
+	drain(n)
 	until, since, valid := n.Lease()
 	assert.Assert(t, valid)
 	assert.Equal(t, since, elected)
@@ -151,6 +155,7 @@
 		n.Step(now, reply)
 	}
 	answer()
+	drain(n)
 	_, _, valid := n.Lease()
 	assert.Assert(t, valid)
 	assert.NilError(t, n.TransferLeadership("b.1"))
