Commitments follow the usage that workers report

Workers report the usage of each attempt. The leader commits more as soon as an attempt uses more than is committed, and less after 30 s of lower usage, never below the declaration. A raise is bounded by the worker's and the team's room; what has none is throttled, else checkpointed, else stopped, as the document allows. A returned task now waits with its declared size: the team's sum of waiting sizes drifted otherwise.

--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -38,6 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
+	d.followUsage(ctx, g, since, r)
 	reply := d.awaitWork(ctx, g, r, len(acknowledged) > 0)
 	reply.Acknowledged = acknowledged
 	d.server.recordHeartbeat(r, reply)
--- a/internal/control/leader_test.go
+++ b/internal/control/leader_test.go
@@ -168,6 +168,8 @@
 	l.server.expireOnce(context.Background(), l.group, l.log.since)
 }
 
+func (l *leader) ctx() context.Context { return context.Background() }
+
 // lead starts a new leadership.
 func (l *leader) lead() {
 	l.log.flush()
--- /dev/null
+++ b/internal/control/usage_test.go
@@ -0,0 +1,77 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumgrade/gen/apiv1"
+	"laburnumgrade/internal/structs"
+)
+
+// use sends a heartbeat in which every attempt of the worker uses the amount.
+func (l *leader) use(w *testWorker, usage structs.Resources) *apiv1.HeartbeatResponse {
+	r := l.report(w)
+	for _, a := range r.Attempts {
+		a.Usage = usage.Proto()
+	}
+	reply, err := l.dc.Heartbeat(l.ctx(), r)
+	assert.NilError(l.t, err)
+	return reply
+}
+
+// committedCores returns what is committed to w0 after reports of a usage once
+// a second.
+func (l *leader) committedCores(usage structs.Resources, d time.Duration) int64 {
+	for range int(d / time.Second) {
+		l.pass(time.Second)
+		l.use(l.workers["w0"], usage)
+	}
+	w, _ := l.group.Store.Worker("w0")
+	return w.Committed.MilliCPU / 1000
+}
+
+// TestCommitmentFollowsUsage guards against work that uses more than declared
+// without room being kept for it, against room kept long after, and against
+// commands that follow each report.
+func TestCommitmentFollowsUsage(t *testing.T) {
+	l := newLeader(t)
+	l.addWorker("w0", cores(20))
+	l.allot("a", cores(100))
+	l.mustSubmit(1, batchSpec("a", cores(8)))
+	l.turn()
+	assert.Equal(t, l.committedCores(cores(2), 5*time.Second), int64(8), "not below the declaration")
+	assert.Equal(t, l.committedCores(cores(11), time.Second), int64(11), "raised at once")
+	before := l.log.index
+	assert.Equal(t, l.committedCores(cores(10), 20*time.Second), int64(11), "kept for the window")
+	assert.Equal(t, l.log.index-before, uint64(20), "only the passing of time is committed")
+	assert.Equal(t, l.committedCores(cores(9), 65*time.Second), int64(9), "lowered after it")
+	assert.Equal(t, l.committedCores(cores(1), 65*time.Second), int64(8), "to the declaration")
+	l.schedule()
+	l.checkMirror(t)
+}
+
+// TestUsageBeyondRoom guards against usage that has no room being committed, or
+// left alone although the document allows a means against it, and against a
+// throttle that is never lifted.
+func TestUsageBeyondRoom(t *testing.T) {
+	l := newLeader(t)
+	w := l.addWorker("w0", cores(10))
+	l.allot("a", cores(100))
+	spec := batchSpec("a", cores(4))
+	spec.MayThrottle = true
+	l.mustSubmit(1, spec)
+	l.mustSubmit(2, batchSpec("a", cores(4)))
+	l.turn()
+	assert.Equal(t, len(w.running), 2)
+	l.use(w, cores(20))
+	reply := l.use(w, cores(20))
+	assert.Equal(t, len(reply.Throttle), 1)
+	assert.Equal(t, l.committedCores(cores(20), time.Second), int64(10))
+	before := l.log.index
+	l.committedCores(cores(20), 20*time.Second)
+	assert.Equal(t, l.log.index-before, uint64(20), "what was not granted is not proposed again at once")
+	l.committedCores(cores(4), 65*time.Second)
+	assert.Equal(t, len(l.use(w, cores(4)).Throttle), 0)
+}
--- a/internal/state/attempt.go
+++ b/internal/state/attempt.go
@@ -170,7 +170,7 @@
 	}
 	t := s.team(a.Team)
 	t.WaitingTasks++
-	t.Waiting = t.Waiting.Add(a.Size)
+	t.Waiting = t.Waiting.Add(j.Spec.Size)
 }
 
 // backOff returns the delay after an attempt, with a jitter of a quarter that
--- a/internal/structs/work.go
+++ b/internal/structs/work.go
@@ -180,8 +180,12 @@
 	Number      int
 	WorkerID    string
 	Incarnation uint64
-	Size        Resources
-	Team        string
+	// Size is what is committed.
+	Size Resources
+	// Declared is the size that the document declares, if Size was changed to
+	// follow the usage; otherwise zero.
+	Declared Resources
+	Team     string
 	// Version is that of the document the attempt was placed for.
 	Version uint64
 	// Stopping, Throttled and Checkpointing are set when the worker is to stop,
