Hold heartbeats while tasks run, and report ends beside them

A worker that ran tasks polled every 50 ms so that ends were reported soon. Heartbeats are now held for 1 s; an end is reported at once by a heartbeat of its own that is not held. The leader answers the held one by the worker's last report, and ignores the list of an overtaken heartbeat: it charged attempts that had ended.

--- a/cmd/lg-standin/main.go
+++ b/cmd/lg-standin/main.go
@@ -18,7 +18,6 @@
 	"github.com/pkg/errors"
 
 	"laburnumgrade/internal/adapter/httpserver"
-	"laburnumgrade/internal/adapter/peer"
 	"laburnumgrade/internal/standin"
 	"laburnumgrade/internal/structs"
 )
@@ -40,6 +39,8 @@
 	FailWorkers  int           `long:"fail-workers" default:"0" description:"workers in each data centre that fail every task"`
 	LoseReplies  float64       `long:"lose-replies" default:"0" description:"probability that an answer to a call is lost"`
 	DelayReplies time.Duration `long:"delay-replies" default:"0s" description:"delay of answers to calls"`
+	SizeFactor   float64       `long:"size-factor" default:"1" description:"usage of a task relative to its declared size; 0 reports none"`
+	UsageLag     time.Duration `long:"usage-lag" default:"2s" description:"age of reported usage"`
 	Seed         uint64        `long:"seed" default:"1" description:"seed of the random source"`
 }
 
@@ -66,7 +67,8 @@
 	if err != nil {
 		return err
 	}
-	f := &fleet{o: o, client: peer.NewHTTPClient(nil), records: standin.NewRecords(), logger: slog.New(slog.NewJSONHandler(os.Stderr, nil))}
+	traffic := &standin.Traffic{}
+	f := &fleet{o: o, client: standin.NewClient(traffic), records: standin.NewRecords(), logger: slog.New(slog.NewJSONHandler(os.Stderr, nil))}
 	for dc, addresses := range entries {
 		if err := f.start(ctx, dc, addresses); err != nil {
 			return err
@@ -74,6 +76,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /records", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(f.records.Report()) })
+	mux.HandleFunc("GET /traffic", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(traffic.Report()) })
 	mux.HandleFunc("POST /leave", func(w http.ResponseWriter, r *http.Request) { f.leave(r.URL.Query().Get("target")) })
 	if _, err := httpserver.Start(o.Admin, mux); err != nil {
 		return err
@@ -120,7 +123,7 @@
 }
 
 func (f *fleet) behaviour() standin.Behaviour {
-	return standin.Behaviour{Speed: f.o.Speed, LoseReplies: f.o.LoseReplies, DelayReplies: f.o.DelayReplies}
+	return standin.Behaviour{Speed: f.o.Speed, LoseReplies: f.o.LoseReplies, DelayReplies: f.o.DelayReplies, SizeFactor: f.o.SizeFactor, UsageLag: f.o.UsageLag}
 }
 
 func (f *fleet) startWorker(ctx context.Context, dc string, i int, entries []string) {
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -33,6 +33,7 @@
 	// submissions holds the submitted jobs whose outcome is not known.
 	submissions *submissions
 	usage       *usageTable
+	running     *runningTable
 
 	mu sync.Mutex
 	// begun is the number of the leadership since begunSince, 0 if none.
@@ -57,7 +58,7 @@
 	g := &DataCentreGroup{
 		Name: name, changes: newBroadcast(), dirty: newDirty(),
 		workers: lease.NewTable(lease.Worker), instances: lease.NewTable(lease.Instance), slots: lease.NewTable(lease.Slot),
-		holders: newSlotHolders(), meter: newMeter(nil), submissions: newSubmissions(), usage: newUsageTable(),
+		holders: newSlotHolders(), meter: newMeter(nil), submissions: newSubmissions(), usage: newUsageTable(), running: newRunningTable(),
 	}
 	g.Store = state.New(&observer{g.changes, g.dirty})
 	return g
--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -31,8 +31,12 @@
 	if !g.workers.Renew(r.WorkerId, since, d.server.clock.Now()) {
 		return nil, twirp.NewError(twirp.Aborted, "the lease of worker "+r.WorkerId+" is being ended; ask again")
 	}
-	if err := d.register(ctx, g, r); err != nil {
-		return nil, err
+	// The ends wake the heartbeat that is being held, which then needs the list.
+	// An overtaken heartbeat may state attempts as running that have ended since.
+	if g.running.report(r) {
+		if err := d.register(ctx, g, r); err != nil {
+			return nil, err
+		}
 	}
 	acknowledged, err := d.recordEnds(ctx, g, r)
 	if err != nil {
@@ -40,6 +44,11 @@
 	}
 	d.followUsage(ctx, g, since, r)
 	reply := d.awaitWork(ctx, g, r, len(acknowledged) > 0)
+	if len(acknowledged) > 0 && r.WaitMs == 0 {
+		// The report came beside a heartbeat that is held and is answered with what
+		// is to be started.
+		reply.Start = nil
+	}
 	reply.Acknowledged = acknowledged
 	d.server.recordHeartbeat(r, reply)
 	reply.LeaseMs = (lease.Worker - lease.StopMargin).Milliseconds()
@@ -114,7 +123,7 @@
 	timeout := time.After(time.Duration(r.WaitMs) * time.Millisecond)
 	for {
 		changed := g.changes.wait("worker/" + r.WorkerId)
-		directives := g.Store.Directives(r.WorkerId, r.Incarnation, r.Running)
+		directives := g.Store.Directives(r.WorkerId, r.Incarnation, g.running.latest(r))
 		reply := directivesMessage(&directives)
 		if now || directives.Pending() {
 			return reply
--- /dev/null
+++ b/internal/control/running_test.go
@@ -0,0 +1,81 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumgrade/gen/apiv1"
+	"laburnumgrade/internal/structs"
+)
+
+// TestHeldHeartbeat guards against a held heartbeat that is answered because of
+// an end reported beside it, and so against one more exchange for each end, and
+// against work being started twice over by both answers.
+func TestHeldHeartbeat(t *testing.T) {
+	l := newLeader(t)
+	w := l.addWorker("w0", cores(8))
+	l.allot("a", cores(100))
+	l.mustSubmit(1, batchSpec("a", cores(8)))
+	l.turn()
+	assert.Equal(t, len(w.running), 1)
+	held := l.report(w)
+	held.WaitMs = 60_000
+	answered := make(chan *apiv1.HeartbeatResponse, 1)
+	go func() {
+		reply, _ := l.dc.Heartbeat(l.ctx(), held)
+		answered <- reply
+	}()
+	assert.NilError(t, waitFor(func() bool { return l.group.running.sequence("w0") == held.Sequence }))
+	w.endAll(apiv1.Outcome_OUTCOME_OK)
+	reply, err := l.dc.Heartbeat(l.ctx(), l.report(w))
+	assert.NilError(t, err)
+	assert.Equal(t, len(reply.Acknowledged), 1)
+	select {
+	case r := <-answered:
+		t.Fatalf("the held heartbeat was answered with %v", r)
+	case <-time.After(50 * time.Millisecond):
+	}
+	id := l.mustSubmit(2, batchSpec("a", cores(8)))
+	l.schedule()
+	assert.Equal(t, l.job(id).Tasks[0].State, structs.TaskRunning, "%v", l.group.mirror.scheduler.Explain(id))
+	r := <-answered
+	assert.Equal(t, len(r.Start), 1)
+	assert.Equal(t, r.Start[0].JobId, id)
+}
+
+// waitFor waits until a condition that other goroutines bring about holds.
+func waitFor(condition func() bool) error {
+	for range 10_000 {
+		if condition() {
+			return nil
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return errNotKnown
+}
+
+// TestOvertakenHeartbeat guards against an attempt that is charged to its worker
+// because a heartbeat from before its end arrives after the report of it.
+func TestOvertakenHeartbeat(t *testing.T) {
+	l := newLeader(t)
+	w := l.addWorker("w0", cores(8))
+	l.allot("a", cores(100))
+	l.mustSubmit(1, batchSpec("a", cores(8)))
+	l.turn()
+	late := l.report(w)
+	w.endAll(apiv1.Outcome_OUTCOME_OK)
+	l.heartbeat(w)
+	before := l.log.index
+	_, err := l.dc.Heartbeat(l.ctx(), late)
+	assert.NilError(t, err)
+	assert.Equal(t, l.log.index, before)
+}
+
+// sequence returns that of the worker's last report.
+func (t *runningTable) sequence(worker string) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.byWorker[worker].sequence
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -16,12 +15,13 @@
 )
 
 const (
-	heartbeatHold = 800 * time.Millisecond
-	// busyHold is the hold while tasks run, so that their ends are soon reported.
-	busyHold         = 50 * time.Millisecond
+	// heartbeatHold is how long a heartbeat may be held. Ends of tasks are
+	// reported beside it.
+	heartbeatHold    = time.Second
 	heartbeatTimeout = 2500 * time.Millisecond
 	heartbeatPause   = 100 * time.Millisecond
-	leaseCheck       = 20 * time.Millisecond
+	// endDelay gathers the ends of tasks into one report.
+	endDelay = 5 * time.Millisecond
 )
 
 // WorkerConfig configures an emulated worker.
@@ -45,37 +45,25 @@
 	c           WorkerConfig
 	incarnation uint64
 
-	mu      sync.Mutex
-	expires time.Time
-	tasks   map[uint64]*task
-	ended   map[uint64]*apiv1.EndedAttempt
+	mu       sync.Mutex
+	sequence uint64
+	expires  time.Time
+	// expiry stops every task when the lease has run out.
+	expiry *time.Timer
+	tasks  map[uint64]*task
+	ended  map[uint64]*apiv1.EndedAttempt
+	// wake asks for a report of ends.
+	wake chan struct{}
 	// seen holds every attempt that was started, so that none starts twice.
 	seen    map[uint64]bool
 	leaving bool
 }
 
-type task struct {
-	run  *Run
-	size structs.Resources
-	stop chan struct{}
-	once sync.Once
-	// abort is closed when the lease has run out: the task must end at once.
-	abort     chan struct{}
-	abortOnce sync.Once
-}
-
-func (t *task) cancel() { t.once.Do(func() { close(t.stop) }) }
-
-func (t *task) expire() {
-	t.cancel()
-	t.abortOnce.Do(func() { close(t.abort) })
-}
-
 // NewWorker returns a worker with a new incarnation.
 func NewWorker(c WorkerConfig) *Worker {
 	return &Worker{
 		c: c, incarnation: uint64(time.Now().UnixNano()), tasks: map[uint64]*task{},
-		ended: map[uint64]*apiv1.EndedAttempt{}, seen: map[uint64]bool{},
+		ended: map[uint64]*apiv1.EndedAttempt{}, seen: map[uint64]bool{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -88,22 +76,46 @@
 
 // Run sends heartbeats until the context ends.
 func (w *Worker) Run(ctx context.Context) {
-	go w.enforceLease(ctx)
-	for n := uint64(1); ctx.Err() == nil; n++ {
-		if err := w.heartbeat(ctx, n); err != nil {
+	go w.reportEnds(ctx)
+	for ctx.Err() == nil {
+		if err := w.heartbeat(ctx, heartbeatHold); err != nil {
 			w.c.Logger.Debug("heartbeat failed", "worker", w.c.ID, "error", err)
 			sleep(ctx, heartbeatPause)
 		}
 	}
 }
 
+// reportEnds reports ends of tasks beside the heartbeat that is being held.
+func (w *Worker) reportEnds(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.wake:
+		}
+		sleep(ctx, endDelay)
+		if err := w.heartbeat(ctx, 0); err != nil {
+			w.c.Logger.Debug("report of ends failed", "worker", w.c.ID, "error", err)
+			sleep(ctx, heartbeatPause)
+			w.wakeReport()
+		}
+	}
+}
+
+func (w *Worker) wakeReport() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
 // heartbeat asks one entry; the lease counts from before the question.
-func (w *Worker) heartbeat(ctx context.Context, n uint64) error {
+func (w *Worker) heartbeat(ctx context.Context, hold time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	entry := w.c.Entries[int(n)%len(w.c.Entries)]
+	request := w.report(hold)
+	entry := w.c.Entries[int(request.Sequence)%len(w.c.Entries)]
 	client := apiv1connect.NewTargetServiceClient(w.c.Client, "http://"+entry)
-	request := w.report(n)
 	asked := time.Now()
 	reply, err := client.Heartbeat(ctx, connect.NewRequest(request))
 	if err != nil {
@@ -113,33 +125,29 @@
 	return nil
 }
 
-func (w *Worker) report(n uint64) *apiv1.HeartbeatRequest {
+func (w *Worker) report(hold time.Duration) *apiv1.HeartbeatRequest {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.sequence++
 	r := &apiv1.HeartbeatRequest{
 		WorkerId: w.c.ID, Incarnation: w.incarnation, DataCentre: w.c.DataCentre, Rack: w.c.Rack,
-		Capacity: w.c.Capacity.Proto(), Leaving: w.leaving, WaitMs: heartbeatHold.Milliseconds(), Sequence: n,
+		Capacity: w.c.Capacity.Proto(), Leaving: w.leaving, WaitMs: hold.Milliseconds(), Sequence: w.sequence,
 	}
+	now := time.Now()
 	for id, t := range w.tasks {
 		r.Running = append(r.Running, id)
-		r.Attempts = append(r.Attempts, &apiv1.RunningAttempt{AttemptId: id, Size: t.size.Proto()})
+		r.Attempts = append(r.Attempts, &apiv1.RunningAttempt{AttemptId: id, Size: t.size.Proto(), Usage: t.usage(&w.c.Behaviour, now)})
 	}
 	for _, e := range w.ended {
 		r.Ended = append(r.Ended, e)
 	}
-	if len(r.Running) > 0 {
-		r.WaitMs = busyHold.Milliseconds()
-	}
 	return r
 }
 
 func (w *Worker) accept(asked time.Time, r *apiv1.HeartbeatResponse) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	// A reply that was overtaken by a later one does not shorten the lease.
-	if expires := asked.Add(time.Duration(r.LeaseMs) * time.Millisecond); expires.After(w.expires) {
-		w.expires = expires
-	}
+	w.extend(asked.Add(time.Duration(r.LeaseMs) * time.Millisecond))
 	for _, id := range r.Acknowledged {
 		delete(w.ended, id)
 	}
@@ -149,109 +157,39 @@
 	for _, id := range r.Stop {
 		w.stop(id)
 	}
+	for _, id := range r.Checkpoint {
+		w.checkpoint(id)
+	}
+	w.throttle(r.Throttle)
 	for _, a := range r.Start {
 		w.start(a)
 	}
 }
 
-func (w *Worker) stop(id uint64) {
-	if t := w.tasks[id]; t != nil {
-		t.cancel()
-		return
-	}
-	if !w.seen[id] {
-		w.seen[id] = true
-		w.ended[id] = &apiv1.EndedAttempt{AttemptId: id, Outcome: apiv1.Outcome_OUTCOME_CANCELLED, NeverStarted: true}
-	}
-}
-
-func (w *Worker) start(a *apiv1.Assignment) {
-	if w.seen[a.AttemptId] {
-		return
-	}
-	w.seen[a.AttemptId] = true
-	size := structs.ResourcesFromProto(a.Size)
-	id := fmt.Sprintf("%s/%d", a.JobId, a.Task)
-	if a.ServiceInstance {
-		// Each data centre numbers its own instances of a service.
-		id += "@" + w.c.DataCentre
-	}
-	run := w.c.Records.startTask(Run{
-		ID: id, Attempt: a.AttemptId, Target: w.c.ID, Team: a.Team, Service: a.Service,
-	}, size, w.c.Capacity)
-	t := &task{run: run, size: size, stop: make(chan struct{}), abort: make(chan struct{})}
-	w.tasks[a.AttemptId] = t
-	if a.ServiceInstance {
-		go w.runInstance(a, t)
+// extend moves the end of the lease. A reply that was overtaken by a later one
+// does not shorten it.
+func (w *Worker) extend(expires time.Time) {
+	if !expires.After(w.expires) {
 		return
 	}
-	go w.runTask(a, t)
-}
-
-// runInstance serves calls until the instance is stopped. A stopped instance
-// announces that it is leaving and finishes its calls first.
-func (w *Worker) runInstance(a *apiv1.Assignment, t *task) {
-	end := &apiv1.EndedAttempt{AttemptId: a.AttemptId, JobId: a.JobId, Task: a.Task, Outcome: apiv1.Outcome_OUTCOME_CANCELLED, Detail: "stopped"}
-	c := w.c.Instance
-	c.ID = fmt.Sprintf("%s-%d", w.c.ID, a.AttemptId)
-	c.DataCentre, c.Team, c.Service = w.c.DataCentre, a.Team, a.Service
-	c.Entries, c.Client, c.Records, c.Logger, c.Behaviour = w.c.Entries, w.c.Client, w.c.Records, w.c.Logger, w.c.Behaviour
-	in, err := NewInstance(c)
-	if err != nil {
-		end.Outcome = apiv1.Outcome_OUTCOME_FAILED
-		end.Detail = err.Error()
-		w.finish(t, end, false)
+	w.expires = expires
+	if w.expiry == nil {
+		w.expiry = time.AfterFunc(time.Until(expires), w.expire)
 		return
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go in.Run(ctx)
-	<-t.stop
-	in.Leave()
-	in.drain(t.abort)
-	w.finish(t, end, false)
+	w.expiry.Reset(time.Until(expires))
 }
 
-// finish records the end of a task until it is acknowledged.
-func (w *Worker) finish(t *task, end *apiv1.EndedAttempt, completed bool) {
-	w.c.Records.endTask(t.run, t.size, completed)
+// expire stops every task when the lease has run out.
+func (w *Worker) expire() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	delete(w.tasks, end.AttemptId)
-	w.ended[end.AttemptId] = end
-}
-
-func (w *Worker) runTask(a *apiv1.Assignment, t *task) {
-	work := parseWork(a.Payload)
-	end := &apiv1.EndedAttempt{AttemptId: a.AttemptId, JobId: a.JobId, Task: a.Task, Outcome: apiv1.Outcome_OUTCOME_OK, Answer: []byte("done " + t.run.ID)}
-	completed := true
-	select {
-	case <-time.After(w.c.Behaviour.runTime(work)):
-	case <-t.stop:
-		completed = false
-		end.Outcome = apiv1.Outcome_OUTCOME_CANCELLED
-		end.Answer = nil
-		end.Detail = "stopped"
-	}
-	if completed && (work.Fail || w.c.Behaviour.FailAll) {
-		end.Outcome = apiv1.Outcome_OUTCOME_FAILED
-		end.Answer = nil
-		end.Detail = "the emulated task failed"
+	if left := time.Until(w.expires); left > 0 {
+		w.expiry.Reset(left)
+		return
 	}
-	w.finish(t, end, completed)
-}
-
-// enforceLease stops every task when the lease has run out.
-func (w *Worker) enforceLease(ctx context.Context) {
-	for ctx.Err() == nil {
-		sleep(ctx, leaseCheck)
-		w.mu.Lock()
-		if time.Now().After(w.expires) {
-			for _, t := range w.tasks {
-				t.expire()
-			}
-		}
-		w.mu.Unlock()
+	for _, t := range w.tasks {
+		t.expire()
 	}
 }
 
