--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build gen lint test demo faults
+.PHONY: build gen lint test demo faults scale
 
 build:
 	go build -o bin/ ./cmd/...
@@ -20,3 +20,6 @@
 
 faults: build
 	go run ./test/faults
+
+scale: build
+	go run ./test/scale
--- a/internal/standin/record.go
+++ b/internal/standin/record.go
@@ -117,6 +117,8 @@
 
 // Report is the records as served to the test programs.
 type Report struct {
+	// BeganUnixMs is the wall clock at the origin of the runs' times.
+	BeganUnixMs int64 `json:"began_unix_ms"`
 	Summary Summary `json:"summary"`
 	Runs    []Run   `json:"runs"`
 }
@@ -125,7 +127,7 @@
 func (r *Records) Report() Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	report := Report{Summary: r.s, Runs: make([]Run, len(r.runs))}
+	report := Report{BeganUnixMs: r.began.UnixMilli(), Summary: r.s, Runs: make([]Run, len(r.runs))}
 	report.Summary.TeamPeak = map[string]structs.Resources{}
 	for team, peak := range r.s.TeamPeak {
 		report.Summary.TeamPeak[team] = peak
--- /dev/null
+++ b/test/cluster/usage.go
@@ -0,0 +1,71 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"laburnumgrade/internal/standin"
+)
+
+// clockTicks is the unit of CPU times in /proc, per second.
+const clockTicks = 100
+
+// Pid returns the process id of a started process.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
+
+// CPU returns the processor time that a running process has used.
+func (p *Process) CPU() (time.Duration, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Pid()))
+	if err != nil {
+		return 0, errors.Wrapf(err, "read CPU time of %s", p.Name)
+	}
+	// The fields after the command's name, which is in parentheses.
+	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+	ticks := 0
+	for _, f := range fields[11:13] {
+		n, err := strconv.Atoi(f)
+		if err != nil {
+			return 0, errors.Wrapf(err, "read CPU time of %s", p.Name)
+		}
+		ticks += n
+	}
+	return time.Duration(ticks) * time.Second / clockTicks, nil
+}
+
+// Memory returns the resident memory of a running process in bytes.
+func (p *Process) Memory() (int64, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Pid()))
+	if err != nil {
+		return 0, errors.Wrapf(err, "read memory of %s", p.Name)
+	}
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kib, err := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
+			return kib << 10, errors.Wrapf(err, "read memory of %s", p.Name)
+		}
+	}
+	return 0, errors.Errorf("no resident memory of %s", p.Name)
+}
+
+// Traffic returns what the emulated targets have exchanged with entries.
+func (c *Cluster) Traffic(ctx context.Context) (standin.TrafficReport, error) {
+	var report standin.TrafficReport
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/traffic", c.Standin.Admin), nil)
+	if err != nil {
+		return report, err
+	}
+	resp, err := c.Client.Do(r)
+	if err != nil {
+		return report, errors.Wrap(err, "read traffic")
+	}
+	defer resp.Body.Close()
+	return report, errors.Wrap(json.NewDecoder(resp.Body).Decode(&report), "decode traffic")
+}
