--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build gen lint test demo faults load
+.PHONY: build gen lint test demo faults load scale
 
 build:
 	go build -o bin/ ./cmd/...
@@ -23,3 +23,6 @@
 
 load: build
 	go run ./test/load
+
+scale: build
+	go run ./test/scale
