--- a/cmd/lg-entry/main.go
+++ b/cmd/lg-entry/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"os"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +22,11 @@
 // instanceConnections is the number of connections that an instance accepts.
 const instanceConnections = 64
 
+// gcPercent lets the heap grow to five times the live data, which is a few MB,
+// between collections; at the default the collector ran several times a second
+// under load and delayed the calls that had to assist it.
+const gcPercent = 400
+
 type options struct {
 	Settings string `long:"settings" required:"true" description:"settings file (INI)"`
 	Check    bool   `long:"check" description:"check the settings and exit"`
@@ -49,6 +55,7 @@
 }
 
 func run(c *config.Entry) error {
+	debug.SetGCPercent(gcPercent)
 	first, second := process.Signals()
 	var serving atomic.Pointer[entry.Server]
 	p, err := process.Start(c.Process, c.Limits.Timeline, c.AddressMap, func() error {
--- a/cmd/lg-load/main.go
+++ b/cmd/lg-load/main.go
@@ -25,11 +25,12 @@
 	Batch    []string          `long:"batch" description:"jobs of one task, as team/service=rate per second; may be repeated"`
 	Gang     []string          `long:"gang" description:"jobs of several tasks, as team/service/tasks=rate per second; may be repeated"`
 	Keys     map[string]string `long:"key" description:"key of a team, as team:key; may be repeated"`
-	Direct   []string          `long:"direct" description:"address of an instance; the first kind of calls is first sent straight to these"`
+	Direct   []string          `long:"direct" description:"address of an instance; the first kind of calls is also sent straight to these, in turn"`
 	Body     string            `long:"body" default:"{\"run_ms\":10}" description:"body of the calls and payload of the jobs"`
 	Deadline time.Duration     `long:"deadline" default:"5s" description:"time budget of a call"`
-	Warmup   time.Duration     `long:"warmup" default:"2s" description:"time before the measurement"`
-	Duration time.Duration     `long:"duration" default:"10s" description:"time of the measurement"`
+	Warmup   time.Duration     `long:"warmup" default:"1s" description:"time before the measurement of each round"`
+	Duration time.Duration     `long:"duration" default:"10s" description:"time of the measurement over all rounds"`
+	Rounds   int               `long:"rounds" default:"4" description:"how often direct calls and the rest take turns"`
 	Seed     uint64            `long:"seed" default:"1" description:"seed of the arrival times"`
 	JSON     bool              `long:"json" description:"report as JSON"`
 	Check    bool              `long:"check" description:"check the arguments and exit"`
@@ -57,16 +58,16 @@
 	if err != nil || o.Check {
 		return err
 	}
-	plan := load.Plan{Warmup: o.Warmup, Duration: o.Duration, Seed: o.Seed}
+	plan := load.Plan{Warmup: o.Warmup, Duration: o.Duration, Rounds: max(o.Rounds, 1), Seed: o.Seed}
 	result := &load.Result{}
 	if len(o.Direct) > 0 && len(o.Calls) > 0 {
 		direct := load.Stream{Name: "direct to instances", Rate: streams[0].Rate, Send: load.Direct(client, o.Direct, []byte(o.Body), o.Deadline)}
-		result.Direct = &load.Run(ctx, plan, []load.Stream{direct})[0]
-	}
-	result.Streams = load.Run(ctx, plan, streams)
-	if result.Direct != nil {
+		reports := load.Run(ctx, plan, []load.Stream{direct}, streams)
+		result.Direct, result.Streams = &reports[0][0], reports[1]
 		share := result.Streams[0].P99 - result.Direct.P99
 		result.EntryShareP99 = &share
+	} else {
+		result.Streams = load.Run(ctx, plan, streams)[0]
 	}
 	if o.JSON {
 		return json.NewEncoder(os.Stdout).Encode(result)
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -19,8 +19,8 @@
 	Failed  int64   `json:"failed"`
 	Unknown int64   `json:"unknown"`
 	Errors  int64   `json:"errors"`
-	// LastError is one of the errors.
-	LastError string  `json:"last_error,omitempty"`
+	// LastFault is one of the errors or of the reasons of other outcomes than OK.
+	LastFault string  `json:"last_fault,omitempty"`
 	P50       float64 `json:"p50_ms"`
 	P90       float64 `json:"p90_ms"`
 	P99       float64 `json:"p99_ms"`
@@ -38,7 +38,7 @@
 		Name: name, Sent: r.sent, PerS: float64(r.sent) / d.Seconds(),
 		OK: r.outcomes[apiv1.Outcome_OUTCOME_OK], NotRun: r.outcomes[apiv1.Outcome_OUTCOME_NOT_RUN],
 		Failed:  r.outcomes[apiv1.Outcome_OUTCOME_FAILED] + r.outcomes[apiv1.Outcome_OUTCOME_CANCELLED],
-		Unknown: r.outcomes[apiv1.Outcome_OUTCOME_UNKNOWN], Errors: r.errors, LastError: r.last,
+		Unknown: r.outcomes[apiv1.Outcome_OUTCOME_UNKNOWN], Errors: r.errors, LastFault: r.last,
 		P50: at(50), P90: at(90), P99: at(99), P999: at(99.9), Max: float64(r.times.Max()) / 1000,
 		SendLateP99: float64(r.late.ValueAtQuantile(99)) / 1000,
 	}
@@ -69,8 +69,8 @@
 		if err != nil {
 			return err
 		}
-		if s.LastError != "" {
-			if _, err := fmt.Fprintf(w, "  error: %s\n", s.LastError); err != nil {
+		if s.LastFault != "" {
+			if _, err := fmt.Fprintf(w, "  last fault: %s\n", s.LastFault); err != nil {
 				return err
 			}
 		}
--- a/internal/load/send.go
+++ b/internal/load/send.go
@@ -57,38 +57,38 @@
 
 // Call returns a Send that calls a service.
 func (s *Sender) Call(team, service, key string) Send {
-	return func(ctx context.Context) (apiv1.Outcome, error) {
+	return func(ctx context.Context) (apiv1.Outcome, string, error) {
 		id := uuid.Must(uuid.NewV7()).String()
 		r, err := s.client().Call(ctx, withKey(&apiv1.CallRequest{
 			RequestId: id, Team: team, Service: service, Body: s.Body, DeadlineMs: s.Deadline.Milliseconds(),
 		}, key))
 		if err != nil {
-			return 0, err
+			return 0, "", err
 		}
 		if r.Msg.RequestId != id {
-			return 0, errors.Errorf("the answer belongs to request %s", r.Msg.RequestId)
+			return 0, "", errors.Errorf("the answer belongs to request %s", r.Msg.RequestId)
 		}
-		return r.Msg.Outcome, nil
+		return r.Msg.Outcome, r.Msg.Detail, nil
 	}
 }
 
 // Job returns a Send that submits a job and waits for its end. Several tasks
 // make a gang job if the document says so.
 func (s *Sender) Job(team, service, key string, tasks int32) Send {
-	return func(ctx context.Context) (apiv1.Outcome, error) {
+	return func(ctx context.Context) (apiv1.Outcome, string, error) {
 		id := uuid.Must(uuid.NewV7()).String()
 		_, err := s.client().SubmitJob(ctx, withKey(&apiv1.SubmitJobRequest{JobId: id, Team: team, Service: service, Payload: s.Body, Tasks: tasks}, key))
 		if connect.CodeOf(err) == connect.CodeFailedPrecondition {
-			return apiv1.Outcome_OUTCOME_NOT_RUN, nil
+			return apiv1.Outcome_OUTCOME_NOT_RUN, err.Error(), nil
 		}
 		for err == nil {
 			var r *connect.Response[apiv1.Job]
 			r, err = s.client().WaitJob(ctx, withKey(&apiv1.WaitJobRequest{JobId: id, WaitMs: waitMs}, key))
 			if err == nil && r.Msg.State == apiv1.JobState_JOB_STATE_ENDED {
-				return r.Msg.Outcome, nil
+				return r.Msg.Outcome, "job " + id, nil
 			}
 		}
-		return 0, err
+		return 0, "", err
 	}
 }
 
@@ -99,17 +99,17 @@
 		clients[i] = apiv1connect.NewInstanceServiceClient(client, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil))
 	}
 	var next atomic.Uint64
-	return func(ctx context.Context) (apiv1.Outcome, error) {
+	return func(ctx context.Context) (apiv1.Outcome, string, error) {
 		n := next.Add(1)
 		r, err := clients[n%uint64(len(clients))].Invoke(ctx, connect.NewRequest(&apiv1.InvokeRequest{
 			RequestId: fmt.Sprintf("direct-%d", n), Attempt: 1, Body: body, DeadlineMs: deadline.Milliseconds(),
 		}))
 		if err != nil {
-			return 0, err
+			return 0, "", err
 		}
 		if r.Msg.Digest != xxhash.Sum64(r.Msg.Body) {
-			return 0, errors.New("the answer does not match its digest")
+			return 0, "", errors.New("the answer does not match its digest")
 		}
-		return r.Msg.Outcome, nil
+		return r.Msg.Outcome, r.Msg.Detail, nil
 	}
 }
--- a/internal/load/stream.go
+++ b/internal/load/stream.go
@@ -18,8 +18,9 @@
 	precision = 3
 )
 
-// Send sends one piece of work and returns its outcome.
-type Send func(ctx context.Context) (apiv1.Outcome, error)
+// Send sends one piece of work and returns its outcome, with the reason if it is
+// not OK.
+type Send func(ctx context.Context) (outcome apiv1.Outcome, reason string, err error)
 
 // Stream is a kind of work that arrives at random times with a mean rate.
 type Stream struct {
@@ -48,7 +49,7 @@
 	}
 }
 
-func (r *recorder) record(took, late time.Duration, o apiv1.Outcome, err error) {
+func (r *recorder) record(took, late time.Duration, o apiv1.Outcome, reason string, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sent++
@@ -59,6 +60,9 @@
 		return
 	}
 	r.outcomes[o]++
+	if o != apiv1.Outcome_OUTCOME_OK {
+		r.last = reason
+	}
 	if o == apiv1.Outcome_OUTCOME_OK {
 		_ = r.times.RecordValue(min(max(took.Microseconds(), 1), longest.Microseconds()))
 	}
@@ -66,31 +70,55 @@
 
 // Plan is how long streams run.
 type Plan struct {
-	// Warmup is sent but not measured.
-	Warmup, Duration time.Duration
-	Seed             uint64
+	// Warmup is sent but not measured, before each round.
+	Warmup time.Duration
+	// Duration is the measured time of each group of streams over all rounds.
+	Duration time.Duration
+	// Rounds is how often the groups take turns, so that what else the machine
+	// does falls on all groups alike.
+	Rounds int
+	Seed   uint64
 }
 
-// Run sends the streams and returns a report of each after all answers came.
-func Run(ctx context.Context, plan Plan, streams []Stream) []Report {
-	reports := make([]Report, len(streams))
+// Run sends the groups of streams in turn and returns the report of each stream
+// after all answers came.
+func Run(ctx context.Context, plan Plan, groups ...[]Stream) [][]Report {
+	recorders := make([][]*recorder, len(groups))
+	for i, group := range groups {
+		for range group {
+			recorders[i] = append(recorders[i], newRecorder())
+		}
+	}
+	for round := range plan.Rounds {
+		for i, group := range groups {
+			plan.run(ctx, uint64(round), group, recorders[i])
+		}
+	}
+	reports := make([][]Report, len(groups))
+	for i, group := range groups {
+		for j := range group {
+			reports[i] = append(reports[i], recorders[i][j].report(group[j].Name, plan.Duration))
+		}
+	}
+	return reports
+}
+
+func (plan Plan) run(ctx context.Context, round uint64, group []Stream, recorders []*recorder) {
 	var wg sync.WaitGroup
-	for i, s := range streams {
+	for i := range group {
 		wg.Go(func() {
-			reports[i] = s.run(ctx, plan, rand.New(rand.NewPCG(plan.Seed, uint64(i))))
+			group[i].run(ctx, plan, rand.New(rand.NewPCG(plan.Seed+round, uint64(i))), recorders[i])
 		})
 	}
 	wg.Wait()
-	return reports
 }
 
-// run sends at planned times. Arrivals are exponential; one that is late is sent
-// at once and measured from its planned time.
-func (s *Stream) run(ctx context.Context, plan Plan, random *rand.Rand) Report {
-	r := newRecorder()
+// run sends at planned times for one round. Arrivals are exponential; one that
+// is late is sent at once and measured from its planned time.
+func (s *Stream) run(ctx context.Context, plan Plan, random *rand.Rand, r *recorder) {
 	var wg sync.WaitGroup
 	start := time.Now()
-	end := plan.Warmup + plan.Duration
+	end := plan.Warmup + plan.Duration/time.Duration(plan.Rounds)
 	for at := time.Duration(0); ; {
 		at += time.Duration(random.ExpFloat64() / s.Rate * float64(time.Second))
 		if at >= end || !sleepUntil(ctx, start.Add(at)) {
@@ -100,14 +128,13 @@
 		measured := at >= plan.Warmup
 		wg.Go(func() {
 			late := time.Since(planned)
-			o, err := s.Send(ctx)
+			o, reason, err := s.Send(ctx)
 			if measured {
-				r.record(time.Since(planned), late, o, err)
+				r.record(time.Since(planned), late, o, reason, err)
 			}
 		})
 	}
 	wg.Wait()
-	return r.report(s.Name, plan.Duration)
 }
 
 // sleepUntil reports whether the context lasted.
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -91,14 +91,18 @@
 // choose decides about a call: a grant, or how long it is expected to wait here.
 func (p *pool) choose(c *Call, now time.Duration) (g Grant, granted bool, wait time.Duration, known bool) {
 	var best *instance
+	var least time.Duration
 	slots := 0
 	for _, in := range p.instances {
 		if !p.usable(in, c, now) {
 			continue
 		}
 		slots += in.slots
-		if in.used < in.slots && (best == nil || in.cost(p.service, now) < best.cost(p.service, now)) {
-			best = in
+		if in.used >= in.slots {
+			continue
+		}
+		if cost := in.cost(p.service, now); best == nil || cost < least {
+			best, least = in, cost
 		}
 	}
 	if best != nil {
