--- a/internal/adapter/peer/client.go
+++ b/internal/adapter/peer/client.go
@@ -135,6 +135,16 @@
 	}
 }
 
+// Within bounds each run of fn, so that a process that is paused or cut off does
+// not use up the time in which another could answer.
+func Within[T any](limit time.Duration, fn func(ctx context.Context, client *http.Client, url string) (T, error)) func(context.Context, *http.Client, string) (T, error) {
+	return func(ctx context.Context, client *http.Client, url string) (T, error) {
+		ctx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		return fn(ctx, client, url)
+	}
+}
+
 // handle says whether to retry, and whether the call may have been received.
 func (g *Group) handle(host string, err error) (retry, sent bool) {
 	var t twirp.Error
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -35,6 +35,9 @@
 	if s.draining.Load() {
 		return refusedCall(m, routing.Refusal(reasonDraining))
 	}
+	if m.RequestId == "" {
+		return notRunAnswer(m, routing.Refusal("the request has no id; answers are matched by it"))
+	}
 	d, err := s.admitKey(key, m.Team, m.Service)
 	if err != nil {
 		return refusedCall(m, err)
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/sha256"
 	"flag"
+	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -45,6 +46,8 @@
 	// lostBefore is lost before the receiver acts on it, lostAfter afterwards.
 	lostBefore
 	lostAfter
+	// hangs is never answered.
+	hangs
 )
 
 // fates holds the fates of the next messages by the last part of their path.
@@ -89,6 +92,10 @@
 		switch f.take(r.URL.Path) {
 		case lostBefore:
 			panic(http.ErrAbortHandler)
+		case hangs:
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+			return
 		case lostAfter:
 			next.ServeHTTP(httptest.NewRecorder(), r)
 			panic(http.ErrAbortHandler)
--- a/internal/entry/instances.go
+++ b/internal/entry/instances.go
@@ -22,7 +22,6 @@
 func (s *Server) followInstances(ctx context.Context, dataCentre string) {
 	for {
 		s.listInstances(ctx, dataCentre)
-		s.routes.Tick(s.clock.Now())
 		timer := time.NewTimer(s.listInterval(dataCentre))
 		select {
 		case <-ctx.Done():
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -21,8 +21,13 @@
 // callerService serves callers.
 type callerService struct{ *Server }
 
-// controlTimeout bounds a call to a group's leader; it covers a failover.
-const controlTimeout = 5 * time.Second
+const (
+	// controlTimeout bounds a call to a group's leader; it covers a failover.
+	controlTimeout = 5 * time.Second
+	// tryLimit bounds one try of a call that may be repeated. It is well above
+	// the time of a commit and below that of a failover.
+	tryLimit = time.Second
+)
 
 // SubmitJob makes a job durable in its home data centre.
 func (s *callerService) SubmitJob(ctx context.Context, r *connect.Request[apiv1.SubmitJobRequest]) (*connect.Response[apiv1.SubmitJobResponse], error) {
@@ -48,9 +53,9 @@
 	}}
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	reply, err := peer.Call(ctx, group, func(ctx context.Context, c *http.Client, url string) (*peerv1.SubmitJobReply, error) {
+	reply, err := peer.Call(ctx, group, peer.Within(tryLimit, func(ctx context.Context, c *http.Client, url string) (*peerv1.SubmitJobReply, error) {
 		return peerv1.NewDataCentreServiceProtobufClient(url, c).SubmitJob(ctx, command)
-	})
+	}))
 	if err != nil {
 		return nil, controlError(err)
 	}
@@ -118,9 +123,9 @@
 	_, group := s.home(r.Msg.JobId)
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	j, err := peer.Call(ctx, group, func(ctx context.Context, c *http.Client, url string) (*apiv1.Job, error) {
+	j, err := peer.Call(ctx, group, peer.Within(tryLimit, func(ctx context.Context, c *http.Client, url string) (*apiv1.Job, error) {
 		return peerv1.NewDataCentreServiceProtobufClient(url, c).CancelJob(ctx, r.Msg)
-	})
+	}))
 	if err != nil {
 		return nil, controlError(err)
 	}
@@ -135,9 +140,9 @@
 	_, group := s.home(r.Msg.JobId)
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	e, err := peer.Call(ctx, group, func(ctx context.Context, c *http.Client, url string) (*apiv1.ExplainJobResponse, error) {
+	e, err := peer.Call(ctx, group, peer.Within(tryLimit, func(ctx context.Context, c *http.Client, url string) (*apiv1.ExplainJobResponse, error) {
 		return peerv1.NewDataCentreServiceProtobufClient(url, c).ExplainJob(ctx, r.Msg)
-	})
+	}))
 	if err != nil {
 		return nil, controlError(err)
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
@@ -126,12 +127,23 @@
 func (s *Server) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() { s.follower.Run(ctx) })
+	wg.Go(func() { s.tick(ctx) })
 	for _, dc := range s.dataCentres {
 		wg.Go(func() { s.followInstances(ctx, dc) })
 	}
 	wg.Wait()
 }
 
+// tickInterval is how often waiting calls are looked at again, besides when a
+// slot comes free or the instances were listed.
+const tickInterval = 50 * time.Millisecond
+
+func (s *Server) tick(ctx context.Context) {
+	for pause(ctx, tickInterval) {
+		s.routes.Tick(s.clock.Now())
+	}
+}
+
 // Ready returns why the entry takes no new work, nil if it does.
 func (s *Server) Ready() error {
 	if s.draining.Load() {
--- a/internal/routing/instance.go
+++ b/internal/routing/instance.go
@@ -17,8 +17,9 @@
 	// weight against the mean, so that an instance that was once slow is tried
 	// again.
 	speedHalfLife = 10 * time.Second
-	// firstPause is how long an instance gets no call after a failure; it
-	// doubles with each further failure up to maxPause.
+	// firstPause is how long an instance gets no call after the second failure in
+	// a row, or when it cannot be reached; it doubles with each further failure up
+	// to maxPause. A single lost answer says little about the instance.
 	firstPause = 100 * time.Millisecond
 	maxPause   = 2 * time.Second
 )
@@ -102,8 +103,10 @@
 		in.sampled = now
 		in.failures = 0
 	case Unreachable, Broken:
-		in.pausedTo = now + min(firstPause<<min(in.failures, 10), maxPause)
 		in.failures++
+		if r.Result == Unreachable || in.failures > 1 {
+			in.pausedTo = now + min(firstPause<<min(in.failures-1, 10), maxPause)
+		}
 	}
 }
 
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -112,10 +112,14 @@
 	if c.Forwarded {
 		return Grant{}, false, wait, known
 	}
-	if r := p.bestRemote(c, now); r != nil && (slots == 0 || r.wait(now) < wait) {
-		return p.grantRemote(r), true, 0, true
+	r := p.bestRemote(c, now)
+	if r == nil || (slots > 0 && r.wait(now) >= wait) {
+		return Grant{}, false, wait, known
+	}
+	if w := r.wait(now); now+w > c.Deadline {
+		return Grant{}, false, w, true
 	}
-	return Grant{}, false, wait, known
+	return p.grantRemote(r), true, 0, true
 }
 
 // localWait returns the expected wait for one of the slots, all of which are
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -152,6 +152,8 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(ticket.Ready()), 0)
 	assert.Assert(t, table.Cancel(ticket))
+	_, err = table.Submit(Call{Service: testService, Deadline: 50 * time.Millisecond}, 0)
+	assert.ErrorContains(t, err, "not run: the expected wait")
 	// The report is no longer believed.
 	table.Update("x", []*peerv1.Instance{listed("i1", "a", 1), listed("i2", "b", 8)}, time.Second, testLease, time.Second)
 	ticket, err = table.Submit(call(time.Hour), time.Second)
