peer: a call that never had a connection counts as not sent

Cause: the last try of a call to dead processes ended with the context's error and counted as possibly sent, so that a submission was answered as outcome unknown instead of not run. Change: whether a try was sent is taken from the connection. Result: TestGroupCall (all dead) fails without the change and passes with it.

--- a/internal/adapter/peer/client.go
+++ b/internal/adapter/peer/client.go
@@ -117,7 +117,8 @@
 		if host == "" {
 			return zero, failure
 		}
-		result, err := fn(ctx, g.client, "http://"+host)
+		traced, connected := TraceSent(ctx)
+		result, err := fn(traced, g.client, "http://"+host)
 		if err == nil {
 			g.setLeader(host)
 			return result, nil
@@ -125,7 +126,7 @@
 		failure.Peer = host
 		failure.Err = err
 		retry, sent := g.handle(host, err)
-		failure.Sent = failure.Sent || sent
+		failure.Sent = failure.Sent || (sent && connected())
 		if !retry || ctx.Err() != nil {
 			return zero, failure
 		}
