--- a/internal/adapter/peer/client.go
+++ b/internal/adapter/peer/client.go
@@ -117,7 +117,8 @@
 		if host == "" {
 			return zero, failure
 		}
-		result, err := fn(ctx, g.client, "http://"+host)
+		traced, connected := TraceSent(ctx)
+		result, err := fn(traced, g.client, "http://"+host)
 		if err == nil {
 			g.setLeader(host)
 			return result, nil
@@ -125,7 +126,7 @@
 		failure.Peer = host
 		failure.Err = err
 		retry, sent := g.handle(host, err)
-		failure.Sent = failure.Sent || sent
+		failure.Sent = failure.Sent || (sent && connected())
 		if !retry || ctx.Err() != nil {
 			return zero, failure
 		}
@@ -135,6 +136,16 @@
 	}
 }
 
+// Within bounds each run of fn, so that a process that is paused or cut off does
+// not use up the time in which another could answer.
+func Within[T any](limit time.Duration, fn func(ctx context.Context, client *http.Client, url string) (T, error)) func(context.Context, *http.Client, string) (T, error) {
+	return func(ctx context.Context, client *http.Client, url string) (T, error) {
+		ctx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		return fn(ctx, client, url)
+	}
+}
+
 // handle says whether to retry, and whether the call may have been received.
 func (g *Group) handle(host string, err error) (retry, sent bool) {
 	var t twirp.Error
