Record requests at most once, with withdrawal, canonical ids and a queue by time

Cause: a resend of another team with the same body received the first team's answer; two spellings of a UUID were two requests; a record committed after its owner had given up stayed pending; advanceTime looked at every record and job five times a second. Change: content includes team and service, only canonical ids are accepted, an owner that gives up withdraws the record, records age by a queue ordered by time, results stay 24 h after the end.

--- a/internal/state/attempt.go
+++ b/internal/state/attempt.go
@@ -194,6 +194,8 @@
 	j.EndedTasks++
 	if j.Ended() {
 		j.Payload = nil
+		j.EndedAt = s.d.LogTime
+		s.watchJob(j)
 	}
 }
 
--- a/internal/state/main_test.go
+++ b/internal/state/main_test.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/reflect/protoreflect"
+	"gotest.tools/v3/assert"
 )
 
 // TestMain fixes rapid's seed, so that a verdict does not change between runs.
@@ -32,3 +33,9 @@
 func protoValue(m proto.Message) protoreflect.Value {
 	return protoreflect.ValueOfMessage(m.ProtoReflect())
 }
+
+// tester is a test, a benchmark or rapid's test.
+type tester interface {
+	assert.TestingT
+	Helper()
+}
--- a/internal/state/request.go
+++ b/internal/state/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/pkg/errors"
 
 	"laburnumgrade/gen/statev1"
 	"laburnumgrade/internal/structs"
@@ -21,18 +22,26 @@
 	answerGrace = 5 * time.Second
 )
 
-// Refusals that tell an id that is too old from other refusals.
-const refusalExpired = "outcome unknown: the id is older than the records"
+// RefusalExpired is the refusal of an id that may have been forgotten: whether it
+// ran is not known.
+const RefusalExpired = "outcome unknown: the id is older than the records"
+
+const uuidLength = 36
 
 // idTime returns the time embedded in a UUIDv7, in ms since the Unix epoch. An
-// id may carry a data centre after a dot.
+// id may carry a data centre after a dot. Only the canonical form is accepted,
+// since two spellings would be two requests.
 func idTime(id string) (int64, error) {
-	u, err := uuid.Parse(id[:min(36, len(id))])
+	text := id[:min(uuidLength, len(id))]
+	u, err := uuid.Parse(text)
 	if err != nil {
 		return 0, err
 	}
+	if u.String() != text || (len(id) > uuidLength && id[uuidLength] != '.') {
+		return 0, errors.New("the id is not in canonical form")
+	}
 	if u.Version() != 7 {
-		return 0, fmt.Errorf("id has version %d", u.Version())
+		return 0, errors.Errorf("the id has version %d", u.Version())
 	}
 	var ms int64
 	for _, b := range u[:6] {
@@ -49,7 +58,7 @@
 		return fmt.Sprintf("id %q is not a UUIDv7: %v", id, err)
 	}
 	if ms < s.d.LogTime-Retention.Milliseconds() {
-		return refusalExpired
+		return RefusalExpired
 	}
 	if ms > s.d.LogTime+maxAhead.Milliseconds() {
 		return fmt.Sprintf("id %s lies more than %v ahead of the clock of the data centre", id, maxAhead)
@@ -70,17 +79,22 @@
 		RecordedAt: s.d.LogTime, Deadline: time.Duration(c.DeadlineMs) * time.Millisecond,
 	}
 	s.d.Requests[r.ID] = r
+	s.watchRequest(r)
 	return &Result{Granted: true}
 }
 
+// repeatRequest answers a resend. A request that was not run is granted to
+// another owner; the owner that stated it has answered its caller.
 func (s *Store) repeatRequest(r *structs.Request, c *statev1.RecordRequest) *Result {
-	if r.Digest != c.Digest {
+	if !r.Withdrawn && (r.Digest != c.Digest || r.Team != c.Team || r.Service != c.Service) {
 		return &Result{Refusal: fmt.Sprintf("request %s was sent before with different content", r.ID)}
 	}
-	if r.Outcome == structs.OutcomeNotRun {
-		r.Owner = c.Owner
-		r.Outcome = structs.OutcomeNone
+	if r.Outcome == structs.OutcomeNotRun && r.Owner != c.Owner {
+		r.Team, r.Service, r.Digest, r.Owner, r.Withdrawn = c.Team, c.Service, c.Digest, c.Owner, false
+		r.Deadline = time.Duration(c.DeadlineMs) * time.Millisecond
+		r.Outcome, r.Detail = structs.OutcomeNone, ""
 		r.RecordedAt = s.d.LogTime
+		s.watchRequest(r)
 		return &Result{Granted: true}
 	}
 	if r.Outcome == structs.OutcomeNone && r.Owner == c.Owner {
@@ -93,52 +107,37 @@
 // endRequest records the outcome. Only the owner may state "not run"; a late
 // answer replaces "outcome unknown".
 func (s *Store) endRequest(c *statev1.EndRequest) *Result {
+	outcome := structs.Outcome(c.Outcome)
 	r := s.d.Requests[c.RequestId]
-	if r == nil {
+	switch {
+	case outcome == structs.OutcomeNone:
+		return &Result{Refusal: fmt.Sprintf("request %s: the end states no outcome", c.RequestId)}
+	case r == nil && outcome == structs.OutcomeNotRun:
+		return s.withdrawRequest(c)
+	case r == nil:
 		return &Result{Refusal: fmt.Sprintf("request %s is not recorded", c.RequestId)}
-	}
-	if r.Owner != c.Owner {
+	case r.Owner != c.Owner:
 		return &Result{Refusal: fmt.Sprintf("request %s is owned by %s", r.ID, r.Owner)}
-	}
-	final := r.Outcome == structs.OutcomeOK || r.Outcome == structs.OutcomeFailed || r.Outcome == structs.OutcomeNotRun
-	if final {
+	case r.Outcome != structs.OutcomeNone && r.Outcome != structs.OutcomeUnknown:
 		return &Result{Duplicate: true}
 	}
-	r.Outcome = structs.Outcome(c.Outcome)
+	r.Outcome = outcome
 	r.Body = c.Body
 	r.Detail = c.Detail
 	return &Result{}
 }
 
-// advanceTime moves the log time, ends records without an answer and forgets
-// records that are older than the retention.
-func (s *Store) advanceTime(c *statev1.AdvanceTime) *Result {
-	if c.UnixMs <= s.d.LogTime {
-		return &Result{Duplicate: true}
-	}
-	s.d.LogTime = c.UnixMs
-	for id, r := range s.d.Requests {
-		s.ageRequest(id, r)
+// withdrawRequest records that the owner gave up before its record was known to
+// be committed, so that a late commit of the record grants nothing.
+func (s *Store) withdrawRequest(c *statev1.EndRequest) *Result {
+	if refusal := s.checkID(c.RequestId); refusal != "" {
+		return &Result{Refusal: refusal}
 	}
-	for id, j := range s.d.Jobs {
-		if !j.Ended() {
-			continue
-		}
-		if ms, err := idTime(id); err == nil && ms < s.d.LogTime-Retention.Milliseconds() {
-			delete(s.d.Jobs, id)
-		}
+	r := &structs.Request{
+		ID: c.RequestId, Owner: c.Owner, Withdrawn: true, RecordedAt: s.d.LogTime,
+		Outcome: structs.OutcomeNotRun, Detail: c.Detail,
 	}
+	s.d.Requests[r.ID] = r
+	s.watchRequest(r)
 	return &Result{}
 }
-
-func (s *Store) ageRequest(id string, r *structs.Request) {
-	waited := time.Duration(s.d.LogTime-r.RecordedAt) * time.Millisecond
-	if r.Outcome == structs.OutcomeNone && waited > r.Deadline+answerGrace {
-		r.Outcome = structs.OutcomeUnknown
-		r.Detail = "no answer was recorded within the deadline"
-	}
-	ms, err := idTime(id)
-	if err == nil && ms < s.d.LogTime-Retention.Milliseconds() && r.Outcome != structs.OutcomeNone {
-		delete(s.d.Requests, id)
-	}
-}
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -43,6 +43,7 @@
 			t.Given = map[uint64]structs.Resources{}
 		}
 	}
+	s.watchAll()
 	s.observer.Reset()
 	return nil
 }
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -76,6 +76,7 @@
 type Store struct {
 	mu       sync.RWMutex
 	d        data
+	queue    dueQueue
 	observer Observer
 }
 
--- a/internal/state/worker.go
+++ b/internal/state/worker.go
@@ -77,6 +77,7 @@
 	s.loseAttempts(w)
 	w.Lost = true
 	w.LostAt = s.d.LogTime
+	s.watchWorker(w)
 	s.observer.WorkerChanged(w.ID)
 	return &Result{}
 }
--- a/internal/state/worker_test.go
+++ b/internal/state/worker_test.go
@@ -14,13 +14,13 @@
 
 // fixture is a store with team a, worker w and one job.
 type fixture struct {
-	t     testing.TB
+	t     tester
 	store *Store
 	index uint64
 	job   string
 }
 
-func newFixture(t testing.TB, spec *statev1.WorkSpec) *fixture {
+func newFixture(t tester, spec *statev1.WorkSpec) *fixture {
 	f := &fixture{t: t, store: New(quiet{}), job: testID(1)}
 	f.do(&statev1.TakeAllotment{Team: "a", Grant: 1, Amount: &apiv1.Resources{MilliCpu: 1_000_000}})
 	f.do(&statev1.BeginLeadership{})
--- a/internal/structs/work.go
+++ b/internal/structs/work.go
@@ -164,6 +164,8 @@
 	AcceptedAt int64
 	// EndedTasks counts the tasks that have ended.
 	EndedTasks int
+	// EndedAt is the log time at which the last task ended.
+	EndedAt int64
 }
 
 // Ended reports whether every task has ended.
@@ -203,6 +205,9 @@
 	Outcome Outcome
 	Body    []byte
 	Detail  string
+	// Withdrawn is set if the owner gave up before the record was committed; the
+	// content is then not known.
+	Withdrawn bool
 }
 
 // Instance is a target that serves the requests of one service.
