scheduler: teams above their share leave room to a team behind its share

Cause: a team behind its share with only large work waiting stayed up to a third below it, because teams above theirs took each freed fragment. Change: once a job of a team behind its share finds no room, teams with an excess above 1 are passed over for the rest of that plan.

--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -40,14 +40,17 @@
 
 // plan is the state of one Plan call.
 type plan struct {
-	now     time.Duration
-	max     int
-	tries   int
-	stop    bool
-	longest time.Duration
-	ranks   [share.Ranks]order
-	starved order
-	batch   Batch
+	now   time.Duration
+	max   int
+	tries int
+	stop  bool
+	// behindWaits is set when work of a team behind its share found no room. Teams
+	// above their shares then leave the rest of the room in this plan.
+	behindWaits bool
+	longest     time.Duration
+	ranks       [share.Ranks]order
+	starved     order
+	batch       Batch
 }
 
 // Plan proposes at most max placements, but never part of a gang. Planned
@@ -58,6 +61,7 @@
 	p.max = max
 	p.tries = triesPerPlan + triesPerPlacement*max
 	p.stop = false
+	p.behindWaits = false
 	p.batch = Batch{}
 	s.planNumber++
 	s.failures.refresh(s.fleet.Version(), now)
@@ -195,9 +199,13 @@
 		s.reject(p, j, "not run: "+s.limitText(b, why))
 		return
 	}
-	if why == limitRoom && (starved || b.spec.Class == structs.ClassGang || s.behind(b.team)) {
+	behind := s.behind(b.team)
+	if why == limitRoom && (starved || behind || j.isGang()) {
 		s.reserve(p, j)
 	}
+	if why == limitRoom && behind && s.fleet.CapacityFor(b.spec.Size) >= int64(len(j.tasks)) {
+		p.behindWaits = true
+	}
 	b.blocked = s.planNumber
 }
 
@@ -219,6 +227,8 @@
 		return limitAllotment
 	case j.res != nil:
 		return limitReservation
+	case p.behindWaits && b.team.excess > 1:
+		return limitOrder
 	case need > 1:
 		return s.tryGang(p, j)
 	}
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -110,6 +110,8 @@
 	res       *reservation
 }
 
+func (j *job) isGang() bool { return j.bucket.spec.Class == structs.ClassGang }
+
 // document is what all versions of a team's service have in common.
 type document struct {
 	history share.History
