--- /dev/null
+++ b/spec/run.sh
@@ -0,0 +1,60 @@
+#!/usr/bin/env bash
+# Checks the models of models.txt and that each of their mutations is found
+# failing. Arguments select models by name. Prints one line per run; the exit
+# status is 1 if a model fails, a mutation passes, or a search is cut short.
+set -uo pipefail
+cd "$(dirname "$0")"
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+failures=0
+runs=0
+
+# check NAME FILE OPTIONS...: sets states, depth and result (holds, fails, or
+# incomplete if the search hit a limit).
+check() {
+	local file=$1
+	shift
+	runs=$((runs + 1))
+	local dir="$work/$runs"
+	mkdir "$dir"
+	cp "$file" "$dir/model.pml"
+	if ! (cd "$dir" && spin -a "$@" model.pml && gcc -O2 -DSAFETY -DNOFAIR -DCOLLAPSE -DMEMLIM=4096 -o pan pan.c) >"$dir/build" 2>&1; then
+		head -5 "$dir/build"
+		result=unbuilt states=- depth=-
+		return
+	fi
+	(cd "$dir" && ./pan -m1000000 -w24) >"$dir/out" 2>&1
+	states=$(awk '/states, stored/ {print $1; exit}' "$dir/out")
+	depth=$(sed -n 's/.*depth reached \([0-9]*\).*/\1/p' "$dir/out" | head -1)
+	if grep -q 'errors: 0' "$dir/out"; then
+		result=holds
+		if grep -Eq 'max search depth too small|out of memory|Search not completed' "$dir/out"; then
+			result=incomplete
+		fi
+	elif grep -Eq 'assertion violated|invalid end state' "$dir/out"; then
+		result=fails
+	else
+		result=incomplete
+	fi
+}
+
+printf '%-34s %-24s %12s %8s %-10s %5s\n' model mutation states depth result s
+while IFS='|' read -r name file options mutations; do
+	name=$(echo $name) file=$(echo $file)
+	case "$name" in '' | '#'*) continue ;; esac
+	if [ $# -gt 0 ] && [[ " $* " != *" $name "* ]]; then continue; fi
+	for mutation in - $mutations; do
+		extra=()
+		[ "$mutation" = - ] || extra=("-D$mutation")
+		begin=$SECONDS
+		check "$file" $options "${extra[@]}"
+		printf '%-34s %-24s %12s %8s %-10s %5d\n' "$name" "$mutation" "$states" "$depth" "$result" $((SECONDS - begin))
+		if [ "$mutation" = - ]; then expected=holds; else expected=fails; fi
+		if [ "$result" != "$expected" ]; then
+			echo "  expected: $expected"
+			failures=$((failures + 1))
+		fi
+	done
+done <models.txt
+echo "$runs runs, $failures unexpected"
+[ "$failures" -eq 0 ] && [ "$runs" -gt 0 ]
