Fault runs name doubled and overlapping runs

Cause: one run of 'all targets paused' counted 1 doubled and did not say what; three more runs counted none. Change: the records keep the ids of overlapping runs, the verdict prints them. Conclusion: repeated until it is seen with its id.

--- a/internal/standin/record.go
+++ b/internal/standin/record.go
@@ -40,6 +40,8 @@
 	Runs int `json:"runs"`
 	// Overlapping counts starts of a task or request that was running already.
 	Overlapping int `json:"overlapping"`
+	// OverlappingIDs names them.
+	OverlappingIDs []string `json:"overlapping_ids"`
 	// Overcommitted counts task starts that exceeded a worker's capacity.
 	Overcommitted int `json:"overcommitted"`
 	// Overfilled counts calls that exceeded an instance's slots.
@@ -87,6 +89,7 @@
 	run.Start = r.now()
 	if r.open[run.ID] > 0 {
 		r.s.Overlapping++
+		r.s.OverlappingIDs = append(r.s.OverlappingIDs, run.ID)
 	}
 	r.open[run.ID]++
 	r.s.Runs++
--- a/test/faults/judge.go
+++ b/test/faults/judge.go
@@ -46,6 +46,9 @@
 		v.count(o, started[id], completed[id])
 	}
 	v.doubled += report.Summary.Overlapping
+	if report.Summary.Overlapping > 0 {
+		v.notes = append(v.notes, fmt.Sprintf("overlapping runs of %v", report.Summary.OverlappingIDs))
+	}
 	v.overcommitted = report.Summary.Overcommitted + report.Summary.Overfilled
 	for team, limit := range limits {
 		if !report.Summary.TeamPeak[team].Fits(limit) {
@@ -58,6 +61,7 @@
 func (v *verdict) count(o *operation, started, completed int) {
 	if started > 1 {
 		v.doubled++
+		v.notes = append(v.notes, fmt.Sprintf("%s started %d times", o.id, started))
 	}
 	if o.wrong != "" {
 		v.wrong++
