--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build gen lint test demo
+.PHONY: build gen lint test model demo
 
 build:
 	go build -o bin/ ./cmd/...
@@ -15,5 +15,8 @@
 test:
 	go test ./...
 
+model:
+	spec/run.sh
+
 demo: build
 	go run ./test/demo
