--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build gen lint test demo faults load scale
+.PHONY: build gen lint test model demo faults load scale bench slopes
 
 build:
 	go build -o bin/ ./cmd/...
@@ -19,6 +19,9 @@
 	go test ./...
 	go test -race $(RACE)
 
+model:
+	spec/run.sh
+
 demo: build
 	go run ./test/demo
 
