--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build gen lint test demo
+.PHONY: build gen lint test demo bench slopes
 
 build:
 	go build -o bin/ ./cmd/...
@@ -17,3 +17,9 @@
 
 demo: build
 	go run ./test/demo
+
+bench:
+	go run ./test/bench
+
+slopes:
+	go run ./test/bench --case slopes
--- a/test/bench/cases.go
+++ b/test/bench/cases.go
@@ -13,24 +13,39 @@
 
 // Lengths of the plays.
 const (
-	playLength = 30 * time.Minute
-	drainLimit = 30 * time.Minute
+	playLength = 20 * time.Minute
+	drainLimit = 20 * time.Minute
 )
 
-// waitCases measure waiting at 90% load. Ours is measured twice: against FIFO
-// that blocks, and against FIFO that passes over what does not fit.
+// seedOffsets are added to a site's seed; the plays of all of them are pooled.
+var seedOffsets = []uint64{0, 20, 40}
+
+// pooled plays the lists of all seeds into new engines.
+func (s site) pooled(p play, f faults, drain time.Duration, withHealth bool, build func(site) engine) result {
+	var sum result
+	seed := s.seed
+	for _, offset := range seedOffsets {
+		s.seed = seed + offset
+		sum.merge(newDriver(build(s), s, s.arrivals(p), f, withHealth).run(p.length, drain))
+	}
+	return sum
+}
+
+func fifo(skip int) func(site) engine {
+	return func(site) engine { return scheduler.NewFIFO(skip) }
+}
+
+func mineFor(s site) engine { return ours(s) }
+
+// waitCases measure waiting at 90% load against FIFO that blocks, and against
+// FIFO that passes over what does not fit.
 func waitCases(t *table) {
+	p := play{length: playLength, load: 0.9}
 	for _, s := range []site{sajha, dakar} {
-		list := s.arrivals(play{length: playLength, load: 0.9})
-		mine := newDriver(ours(s), s, list, faults{}, true).run(playLength, drainLimit)
+		mine := s.pooled(p, faults{}, drainLimit, true, mineFor)
 		digest(s.name+" wait", mine)
-		for _, b := range []struct {
-			name string
-			skip int
-		}{{"fifo", 0}, {"fifo skip", fifoSkip}} {
-			base := newDriver(scheduler.NewFIFO(b.skip), s, list, faults{}, false).run(playLength, drainLimit)
-			waitRows(t, s.name+" 90% vs "+b.name, base, mine)
-		}
+		waitRows(t, s.name+" 90% vs fifo", s.pooled(p, faults{}, drainLimit, false, fifo(0)), mine)
+		waitRows(t, s.name+" 90% vs fifo skip", s.pooled(p, faults{}, drainLimit, false, fifo(fifoSkip)), mine)
 	}
 }
 
@@ -52,31 +67,45 @@
 func shareCases(t *table) {
 	for _, s := range []site{sajha, dakar} {
 		for _, brief := range []bool{true, false} {
-			list := s.arrivals(play{length: playLength, load: 2.5, equal: true, brief: brief})
-			base := newDriver(scheduler.NewFIFO(fifoSkip), s, list, faults{}, false).run(playLength, 0)
-			shareRows(t, s, list, base, s.fairness, brief)
+			p := play{length: playLength, load: 2.5, equal: true, brief: brief}
+			base := s.pooled(p, faults{}, 0, false, fifo(fifoSkip))
+			shareRows(t, s, p, base, s.fairness)
 			if s.fairness < 1 {
-				shareRows(t, s, list, base, 1, brief)
+				shareRows(t, s, p, base, 1)
 			}
 		}
 	}
 }
 
-func shareRows(t *table, s site, list []arrival, base result, weight float64, brief bool) {
+func shareRows(t *table, s site, p play, base result, weight float64) {
 	s.fairness = weight
-	mine := newDriver(ours(s), s, list, faults{}, true).run(playLength, 0)
+	mine := s.pooled(p, faults{}, 0, true, mineFor)
 	mix := "full mix"
-	if brief {
+	if p.brief {
 		mix = "brief work"
 	}
 	name := fmt.Sprintf("%s overload, %s, weight %g vs fifo skip", s.name, mix, weight)
 	digest(name, mine)
 	t.add(name, "largest deviation from share", "part", base.windows.largest, mine.windows.largest)
 	t.add(name, "mean deviation from share", "part", base.windows.mean(), mine.windows.mean())
+	t.add(name, "deviations of at most 5% of the share", "part", base.windows.within5(), mine.windows.within5())
 	t.add(name, "windows x teams", "count", float64(base.windows.count), float64(mine.windows.count))
 	t.add(name, "bounding resource in use while work waits", "part", base.packing(), mine.packing())
 }
 
+// demand returns the first sizes that together ask for the whole capacity of
+// the bounding resource, so that nothing can be left over for filling gaps.
+func demand(s site, sizes []structs.Resources) []structs.Resources {
+	var sum structs.Resources
+	for i, size := range sizes {
+		sum = sum.Add(size)
+		if !sum.Fits(s.capacity()) {
+			return sizes[:i]
+		}
+	}
+	return sizes
+}
+
 // packingCases fill an empty fleet from the same queue.
 func packingCases(t *table) {
 	for _, s := range []site{sajha, dakar} {
@@ -88,7 +117,7 @@
 		}
 		random := rand.New(rand.NewPCG(s.seed, 5))
 		random.Shuffle(len(sizes), func(i, j int) { sizes[i], sizes[j] = sizes[j], sizes[i] })
-		sizes = sizes[:3000]
+		sizes = demand(s, sizes)
 		used := func(place func(f *placement.Fleet) (int, structs.Resources)) float64 {
 			f := placement.NewFleet()
 			for _, w := range s.fleet() {
@@ -122,9 +151,9 @@
 		badWorkers: 0.05, cancelAt: 5 * time.Minute, cancels: 10_000, lostAt: 10 * time.Minute, backAt: 13 * time.Minute, usage: true,
 	}
 	for _, s := range []site{sajha, dakar} {
-		list := s.arrivals(play{length: playLength, load: 0.55, wrongSizes: true})
-		base := newDriver(scheduler.NewFIFO(fifoSkip), s, list, f, false).run(playLength, drainLimit)
-		mine := newDriver(ours(s), s, list, f, true).run(playLength, drainLimit)
+		p := play{length: playLength, load: 0.55, wrongSizes: true}
+		base := s.pooled(p, f, drainLimit, false, fifo(fifoSkip))
+		mine := s.pooled(p, f, drainLimit, true, mineFor)
 		name := s.name + " faults vs fifo skip"
 		digest(name, mine)
 		waitRows(t, name, base, mine)
--- a/test/bench/measure.go
+++ b/test/bench/measure.go
@@ -78,6 +78,29 @@
 	r.digest = h.Sum64()
 }
 
+// merge adds the measures of another play.
+func (r *result) merge(o result) {
+	for k := range r.waits {
+		r.waits[k] = append(r.waits[k], o.waits[k]...)
+		slices.Sort(r.waits[k])
+	}
+	r.waitingFor += o.waitingFor
+	r.boundUse += o.boundUse
+	r.windows.largest = max(r.windows.largest, o.windows.largest)
+	r.windows.sum += o.windows.sum
+	r.windows.count += o.windows.count
+	r.windows.close5 += o.windows.close5
+	r.decisions += o.decisions
+	r.failed += o.failed
+	r.probations += o.probations
+	r.stopped += o.stopped
+	r.preempted += o.preempted
+	r.lost += o.lost
+	r.unstarted += o.unstarted
+	r.cancelCost = max(r.cancelCost, o.cancelCost)
+	r.digest = r.digest*31 + o.digest
+}
+
 // packing returns the mean use of the bounding resource while work waited.
 func (r *result) packing() float64 {
 	if r.waitingFor == 0 {
@@ -97,6 +120,7 @@
 	largest    float64
 	sum        float64
 	count      int
+	close5     int // deviations of at most 5% of the share
 }
 
 func newWindows(s site) windows {
@@ -148,6 +172,9 @@
 		w.largest = max(w.largest, deviation)
 		w.sum += deviation
 		w.count++
+		if deviation <= 0.05 {
+			w.close5++
+		}
 	}
 }
 
@@ -158,6 +185,14 @@
 	return w.sum / float64(w.count)
 }
 
+// within5 returns the part of the deviations that are at most 5% of the share.
+func (w *windows) within5() float64 {
+	if w.count == 0 {
+		return 0
+	}
+	return float64(w.close5) / float64(w.count)
+}
+
 // backlogFor is the part of a team's share that its waiting work must amount to
 // for the team to count as backlogged. A team with one waiting job can be about
 // to get less than its share for want of demand.
