--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,9 @@
 
 scale: build
 	go run ./test/scale
+
+bench:
+	go run ./test/bench
+
+slopes:
+	go run ./test/bench --case slopes
