--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -65,7 +65,11 @@
 	if r.Index > g.Store.Index() {
 		return nil, twirp.NotFoundError("no change has this index")
 	}
-	outstanding := g.holders.Outstanding(r.Index, since, f.server.clock.Now())
+	grace := func(from uint64) time.Duration { return g.Store.Grace(r.Index, from) }
+	outstanding := g.holders.Outstanding(r.Index, grace, since, f.server.clock.Now())
+	if _, err := lead("fleet", g.Log); err != nil {
+		return nil, err
+	}
 	return &apiv1.Change{Index: r.Index, InForce: len(outstanding) == 0, Outstanding: outstanding}, nil
 }
 
--- a/internal/control/quota.go
+++ b/internal/control/quota.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"laburnumgrade/gen/peerv1"
 	"laburnumgrade/gen/statev1"
+	"laburnumgrade/internal/fleet"
 	"laburnumgrade/internal/structs"
 )
 
@@ -58,7 +58,7 @@
 		a := s.follower.Store().Allotment(d.Team, g.Name)
 		for n := g.Store.Team(d.Team).Grant; n < a.Grant; n++ {
 			s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_TakeAllotment{TakeAllotment: &statev1.TakeAllotment{
-				Team: d.Team, Grant: n + 1, Amount: a.Grants[n],
+				Team: d.Team, Grant: n + 1, Amount: fleet.GrantAmount(a, n+1),
 			}}})
 		}
 	}
@@ -106,9 +106,8 @@
 		return
 	}
 	command := &statev1.FleetCommand{
-		OperationId: fmt.Sprintf("grant/%s/%s/%d", team, dataCentre, a.Grant+1),
 		Command: &statev1.FleetCommand_GrantAllotment{GrantAllotment: &statev1.GrantAllotment{
-			Team: team, DataCentre: dataCentre, Amount: missing.Proto(),
+			Team: team, DataCentre: dataCentre, Amount: missing.Proto(), Grant: a.Grant + 1,
 		}},
 	}
 	if _, err := s.fleet.propose(ctx, command); err != nil {
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -48,8 +48,9 @@
 	}
 	if operations {
 		for _, id := range s.order {
-			f.Operations = append(f.Operations, &statev1.Operation{OperationId: id, Result: s.operations[id]})
+			f.Operations = append(f.Operations, &statev1.Operation{OperationId: id, Result: s.operations[id].result, Digest: s.operations[id].digest})
 		}
+		f.Graces = s.graceSteps()
 	}
 	return f
 }
@@ -78,7 +79,10 @@
 		s.groups[g.Group] = g
 	}
 	for _, o := range f.Operations {
-		s.operations[o.OperationId] = o.Result
+		s.operations[o.OperationId] = operation{o.Digest, o.Result}
 		s.order = append(s.order, o.OperationId)
 	}
+	for _, step := range f.Graces {
+		s.graces[step.Team] = append(s.graces[step.Team], step)
+	}
 }
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -31,9 +31,11 @@
 	keys       map[string]*statev1.Key
 	allotments map[allotmentID]*statev1.Allotment
 	groups     map[string]*statev1.SetGroup
-	operations map[string]*statev1.FleetResult
+	operations map[string]operation
 	order      []string
-	changes    []*statev1.FleetChange
+	// graces holds the longest cut_grace of each team, by index.
+	graces  map[string][]*statev1.GraceStep
+	changes []*statev1.FleetChange
 }
 
 // New returns an empty store.
@@ -48,7 +50,8 @@
 	s.keys = map[string]*statev1.Key{}
 	s.allotments = map[allotmentID]*statev1.Allotment{}
 	s.groups = map[string]*statev1.SetGroup{}
-	s.operations = map[string]*statev1.FleetResult{}
+	s.operations = map[string]operation{}
+	s.graces = map[string][]*statev1.GraceStep{}
 	s.order = nil
 	s.changes = nil
 }
@@ -61,10 +64,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if first := s.operations[c.OperationId]; first != nil {
-		repeated := proto.Clone(first).(*statev1.FleetResult)
-		repeated.Duplicate = true
-		return repeated
+	if again := s.repeated(&c); again != nil {
+		return again
 	}
 	result, change := s.dispatch(index, &c)
 	if result.Refusal != "" {
@@ -76,7 +77,7 @@
 		s.index = index
 		s.keepChange(change)
 	}
-	s.remember(c.OperationId, result)
+	s.remember(&c, result)
 	return result
 }
 
@@ -92,6 +93,8 @@
 		return s.grantAllotment(c.GrantAllotment)
 	case *statev1.FleetCommand_ReturnAllotment:
 		return s.returnAllotment(c.ReturnAllotment)
+	case *statev1.FleetCommand_ConfirmGrants:
+		return s.confirmGrants(c.ConfirmGrants)
 	case *statev1.FleetCommand_SetGroup:
 		s.groups[c.SetGroup.Group] = c.SetGroup
 		return &statev1.FleetResult{}, &statev1.FleetChange{Group: c.SetGroup}
@@ -111,7 +114,9 @@
 	}
 	current := s.documents[id].GetVersion()
 	if c.Replaces != current {
-		return refuse("document %s/%s has version %d, the change replaces version %d", id.Team, id.Service, current, c.Replaces)
+		result, _ := refuse("document %s/%s has version %d, the change replaces version %d", id.Team, id.Service, current, c.Replaces)
+		result.Version = current
+		return result, nil
 	}
 	spec := proto.Clone(c.Spec).(*statev1.WorkSpec)
 	spec.Version = index
@@ -120,6 +125,7 @@
 		Share: c.Share, Limit: c.Limit, CutGraceMs: c.CutGraceMs,
 	}
 	s.documents[id] = d
+	s.noteGrace(id.Team, index)
 	return &statev1.FleetResult{Version: index}, &statev1.FleetChange{Document: d}
 }
 
@@ -152,15 +158,3 @@
 		s.changes = append([]*statev1.FleetChange(nil), s.changes[len(s.changes)-maxChanges:]...)
 	}
 }
-
-func (s *Store) remember(operation string, r *statev1.FleetResult) {
-	if operation == "" {
-		return
-	}
-	s.operations[operation] = proto.Clone(r).(*statev1.FleetResult)
-	s.order = append(s.order, operation)
-	if len(s.order) > maxOperations {
-		delete(s.operations, s.order[0])
-		s.order = s.order[1:]
-	}
-}
--- a/internal/lease/config.go
+++ b/internal/lease/config.go
@@ -6,50 +6,60 @@
 	"time"
 )
 
+// MaxGrace bounds how long after its lease a process may serve a team whose
+// document allows it.
+const MaxGrace = 24 * time.Hour
+
 // ConfigTable is the fleet leader's view of who serves under which index.
 type ConfigTable struct {
 	mu      sync.Mutex
-	holders map[string]*configHolder
+	holders map[string]configHolder
 }
 
 type configHolder struct {
 	dataCentre string
 	index      uint64
-	expires    time.Duration
+	granted    time.Duration
 }
 
 // NewConfigTable returns an empty table.
 func NewConfigTable() *ConfigTable {
-	return &ConfigTable{holders: map[string]*configHolder{}}
+	return &ConfigTable{holders: map[string]configHolder{}}
 }
 
 // Renew grants or renews a configuration lease; index is the last one that the
-// holder has applied.
+// holder has applied. A delayed request does not take back a later one's index.
 func (t *ConfigTable) Renew(holder, dataCentre string, index uint64, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.holders[holder] = &configHolder{dataCentre, index, now + Stretch(Config)}
+	earlier := t.holders[holder]
+	t.holders[holder] = configHolder{dataCentre, max(index, earlier.index), max(now, earlier.granted)}
 }
 
+// Unknown is the entry for holders of an earlier leader.
+const Unknown = "unknown"
+
 // Outstanding returns the data centres in which a process may still serve under
-// an index below the given one, in order. Holders of an earlier leader are not
-// known until one lease has passed since this one began to lead; until then the
-// result has the entry "unknown".
-func (t *ConfigTable) Outstanding(index uint64, since, now time.Duration) []string {
+// an index below the given one, in order. grace returns for how long after its
+// lease a process that has applied an index, or a later one, may serve what the
+// change concerns. Holders of an earlier leader are not known until their leases
+// and graces have passed since this one began to lead; until then the result
+// has the entry Unknown.
+func (t *ConfigTable) Outstanding(index uint64, grace func(from uint64) time.Duration, since, now time.Duration) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	found := map[string]bool{}
 	for name, h := range t.holders {
-		if h.expires <= now {
+		if now >= h.granted+Stretch(Config+MaxGrace) {
 			delete(t.holders, name)
 			continue
 		}
-		if h.index < index {
+		if h.index < index && now < h.granted+Stretch(Config+grace(h.index)) {
 			found[h.dataCentre] = true
 		}
 	}
-	if now < since+Stretch(Config) {
-		found["unknown"] = true
+	if now < since+Stretch(Config+grace(0)) {
+		found[Unknown] = true
 	}
 	var list []string
 	for dc := range found {
@@ -58,10 +68,3 @@
 	slices.Sort(list)
 	return list
 }
-
-// Reset forgets all holders; the granter has stopped leading.
-func (t *ConfigTable) Reset() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.holders = map[string]*configHolder{}
-}
