--- a/internal/control/heartbeat.go
+++ b/internal/control/heartbeat.go
@@ -25,6 +25,9 @@
 	if _, err := g.epoch(ctx, since); err != nil {
 		return nil, err
 	}
+	if !g.running.complete(r) {
+		return &apiv1.HeartbeatResponse{SendFull: true, Sequence: r.Sequence}, nil
+	}
 	if w, known := g.Store.Worker(r.WorkerId); known && r.Incarnation < w.Incarnation {
 		return nil, twirp.NewError(twirp.InvalidArgument, "worker "+r.WorkerId+" has a later incarnation")
 	}
@@ -42,7 +45,9 @@
 	if err != nil {
 		return nil, err
 	}
-	d.followUsage(ctx, g, since, r)
+	if r.FullSequence == 0 {
+		d.followUsage(ctx, g, since, r)
+	}
 	reply := d.awaitWork(ctx, g, r, len(acknowledged) > 0)
 	if len(acknowledged) > 0 && r.WaitMs == 0 {
 		// The report came beside a heartbeat that is held and is answered with what
--- a/internal/control/running_test.go
+++ b/internal/control/running_test.go
@@ -77,5 +77,45 @@
 func (t *runningTable) sequence(worker string) uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.byWorker[worker].sequence
+	if last := t.byWorker[worker]; last != nil {
+		return last.sequence
+	}
+	return 0
+}
+
+// TestPartialHeartbeat guards against a heartbeat that states only changes
+// being read as if nothing else ran, or being completed from another full
+// heartbeat than the one it follows.
+func TestPartialHeartbeat(t *testing.T) {
+	l := newLeader(t)
+	w := l.addWorker("w0", cores(8))
+	l.allot("a", cores(100))
+	for i := range 4 {
+		l.mustSubmit(i, batchSpec("a", cores(2)))
+	}
+	l.turn()
+	assert.Equal(t, len(w.running), 4)
+	full := l.report(w)
+	_, err := l.dc.Heartbeat(l.ctx(), full)
+	assert.NilError(t, err)
+	before := l.log.index
+	partial := func(after uint64, gone ...uint64) *apiv1.HeartbeatResponse {
+		r := l.report(w)
+		r.Running, r.Attempts = nil, nil
+		r.FullSequence, r.Gone = after, gone
+		reply, err := l.dc.Heartbeat(l.ctx(), r)
+		assert.NilError(t, err)
+		return reply
+	}
+	reply := partial(full.Sequence)
+	assert.Equal(t, len(reply.Start)+len(reply.Stop), 0)
+	assert.Equal(t, l.log.index, before)
+	assert.Assert(t, partial(full.Sequence+1).SendFull)
+	id := full.Running[0]
+	w.end(id, apiv1.Outcome_OUTCOME_OK)
+	reply = partial(full.Sequence, id)
+	assert.DeepEqual(t, reply.Acknowledged, []uint64{id})
+	assert.Equal(t, len(reply.Start)+len(reply.Stop), 0)
+	w.incarnation++
+	assert.Assert(t, partial(full.Sequence).SendFull)
 }
--- a/internal/standin/record.go
+++ b/internal/standin/record.go
@@ -118,9 +118,9 @@
 // Report is the records as served to the test programs.
 type Report struct {
 	// BeganUnixMs is the wall clock at the origin of the runs' times.
-	BeganUnixMs int64 `json:"began_unix_ms"`
-	Summary Summary `json:"summary"`
-	Runs    []Run   `json:"runs"`
+	BeganUnixMs int64   `json:"began_unix_ms"`
+	Summary     Summary `json:"summary"`
+	Runs        []Run   `json:"runs"`
 }
 
 // Report returns a copy of the records.
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -20,6 +20,9 @@
 	heartbeatHold    = time.Second
 	heartbeatTimeout = 2500 * time.Millisecond
 	heartbeatPause   = 100 * time.Millisecond
+	// fullInterval is how often a heartbeat states everything; the others state
+	// what has changed since.
+	fullInterval = 5 * time.Second
 	// endDelay gathers the ends of tasks into one report.
 	endDelay = 5 * time.Millisecond
 )
@@ -48,6 +51,11 @@
 	mu       sync.Mutex
 	sequence uint64
 	expires  time.Time
+	// full is what the last full heartbeat stated, fullSequence its sequence (0
+	// if the next one must be full).
+	full         map[uint64]bool
+	fullSequence uint64
+	fullAt       time.Time
 	// expiry stops every task when the lease has run out.
 	expiry *time.Timer
 	tasks  map[uint64]*task
@@ -119,12 +127,27 @@
 	asked := time.Now()
 	reply, err := client.Heartbeat(ctx, connect.NewRequest(request))
 	if err != nil {
+		w.sendFull()
 		return err
 	}
+	if reply.Msg.SendFull {
+		w.sendFull()
+		if hold == 0 {
+			w.wakeReport()
+		}
+		return nil
+	}
 	w.accept(asked, reply.Msg)
 	return nil
 }
 
+// sendFull makes the next heartbeat state everything.
+func (w *Worker) sendFull() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fullSequence = 0
+}
+
 func (w *Worker) report(hold time.Duration) *apiv1.HeartbeatRequest {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -133,17 +156,40 @@
 		WorkerId: w.c.ID, Incarnation: w.incarnation, DataCentre: w.c.DataCentre, Rack: w.c.Rack,
 		Capacity: w.c.Capacity.Proto(), Leaving: w.leaving, WaitMs: hold.Milliseconds(), Sequence: w.sequence,
 	}
+	for _, e := range w.ended {
+		r.Ended = append(r.Ended, e)
+	}
 	now := time.Now()
+	if w.fullSequence != 0 && now.Sub(w.fullAt) < fullInterval {
+		w.stateChanges(r)
+		return r
+	}
+	w.full = map[uint64]bool{}
+	w.fullSequence, w.fullAt = r.Sequence, now
 	for id, t := range w.tasks {
+		w.full[id] = true
 		r.Running = append(r.Running, id)
 		r.Attempts = append(r.Attempts, &apiv1.RunningAttempt{AttemptId: id, Size: t.size.Proto(), Usage: t.usage(&w.c.Behaviour, now)})
 	}
-	for _, e := range w.ended {
-		r.Ended = append(r.Ended, e)
-	}
 	return r
 }
 
+// stateChanges states what has changed since the last full heartbeat.
+func (w *Worker) stateChanges(r *apiv1.HeartbeatRequest) {
+	r.FullSequence = w.fullSequence
+	for id, t := range w.tasks {
+		if !w.full[id] {
+			r.Running = append(r.Running, id)
+			r.Attempts = append(r.Attempts, &apiv1.RunningAttempt{AttemptId: id, Size: t.size.Proto()})
+		}
+	}
+	for id := range w.full {
+		if w.tasks[id] == nil {
+			r.Gone = append(r.Gone, id)
+		}
+	}
+}
+
 func (w *Worker) accept(asked time.Time, r *apiv1.HeartbeatResponse) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
