control: lose workers in one command, and scan less on each tick

Workers whose leases have run out are lost together, at most 500 a command. The leader reads workers without copying their attempts, computes over documents only when they change, mirrors a worker only when it differs, and looks at delayed jobs only when one is due.

--- a/internal/control/expire.go
+++ b/internal/control/expire.go
@@ -41,32 +41,42 @@
 	}
 	now := s.clock.Now()
 	s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_AdvanceTime{AdvanceTime: &statev1.AdvanceTime{UnixMs: s.wall().UnixMilli()}}})
-	for _, id := range g.Store.WorkerIDs() {
-		w, ok := g.Store.Worker(id)
-		switch {
-		case ok && !w.Lost:
-			s.expireWorker(ctx, g, &w, since, now, epoch)
-		case ok:
-			// The loss may be known only now, if the proposal's outcome was not.
-			g.workers.EndDone(id, since)
-		}
-	}
+	s.expireWorkers(ctx, g, since, now, epoch)
 	for _, in := range g.Store.Instances() {
 		s.expireInstance(ctx, g, &in, since, now)
 	}
 	s.assignSlots(ctx, g, since, now)
 }
 
-func (s *Server) expireWorker(ctx context.Context, g *DataCentreGroup, w *structs.Worker, since, now time.Duration, epoch uint64) {
-	if !g.workers.BeginEnd(w.ID, since, now) {
+// maxLost bounds the workers lost by one command, and so the time that applying
+// it takes.
+const maxLost = 500
+
+// expireWorkers ends the leases of all workers that have run out together, so
+// that the loss of a rack or data centre is not one command for each worker.
+func (s *Server) expireWorkers(ctx context.Context, g *DataCentreGroup, since, now time.Duration, epoch uint64) {
+	var lost []*statev1.LoseWorker
+	for _, w := range g.Store.LeasedWorkers() {
+		if w.Lost {
+			// The loss may be known only now, if the proposal's outcome was not.
+			g.workers.EndDone(w.ID, since)
+			continue
+		}
+		if len(lost) == maxLost || !g.workers.BeginEnd(w.ID, since, now) {
+			continue
+		}
+		s.logger.Warn("worker lost: its lease has run out", "step", "expire worker", "peer", w.ID, "attempts", w.Attempts)
+		lost = append(lost, &statev1.LoseWorker{WorkerId: w.ID, Incarnation: w.Incarnation, Registration: w.Registration, Epoch: epoch})
+	}
+	if len(lost) == 0 {
+		return
+	}
+	s.meter.workersLost.Inc(int64(len(lost)))
+	if !s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_LoseWorkers{LoseWorkers: &statev1.LoseWorkers{Workers: lost}}}) {
 		return
 	}
-	s.meter.workersLost.Inc(1)
-	s.logger.Warn("worker lost: its lease has run out", "step", "expire worker", "peer", w.ID, "attempts", len(w.Attempts))
-	if s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_LoseWorker{LoseWorker: &statev1.LoseWorker{
-		WorkerId: w.ID, Incarnation: w.Incarnation, Registration: w.Registration, Epoch: epoch,
-	}}}) {
-		g.workers.EndDone(w.ID, since)
+	for _, w := range lost {
+		g.workers.EndDone(w.WorkerId, since)
 	}
 }
 
--- a/internal/control/mirror.go
+++ b/internal/control/mirror.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -8,6 +9,7 @@
 	"laburnumgrade/gen/statev1"
 	"laburnumgrade/internal/admission"
 	"laburnumgrade/internal/health"
+	"laburnumgrade/internal/placement"
 	"laburnumgrade/internal/scheduler"
 	"laburnumgrade/internal/structs"
 )
@@ -38,6 +40,8 @@
 	// delayed is when the jobs with tasks that wait out a back-off are mirrored
 	// again.
 	delayed map[string]time.Duration
+	// delayedUntil is not after the first of them.
+	delayedUntil time.Duration
 }
 
 // teamsInterval is how often shares and allotments are mirrored.
@@ -56,6 +60,7 @@
 		m.scheduler = scheduler.New(m.options)
 		m.accepted = map[string]time.Duration{}
 		m.delayed = map[string]time.Duration{}
+		m.delayedUntil = 0
 		m.admission = admission.NewController(admission.DefaultLimits(), m.scheduler.Fleet())
 		m.health = health.NewMonitor(health.DefaultPolicy(), rand.Float64)
 		m.waiting = map[string]taskCounts{}
@@ -66,12 +71,7 @@
 		workers, jobs = m.everything()
 	}
 	now := m.clock()
-	for id, at := range m.delayed {
-		if now >= at {
-			delete(m.delayed, id)
-			jobs[id] = struct{}{}
-		}
-	}
+	m.endDelays(now, jobs)
 	for id := range workers {
 		m.syncWorker(id)
 	}
@@ -86,6 +86,22 @@
 	}
 }
 
+// endDelays adds the jobs of which a delay has passed.
+func (m *mirror) endDelays(now time.Duration, jobs map[string]struct{}) {
+	if len(m.delayed) == 0 || now < m.delayedUntil {
+		return
+	}
+	m.delayedUntil = math.MaxInt64
+	for id, at := range m.delayed {
+		if now < at {
+			m.delayedUntil = min(m.delayedUntil, at)
+			continue
+		}
+		delete(m.delayed, id)
+		jobs[id] = struct{}{}
+	}
+}
+
 func (m *mirror) everything() (workers, jobs map[string]struct{}) {
 	workers = map[string]struct{}{}
 	for _, id := range m.group.Store.WorkerIDs() {
@@ -110,13 +126,23 @@
 		m.health.Forget(id)
 	}
 	m.incarnations[id] = w.Incarnation
-	m.scheduler.UpsertWorker(workerView(&w, w.Probation && m.trialDue(id)))
+	m.upsert(workerView(&w, w.Probation && m.trialDue(id)))
 	m.scheduler.SetCharged(id, charged(&w))
 	if w.Probation {
 		m.probation[id] = struct{}{}
 	}
 }
 
+// upsert mirrors a worker that differs from what is mirrored. Most changes are
+// of its attempts, which jobs bring.
+func (m *mirror) upsert(w placement.Worker) {
+	w.Speed = 1
+	if slot, known := m.scheduler.Fleet().Lookup(w.ID); known && *m.scheduler.Fleet().Worker(slot) == w {
+		return
+	}
+	m.scheduler.UpsertWorker(w)
+}
+
 // trialDue reports whether a trial was granted that has not been used.
 func (m *mirror) trialDue(id string) bool {
 	slot, known := m.scheduler.Fleet().Lookup(id)
@@ -231,6 +257,7 @@
 	}
 	if at, known := m.delayed[id]; !known || now+left < at {
 		m.delayed[id] = now + left
+		m.delayedUntil = min(m.delayedUntil, now+left)
 	}
 	return true
 }
--- a/internal/control/schedule.go
+++ b/internal/control/schedule.go
@@ -80,12 +80,3 @@
 		}
 	}
 }
-
-// shares returns the teams' shares: the sum over each team's documents.
-func (s *Server) shares() map[string]float64 {
-	shares := map[string]float64{}
-	for _, d := range s.follower.Store().Documents() {
-		shares[d.Team] += float64(d.Share)
-	}
-	return shares
-}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -30,6 +30,7 @@
 	groups     map[string]*DataCentreGroup
 	fleet      *FleetGroup
 	follower   *follower.Follower
+	documents  documentCache
 	fleetCalls *peer.Group
 	events     *timeline.Ring
 	meter      *meter
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -35,7 +35,7 @@
 func (s *Server) runServicesOnce(ctx context.Context, g *DataCentreGroup) {
 	ctx, cancel := context.WithTimeout(ctx, opTimeout)
 	defer cancel()
-	for _, d := range s.follower.Store().Documents() {
+	for _, d := range s.allDocuments() {
 		if structs.Class(d.Spec.GetClass()) != structs.ClassService {
 			s.endService(ctx, g, d)
 			continue
