--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -222,12 +222,15 @@
 }
 
 // roomReserved returns how many tasks the reserved workers have room for, and
-// whether all of them are still usable.
+// whether all of them are still usable. It drops workers that were removed,
+// since their slots may be those of other workers by now.
 func (s *Scheduler) roomReserved(r *reservation) (room int, usable bool) {
-	usable = true
+	before := len(r.slots)
+	r.slots = slices.DeleteFunc(r.slots, func(slot placement.Slot) bool { return s.fleet.HoldOf(slot).Owner != r.owner })
+	usable = len(r.slots) == before
 	for _, slot := range r.slots {
 		room += s.fleet.Fit(slot, r.job.bucket.spec.Size)
-		usable = usable && s.fleet.Usable(slot) && s.fleet.HoldOf(slot).Owner == r.owner
+		usable = usable && s.fleet.Usable(slot)
 	}
 	return room, usable
 }
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -284,3 +284,28 @@
 	assert.Equal(t, len(got), 2)
 	assert.Equal(t, len(s.Plan(time.Second, 10).Preemptions), 0)
 }
+
+// Guards against a gang that waits for ever for a reserved worker that was
+// removed or lost, and against its place being taken in another's reservation.
+func TestReservationOutlivesWorker(t *testing.T) {
+	for _, change := range []func(*Scheduler){
+		func(s *Scheduler) { s.RemoveWorker("w01") },
+		func(s *Scheduler) { s.UpsertWorker(placement.Worker{ID: "w01", Capacity: cores(8), Lost: true}) },
+	} {
+		m := newModel(DefaultOptions())
+		openTeams(m.s, "a")
+		addWorkers(m.s, 2, cores(8))
+		m.add(Job{ID: "busy", Spec: batch("a", "busy", 8, 10*time.Second), Tasks: []int{0}}, 10*time.Second)
+		m.plan()
+		m.add(Job{ID: "gang", Spec: gangOf("a", "gang", 8, time.Second), Tasks: upTo(2)}, time.Second)
+		m.plan()
+		assert.Equal(t, len(m.s.reservations), 1)
+		change(m.s)
+		m.s.UpsertWorker(placement.Worker{ID: "other", Capacity: cores(8)})
+		for at := range 60 {
+			m.advance(time.Duration(at) * time.Second)
+		}
+		assert.Equal(t, m.ended["gang"], 2)
+		assert.Equal(t, len(m.s.reservations), 0)
+	}
+}
