--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 	go test -race $(RACE)
 
 model:
+	command -v spin >/dev/null || (apt-get update && apt-get install -y spin)
 	spec/run.sh
 
 demo: build
