Members, time line of entries, uncertain refusals

Cause: lgctl members was empty; the time line lacked the entries and showed a lease before the commit of its attempt; a submission whose first try was lost and whose second was refused answered 'not run', although the first could still be accepted. Ruled out: a gossip protocol between processes; each already renews a configuration lease with the fleet leader several times a second, which tells live from silent. Change: processes state themselves with the renewal and learn the control processes from its answer; events of entries; attempts are recorded when they are applied; a refusal after an uncertain try is 'outcome unknown'. Conclusion: the uncertain refusal has no test yet.

--- a/cmd/lg-control/node.go
+++ b/cmd/lg-control/node.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"laburnumgrade/gen/apiv1"
 	"laburnumgrade/gen/peerv1"
 	"laburnumgrade/internal/adapter/peer"
 	"laburnumgrade/internal/config"
@@ -48,9 +49,11 @@
 		Name: c.Process.Name, Address: c.Peer.String(), Folder: c.DataFolder, Join: c.Groups.Join,
 		Addresses: addresses, Client: p.Client, Clock: p.Clock, Logger: p.Logger,
 	})}
+	incarnation := time.Now().UnixNano()
 	sc := control.Config{
-		Name: fmt.Sprintf("%s#%d", c.Process.Name, time.Now().UnixNano()), DataCentre: c.Process.DataCentre,
-		Clock: p.Clock, Logger: p.Logger, Timeline: p.Timeline, Scope: p.Scope, DataCentres: c.Peers.DataCentres(),
+		Name: fmt.Sprintf("%s#%d", c.Process.Name, incarnation), Member: p.Member("control", c.Peer.String(), uint64(incarnation)),
+		DataCentre: c.Process.DataCentre,
+		Clock:      p.Clock, Logger: p.Logger, Timeline: p.Timeline, Scope: p.Scope, DataCentres: c.Peers.DataCentres(),
 		FleetCalls: peer.NewGroup(fleetGroup, p.Client, all), Scheduler: policy(&c.Scheduler),
 	}
 	for dc, listed := range c.Groups.DataCentres {
@@ -65,6 +68,16 @@
 		sc.Fleet = control.NewFleetGroup()
 		sc.Fleet.Log = n.add(&sc, fleetGroup, c.Groups.Fleet, sc.Fleet.Store, all)
 	}
+	sc.Controls = func(controls []*apiv1.Member) {
+		var hosts []string
+		for _, m := range controls {
+			hosts = append(hosts, m.Address)
+		}
+		sc.FleetCalls.AddHosts(hosts)
+		for _, m := range sc.Members {
+			m.Peers.AddHosts(hosts)
+		}
+	}
 	n.server = control.New(sc)
 	return n
 }
--- a/cmd/lg-entry/main.go
+++ b/cmd/lg-entry/main.go
@@ -103,8 +103,11 @@
 	for _, other := range c.Peers {
 		controls[other.DataCentre] = append(controls[other.DataCentre], other.Address.String())
 	}
+	incarnation := time.Now().UnixNano()
 	return entry.New(entry.Config{
-		Name: fmt.Sprintf("%s#%d", c.Process.Name, time.Now().UnixNano()), DataCentre: c.Process.DataCentre,
+		Name: fmt.Sprintf("%s#%d", c.Process.Name, incarnation), Timeline: p.Timeline,
+		Member:      p.Member("entry", c.Public.String(), uint64(incarnation)),
+		DataCentre:  c.Process.DataCentre,
 		PeerAddress: c.Peer.String(), Clock: p.Clock, Logger: p.Logger, Controls: controls,
 		OperatorKeyHash: c.OperatorKeyHash, MaxBody: c.Limits.MaxBody, Client: p.Client,
 		Targets:  peer.NewInstanceClient(c.AddressMap, instanceConnections),
--- a/internal/adapter/peer/client.go
+++ b/internal/adapter/peer/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
@@ -89,6 +90,17 @@
 	return &Group{name: name, client: client, hosts: hosts}
 }
 
+// AddHosts adds addresses that are not known yet.
+func (g *Group) AddHosts(hosts []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, h := range hosts {
+		if !slices.Contains(g.hosts, h) {
+			g.hosts = append(slices.Clone(g.hosts), h)
+		}
+	}
+}
+
 // CallError is the failure of a call to a group.
 type CallError struct {
 	Group string
@@ -110,28 +122,35 @@
 // reason than reachability or leadership, or the context ends. fn may run more
 // than once, so the operation must be idempotent.
 func Call[T any](ctx context.Context, g *Group, fn func(ctx context.Context, client *http.Client, url string) (T, error)) (T, error) {
+	result, _, err := CallSent(ctx, g, fn)
+	return result, err
+}
+
+// CallSent is Call, and also reports whether an earlier try that failed may have
+// been received: then a refusal by the last try does not prove that nothing ran.
+func CallSent[T any](ctx context.Context, g *Group, fn func(ctx context.Context, client *http.Client, url string) (T, error)) (T, bool, error) {
 	var zero T
 	failure := &CallError{Group: g.name, Err: errors.New("no process is known")}
 	for tried := 0; ; tried++ {
 		host := g.host()
 		if host == "" {
-			return zero, failure
+			return zero, failure.Sent, failure
 		}
 		traced, connected := TraceSent(ctx)
 		result, err := fn(traced, g.client, "http://"+host)
 		if err == nil {
 			g.setLeader(host)
-			return result, nil
+			return result, failure.Sent, nil
 		}
 		failure.Peer = host
 		failure.Err = err
 		retry, sent := g.handle(host, err)
 		failure.Sent = failure.Sent || (sent && connected())
 		if !retry || ctx.Err() != nil {
-			return zero, failure
+			return zero, failure.Sent, failure
 		}
 		if tried >= 1 && !pause(ctx, retryPause) {
-			return zero, failure
+			return zero, failure.Sent, failure
 		}
 	}
 }
--- a/internal/control/broadcast.go
+++ b/internal/control/broadcast.go
@@ -1,6 +1,10 @@
 package control
 
-import "sync"
+import (
+	"sync"
+
+	"laburnumgrade/internal/structs"
+)
 
 // Topics that are not ids of workers or jobs.
 const (
@@ -51,6 +55,15 @@
 type observer struct {
 	changes *broadcast
 	dirty   *dirty
+	// committed is called with each committed attempt; may be nil.
+	committed func(a *structs.Attempt)
+}
+
+// AttemptCommitted implements state.AttemptObserver.
+func (o *observer) AttemptCommitted(a *structs.Attempt) {
+	if o.committed != nil {
+		o.committed(a)
+	}
 }
 
 func (o *observer) Reset() {
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -9,6 +9,7 @@
 	"laburnumgrade/gen/apiv1"
 	"laburnumgrade/gen/statev1"
 	"laburnumgrade/internal/state"
+	"laburnumgrade/internal/structs"
 	"laburnumgrade/internal/timeline"
 )
 
@@ -24,16 +25,26 @@
 	s.events.Record(e)
 }
 
-func (s *Server) recordPlan(g *DataCentreGroup, plan *statev1.Plan, result *state.Result) {
+// recordCommitted returns the recorder of committed attempts. Every replica
+// applies them; the leader records them.
+func (s *Server) recordCommitted(g *DataCentreGroup) func(*structs.Attempt) {
+	return func(a *structs.Attempt) {
+		if _, leads := g.Log.Lease(); !leads {
+			return
+		}
+		s.events.Record(timeline.Event{
+			Kind: timeline.AttemptCommitted, Job: a.JobID, Task: strconv.Itoa(a.Task), Attempt: a.ID, Team: a.Team, Worker: a.WorkerID,
+		})
+	}
+}
+
+func (s *Server) recordRejected(plan *statev1.Plan, result *state.Result) {
 	for i, p := range plan.Placements {
-		e := timeline.Event{Kind: timeline.AttemptCommitted, Job: p.JobId, Task: strconv.Itoa(int(p.Task)), Worker: p.WorkerId}
 		if r := result.Placements[i]; r.Refusal != "" {
-			e.Kind = timeline.Planned
-			e.Detail = "rejected: " + r.Refusal
-		} else {
-			e.Attempt = r.AttemptID
+			s.events.Record(timeline.Event{
+				Kind: timeline.Planned, Job: p.JobId, Task: strconv.Itoa(int(p.Task)), Worker: p.WorkerId, Detail: "rejected: " + r.Refusal,
+			})
 		}
-		s.events.Record(e)
 	}
 }
 
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -25,6 +25,7 @@
 
 	changes   *broadcast
 	dirty     *dirty
+	observer  *observer
 	mirror    *mirror
 	meter     *meter
 	workers   *lease.Table
@@ -50,6 +51,7 @@
 
 	holders *lease.ConfigTable
 	demand  *demandTable
+	members *memberTable
 }
 
 // NewDataCentreGroup returns a group without a log; the caller sets Log before
@@ -60,13 +62,14 @@
 		workers: lease.NewTable(lease.Worker), instances: lease.NewTable(lease.Instance), slots: lease.NewTable(lease.Slot),
 		holders: newSlotHolders(), meter: newMeter(nil), submissions: newSubmissions(), usage: newUsageTable(), running: newRunningTable(),
 	}
-	g.Store = state.New(&observer{g.changes, g.dirty})
+	g.observer = &observer{changes: g.changes, dirty: g.dirty}
+	g.Store = state.New(g.observer)
 	return g
 }
 
 // NewFleetGroup returns a group without a log.
 func NewFleetGroup() *FleetGroup {
-	return &FleetGroup{Store: fleet.New(), holders: lease.NewConfigTable(), demand: newDemandTable()}
+	return &FleetGroup{Store: fleet.New(), holders: lease.NewConfigTable(), demand: newDemandTable(), members: newMemberTable()}
 }
 
 // lead returns since when the replica leads, or a not-leader error.
--- a/internal/control/schedule.go
+++ b/internal/control/schedule.go
@@ -69,7 +69,7 @@
 		s.logger.Warn("plan not committed", "step", "plan", "group", g.Name, "error", err)
 	} else {
 		s.meter.placements.Inc(int64(len(placements)))
-		s.recordPlan(g, plan, result)
+		s.recordRejected(plan, result)
 	}
 	// Placements that were rejected, or whose outcome is not known, are
 	// mirrored again from the state.
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -51,6 +51,10 @@
 	Timeline *timeline.Ring
 	// Scope receives metrics; may be nil.
 	Scope tally.Scope
+	// Member is what the process states of itself.
+	Member *apiv1.Member
+	// Controls is called with the live control processes; may be nil.
+	Controls func([]*apiv1.Member)
 	// Groups holds the data centre groups the process has replicas of.
 	Groups []*DataCentreGroup
 	// Fleet is nil if the process has no replica of the fleet group.
@@ -74,6 +78,7 @@
 	for _, g := range c.Groups {
 		s.groups[g.Name] = g
 		g.meter = s.meter
+		g.observer.committed = s.recordCommitted(g)
 		g.mirror = newMirror(g, c.Scheduler, c.Clock.Now)
 	}
 	for _, m := range c.Members {
@@ -81,6 +86,7 @@
 	}
 	s.follower = follower.New(follower.Config{
 		Holder: c.Name, DataCentre: c.DataCentre, Fleet: c.FleetCalls, Clock: c.Clock, Logger: c.Logger, Demand: s.demand,
+		Member: c.Member, Controls: c.Controls,
 		Applied: func(index uint64) {
 			s.events.Record(timeline.Event{Kind: timeline.ConfigApplied, Detail: fmt.Sprintf("index %d", index)})
 		},
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -53,6 +53,7 @@
 		s.routes.Release(g, routing.Report{}, s.clock.Now())
 		return attemptResult{answer: notRunAnswer(m, routing.Refusal("the call was answered already")), refused: true}
 	}
+	s.recordRouted(m, g, a.number)
 	started := s.clock.Now()
 	left := a.deadline - started
 	send, cancel := context.WithTimeout(context.Background(), left+lateLimit)
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -11,6 +11,7 @@
 	"laburnumgrade/gen/apiv1"
 	"laburnumgrade/gen/statev1"
 	"laburnumgrade/internal/routing"
+	"laburnumgrade/internal/timeline"
 )
 
 const (
@@ -28,7 +29,10 @@
 // Call routes one request to an instance and returns its answer. Refusals,
 // failures and unknown outcomes are answers, not connect errors.
 func (s *callerService) Call(ctx context.Context, r *connect.Request[apiv1.CallRequest]) (*connect.Response[apiv1.CallResponse], error) {
-	return connect.NewResponse(s.call(ctx, r.Msg, bearer(r.Header()))), nil
+	s.events.Record(timeline.Event{Kind: timeline.Submitted, Request: r.Msg.RequestId, Team: r.Msg.Team})
+	result := s.call(ctx, r.Msg, bearer(r.Header()))
+	s.recordAnswer(r.Msg, result)
+	return connect.NewResponse(result), nil
 }
 
 func (s *callerService) call(ctx context.Context, m *apiv1.CallRequest, key string) *apiv1.CallResponse {
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -16,6 +16,7 @@
 	"laburnumgrade/gen/peerv1"
 	"laburnumgrade/gen/statev1"
 	"laburnumgrade/internal/adapter/peer"
+	"laburnumgrade/internal/timeline"
 )
 
 // callerService serves callers.
@@ -31,6 +32,13 @@
 
 // SubmitJob makes a job durable in its home data centre.
 func (s *callerService) SubmitJob(ctx context.Context, r *connect.Request[apiv1.SubmitJobRequest]) (*connect.Response[apiv1.SubmitJobResponse], error) {
+	s.events.Record(timeline.Event{Kind: timeline.Submitted, Job: r.Msg.JobId, Team: r.Msg.Team})
+	reply, err := s.submitJob(ctx, r)
+	s.recordSubmission(r.Msg, err)
+	return reply, err
+}
+
+func (s *callerService) submitJob(ctx context.Context, r *connect.Request[apiv1.SubmitJobRequest]) (*connect.Response[apiv1.SubmitJobResponse], error) {
 	m := r.Msg
 	if s.draining.Load() {
 		return nil, notRun(refusal("this entry is shutting down; try another entry"))
@@ -53,12 +61,15 @@
 	}}
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	reply, err := peer.Call(ctx, group, peer.Within(tryLimit, func(ctx context.Context, c *http.Client, url string) (*peerv1.SubmitJobReply, error) {
+	reply, uncertain, err := peer.CallSent(ctx, group, peer.Within(tryLimit, func(ctx context.Context, c *http.Client, url string) (*peerv1.SubmitJobReply, error) {
 		return peerv1.NewDataCentreServiceProtobufClient(url, c).SubmitJob(ctx, command)
 	}))
 	if err != nil {
 		return nil, controlError(err)
 	}
+	if reply.Refusal != "" && uncertain {
+		return nil, connect.NewError(connect.CodeUnknown, errors.Errorf("outcome unknown: an earlier try may have been accepted; a later one was refused: %s", reply.Refusal))
+	}
 	if reply.Refusal != "" {
 		return nil, notRun(refusal(reply.Refusal))
 	}
@@ -103,6 +114,7 @@
 	if err := s.checkReader(h, j.Team, j.Service); err != nil {
 		return nil, err
 	}
+	s.recordJobAnswer(j)
 	return connect.NewResponse(j), nil
 }
 
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -127,11 +127,19 @@
 }
 
 // ListMembers lists the system's processes.
-func (s *operatorService) ListMembers(_ context.Context, r *connect.Request[apiv1.ListMembersRequest]) (*connect.Response[apiv1.ListMembersResponse], error) {
+func (s *operatorService) ListMembers(ctx context.Context, r *connect.Request[apiv1.ListMembersRequest]) (*connect.Response[apiv1.ListMembersResponse], error) {
 	if err := s.checkOperator(r.Header()); err != nil {
 		return nil, err
 	}
-	return connect.NewResponse(&apiv1.ListMembersResponse{}), nil
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	reply, err := peer.Call(ctx, s.fleet, func(ctx context.Context, c *http.Client, url string) (*apiv1.ListMembersResponse, error) {
+		return peerv1.NewFleetServiceProtobufClient(url, c).ListMembers(ctx, r.Msg)
+	})
+	if err != nil {
+		return nil, controlError(err)
+	}
+	return connect.NewResponse(reply), nil
 }
 
 func (s *operatorService) checkChange(h http.Header, operation string) error {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -12,6 +12,7 @@
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
+	"laburnumgrade/gen/apiv1"
 	"laburnumgrade/gen/apiv1/apiv1connect"
 	"laburnumgrade/gen/peerv1"
 	"laburnumgrade/internal/adapter/peer"
@@ -19,6 +20,7 @@
 	"laburnumgrade/internal/port"
 	"laburnumgrade/internal/routing"
 	"laburnumgrade/internal/state"
+	"laburnumgrade/internal/timeline"
 )
 
 // Server is the service of one lg-entry process.
@@ -52,6 +54,7 @@
 	base      context.Context
 	endBase   context.CancelFunc
 	abandoned <-chan struct{}
+	events    *timeline.Ring
 	// relist wakes the listing of the own data centre's instances.
 	relist chan struct{}
 }
@@ -75,6 +78,10 @@
 	MaxCalls, TeamQueue int
 	// MaxBody bounds one request or answer, in bytes.
 	MaxBody int64
+	// Member is what the process states of itself; may be nil.
+	Member *apiv1.Member
+	// Timeline receives events; may be nil.
+	Timeline *timeline.Ring
 }
 
 // New returns a server.
@@ -83,7 +90,7 @@
 		name: c.Name, dataCentre: c.DataCentre, peerAddress: c.PeerAddress, clock: c.Clock, logger: c.Logger,
 		client: c.Client, groups: map[string]*peer.Group{}, operator: c.OperatorKeyHash, maxBody: c.MaxBody,
 		targets: c.Targets, admission: routing.NewAdmission(c.MaxCalls), progress: newRegistry(),
-		relist: make(chan struct{}, 1),
+		relist: make(chan struct{}, 1), events: c.Timeline,
 	}
 	s.base, s.endBase = context.WithCancel(context.Background())
 	s.abandoned = s.base.Done()
@@ -96,7 +103,10 @@
 		s.groups[dc] = peer.NewGroup(dc, s.client, ownFirst(c.Controls[dc], all))
 	}
 	s.fleet = peer.NewGroup("fleet", s.client, ownFirst(c.Controls[c.DataCentre], all))
-	s.follower = follower.New(follower.Config{Holder: c.Name, DataCentre: c.DataCentre, Fleet: s.fleet, Clock: c.Clock, Logger: c.Logger})
+	s.follower = follower.New(follower.Config{
+		Holder: c.Name, DataCentre: c.DataCentre, Fleet: s.fleet, Clock: c.Clock, Logger: c.Logger,
+		Member: c.Member, Controls: s.addControls, Applied: s.recordConfig,
+	})
 	s.routes = routing.NewTable(routing.Config{Self: c.Name, DataCentre: c.DataCentre, TeamQueue: c.TeamQueue})
 	return s
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"laburnumgrade/gen/apiv1"
 	"laburnumgrade/gen/peerv1"
 	"laburnumgrade/internal/adapter/peer"
 	"laburnumgrade/internal/fleet"
@@ -29,6 +30,8 @@
 	store      *fleet.Store
 	demand     func() []*peerv1.TeamDemand
 	applied    func(index uint64)
+	member     *apiv1.Member
+	controls   func([]*apiv1.Member)
 
 	mu      sync.Mutex
 	expires time.Duration
@@ -46,6 +49,10 @@
 	Demand func() []*peerv1.TeamDemand
 	// Applied is called after the copy was brought to the index; may be nil.
 	Applied func(index uint64)
+	// Member is what the process states of itself; may be nil.
+	Member *apiv1.Member
+	// Controls is called with the live control processes; may be nil.
+	Controls func([]*apiv1.Member)
 }
 
 // New returns a follower with an empty copy and no lease.
@@ -53,6 +60,7 @@
 	return &Follower{
 		holder: c.Holder, dataCentre: c.DataCentre, group: c.Fleet, clock: c.Clock,
 		logger: c.Logger, store: fleet.New(), demand: c.Demand, applied: c.Applied,
+		member: c.Member, controls: c.Controls,
 	}
 }
 
@@ -85,7 +93,7 @@
 func (f *Follower) renew(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
-	request := &peerv1.RenewConfigRequest{Holder: f.holder, DataCentre: f.dataCentre, AppliedIndex: f.store.Index()}
+	request := &peerv1.RenewConfigRequest{Holder: f.holder, DataCentre: f.dataCentre, AppliedIndex: f.store.Index(), Member: f.member}
 	if f.demand != nil {
 		request.Demand = f.demand()
 	}
@@ -102,6 +110,9 @@
 		f.logger.Error("configuration of an older index refused", "step", "renew configuration lease", "index", reply.Index, "applied", request.AppliedIndex)
 		return
 	}
+	if f.controls != nil {
+		f.controls(reply.Controls)
+	}
 	before := f.store.Index()
 	f.store.Follow(reply.Index, reply.Changes, reply.Full)
 	f.mu.Lock()
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -12,6 +12,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"laburnumgrade/gen/apiv1"
 	"laburnumgrade/internal/adapter/admin"
 	"laburnumgrade/internal/adapter/metrics"
 	"laburnumgrade/internal/adapter/peer"
@@ -31,9 +32,10 @@
 	// Client calls other processes; it carries causality stamps.
 	Client *http.Client
 
-	stamps *hlc.Clock
-	admin  *admin.Server
-	closer io.Closer
+	settings config.Process
+	stamps   *hlc.Clock
+	admin    *admin.Server
+	closer   io.Closer
 }
 
 // Start starts the admin server. The function ready returns why the process
@@ -46,7 +48,7 @@
 	result := &Process{
 		Clock: port.NewSystemClock(), Logger: logging.New(os.Stderr, p.Name, p.DataCentre, slog.LevelInfo),
 		Timeline: timeline.New(stamps, p.Name, p.DataCentre, events), Scope: scope, Client: client,
-		stamps: stamps, closer: closer,
+		stamps: stamps, closer: closer, settings: p,
 	}
 	server, err := admin.Listen(p.Admin, admin.Options{Metrics: handler, Timeline: result.Timeline, Ready: ready, Logger: result.Logger})
 	if err != nil {
@@ -59,6 +61,15 @@
 	return result, nil
 }
 
+// Member returns what the process states of itself to others: its role, where
+// it is reached, and an incarnation that grows with each start.
+func (p *Process) Member(role, address string, incarnation uint64) *apiv1.Member {
+	return &apiv1.Member{
+		Process: p.settings.Name, Vm: p.settings.VM, DataCentre: p.settings.DataCentre, Role: role,
+		Address: address, AdminAddress: p.admin.Address(), Incarnation: incarnation,
+	}
+}
+
 // Peer wraps a handler for other processes so that their causality stamps are
 // accepted.
 func (p *Process) Peer(h http.Handler) http.Handler { return hlc.Handler(p.stamps, h) }
--- a/internal/state/plan.go
+++ b/internal/state/plan.go
@@ -105,6 +105,9 @@
 	t.RunningTasks++
 	t.WaitingTasks--
 	t.Waiting = t.Waiting.Sub(a.Size)
+	if o, ok := s.observer.(AttemptObserver); ok {
+		o.AttemptCommitted(a)
+	}
 	s.observer.WorkerChanged(w.ID)
 	s.observer.JobChanged(j.ID)
 	return PlacementResult{AttemptID: a.ID}
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -20,6 +20,12 @@
 	InstancesChanged()
 }
 
+// AttemptObserver is an Observer that is also told of committed attempts, before
+// a worker can hear of them.
+type AttemptObserver interface {
+	AttemptCommitted(a *structs.Attempt)
+}
+
 // Result is the result of a command. Refusal is empty on success.
 type Result struct {
 	Refusal   string
