lgctl recover: operator recovery of a group without a quorum

Cause: a group that lost its quorum for good had no way back. Ruled out: recovery by the remaining processes themselves; they cannot tell a lost quorum from a partition.

--- a/gen/apiv1/apiv1connect/api.connect.go
+++ b/gen/apiv1/apiv1connect/api.connect.go
@@ -76,6 +76,9 @@
 	// OperatorServiceListMembersProcedure is the fully-qualified name of the OperatorService's
 	// ListMembers RPC.
 	OperatorServiceListMembersProcedure = "/laburnumgrade.api.v1.OperatorService/ListMembers"
+	// OperatorServiceRecoverGroupProcedure is the fully-qualified name of the OperatorService's
+	// RecoverGroup RPC.
+	OperatorServiceRecoverGroupProcedure = "/laburnumgrade.api.v1.OperatorService/RecoverGroup"
 	// TargetServiceHeartbeatProcedure is the fully-qualified name of the TargetService's Heartbeat RPC.
 	TargetServiceHeartbeatProcedure = "/laburnumgrade.api.v1.TargetService/Heartbeat"
 	// TargetServiceAnnounceProcedure is the fully-qualified name of the TargetService's Announce RPC.
@@ -299,6 +302,9 @@
 	GetChange(context.Context, *connect.Request[apiv1.GetChangeRequest]) (*connect.Response[apiv1.ChangeResponse], error)
 	Status(context.Context, *connect.Request[apiv1.StatusRequest]) (*connect.Response[apiv1.StatusResponse], error)
 	ListMembers(context.Context, *connect.Request[apiv1.ListMembersRequest]) (*connect.Response[apiv1.ListMembersResponse], error)
+	// RecoverGroup makes one replica the only voter of a group that has lost its
+	// quorum for good. What only the lost replicas held is lost.
+	RecoverGroup(context.Context, *connect.Request[apiv1.RecoverGroupRequest]) (*connect.Response[apiv1.RecoverGroupResponse], error)
 }
 
 // NewOperatorServiceClient constructs a client for the laburnumgrade.api.v1.OperatorService
@@ -360,19 +366,26 @@
 			connect.WithSchema(operatorServiceMethods.ByName("ListMembers")),
 			connect.WithClientOptions(opts...),
 		),
+		recoverGroup: connect.NewClient[apiv1.RecoverGroupRequest, apiv1.RecoverGroupResponse](
+			httpClient,
+			baseURL+OperatorServiceRecoverGroupProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("RecoverGroup")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // operatorServiceClient implements OperatorServiceClient.
 type operatorServiceClient struct {
-	putDocument *connect.Client[apiv1.PutDocumentRequest, apiv1.ChangeResponse]
-	getDocument *connect.Client[apiv1.GetDocumentRequest, apiv1.GetDocumentResponse]
-	grantKey    *connect.Client[apiv1.GrantKeyRequest, apiv1.GrantKeyResponse]
-	withdrawKey *connect.Client[apiv1.WithdrawKeyRequest, apiv1.ChangeResponse]
-	listKeys    *connect.Client[apiv1.ListKeysRequest, apiv1.ListKeysResponse]
-	getChange   *connect.Client[apiv1.GetChangeRequest, apiv1.ChangeResponse]
-	status      *connect.Client[apiv1.StatusRequest, apiv1.StatusResponse]
-	listMembers *connect.Client[apiv1.ListMembersRequest, apiv1.ListMembersResponse]
+	putDocument  *connect.Client[apiv1.PutDocumentRequest, apiv1.ChangeResponse]
+	getDocument  *connect.Client[apiv1.GetDocumentRequest, apiv1.GetDocumentResponse]
+	grantKey     *connect.Client[apiv1.GrantKeyRequest, apiv1.GrantKeyResponse]
+	withdrawKey  *connect.Client[apiv1.WithdrawKeyRequest, apiv1.ChangeResponse]
+	listKeys     *connect.Client[apiv1.ListKeysRequest, apiv1.ListKeysResponse]
+	getChange    *connect.Client[apiv1.GetChangeRequest, apiv1.ChangeResponse]
+	status       *connect.Client[apiv1.StatusRequest, apiv1.StatusResponse]
+	listMembers  *connect.Client[apiv1.ListMembersRequest, apiv1.ListMembersResponse]
+	recoverGroup *connect.Client[apiv1.RecoverGroupRequest, apiv1.RecoverGroupResponse]
 }
 
 // PutDocument calls laburnumgrade.api.v1.OperatorService.PutDocument.
@@ -415,6 +428,11 @@
 	return c.listMembers.CallUnary(ctx, req)
 }
 
+// RecoverGroup calls laburnumgrade.api.v1.OperatorService.RecoverGroup.
+func (c *operatorServiceClient) RecoverGroup(ctx context.Context, req *connect.Request[apiv1.RecoverGroupRequest]) (*connect.Response[apiv1.RecoverGroupResponse], error) {
+	return c.recoverGroup.CallUnary(ctx, req)
+}
+
 // OperatorServiceHandler is an implementation of the laburnumgrade.api.v1.OperatorService service.
 type OperatorServiceHandler interface {
 	PutDocument(context.Context, *connect.Request[apiv1.PutDocumentRequest]) (*connect.Response[apiv1.ChangeResponse], error)
@@ -426,6 +444,9 @@
 	GetChange(context.Context, *connect.Request[apiv1.GetChangeRequest]) (*connect.Response[apiv1.ChangeResponse], error)
 	Status(context.Context, *connect.Request[apiv1.StatusRequest]) (*connect.Response[apiv1.StatusResponse], error)
 	ListMembers(context.Context, *connect.Request[apiv1.ListMembersRequest]) (*connect.Response[apiv1.ListMembersResponse], error)
+	// RecoverGroup makes one replica the only voter of a group that has lost its
+	// quorum for good. What only the lost replicas held is lost.
+	RecoverGroup(context.Context, *connect.Request[apiv1.RecoverGroupRequest]) (*connect.Response[apiv1.RecoverGroupResponse], error)
 }
 
 // NewOperatorServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -483,6 +504,12 @@
 		connect.WithSchema(operatorServiceMethods.ByName("ListMembers")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceRecoverGroupHandler := connect.NewUnaryHandler(
+		OperatorServiceRecoverGroupProcedure,
+		svc.RecoverGroup,
+		connect.WithSchema(operatorServiceMethods.ByName("RecoverGroup")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/laburnumgrade.api.v1.OperatorService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OperatorServicePutDocumentProcedure:
@@ -501,6 +528,8 @@
 			operatorServiceStatusHandler.ServeHTTP(w, r)
 		case OperatorServiceListMembersProcedure:
 			operatorServiceListMembersHandler.ServeHTTP(w, r)
+		case OperatorServiceRecoverGroupProcedure:
+			operatorServiceRecoverGroupHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -542,6 +571,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("laburnumgrade.api.v1.OperatorService.ListMembers is not implemented"))
 }
 
+func (UnimplementedOperatorServiceHandler) RecoverGroup(context.Context, *connect.Request[apiv1.RecoverGroupRequest]) (*connect.Response[apiv1.RecoverGroupResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("laburnumgrade.api.v1.OperatorService.RecoverGroup is not implemented"))
+}
+
 // TargetServiceClient is a client for the laburnumgrade.api.v1.TargetService service.
 type TargetServiceClient interface {
 	Heartbeat(context.Context, *connect.Request[apiv1.HeartbeatRequest]) (*connect.Response[apiv1.HeartbeatResponse], error)
--- a/internal/adapter/peer/client.go
+++ b/internal/adapter/peer/client.go
@@ -4,8 +4,8 @@
 	"context"
 	"net"
 	"net/http"
-	"slices"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -90,6 +90,13 @@
 	return &Group{name: name, client: client, hosts: hosts}
 }
 
+// Hosts returns the known addresses.
+func (g *Group) Hosts() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.hosts)
+}
+
 // AddHosts adds addresses that are not known yet.
 func (g *Group) AddHosts(hosts []string) {
 	g.mu.Lock()
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -42,6 +42,8 @@
 	Replace(ctx context.Context, old string, r *peerv1.RaftReplica) error
 	// Remove removes a replica.
 	Remove(ctx context.Context, id string) error
+	// Recover makes the replica the only voter of a new generation.
+	Recover(ctx context.Context) error
 }
 
 // Member is a group of which the process hosts a replica.
@@ -91,6 +93,25 @@
 	return reply, nil
 }
 
+// Recover makes the process's replica the only voter of a new generation of the
+// group. The operator decides that the quorum is lost for good.
+func (s *GroupServer) Recover(ctx context.Context, r *apiv1.RecoverGroupRequest) (*apiv1.RecoverGroupResponse, error) {
+	m := s.server.members[r.Group]
+	if m == nil {
+		return nil, twirp.NotFoundError("this process holds no replica of group " + r.Group)
+	}
+	if !m.Replica.Known() {
+		return nil, twirp.NewError(twirp.Aborted, "the replica of this process holds no state of group "+r.Group)
+	}
+	s.server.logger.Warn("the operator recovers a group with one replica", "step", "recover", "group", r.Group, "replica", m.Replica.ID())
+	if err := m.Replica.Recover(ctx); err != nil {
+		return nil, twirp.NewError(twirp.Aborted, err.Error())
+	}
+	term, _ := m.Replica.Term()
+	s.server.events.Record(timeline.Event{Kind: timeline.MembershipChanged, Peer: m.Replica.ID(), Detail: "group " + r.Group + " recovered by the operator"})
+	return &apiv1.RecoverGroupResponse{Replica: m.Replica.ID(), Term: term}, nil
+}
+
 func (m *Member) note(r *peerv1.RaftReplica, now time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/ctl/app.go
+++ b/internal/ctl/app.go
@@ -103,6 +103,7 @@
 	must(parser.AddCommand("call", "send one request to a service", "", &callVerb{app: a}))
 	must(parser.AddCommand("status", "show groups, teams and targets", "", &statusVerb{app: a}))
 	must(parser.AddCommand("members", "list the system's processes", "", &membersVerb{app: a}))
+	must(parser.AddCommand("recover", "make one replica the only voter of a group that lost its quorum for good", "", &recoverVerb{app: a}))
 	must(parser.AddCommand("timeline", "merge the time lines of processes in causal order", "", &timelineVerb{app: a}))
 }
 
