Divide limits by demand and transfer allotments between data centres

Cause: limits were divided once in equal parts, nothing was returned, and grants were kept for ever.

--- a/internal/fleet/allotment.go
+++ b/internal/fleet/allotment.go
@@ -72,6 +72,15 @@
 		covers(amount.Accelerators, pool.Accelerators)
 }
 
+// wantAllotment records what a data centre is asked to keep. It is advice: only
+// a returned transfer changes what is granted.
+func (s *Store) wantAllotment(c *statev1.WantAllotment) (*statev1.FleetResult, *statev1.FleetChange) {
+	a := s.allotment(c.Team, c.DataCentre)
+	a.Wanted, a.Shed = c.Amount, c.Shed
+	s.allotments[allotmentID{c.Team, c.DataCentre}] = a
+	return &statev1.FleetResult{}, &statev1.FleetChange{Allotment: a}
+}
+
 // confirmGrants forgets the amounts of grants that were taken, so that the state
 // does not grow with every grant.
 func (s *Store) confirmGrants(c *statev1.ConfirmGrants) (*statev1.FleetResult, *statev1.FleetChange) {
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -95,6 +95,8 @@
 		return s.returnAllotment(c.ReturnAllotment)
 	case *statev1.FleetCommand_ConfirmGrants:
 		return s.confirmGrants(c.ConfirmGrants)
+	case *statev1.FleetCommand_WantAllotment:
+		return s.wantAllotment(c.WantAllotment)
 	case *statev1.FleetCommand_SetGroup:
 		s.groups[c.SetGroup.Group] = c.SetGroup
 		return &statev1.FleetResult{}, &statev1.FleetChange{Group: c.SetGroup}
--- a/internal/state/allotment.go
+++ b/internal/state/allotment.go
@@ -1,7 +1,10 @@
 package state
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 
 	"laburnumgrade/gen/statev1"
 	"laburnumgrade/internal/structs"
@@ -22,8 +25,9 @@
 	return &Result{}
 }
 
-// giveAllotment reduces the allotment before the fleet group hears of it. What
-// runs must fit in the rest.
+// giveAllotment reduces the allotment before the fleet group hears of it. The
+// rest may be less than what runs: then nothing is placed, and the transfer may
+// be returned only once what runs fits again (Returnable).
 func (s *Store) giveAllotment(c *statev1.GiveAllotment) *Result {
 	t := s.team(c.Team)
 	if c.Transfer <= t.Transfer {
@@ -33,12 +37,80 @@
 		return &Result{Refusal: fmt.Sprintf("team %s: transfer %d does not follow transfer %d", c.Team, c.Transfer, t.Transfer)}
 	}
 	amount := structs.ResourcesFromProto(c.Amount)
-	rest := t.Allotment.Sub(amount)
-	if !t.Running.Fits(rest) {
-		return &Result{Refusal: fmt.Sprintf("team %s runs more than would be left of its allotment", c.Team)}
+	if !(structs.Resources{}).Fits(amount) || !amount.Fits(t.Allotment) {
+		return &Result{Refusal: fmt.Sprintf("team %s has no such amount of allotment to give", c.Team)}
 	}
 	t.Transfer = c.Transfer
-	t.Allotment = rest
+	t.Allotment = t.Allotment.Sub(amount)
 	t.Given[c.Transfer] = amount
 	return &Result{}
 }
+
+// confirmReturn forgets transfers that the fleet group has taken back.
+func (s *Store) confirmReturn(c *statev1.ConfirmReturn) *Result {
+	t := s.team(c.Team)
+	for number := range t.Given {
+		if number <= c.Transfer {
+			delete(t.Given, number)
+		}
+	}
+	return &Result{}
+}
+
+// Transfer is an allotment given up and not known to be returned.
+type Transfer struct {
+	Number uint64
+	Amount structs.Resources
+}
+
+// Returnable lists, in order, the transfers that may be returned to the fleet
+// group: what runs has fitted the reduced allotment, and placements keep it so.
+func (s *Store) Returnable(team string) []Transfer {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	t := s.d.Teams[team]
+	if t == nil || !t.Running.Fits(t.Allotment) {
+		return nil
+	}
+	var list []Transfer
+	for _, number := range slices.Sorted(maps.Keys(t.Given)) {
+		list = append(list, Transfer{number, t.Given[number]})
+	}
+	return list
+}
+
+// Candidate is an open attempt with what its document allows.
+type Candidate struct {
+	Attempt structs.Attempt
+	Spec    structs.WorkSpec
+}
+
+// TeamAttempts returns the open attempts of a team, by id.
+func (s *Store) TeamAttempts(team string) []Candidate {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var list []Candidate
+	for _, a := range s.d.Attempts {
+		if a.Team == team {
+			list = append(list, Candidate{*a, s.d.Jobs[a.JobID].Spec})
+		}
+	}
+	slices.SortFunc(list, func(a, b Candidate) int { return cmp.Compare(a.Attempt.ID, b.Attempt.ID) })
+	return list
+}
+
+// WorkerAttempts returns the open attempts of a worker, by id.
+func (s *Store) WorkerAttempts(worker string) []Candidate {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	w := s.d.Workers[worker]
+	if w == nil {
+		return nil
+	}
+	var list []Candidate
+	for _, id := range sortedAttempts(w) {
+		a := s.d.Attempts[id]
+		list = append(list, Candidate{*a, s.d.Jobs[a.JobID].Spec})
+	}
+	return list
+}
--- a/internal/state/read.go
+++ b/internal/state/read.go
@@ -96,6 +96,9 @@
 	Transfer     uint64
 	WaitingTasks int
 	RunningTasks int
+	// FirstGiven is the lowest number of a transfer that is not known to be
+	// returned, 0 if there is none.
+	FirstGiven uint64
 }
 
 // Teams returns all teams in order of their names.
@@ -121,8 +124,15 @@
 }
 
 func (t *teamUsage) view(name string) Team {
+	first := uint64(0)
+	for number := range t.Given {
+		if first == 0 || number < first {
+			first = number
+		}
+	}
 	return Team{
-		Name: name, Running: t.Running, Waiting: t.Waiting, Allotment: t.Allotment,
+		FirstGiven: first,
+		Name:       name, Running: t.Running, Waiting: t.Waiting, Allotment: t.Allotment,
 		Grant: t.Grant, Transfer: t.Transfer, WaitingTasks: t.WaitingTasks, RunningTasks: t.RunningTasks,
 	}
 }
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -134,6 +134,8 @@
 		return s.takeAllotment(c.TakeAllotment)
 	case *statev1.DataCentreCommand_GiveAllotment:
 		return s.giveAllotment(c.GiveAllotment)
+	case *statev1.DataCentreCommand_ConfirmReturn:
+		return s.confirmReturn(c.ConfirmReturn)
 	case *statev1.DataCentreCommand_AdvanceTime:
 		return s.advanceTime(c.AdvanceTime)
 	case *statev1.DataCentreCommand_RegisterInstance:
