Transfer allotments by demand in the control service

Cause: control divided limits in equal parts and returned nothing. Change: the fleet leader divides by reported demand and asks back, data centre leaders give, return and shed; workers below their commitments are throttled or shed.

--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -83,6 +83,8 @@
 // teamDemand is what a team runs and waits for in a data centre.
 type teamDemand struct {
 	Running, Waiting, Allotment structs.Resources
+	// Grant is the number of the last grant taken.
+	Grant uint64
 }
 
 // demandTable holds the demand that each data centre's leader reported last.
@@ -106,9 +108,17 @@
 			Running:   structs.ResourcesFromProto(d.Running),
 			Waiting:   structs.ResourcesFromProto(d.Waiting),
 			Allotment: structs.ResourcesFromProto(d.Allotment),
+			Grant:     d.Grant,
 		}
 	}
 }
 
+// get returns the demand reported last; zero if there is none.
+func (t *demandTable) get(team, dataCentre string) teamDemand {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.byTeam[team][dataCentre]
+}
+
 // opTimeout bounds a background proposal.
 const opTimeout = 2 * time.Second
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -75,7 +75,7 @@
 	for _, g := range s.groups {
 		go s.schedule(ctx, g)
 		go s.expire(ctx, g)
-		go s.takeGrants(ctx, g)
+		go s.exchangeAllotments(ctx, g)
 	}
 	if s.fleet != nil {
 		go s.divideLimits(ctx)
--- a/internal/fleet/allotment.go
+++ b/internal/fleet/allotment.go
@@ -59,6 +59,8 @@
 	a.Granted = structs.ResourcesFromProto(a.Granted).Add(amount).Proto()
 	a.Grant++
 	a.Grants = append(a.Grants, c.Amount)
+	// What was asked back before the grant no longer holds.
+	a.Wanted, a.Shed = nil, false
 	s.allotments[allotmentID{c.Team, c.DataCentre}] = a
 	return &statev1.FleetResult{Grant: a.Grant}, &statev1.FleetChange{Allotment: a}
 }
--- a/internal/quota/shed.go
+++ b/internal/quota/shed.go
@@ -53,6 +53,17 @@
 	return list, excess
 }
 
+// NotThrottled returns the attempts whose documents do not allow throttling.
+func NotThrottled(candidates []state.Candidate) []state.Candidate {
+	var list []state.Candidate
+	for _, c := range candidates {
+		if !c.Spec.MayThrottle {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
 // relieves reports whether the size reduces a dimension that is in excess.
 func relieves(size, excess structs.Resources) bool {
 	return excess.MilliCPU > 0 && size.MilliCPU > 0 || excess.MemoryBytes > 0 && size.MemoryBytes > 0 ||
--- a/internal/quota/transfer_test.go
+++ b/internal/quota/transfer_test.go
@@ -38,8 +38,8 @@
 	limit   int64
 	version uint64
 	jobs    int
-	// lowered is set from when the limit is lowered until it is met.
-	lowered bool
+	// ceiling is the highest limit since the limit was last met.
+	ceiling int64
 	steps   []func()
 	// reliable is set while no message is lost.
 	reliable bool
@@ -93,8 +93,8 @@
 	}}})
 	assert.Equal(w.t, r.Refusal, "")
 	w.version = r.Version
-	w.lowered = w.lowered || limit < w.limit
 	w.limit = limit
+	w.ceiling = max(w.ceiling, limit)
 }
 
 // divide mirrors the fleet leader.
@@ -176,11 +176,8 @@
 }
 
 func (w *transferWorld) check(t *rapid.T) {
-	if w.running() <= w.limit {
-		return
-	}
-	if !w.lowered {
-		t.Fatalf("team a runs %d of %d", w.running(), w.limit)
+	if w.running() > w.ceiling {
+		t.Fatalf("team a runs %d, the limit was at most %d", w.running(), w.ceiling)
 	}
 }
 
@@ -204,7 +201,7 @@
 	if w.running() > w.limit {
 		t.Fatalf("team a runs %d of %d after the returns", w.running(), w.limit)
 	}
-	w.lowered = false
+	w.ceiling = w.limit
 	for _, s := range w.sites {
 		if a := w.fleet.Allotment("a", s.name); len(a.Grants) > 8 {
 			t.Fatalf("%d grants to %s are kept", len(a.Grants), s.name)
