--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -113,7 +113,7 @@
 	for _, g := range s.groups {
 		go s.schedule(ctx, g)
 		go s.expire(ctx, g)
-		go s.takeGrants(ctx, g)
+		go s.exchangeAllotments(ctx, g)
 		go s.runServices(ctx, g)
 		go s.watchLeader(ctx, g.Name, g.Log.Leader)
 	}
