admission: property that fails without shedding

Cause: with shedding switched off the property passed, because the limit per team alone kept the total within the stated bound. Change: a limit per team above the bound, and a test of that limit on its own. It fails now with shedding off, and with shedding that ignores entitlements.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -67,7 +67,7 @@
 // entitlement is always admitted, and the total stays bounded.
 func TestSheddingKeepsEntitlement(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		limits := Limits{Total: 100, Overload: 0.8, PerTeam: 90}
+		limits := Limits{Total: 100, Overload: 0.8, PerTeam: 200}
 		c := NewController(limits, workers(structs.Resources{MilliCPU: 1000}))
 		c.SetTeam("a", 3)
 		c.SetTeam("b", 1)
@@ -95,6 +95,16 @@
 	})
 }
 
+// Guards against a team's queue that grows without bound while the cell is not
+// overloaded.
+func TestPerTeamLimit(t *testing.T) {
+	c := NewController(Limits{Total: 1000, Overload: 0.8, PerTeam: 10}, workers(structs.Resources{MilliCPU: 1000}))
+	c.SetTeam("a", 1)
+	spec := structs.WorkSpec{Team: "a", Size: structs.Resources{MilliCPU: 1}}
+	assert.Assert(t, c.Admit(&spec, 10, 0, 0) == nil)
+	assert.Equal(t, c.Admit(&spec, 1, 0, 0).Reason, `not run: 10 tasks of team "a" wait; a team's queue holds 10`)
+}
+
 // Guards against unbounded queues, and against work accepted that cannot
 // start before its deadline.
 func TestQueueLimitAndDeadline(t *testing.T) {
