--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -132,7 +132,7 @@
 			records := c.control.count("RecordRequest")
 			await(t, func() bool { return c.control.count("RecordRequest") > records })
 			for _, in := range c.instances {
-				close(in.hold)
+				in.letGo()
 			}
 			got := <-again
 			assert.Equal(t, got.Outcome, ok, got.Detail)
@@ -152,7 +152,7 @@
 	got := c.send(t, id, 2*time.Second)
 	assert.Equal(t, got.Outcome, ok, got.Detail)
 	assert.Equal(t, got.InstanceId, "i1")
-	close(c.instances[0].hold)
+	c.instances[0].letGo()
 }
 
 // TestRecordGrantLost guards against a record that stays pending because its
@@ -196,7 +196,7 @@
 	go func() { got <- c.send(t, id, longDeadline) }()
 	await(t, func() bool { return c.ran(id) == 1 })
 	c.control.follow("127.0.0.1:1")
-	close(c.instances[0].hold)
+	c.instances[0].letGo()
 	ends := c.control.count("EndRequest")
 	await(t, func() bool { return c.control.count("EndRequest") > ends })
 	c.control.follow("")
--- a/internal/entry/drain_test.go
+++ b/internal/entry/drain_test.go
@@ -67,8 +67,8 @@
 		c.control.mu.Lock()
 		assert.Equal(t, len(c.control.released), 0, "slots were given back while calls use them")
 		c.control.mu.Unlock()
-		close(in.hold)
-		close(c.control.hold)
+		in.letGo()
+		c.control.letGo()
 		for _, got := range []<-chan *apiv1.CallResponse{local, forwarded, waits} {
 			r := <-got
 			assert.Equal(t, r.Outcome, ok, r.Detail)
@@ -105,5 +105,5 @@
 	assert.Equal(t, (<-waits).Outcome, notRunO)
 	assert.Equal(t, strings.Count(a.log.String(), `"answered":"outcome unknown"`), 8)
 	assert.Equal(t, strings.Count(a.log.String(), `"answered":"not run"`), 1)
-	close(in.hold)
+	in.letGo()
 }
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -120,8 +120,12 @@
 	released   []uint64
 	lists      []*peerv1.ListInstancesRequest
 	hold       chan struct{}
+	holding    sync.Once
 }
 
+// letGo ends the hold of heartbeats, in a failed test too.
+func (c *fakeControl) letGo() { c.holding.Do(func() { close(c.hold) }) }
+
 type nobody struct{}
 
 func (nobody) Reset()               {}
@@ -138,6 +142,7 @@
 	mux.Handle(fleet.PathPrefix(), fleet)
 	c.server = httptest.NewServer(c.handler(mux))
 	t.Cleanup(c.server.Close)
+	t.Cleanup(c.letGo)
 	c.apply(&statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_AdvanceTime{AdvanceTime: &statev1.AdvanceTime{UnixMs: time.Now().UnixMilli()}}})
 	return c
 }
@@ -264,19 +269,30 @@
 	server *httptest.Server
 	// answer changes a right answer; nil leaves it.
 	answer func(*apiv1.InvokeResponse)
-	// hold, if not nil, is waited for before the answer.
-	hold chan struct{}
+	// hold, if not nil, is waited for before the answer; letGo closes it.
+	hold    chan struct{}
+	holding sync.Once
 
 	mu   sync.Mutex
 	runs map[string]int
 }
 
+// letGo ends the wait before answers, in a failed test too.
+func (in *fakeInstance) letGo() {
+	in.holding.Do(func() {
+		if in.hold != nil {
+			close(in.hold)
+		}
+	})
+}
+
 func newFakeInstance(t *testing.T, id string) *fakeInstance {
 	in := &fakeInstance{fates: newFates(), id: id, runs: map[string]int{}}
 	mux := http.NewServeMux()
 	mux.Handle(apiv1connect.NewInstanceServiceHandler(in))
 	in.server = httptest.NewServer(in.handler(mux))
 	t.Cleanup(in.server.Close)
+	t.Cleanup(in.letGo)
 	return in
 }
 
