--- a/internal/config/print.go
+++ b/internal/config/print.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -18,6 +19,7 @@
 	p.limits(e.Limits)
 	p.section("operator")
 	p.key("key_hash", hex.EncodeToString(e.OperatorKeyHash[:]))
+	p.addressMap(e.AddressMap)
 	return p.String()
 }
 
@@ -45,9 +47,21 @@
 	p.key("max_bypass", c.MaxBypass)
 	p.key("probation_share", c.ProbationShare)
 	p.key("reserve", c.Reserve)
+	p.addressMap(c.AddressMap)
 	return p.String()
 }
 
+// addressMap adds the section address_map if it has keys.
+func (p *printer) addressMap(m AddressMap) {
+	if len(m) == 0 {
+		return
+	}
+	p.section("address_map")
+	for i, from := range slices.Sorted(maps.Keys(m)) {
+		p.key(fmt.Sprintf("address-%d", i+1), from+" "+m[from])
+	}
+}
+
 // process adds the section process.
 func (p *printer) process(process Process) {
 	p.section("process")
--- a/internal/control/broadcast.go
+++ b/internal/control/broadcast.go
@@ -1,6 +1,10 @@
 package control
 
-import "sync"
+import (
+	"sync"
+
+	"laburnumgrade/internal/structs"
+)
 
 // Topics that are not ids of workers or jobs.
 const (
@@ -48,16 +52,33 @@
 }
 
 // observer wakes waiters when the state changes.
-type observer struct{ changes *broadcast }
+type observer struct {
+	changes *broadcast
+	dirty   *dirty
+	// committed is called with each committed attempt; may be nil.
+	committed func(a *structs.Attempt)
+}
 
-func (o *observer) Reset() { o.changes.wakeAll() }
+// AttemptCommitted implements state.AttemptObserver.
+func (o *observer) AttemptCommitted(a *structs.Attempt) {
+	if o.committed != nil {
+		o.committed(a)
+	}
+}
+
+func (o *observer) Reset() {
+	o.dirty.reset()
+	o.changes.wakeAll()
+}
 
 func (o *observer) WorkerChanged(id string) {
+	o.dirty.worker(id)
 	o.changes.wake("worker/" + id)
 	o.changes.wake(topicQueue)
 }
 
 func (o *observer) JobChanged(id string) {
+	o.dirty.job(id)
 	o.changes.wake("job/" + id)
 	o.changes.wake(topicQueue)
 }
--- a/internal/control/datacentre.go
+++ b/internal/control/datacentre.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -22,10 +23,19 @@
 	if err != nil {
 		return nil, err
 	}
+	// A resend of an accepted job is not refused for lack of room.
+	if _, known := g.Store.Job(r.Job.JobId); !known {
+		refusal, err := g.refuse(ctx, r.Job)
+		if err != nil || refusal != "" {
+			return &peerv1.SubmitJobReply{Refusal: refusal}, err
+		}
+	}
+	g.submissions.begin(r.Job.JobId)
 	result, err := g.propose(ctx, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_SubmitJob{SubmitJob: r.Job}})
 	if err != nil {
 		return nil, err
 	}
+	g.submissions.end(r.Job.JobId)
 	d.server.recordSubmitted(r.Job, result)
 	return &peerv1.SubmitJobReply{Duplicate: result.Duplicate, Refusal: result.Refusal}, nil
 }
@@ -65,6 +75,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if j, known := g.Store.Job(r.JobId); known && state.IsService(&j) {
+		return nil, twirp.NewError(twirp.InvalidArgument, "the number of instances of a service is set by its document")
+	}
 	result, err := g.propose(ctx, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_CancelJob{CancelJob: &statev1.CancelJob{JobId: r.JobId}}})
 	if err != nil {
 		return nil, err
@@ -161,8 +174,32 @@
 		return nil, twirp.NotFoundError("job " + r.JobId + " is not known")
 	}
 	reply := &apiv1.ExplainJobResponse{JobId: j.ID, State: jobMessage(&j, g.Name).State}
-	if t := g.Store.Team(j.Spec.Team); !t.Running.Add(j.Spec.Size).Fits(t.Allotment) {
-		reply.Reasons = append(reply.Reasons, "team "+t.Name+" is at its allotment in this data centre")
+	if e, waiting := g.mirror.explain(r.JobId); waiting {
+		reply.Reasons = e.Reasons
+		reply.Impossible = e.Never
+	}
+	if left := backOffLeft(&j, g.Store.LogTime()); left > 0 {
+		reply.Reasons = append(reply.Reasons, fmt.Sprintf("the next attempt follows after a delay of %d ms", left))
 	}
 	return reply, nil
 }
+
+// backOffLeft returns the ms until the first task that waits out a back-off may
+// be placed, 0 if a waiting task may be placed now.
+func backOffLeft(j *structs.Job, logTime int64) int64 {
+	least := int64(0)
+	for i := range j.Tasks {
+		t := &j.Tasks[i]
+		if t.State != structs.TaskWaiting {
+			continue
+		}
+		left := t.NotBefore - logTime
+		if left <= 0 {
+			return 0
+		}
+		if least == 0 || left < least {
+			least = left
+		}
+	}
+	return least
+}
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -45,11 +45,12 @@
 	}
 	g.holders.Renew(r.Holder, r.DataCentre, r.AppliedIndex, f.server.clock.Now())
 	g.demand.set(r.DataCentre, r.Demand)
+	g.members.note(r.Member, f.server.clock.Now())
 	index, changes, full := g.Store.Since(r.AppliedIndex)
 	if _, err := lead("fleet", g.Log); err != nil {
 		return nil, err
 	}
-	return &peerv1.RenewConfigResponse{LeaseMs: lease.Config.Milliseconds(), Index: index, Changes: changes, Full: full}, nil
+	return &peerv1.RenewConfigResponse{LeaseMs: lease.Config.Milliseconds(), Index: index, Changes: changes, Full: full, Controls: g.members.controls(f.server.clock.Now())}, nil
 }
 
 // GetChange reports whether a change is in force everywhere.
@@ -65,7 +66,11 @@
 	if r.Index > g.Store.Index() {
 		return nil, twirp.NotFoundError("no change has this index")
 	}
-	outstanding := g.holders.Outstanding(r.Index, since, f.server.clock.Now())
+	grace := func(from uint64) time.Duration { return g.Store.Grace(r.Index, from) }
+	outstanding := g.holders.Outstanding(r.Index, grace, since, f.server.clock.Now())
+	if _, err := lead("fleet", g.Log); err != nil {
+		return nil, err
+	}
 	return &apiv1.Change{Index: r.Index, InForce: len(outstanding) == 0, Outstanding: outstanding}, nil
 }
 
@@ -79,6 +84,8 @@
 // teamDemand is what a team runs and waits for in a data centre.
 type teamDemand struct {
 	Running, Waiting, Allotment structs.Resources
+	// Grant is the number of the last grant taken.
+	Grant uint64
 }
 
 // demandTable holds the demand that each data centre's leader reported last.
@@ -102,9 +109,17 @@
 			Running:   structs.ResourcesFromProto(d.Running),
 			Waiting:   structs.ResourcesFromProto(d.Waiting),
 			Allotment: structs.ResourcesFromProto(d.Allotment),
+			Grant:     d.Grant,
 		}
 	}
 }
 
+// get returns the demand reported last; zero if there is none.
+func (t *demandTable) get(team, dataCentre string) teamDemand {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.byTeam[team][dataCentre]
+}
+
 // opTimeout bounds a background proposal.
 const opTimeout = 2 * time.Second
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -27,6 +27,10 @@
 	triesPerPlan      = 64
 )
 
+// behindShare is how far below its share a team must be, at full weight, for a
+// job of it to reserve room.
+const behindShare = 0.1
+
 // gangRetry is the least time between two tries to place the same gang in
 // whole, which costs one search per task.
 const gangRetry = 50 * time.Millisecond
@@ -36,14 +40,17 @@
 
 // plan is the state of one Plan call.
 type plan struct {
-	now     time.Duration
-	max     int
-	tries   int
-	stop    bool
-	longest time.Duration
-	ranks   [share.Ranks]order
-	starved order
-	batch   Batch
+	now   time.Duration
+	max   int
+	tries int
+	stop  bool
+	// behindWaits is set when work of a team behind its share found no room. Teams
+	// above their shares then leave the rest of the room in this plan.
+	behindWaits bool
+	longest     time.Duration
+	ranks       [share.Ranks]order
+	starved     order
+	batch       Batch
 }
 
 // Plan proposes at most max placements, but never part of a gang. Planned
@@ -54,6 +61,7 @@
 	p.max = max
 	p.tries = triesPerPlan + triesPerPlacement*max
 	p.stop = false
+	p.behindWaits = false
 	p.batch = Batch{}
 	s.planNumber++
 	s.failures.refresh(s.fleet.Version(), now)
@@ -102,7 +110,7 @@
 	for _, b := range s.active {
 		p.longest = max(p.longest, p.now-b.head.submitted)
 		p.ranks[b.rank] = append(p.ranks[b.rank], s.entry(p, b))
-		if s.options.Policy.Starved(b.head.submitted, p.now) {
+		if s.starved(p, b) {
 			p.starved = append(p.starved, starvedEntry(b))
 		}
 	}
@@ -112,6 +120,11 @@
 	p.starved.build()
 }
 
+func (s *Scheduler) starved(p *plan, b *bucket) bool {
+	o := &s.options.Policy
+	return o.Starved(b.head.submitted, p.now) && b.team.excess <= o.MaxStarvedExcess()
+}
+
 func starvedEntry(b *bucket) entry {
 	return entry{score: float64(b.head.submitted), head: b.head}
 }
@@ -131,7 +144,7 @@
 	if s.sinceStarved >= s.options.Policy.StarvedEvery-1 {
 		for len(p.starved) > 0 {
 			e := p.starved.pop()
-			if b := e.head.bucket; b.head == e.head && b.blocked != s.planNumber {
+			if b := e.head.bucket; b.head == e.head && b.blocked != s.planNumber && s.starved(p, b) {
 				return b, true
 			}
 		}
@@ -170,7 +183,7 @@
 		return
 	}
 	p.ranks[b.rank].push(s.entry(p, b))
-	if s.options.Policy.Starved(b.head.submitted, p.now) {
+	if s.starved(p, b) {
 		p.starved.push(starvedEntry(b))
 	}
 }
@@ -186,12 +199,22 @@
 		s.reject(p, j, "not run: "+s.limitText(b, why))
 		return
 	}
-	if why == limitRoom && (starved || b.spec.Class == structs.ClassGang) {
+	behind := s.behind(b.team)
+	if why == limitRoom && (starved || behind || j.isGang()) {
 		s.reserve(p, j)
 	}
+	if why == limitRoom && behind && s.fleet.CapacityFor(b.spec.Size) >= int64(len(j.tasks)) {
+		p.behindWaits = true
+	}
 	b.blocked = s.planNumber
 }
 
+// behind reports whether a team is so far below its share that a job of it
+// that does not fit is to reserve room.
+func (s *Scheduler) behind(t *team) bool {
+	return s.options.Policy.FairnessWeight*(1-t.excess) >= behindShare
+}
+
 // tryJob places one task of a job, or all tasks of a gang.
 func (s *Scheduler) tryJob(p *plan, j *job) limit {
 	b := j.bucket
@@ -204,6 +227,8 @@
 		return limitAllotment
 	case j.res != nil:
 		return limitReservation
+	case p.behindWaits && b.team.excess > 1:
+		return limitOrder
 	case need > 1:
 		return s.tryGang(p, j)
 	}
@@ -216,7 +241,7 @@
 		s.failures.add(&r)
 		return limitRoom
 	}
-	s.place(p, j, slot, r.End)
+	s.place(p, j, slot, &r)
 	return limitNone
 }
 
@@ -278,31 +303,37 @@
 		}
 	}
 	ok := true
+	chosen := len(slots)
+	var spare []structs.Resources
 	for ok && len(slots) < len(j.tasks) {
 		var slot placement.Slot
 		slot, ok = s.fleet.Choose(&r)
 		if ok {
+			spare = append(spare, s.fleet.TakeSpare(slot, &r))
 			s.fleet.Commit(slot, r.Size)
 			slots = append(slots, slot)
 		}
 	}
-	for _, slot := range slots {
+	for i, slot := range slots {
 		s.fleet.Release(slot, r.Size)
+		if i >= chosen {
+			s.fleet.ReturnSpare(slot, spare[i-chosen])
+		}
 	}
 	s.failures.unchanged(s.fleet.Version())
 	return slots, ok
 }
 
 func (s *Scheduler) placeAll(p *plan, j *job, slots []placement.Slot) {
-	end := s.backfillEnd(p.now, j.bucket)
+	r := s.request(p, j)
 	s.endReservation(j.res)
 	for _, slot := range slots {
-		s.place(p, j, slot, end)
+		s.place(p, j, slot, &r)
 	}
 }
 
 // place plans the first waiting task of a job on a worker.
-func (s *Scheduler) place(p *plan, j *job, slot placement.Slot, end time.Duration) {
+func (s *Scheduler) place(p *plan, j *job, slot placement.Slot, r *placement.Request) {
 	b := j.bucket
 	w := s.fleet.Worker(slot)
 	if w.Probation {
@@ -311,7 +342,9 @@
 	a := &attempt{
 		key: taskKey{j.id, j.tasks[0]}, bucket: b, slot: slot, incarnation: w.Incarnation, size: b.spec.Size,
 		started: p.now, end: p.now + b.doc.history.Predict(b.spec.RunTime, endQuantile),
-		backfill: s.holder(slot, j), backfillBy: s.fleet.HoldOf(slot).From,
+	}
+	if s.fleet.TakeSpare(slot, r).IsZero() {
+		a.backfill, a.backfillBy = s.holder(slot, j), s.fleet.HoldOf(slot).From
 	}
 	p.batch.Placements = append(p.batch.Placements, Placement{j.id, int(a.key.task), w.ID, w.Incarnation})
 	s.start(a, p.now)
--- a/internal/state/plan.go
+++ b/internal/state/plan.go
@@ -94,7 +94,7 @@
 	task.Attempts++
 	a := &structs.Attempt{
 		ID: s.d.NextAttempt, JobID: j.ID, Task: int(p.Task), Number: task.Attempts,
-		WorkerID: p.WorkerId, Incarnation: p.Incarnation, Size: j.Spec.Size, Team: j.Spec.Team,
+		WorkerID: p.WorkerId, Incarnation: p.Incarnation, Size: j.Spec.Size, Team: j.Spec.Team, Version: j.Spec.Version,
 	}
 	s.d.Attempts[a.ID] = a
 	w := s.d.Workers[p.WorkerId]
@@ -105,6 +105,9 @@
 	t.RunningTasks++
 	t.WaitingTasks--
 	t.Waiting = t.Waiting.Sub(a.Size)
+	if o, ok := s.observer.(AttemptObserver); ok {
+		o.AttemptCommitted(a)
+	}
 	s.observer.WorkerChanged(w.ID)
 	s.observer.JobChanged(j.ID)
 	return PlacementResult{AttemptID: a.ID}
@@ -117,9 +120,12 @@
 	if p.Task < 0 || int(p.Task) >= len(j.Tasks) {
 		return fmt.Sprintf("job %s has no task %d", p.JobId, p.Task)
 	}
-	if j.Tasks[p.Task].State != structs.TaskWaiting {
+	if j.Cancelled || j.Tasks[p.Task].State != structs.TaskWaiting {
 		return fmt.Sprintf("task %d of job %s is not waiting", p.Task, p.JobId)
 	}
+	if wait := j.Tasks[p.Task].NotBefore - s.d.LogTime; wait > 0 {
+		return fmt.Sprintf("task %d of job %s waits %d ms before its next attempt", p.Task, p.JobId, wait)
+	}
 	w, refusal := s.currentWorker(p.WorkerId, p.Incarnation)
 	if refusal != "" {
 		return refusal
--- a/internal/state/read.go
+++ b/internal/state/read.go
@@ -52,6 +52,7 @@
 	}
 	copied := *w
 	copied.Attempts = maps.Clone(w.Attempts)
+	copied.Charged = maps.Clone(w.Charged)
 	return copied, true
 }
 
@@ -62,30 +63,6 @@
 	return slices.Sorted(maps.Keys(s.d.Workers))
 }
 
-// Assigned is an open attempt with what its worker needs to run it.
-type Assigned struct {
-	Attempt structs.Attempt
-	Spec    structs.WorkSpec
-	Payload []byte
-}
-
-// Assignments returns the open attempts of a worker's incarnation, by id.
-func (s *Store) Assignments(worker string, incarnation uint64) []Assigned {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	w := s.d.Workers[worker]
-	if w == nil || w.Incarnation != incarnation {
-		return nil
-	}
-	list := make([]Assigned, 0, len(w.Attempts))
-	for _, id := range sortedAttempts(w) {
-		a := s.d.Attempts[id]
-		j := s.d.Jobs[a.JobID]
-		list = append(list, Assigned{Attempt: *a, Spec: j.Spec, Payload: j.Payload})
-	}
-	return list
-}
-
 // Request returns a copy of a request's record; false if there is none.
 func (s *Store) Request(id string) (structs.Request, bool) {
 	s.mu.RLock()
@@ -119,6 +96,9 @@
 	Transfer     uint64
 	WaitingTasks int
 	RunningTasks int
+	// FirstGiven is the lowest number of a transfer that is not known to be
+	// returned, 0 if there is none.
+	FirstGiven uint64
 }
 
 // Teams returns all teams in order of their names.
@@ -144,8 +124,15 @@
 }
 
 func (t *teamUsage) view(name string) Team {
+	first := uint64(0)
+	for number := range t.Given {
+		if first == 0 || number < first {
+			first = number
+		}
+	}
 	return Team{
-		Name: name, Running: t.Running, Waiting: t.Waiting, Allotment: t.Allotment,
+		FirstGiven: first,
+		Name:       name, Running: t.Running, Waiting: t.Waiting, Allotment: t.Allotment,
 		Grant: t.Grant, Transfer: t.Transfer, WaitingTasks: t.WaitingTasks, RunningTasks: t.RunningTasks,
 	}
 }
@@ -160,3 +147,14 @@
 	}
 	return *in, true
 }
+
+// Attempt returns a copy of an open attempt; false if there is none.
+func (s *Store) Attempt(id uint64) (structs.Attempt, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	a := s.d.Attempts[id]
+	if a == nil {
+		return structs.Attempt{}, false
+	}
+	return *a, true
+}
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -34,12 +34,16 @@
 		if w.Attempts == nil {
 			w.Attempts = map[uint64]struct{}{}
 		}
+		if w.Charged == nil {
+			w.Charged = map[uint64]structs.Resources{}
+		}
 	}
 	for _, t := range s.d.Teams {
 		if t.Given == nil {
 			t.Given = map[uint64]structs.Resources{}
 		}
 	}
+	s.watchAll()
 	s.observer.Reset()
 	return nil
 }
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -20,6 +20,12 @@
 	InstancesChanged()
 }
 
+// AttemptObserver is an Observer that is also told of committed attempts, before
+// a worker can hear of them.
+type AttemptObserver interface {
+	AttemptCommitted(a *structs.Attempt)
+}
+
 // Result is the result of a command. Refusal is empty on success.
 type Result struct {
 	Refusal   string
@@ -31,6 +37,8 @@
 	Request *structs.Request
 	// Acknowledged holds the attempts whose end is recorded.
 	Acknowledged []uint64
+	// Epoch is the number of the leadership that began.
+	Epoch uint64
 }
 
 // PlacementResult says whether a placement was accepted.
@@ -60,18 +68,21 @@
 	Index       uint64
 	LogTime     int64
 	NextAttempt uint64
-	Workers     map[string]*structs.Worker
-	Jobs        map[string]*structs.Job
-	Attempts    map[uint64]*structs.Attempt
-	Teams       map[string]*teamUsage
-	Requests    map[string]*structs.Request
-	Instances   map[string]*structs.Instance
+	// Epoch numbers the leaderships that have begun.
+	Epoch     uint64
+	Workers   map[string]*structs.Worker
+	Jobs      map[string]*structs.Job
+	Attempts  map[uint64]*structs.Attempt
+	Teams     map[string]*teamUsage
+	Requests  map[string]*structs.Request
+	Instances map[string]*structs.Instance
 }
 
 // Store is the state of a data centre group. Reads may run beside one writer.
 type Store struct {
 	mu       sync.RWMutex
 	d        data
+	queue    dueQueue
 	observer Observer
 }
 
@@ -129,6 +140,8 @@
 		return s.takeAllotment(c.TakeAllotment)
 	case *statev1.DataCentreCommand_GiveAllotment:
 		return s.giveAllotment(c.GiveAllotment)
+	case *statev1.DataCentreCommand_ConfirmReturn:
+		return s.confirmReturn(c.ConfirmReturn)
 	case *statev1.DataCentreCommand_AdvanceTime:
 		return s.advanceTime(c.AdvanceTime)
 	case *statev1.DataCentreCommand_RegisterInstance:
@@ -137,6 +150,19 @@
 		return s.removeInstance(c.RemoveInstance)
 	case *statev1.DataCentreCommand_AssignSlots:
 		return s.assignSlots(c.AssignSlots)
+	case *statev1.DataCentreCommand_RejectJob:
+		return s.rejectJob(c.RejectJob)
+	case *statev1.DataCentreCommand_SetService:
+		return s.setService(c.SetService)
+	case *statev1.DataCentreCommand_BeginLeadership:
+		s.d.Epoch++
+		return &Result{Epoch: s.d.Epoch}
+	case *statev1.DataCentreCommand_ShedAttempts:
+		return s.shedAttempts(c.ShedAttempts)
+	case *statev1.DataCentreCommand_LoseWorkers:
+		return s.loseWorkers(c.LoseWorkers)
+	case *statev1.DataCentreCommand_ResizeAttempts:
+		return s.resizeAttempts(c.ResizeAttempts)
 	}
 	return &Result{Refusal: "unknown command"}
 }
