--- a/internal/state/worker_test.go
+++ b/internal/state/worker_test.go
@@ -18,6 +18,8 @@
 	store *Store
 	index uint64
 	job   string
+	// also applies the same commands, if set.
+	also *fixture
 }
 
 func newFixture(t tester, spec *statev1.WorkSpec) *fixture {
@@ -44,6 +46,9 @@
 	}
 	b, err := proto.Marshal(c)
 	assert.NilError(f.t, err)
+	if f.also != nil {
+		f.also.do(m)
+	}
 	f.index++
 	return f.store.Apply(f.index, b).(*Result)
 }
