Fault runs: key withdrawn behind a partition, lower limit

Cause: with configuration leases ignored (scratch copy), 'VM isolated, key withdrawn' still passed: an isolated VM cannot commit work at all, so the case did not exercise the lease. With allotments ignored, 'leader killed' needs a limit that is reached. Change: a case with a data centre cut off, whose group goes on committing; the limit of the fault runs is 24 cores.

--- a/test/faults/cases.go
+++ b/test/faults/cases.go
@@ -34,7 +34,12 @@
 	{"data folder emptied", emptyFolder},
 	{"second VM lost after repair", secondLoss},
 	{"data centre cut off 6 s", cutDataCentre},
-	{"VM isolated, key withdrawn", isolateVM},
+	{"VM isolated, key withdrawn", func(ctx context.Context, e *environment, add func(func(*verdict))) error {
+		return withdrawBehind(ctx, e, add, func(cut bool) { e.c.Isolate(0, cut) })
+	}},
+	{"data centre cut off, key withdrawn", func(ctx context.Context, e *environment, add func(func(*verdict))) error {
+		return withdrawBehind(ctx, e, add, func(cut bool) { e.c.Partition(0, cut) })
+	}},
 	{"entry and leader shut down", shutDown},
 	{"all targets paused 6 s", pauseTargets},
 }
@@ -136,10 +141,11 @@
 // lateBound is the time after which a withdrawn key must be refused everywhere.
 const lateBound = 3 * time.Second
 
-// isolateVM isolates one VM silently while callers still reach it, and
-// withdraws a key. Acceptances through the isolated entry after the bound are
-// late.
-func isolateVM(ctx context.Context, e *environment, add func(func(*verdict))) error {
+// withdrawBehind cuts an entry off silently while callers still reach it, and
+// withdraws a key on the other side. Acceptances through the entry after the
+// bound are late. An isolated VM cannot commit work, but a data centre that is
+// cut off can: there only the configuration lease stops the key.
+func withdrawBehind(ctx context.Context, e *environment, add func(func(*verdict)), set func(cut bool)) error {
 	isolated := e.c.Entries[0]
 	key, err := e.c.GrantKey(ctx, e.c.Entries[2], "refit")
 	if err != nil {
@@ -148,8 +154,8 @@
 	if err := e.c.AwaitForce(ctx, e.c.Entries[2], key.Change.Index); err != nil {
 		return err
 	}
-	e.c.Isolate(0, true)
-	defer e.c.Isolate(0, false)
+	set(true)
+	defer set(false)
 	withdrawn := time.Now()
 	operation := cluster.NewID()
 	err = cluster.Until(ctx, 10*time.Second, func(ctx context.Context) error {
@@ -172,7 +178,7 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 	add(func(v *verdict) { v.lateKey = late })
-	e.c.Isolate(0, false)
+	set(false)
 	time.Sleep(settle)
 	return nil
 }
--- a/test/faults/main.go
+++ b/test/faults/main.go
@@ -39,8 +39,8 @@
 run_time = 60ms
 [limits]
 share = 3
-cpu = 96
-memory = 192GB
+cpu = 24
+memory = 48GB
 queue = 100000
 `
 	callDocument = `[service]
@@ -65,7 +65,7 @@
 )
 
 var teamLimits = map[string]structs.Resources{
-	"refit": {MilliCPU: 96_000, MemoryBytes: 192 * gigabyte},
+	"refit": {MilliCPU: 24_000, MemoryBytes: 48 * gigabyte},
 	"audit": {MilliCPU: 64_000, MemoryBytes: 128 * gigabyte},
 }
 
