--- a/internal/adapter/disk/fault_test.go
+++ b/internal/adapter/disk/fault_test.go
@@ -174,18 +174,21 @@
 		}
 	}
 	cut := func(n int) func([]byte) []byte { return func(data []byte) []byte { return data[:len(data)-n] } }
+	// lastRecord is the length of the records of entries 6 and 7.
+	const lastRecord = headerSize + partHeaderSize + 8
 	var corrupt *CorruptError
 	cases := []struct {
 		name, file string
 		damage     func([]byte) []byte // nil removes the file
 		want       any                 // error, or the number of entries left
 	}{
-		{"incomplete payload", walFile, cut(1), 3},
-		{"incomplete header", walFile, cut(22), 3},
-		{"zeros after the end", walFile, func(d []byte) []byte { return append(d, make([]byte, 100)...) }, 4},
-		{"last payload not written", walFile, flip(-1), 3},
-		{"payload before the tail", walFile, flip(headerSize + 3), &corrupt},
-		{"length before the tail", walFile, flip(1), &corrupt},
+		{"incomplete payload", walFile, cut(1), 4},
+		{"incomplete header", walFile, cut(lastRecord - 3), 4},
+		{"zeros after the end", walFile, func(d []byte) []byte { return append(d, make([]byte, 100)...) }, 5},
+		{"last payload not written", walFile, flip(-1), 4},
+		{"payload before the tail", walFile, flip(-lastRecord - 1), &corrupt},
+		{"length before the tail", walFile, flip(-2*lastRecord + 1), &corrupt},
+		{"first payload", walFile, flip(headerSize + 3), &corrupt},
 		{"emptied wal", walFile, func([]byte) []byte { return nil }, &corrupt},
 		{"missing wal", walFile, nil, &corrupt},
 		{"snapshot cut", snapshotFile, cut(1), &corrupt},
@@ -202,6 +205,7 @@
 			assert.NilError(t, s.Append(hardState(1, "a"), entries(1, 5, 1)))
 			assert.NilError(t, s.SaveSnapshot(&peerv1.RaftSnapshot{Index: 2, Term: 1, Data: []byte("state")}))
 			assert.NilError(t, s.Append(nil, entries(6, 6, 1)))
+			assert.NilError(t, s.Append(nil, entries(7, 7, 1)))
 			assert.NilError(t, s.Close())
 
 			path := filepath.Join(folder, c.file)
@@ -215,13 +219,16 @@
 			s, err = Open(OS{}, folder, "g")
 			switch want := c.want.(type) {
 			case int:
+				assert.NilError(t, err)
+				left := entries(3, 2+uint64(want), 1)
+				check(t, s, hardState(1, "a"), 2, left)
+				next := 3 + uint64(want)
+				assert.NilError(t, s.Append(nil, entries(next, next, 2)))
+				assert.NilError(t, s.Close())
+				s, err = Open(OS{}, folder, "g")
 				assert.NilError(t, err)
 				defer s.Close()
-				check(t, s, hardState(1, "a"), 2, entries(3, 2+uint64(want), 1))
-				last := 3 + uint64(want)
-				assert.NilError(t, s.Append(nil, entries(last, last, 2)))
-				_, _, got, _ := s.Load()
-				assert.Equal(t, len(got), want+1)
+				check(t, s, hardState(1, "a"), 2, append(left, entry(next, 2)))
 			case **CorruptError:
 				assert.Assert(t, errors.As(err, want), "error %v", err)
 			case error:
