--- a/internal/adapter/peer/client_test.go
+++ b/internal/adapter/peer/client_test.go
@@ -103,6 +103,20 @@
 	}
 }
 
+// TestGroupCallTooLate guards against a call that counts as sent although its
+// time was over before it had a connection.
+func TestGroupCallTooLate(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	client := NewHTTPClient(nil)
+	_, err := Call(ctx, NewGroup("g", client, []string{deadAddress(t)}), func(ctx context.Context, hc *http.Client, url string) (*peerv1.RenewConfigResponse, error) {
+		return peerv1.NewFleetServiceProtobufClient(url, hc).RenewConfig(ctx, &peerv1.RenewConfigRequest{})
+	})
+	var call *CallError
+	assert.Assert(t, errors.As(err, &call), "%v", err)
+	assert.Assert(t, !call.Sent, "%v", err)
+}
+
 // TestTraceSent guards against a failed dial that counts as sent, and a lost
 // answer that does not.
 func TestTraceSent(t *testing.T) {
