--- a/cmd/lg-standin/main.go
+++ b/cmd/lg-standin/main.go
@@ -67,8 +67,7 @@
 	if err != nil {
 		return err
 	}
-	traffic := &standin.Traffic{}
-	f := &fleet{o: o, client: standin.NewClient(traffic), records: standin.NewRecords(), logger: slog.New(slog.NewJSONHandler(os.Stderr, nil))}
+	f := &fleet{o: o, traffic: map[string]*standin.Traffic{}, records: standin.NewRecords(), logger: slog.New(slog.NewJSONHandler(os.Stderr, nil))}
 	for dc, addresses := range entries {
 		if err := f.start(ctx, dc, addresses); err != nil {
 			return err
@@ -76,7 +75,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /records", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(f.records.Report()) })
-	mux.HandleFunc("GET /traffic", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(traffic.Report()) })
+	mux.HandleFunc("GET /traffic", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(f.trafficReport()) })
 	mux.HandleFunc("POST /leave", func(w http.ResponseWriter, r *http.Request) { f.leave(r.URL.Query().Get("target")) })
 	if _, err := httpserver.Start(o.Admin, mux); err != nil {
 		return err
@@ -98,8 +97,9 @@
 }
 
 type fleet struct {
-	o         *options
-	client    *http.Client
+	o *options
+	// traffic is that of each worker or instance by id.
+	traffic   map[string]*standin.Traffic
 	records   *standin.Records
 	logger    *slog.Logger
 	workers   map[string]*standin.Worker
@@ -122,6 +122,20 @@
 	return nil
 }
 
+// client returns the client of one target.
+func (f *fleet) client(id string) *http.Client {
+	f.traffic[id] = &standin.Traffic{}
+	return standin.NewClient(f.traffic[id])
+}
+
+func (f *fleet) trafficReport() map[string]standin.TrafficReport {
+	report := map[string]standin.TrafficReport{}
+	for id, t := range f.traffic {
+		report[id] = t.Report()
+	}
+	return report
+}
+
 func (f *fleet) behaviour() standin.Behaviour {
 	return standin.Behaviour{Speed: f.o.Speed, LoseReplies: f.o.LoseReplies, DelayReplies: f.o.DelayReplies, SizeFactor: f.o.SizeFactor, UsageLag: f.o.UsageLag}
 }
@@ -133,7 +147,7 @@
 	w := standin.NewWorker(standin.WorkerConfig{
 		ID: id, DataCentre: dc, Rack: fmt.Sprintf("%s-r%d", dc, i/f.o.RackSize),
 		Capacity:  structs.Resources{MilliCPU: f.o.Cores * 1000, MemoryBytes: f.o.MemoryGB * gigabyte, Accelerators: f.o.Accelerators},
-		Behaviour: b, Entries: entries, Client: f.client, Records: f.records, Logger: f.logger,
+		Behaviour: b, Entries: entries, Client: f.client(id), Records: f.records, Logger: f.logger,
 		Instance: standin.InstanceConfig{Listen: f.o.Listen, Slots: f.o.Slots, Connections: f.o.Connections, Seed: f.o.Seed + uint64(i)},
 	})
 	f.workers[id] = w
@@ -148,7 +162,7 @@
 	id := fmt.Sprintf("%s-i%d", dc, i)
 	in, err := standin.NewInstance(standin.InstanceConfig{
 		ID: id, DataCentre: dc, Team: team, Service: service, Listen: f.o.Listen, Slots: f.o.Slots, Connections: f.o.Connections,
-		Behaviour: f.behaviour(), Seed: f.o.Seed + uint64(i), Entries: entries, Client: f.client, Records: f.records, Logger: f.logger,
+		Behaviour: f.behaviour(), Seed: f.o.Seed + uint64(i), Entries: entries, Client: f.client(id), Records: f.records, Logger: f.logger,
 	})
 	if err != nil {
 		return err
--- a/internal/standin/traffic.go
+++ b/internal/standin/traffic.go
@@ -7,7 +7,8 @@
 	"sync/atomic"
 )
 
-// Traffic counts what targets exchange with entries.
+// Traffic counts what one target, or several with the same client, exchange
+// with entries.
 type Traffic struct {
 	sent, received, requests atomic.Int64
 }
@@ -25,8 +26,8 @@
 	return TrafficReport{t.sent.Load(), t.received.Load(), t.requests.Load()}
 }
 
-// idleConnections is enough for the workers of a data centre to keep theirs.
-const idleConnections = 4096
+// idleConnections is enough for a target and its instances to keep theirs.
+const idleConnections = 64
 
 // NewClient returns a client whose traffic is counted.
 func NewClient(t *Traffic) *http.Client {
--- a/test/cluster/usage.go
+++ b/test/cluster/usage.go
@@ -55,9 +55,9 @@
 	return 0, errors.Errorf("no resident memory of %s", p.Name)
 }
 
-// Traffic returns what the emulated targets have exchanged with entries.
-func (c *Cluster) Traffic(ctx context.Context) (standin.TrafficReport, error) {
-	var report standin.TrafficReport
+// Traffic returns what each emulated target has exchanged with entries, by id.
+func (c *Cluster) Traffic(ctx context.Context) (map[string]standin.TrafficReport, error) {
+	var report map[string]standin.TrafficReport
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/traffic", c.Standin.Admin), nil)
 	if err != nil {
 		return report, err
--- a/test/scale/print.go
+++ b/test/scale/print.go
@@ -31,7 +31,8 @@
 	fmt.Printf("loaded: %d jobs started, %d refused, %d failed or not started; submission to start p50 %v p99 %v max %v; urgent (%d) p50 %v max %v\n",
 		len(r.waits), r.refused, r.failed, quantile(r.waits, 0.5), quantile(r.waits, 0.99), quantile(r.waits, 1),
 		len(r.urgent), quantile(r.urgent, 0.5), quantile(r.urgent, 1))
-	fmt.Printf("targets: 2000 B/s per worker: %s; 1.1%% of a core per worker: %s; 256 MB: %s; urgent within 6.1 s: %s\n",
+	fmt.Printf("the worker with the most bytes exchanged %.0f B/s in both directions\n", r.largest)
+	fmt.Printf("targets: 2000 B/s per worker (mean): %s; 1.1%% of a core per worker: %s; 256 MB: %s; urgent within 6.1 s: %s\n",
 		met((r.sent+r.received)/float64(r.workers) <= 2000), met(100*(r.controlCPU+r.entryCPU)/float64(r.workers) <= 1.1),
 		met(max(mb(r.controlMemory), mb(r.entryMemory)) <= 256), met(len(r.urgent) > 0 && quantile(r.urgent, 1) <= 6100*time.Millisecond))
 }
--- a/test/scale/run.go
+++ b/test/scale/run.go
@@ -37,9 +37,11 @@
 	controlCPU, entryCPU       float64 // cores
 	controlMemory, entryMemory int64   // bytes
 	sent, received, messages   float64
-	placements                 float64
-	waits, urgent              []time.Duration
-	refused, failed            int
+	// largest is that of the worker with the most bytes in both directions.
+	largest         float64
+	placements      float64
+	waits, urgent   []time.Duration
+	refused, failed int
 }
 
 const (
@@ -207,7 +209,7 @@
 type reading struct {
 	at                   time.Time
 	controlCPU, entryCPU time.Duration
-	traffic              standin.TrafficReport
+	traffic              map[string]standin.TrafficReport
 }
 
 func (s *session) read(ctx context.Context) (r reading, err error) {
@@ -237,9 +239,14 @@
 	seconds := after.at.Sub(before.at).Seconds()
 	r.controlCPU = (after.controlCPU - before.controlCPU).Seconds() / seconds
 	r.entryCPU = (after.entryCPU - before.entryCPU).Seconds() / seconds
-	r.sent = float64(after.traffic.Sent-before.traffic.Sent) / seconds
-	r.received = float64(after.traffic.Received-before.traffic.Received) / seconds
-	r.messages = float64(after.traffic.Requests-before.traffic.Requests) / seconds
+	for id, a := range after.traffic {
+		b := before.traffic[id]
+		sent, received := float64(a.Sent-b.Sent)/seconds, float64(a.Received-b.Received)/seconds
+		r.sent += sent
+		r.received += received
+		r.messages += float64(a.Requests-b.Requests) / seconds
+		r.largest = max(r.largest, sent+received)
+	}
 	if r.controlMemory, err = s.cluster.Controls[0].Memory(); err != nil {
 		return err
 	}
