Fence assignments of slots

Cause: the slot lease's end was forgotten before the new assignment was committed, so that the old entry could renew and serve beside the new one; a paused leader could commit an old assignment. Change: an entry's renewals are refused until its instances are taken from it; assignments name leadership and the assignment they replace.

--- a/internal/control/expire.go
+++ b/internal/control/expire.go
@@ -54,7 +54,7 @@
 	for _, in := range g.Store.Instances() {
 		s.expireInstance(ctx, g, &in, since, now)
 	}
-	s.assignSlots(ctx, g, since, now)
+	s.assignSlots(ctx, g, since, now, epoch)
 }
 
 func (s *Server) expireWorker(ctx context.Context, g *DataCentreGroup, w *structs.Worker, since, now time.Duration, epoch uint64) {
@@ -79,43 +79,55 @@
 	}
 }
 
-// assignSlots gives each instance without a live entry to the live entry that
-// has the fewest.
-func (s *Server) assignSlots(ctx context.Context, g *DataCentreGroup, since, now time.Duration) {
+// assignSlots takes instances from entries whose slot lease has run out, and
+// gives each instance without an entry to the live entry that has the fewest.
+// An entry's renewals are refused until it has lost its instances, so that it
+// cannot hand out slots that another entry has been given.
+func (s *Server) assignSlots(ctx context.Context, g *DataCentreGroup, since, now time.Duration, epoch uint64) {
+	byEntry := map[string][]structs.Instance{}
+	for _, in := range g.Store.Instances() {
+		byEntry[in.Entry] = append(byEntry[in.Entry], in)
+	}
 	for _, entry := range g.liveEntries() {
-		if g.slots.BeginEnd(entry, since, now) {
+		byEntry[entry] = append(byEntry[entry], []structs.Instance{}...)
+	}
+	for entry, instances := range byEntry {
+		if entry != "" && g.slots.BeginEnd(entry, since, now) && s.dropSlots(ctx, g, instances, epoch) {
 			g.dropEntry(entry)
 			g.slots.EndDone(entry, since)
 		}
 	}
 	live := g.liveEntries()
 	held := map[string]int{}
-	var free []structs.Instance
-	for _, in := range g.Store.Instances() {
-		if g.entryAddress(in.Entry) != "" {
-			held[in.Entry]++
-			continue
-		}
-		// An entry that an earlier leader knew may hold a lease until it has
-		// run out, counted from when this process began to lead.
-		if in.Entry != "" && !g.slots.BeginEnd(in.Entry, since, now) {
-			continue
-		}
-		g.slots.EndDone(in.Entry, since)
-		free = append(free, in)
+	for entry, instances := range byEntry {
+		held[entry] = len(instances)
 	}
-	for i := range free {
+	for _, in := range byEntry[""] {
 		entry := fewest(live, held)
 		if entry == "" {
 			return
 		}
 		held[entry]++
-		s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_AssignSlots{AssignSlots: &statev1.AssignSlots{
-			InstanceId: free[i].ID, Incarnation: free[i].Incarnation, Entry: entry, EntryAddress: g.entryAddress(entry),
-		}}})
+		s.assign(ctx, g, &in, entry, epoch)
 	}
 }
 
+// dropSlots takes the instances from their entry; false if any was not taken.
+func (s *Server) dropSlots(ctx context.Context, g *DataCentreGroup, instances []structs.Instance, epoch uint64) bool {
+	for i := range instances {
+		if !s.assign(ctx, g, &instances[i], "", epoch) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Server) assign(ctx context.Context, g *DataCentreGroup, in *structs.Instance, entry string, epoch uint64) bool {
+	return s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_AssignSlots{AssignSlots: &statev1.AssignSlots{
+		InstanceId: in.ID, Incarnation: in.Incarnation, Entry: entry, EntryAddress: g.entryAddress(entry), Replaces: in.Assignment, Epoch: epoch,
+	}}})
+}
+
 func fewest(entries []string, held map[string]int) string {
 	best := ""
 	for _, e := range entries {
--- a/internal/control/instance.go
+++ b/internal/control/instance.go
@@ -47,14 +47,16 @@
 
 // ListInstances returns the instances and renews the asking entry's slot
 // leases. Only entries of the same data centre hand out slots.
-func (d *DataCentreServer) ListInstances(_ context.Context, r *peerv1.ListInstancesRequest) (*peerv1.ListInstancesResponse, error) {
+func (d *DataCentreServer) ListInstances(ctx context.Context, r *peerv1.ListInstancesRequest) (*peerv1.ListInstancesResponse, error) {
 	g, since, err := d.leading(r.DataCentre)
 	if err != nil {
 		return nil, err
 	}
-	renewed := false
-	if r.EntryAddress != "" {
-		renewed = g.slots.Renew(r.Entry, since, d.server.clock.Now())
+	if _, err := g.epoch(ctx, since); err != nil {
+		return nil, err
+	}
+	renewed := r.EntryAddress != "" && g.slots.Renew(r.Entry, since, d.server.clock.Now())
+	if renewed {
 		g.setEntry(r.Entry, r.EntryAddress)
 	}
 	reply := &peerv1.ListInstancesResponse{}
@@ -64,8 +66,7 @@
 	for _, in := range g.Store.Instances() {
 		reply.Instances = append(reply.Instances, instanceMessage(&in, g.Name))
 	}
-	_, err = lead(g.Name, g.Log)
-	return reply, err
+	return reply, g.stillLeads(since)
 }
 
 func instanceMessage(in *structs.Instance, dataCentre string) *peerv1.Instance {
--- a/internal/state/snapshot_test.go
+++ b/internal/state/snapshot_test.go
@@ -51,6 +51,7 @@
 		restore := func() {
 			b, err := f.store.Snapshot()
 			assert.NilError(t, err)
+			g.store = New(quiet{})
 			assert.NilError(t, g.store.Restore(f.index, b))
 			g.index = f.index
 		}
