--- a/internal/control/holder.go
+++ b/internal/control/holder.go
@@ -52,6 +52,8 @@
 type proposedSlots struct {
 	incarnation    uint64
 	entry, address string
+	// replaces is the number of the assignment that this one replaces.
+	replaces uint64
 }
 
 type returnedSlots struct {
--- a/internal/control/instance.go
+++ b/internal/control/instance.go
@@ -78,8 +78,7 @@
 		}
 		reply.Instances = append(reply.Instances, m)
 	}
-	_, err = lead(g.Name, g.Log)
-	return reply, err
+	return reply, g.stillLeads(since)
 }
 
 // renewSlots renews the entry's slot leases and takes back what it has released.
--- a/internal/control/slots.go
+++ b/internal/control/slots.go
@@ -4,10 +4,12 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"laburnumgrade/gen/statev1"
 	"laburnumgrade/internal/lease"
+	"laburnumgrade/internal/state"
 	"laburnumgrade/internal/structs"
 )
 
@@ -84,26 +86,43 @@
 	if since, valid := a.group.Log.Lease(); !valid || since != a.since || !h.begin(a.since, id, p) {
 		return false
 	}
+	epoch, err := a.group.epoch(ctx, a.since)
+	if err != nil {
+		return false
+	}
 	result, err := a.group.propose(ctx, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_AssignSlots{AssignSlots: &statev1.AssignSlots{
-		InstanceId: id, Incarnation: p.incarnation, Entry: p.entry, EntryAddress: p.address,
+		InstanceId: id, Incarnation: p.incarnation, Entry: p.entry, EntryAddress: p.address, Replaces: p.replaces, Epoch: epoch,
 	}}})
 	if err != nil {
 		a.server.logger.Warn("assignment of slots not confirmed", "step", "assign slots", "group", a.group.Name, "instance", id, "peer", p.entry, "error", err)
 		return false
 	}
-	h.applied(a.since, id, p, result.Refusal == "")
-	return result.Refusal == ""
+	if strings.HasPrefix(result.Refusal, state.RefusalEpoch) {
+		a.group.forgetEpoch()
+		return false
+	}
+	accepted := result.Refusal == "" || a.wasApplied(id, p)
+	h.applied(a.since, id, p, accepted)
+	return accepted
+}
+
+// wasApplied reports whether an earlier proposal of the assignment, whose
+// outcome was not known, is what a repeated one was refused for.
+func (a *slotAssignment) wasApplied(id string, p proposedSlots) bool {
+	in, known := a.group.Store.Instance(id)
+	return known && in.Incarnation == p.incarnation && in.Assignment == p.replaces+1 && in.Entry == p.entry
 }
 
 // give assigns the slots to an entry, or to none if no entry may get slots. It
 // reports whether the assignment is known to be applied.
 func (a *slotAssignment) give(ctx context.Context, in *structs.Instance, entry string) bool {
-	if !a.propose(ctx, in.ID, proposedSlots{in.Incarnation, entry, a.entries[entry].address}) {
+	if !a.propose(ctx, in.ID, proposedSlots{in.Incarnation, entry, a.entries[entry].address, in.Assignment}) {
 		return false
 	}
 	a.count(in.Entry, -1)
 	a.count(entry, 1)
 	in.Entry = entry
+	in.Assignment++
 	return true
 }
 
