--- /dev/null
+++ b/internal/membership/next_test.go
@@ -0,0 +1,67 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const now = time.Minute
+
+// candidates returns candidates that asked at the time.
+func candidates(seen time.Duration, ids ...string) map[string]Candidate {
+	m := map[string]Candidate{}
+	for _, id := range ids {
+		m[Name(id)] = Candidate{Replica: Replica{ID: id}, Seen: seen}
+	}
+	return m
+}
+
+func replicas(ids ...string) []Replica {
+	var list []Replica
+	for _, id := range ids {
+		list = append(list, Replica{ID: id})
+	}
+	return list
+}
+
+// TestNext guards against a restarted replica that counts as the voter it was,
+// a group that stays below its number of voters, and a voter that is replaced
+// although it was only restarting or no spare lives.
+func TestNext(t *testing.T) {
+	all := []string{"a", "b", "c"}
+	tests := []struct {
+		name       string
+		voters     []Replica
+		learners   []Replica
+		candidates map[string]Candidate
+		heard      map[string]time.Duration
+		want       Change
+	}{
+		{"complete", replicas("a#1", "b#1", "c#1"), nil, candidates(now, "a#1", "b#1", "c#1"), nil, Change{}},
+		{"founder alone", replicas("a#1"), nil, candidates(now, "a#1", "b#1", "c#1"), nil, Change{Kind: Add, New: Replica{ID: "b#1"}}},
+		{"most wanted first", replicas("a#1"), nil, candidates(now, "d#1", "c#1"), nil, Change{Kind: Add, New: Replica{ID: "c#1"}}},
+		{"old announcement", replicas("a#1", "b#1"), nil, candidates(now-candidateLife-1, "c#1"), nil, Change{}},
+		{"restarted voter", replicas("a#1", "b#1", "c#1"), nil, candidates(now, "b#2"), nil, Change{Kind: Replace, Old: "b#1", New: Replica{ID: "b#2"}}},
+		{"restarted voter before a missing one", replicas("a#1", "b#1"), nil, candidates(now, "b#2", "c#1"), nil, Change{Kind: Replace, Old: "b#1", New: Replica{ID: "b#2"}}},
+		{"restarted learner", replicas("a#1", "b#1"), replicas("c#1"), candidates(now, "c#2"), nil, Change{Kind: Remove, Old: "c#1"}},
+		{"silent voter with a spare", replicas("a#1", "b#1", "c#1"), nil, candidates(now, "d#1"), map[string]time.Duration{"c#1": now - Silent - 1}, Change{Kind: Replace, Old: "c#1", New: Replica{ID: "d#1"}}},
+		{"voter not silent for long enough", replicas("a#1", "b#1", "c#1"), nil, candidates(now, "d#1"), map[string]time.Duration{"c#1": now - Silent}, Change{}},
+		{"silent voter without a spare", replicas("a#1", "b#1", "c#1"), nil, candidates(now, "a#1"), map[string]time.Duration{"c#1": 0}, Change{}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got := Next(&View{
+				Listed: all, Voters: test.voters, Learners: test.learners, Candidates: test.candidates, Now: now,
+				Heard: func(id string) time.Duration {
+					if at, ok := test.heard[id]; ok {
+						return at
+					}
+					return now
+				},
+			})
+			assert.DeepEqual(t, got, test.want)
+		})
+	}
+}
