--- a/internal/control/holder.go
+++ b/internal/control/holder.go
@@ -44,13 +44,22 @@
 	number      uint64
 	entry       string
 	incarnation uint64
-	began       time.Duration
+	// assignment is the number of the assignment that is given back.
+	assignment uint64
+	began      time.Duration
 	// done is set once the entry has said that it no longer uses the slots.
 	done bool
 }
 
+// of reports whether the release is that of the instance's present assignment.
+func (r *slotRelease) of(in *structs.Instance) bool {
+	return r.entry == in.Entry && r.incarnation == in.Incarnation && r.assignment == in.Assignment
+}
+
 type proposedSlots struct {
-	incarnation    uint64
+	incarnation uint64
+	// replaces is the number of the assignment that is replaced.
+	replaces       uint64
 	entry, address string
 }
 
@@ -144,10 +153,10 @@
 		return
 	}
 	defer h.mu.Unlock()
-	if r := h.releases[in.ID]; r != nil && r.entry == in.Entry && r.incarnation == in.Incarnation {
+	if r := h.releases[in.ID]; r != nil && r.of(in) {
 		return
 	}
-	h.releases[in.ID] = &slotRelease{number: rand.Uint64() | 1, entry: in.Entry, incarnation: in.Incarnation, began: now}
+	h.releases[in.ID] = &slotRelease{number: rand.Uint64() | 1, entry: in.Entry, incarnation: in.Incarnation, assignment: in.Assignment, began: now}
 }
 
 // hear notes that an instance announced itself at a time, and that its
@@ -225,7 +234,7 @@
 	}
 	defer h.mu.Unlock()
 	r := h.releases[in.ID]
-	if r == nil || r.entry != in.Entry || r.incarnation != in.Incarnation {
+	if r == nil || !r.of(in) {
 		return slotRelease{}, false
 	}
 	return *r, true
--- a/internal/control/instance.go
+++ b/internal/control/instance.go
@@ -64,6 +64,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if _, err := g.epoch(ctx, since); err != nil {
+		return nil, err
+	}
 	reply := &peerv1.ListInstancesResponse{}
 	if r.EntryAddress != "" && d.renewSlots(ctx, g, since, r) {
 		reply.LeaseMs = lease.Slot.Milliseconds()
@@ -78,8 +81,7 @@
 		}
 		reply.Instances = append(reply.Instances, m)
 	}
-	_, err = lead(g.Name, g.Log)
-	return reply, err
+	return reply, g.stillLeads(since)
 }
 
 // renewSlots renews the entry's slot leases and takes back what it has released.
--- a/internal/control/slots.go
+++ b/internal/control/slots.go
@@ -4,10 +4,12 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"laburnumgrade/gen/statev1"
 	"laburnumgrade/internal/lease"
+	"laburnumgrade/internal/state"
 	"laburnumgrade/internal/structs"
 )
 
@@ -24,11 +26,17 @@
 
 // assignSlots brings the assignment of slots to entries up to date. The slots of
 // an instance leave an entry only when the entry's lease has surely run out or
-// the entry has given them back.
+// the entry has given them back. Each assignment names the leadership and the
+// assignment that it replaces, so that one that is delayed is refused.
 func (s *Server) assignSlots(ctx context.Context, g *DataCentreGroup, since, now time.Duration) {
 	g.holders.assigning.Lock()
 	defer g.holders.assigning.Unlock()
-	a := &slotAssignment{server: s, group: g, since: since, now: now}
+	epoch, err := g.epoch(ctx, since)
+	if err != nil {
+		s.logger.Warn("slots not assigned", "step", "assign slots", "group", g.Name, "error", err)
+		return
+	}
+	a := &slotAssignment{server: s, group: g, since: since, now: now, epoch: epoch}
 	a.repeatProposed(ctx)
 	a.load()
 	a.endEntries(ctx)
@@ -43,6 +51,8 @@
 	server     *Server
 	group      *DataCentreGroup
 	since, now time.Duration
+	// epoch is the number of the leadership.
+	epoch uint64
 
 	instances []structs.Instance
 	entries   map[string]entryHolder
@@ -85,12 +95,16 @@
 		return false
 	}
 	result, err := a.group.propose(ctx, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_AssignSlots{AssignSlots: &statev1.AssignSlots{
-		InstanceId: id, Incarnation: p.incarnation, Entry: p.entry, EntryAddress: p.address,
+		InstanceId: id, Incarnation: p.incarnation, Entry: p.entry, EntryAddress: p.address, Replaces: p.replaces, Epoch: a.epoch,
 	}}})
 	if err != nil {
 		a.server.logger.Warn("assignment of slots not confirmed", "step", "assign slots", "group", a.group.Name, "instance", id, "peer", p.entry, "error", err)
 		return false
 	}
+	if strings.HasPrefix(result.Refusal, state.RefusalEpoch) {
+		a.group.forgetEpoch()
+		return false
+	}
 	h.applied(a.since, id, p, result.Refusal == "")
 	return result.Refusal == ""
 }
@@ -98,12 +112,13 @@
 // give assigns the slots to an entry, or to none if no entry may get slots. It
 // reports whether the assignment is known to be applied.
 func (a *slotAssignment) give(ctx context.Context, in *structs.Instance, entry string) bool {
-	if !a.propose(ctx, in.ID, proposedSlots{in.Incarnation, entry, a.entries[entry].address}) {
+	if !a.propose(ctx, in.ID, proposedSlots{in.Incarnation, in.Assignment, entry, a.entries[entry].address}) {
 		return false
 	}
 	a.count(in.Entry, -1)
 	a.count(entry, 1)
 	in.Entry = entry
+	in.Assignment++
 	return true
 }
 
--- a/internal/state/instance.go
+++ b/internal/state/instance.go
@@ -38,13 +38,22 @@
 	return &Result{}
 }
 
-// assignSlots names the entry that hands out the instance's slots. The leader
-// proposes it only when no earlier entry can hold a slot lease.
+// assignSlots names the entry that hands out the instance's slots; none if it is
+// empty. The leader takes an instance from an entry only when its slot lease has
+// run out, and gives it to another one after that was committed. The command
+// names the leadership and the assignment that it was decided for.
 func (s *Store) assignSlots(c *statev1.AssignSlots) *Result {
 	in := s.d.Instances[c.InstanceId]
 	if in == nil || in.Incarnation != c.Incarnation {
 		return &Result{Refusal: fmt.Sprintf("instance %s with incarnation %d is not known", c.InstanceId, c.Incarnation)}
 	}
+	if refusal := s.checkEpoch(c.Epoch); refusal != "" {
+		return &Result{Refusal: refusal}
+	}
+	if in.Assignment != c.Replaces {
+		return &Result{Refusal: fmt.Sprintf("instance %s has assignment %d, the command replaces %d", in.ID, in.Assignment, c.Replaces)}
+	}
+	in.Assignment++
 	in.Entry = c.Entry
 	in.EntryAddress = c.EntryAddress
 	s.observer.InstancesChanged()
