--- a/internal/control/instance.go
+++ b/internal/control/instance.go
@@ -64,6 +64,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if _, err := g.epoch(ctx, since); err != nil {
+		return nil, err
+	}
 	reply := &peerv1.ListInstancesResponse{}
 	if r.EntryAddress != "" && d.renewSlots(ctx, g, since, r) {
 		reply.LeaseMs = lease.Slot.Milliseconds()
