control: reject jobs whose deadlines pass together in one command

Each rejection was a command of its own, synced one after the other by the loop that also places work: a burst of 10,000 would have held up placement for seconds.

--- a/internal/control/leader_test.go
+++ b/internal/control/leader_test.go
@@ -313,6 +313,24 @@
 	}
 }
 
+// TestManyDeadlines guards against one command for each job of a burst whose
+// deadlines pass together.
+func TestManyDeadlines(t *testing.T) {
+	l := newLeader(t)
+	l.addWorker("w1", cores(1))
+	l.schedule()
+	for i := range 500 {
+		_, err := l.submit(&statev1.SubmitJob{JobId: l.jobID(i), Spec: batchSpec("a", cores(1)).Proto(), DeadlineMs: 1000})
+		assert.NilError(t, err)
+	}
+	l.schedule()
+	l.pass(2 * time.Second)
+	before := l.log.index
+	l.schedule()
+	assert.Equal(t, l.log.index-before, uint64(1))
+	assert.Equal(t, len(l.group.Store.OpenJobs()), 0)
+}
+
 // TestPreemption guards against an interruption that the scheduler asked for
 // and that is never committed, also when its first proposal is lost.
 func TestPreemption(t *testing.T) {
--- a/internal/control/schedule.go
+++ b/internal/control/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"laburnumgrade/gen/statev1"
@@ -46,12 +47,7 @@
 	g.mirror.mu.Unlock()
 	s.meter.plan.RecordDuration(time.Since(began))
 	s.meter.jobRejections.Inc(int64(len(batch.Rejections)))
-	for _, r := range batch.Rejections {
-		if !s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_RejectJob{RejectJob: &statev1.RejectJob{JobId: r.JobID, Reason: r.Reason}}}) {
-			// The scheduler has dropped the job; it is mirrored and rejected again.
-			g.dirty.job(r.JobID)
-		}
-	}
+	s.reject(ctx, g, batch.Rejections)
 	s.preempt(ctx, g, batch.Preemptions)
 	if len(batch.Placements) > 0 {
 		s.commitPlan(ctx, g, batch.Placements)
@@ -59,6 +55,24 @@
 	return len(batch.Placements) >= maxPlan
 }
 
+// reject ends jobs as not run, many in one command: the deadlines of a burst
+// pass together, and each command takes a sync.
+func (s *Server) reject(ctx context.Context, g *DataCentreGroup, list []scheduler.Rejection) {
+	for chunk := range slices.Chunk(list, maxPlan) {
+		c := &statev1.RejectJobs{}
+		for _, r := range chunk {
+			c.Jobs = append(c.Jobs, &statev1.RejectJob{JobId: r.JobID, Reason: r.Reason})
+		}
+		if s.try(ctx, g, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_RejectJobs{RejectJobs: c}}) {
+			continue
+		}
+		// The scheduler has dropped the jobs; they are mirrored and rejected again.
+		for _, r := range chunk {
+			g.dirty.job(r.JobID)
+		}
+	}
+}
+
 func (s *Server) commitPlan(ctx context.Context, g *DataCentreGroup, placements []scheduler.Placement) {
 	plan := &statev1.Plan{Placements: make([]*statev1.Placement, len(placements))}
 	for i, p := range placements {
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -150,6 +150,8 @@
 		return &Result{Epoch: s.d.Epoch}
 	case *statev1.DataCentreCommand_ShedAttempts:
 		return s.shedAttempts(c.ShedAttempts)
+	case *statev1.DataCentreCommand_RejectJobs:
+		return s.rejectJobs(c.RejectJobs)
 	case *statev1.DataCentreCommand_LoseWorkers:
 		return s.loseWorkers(c.LoseWorkers)
 	case *statev1.DataCentreCommand_ResizeAttempts:
