--- a/internal/state/worker_test.go
+++ b/internal/state/worker_test.go
@@ -37,6 +37,15 @@
 // do applies a command, which is wrapped by its type.
 func (f *fixture) do(m proto.Message) *Result {
 	f.t.Helper()
+	b := f.encode(m)
+	if f.also != nil {
+		f.also.do(m)
+	}
+	f.index++
+	return f.store.Apply(f.index, b).(*Result)
+}
+
+func (f *fixture) encode(m proto.Message) []byte {
 	c := &statev1.DataCentreCommand{}
 	fields := c.ProtoReflect().Descriptor().Fields()
 	for i := range fields.Len() {
@@ -46,11 +55,7 @@
 	}
 	b, err := proto.Marshal(c)
 	assert.NilError(f.t, err)
-	if f.also != nil {
-		f.also.do(m)
-	}
-	f.index++
-	return f.store.Apply(f.index, b).(*Result)
+	return b
 }
 
 func (f *fixture) register(sequence uint64, running ...*apiv1.RunningAttempt) *Result {
