--- /dev/null
+++ b/internal/control/slot_model_test.go
@@ -0,0 +1,231 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"laburnumgrade/gen/apiv1"
+	"laburnumgrade/gen/peerv1"
+	"laburnumgrade/internal/routing"
+)
+
+// testClock is moved by the test.
+type testClock struct{ now time.Duration }
+
+func (c *testClock) Now() time.Duration { return c.now }
+
+var errNotKnown = errors.New("the outcome is not known")
+
+// testLog is a log whose proposals may end with an unknown outcome: applied, or
+// applied before the next command, or never.
+type testLog struct {
+	group   *DataCentreGroup
+	since   time.Duration
+	index   uint64
+	delayed [][]byte
+	// fate chooses what happens to a proposal; nil applies it.
+	fate func() int
+}
+
+const (
+	fateApplied = iota
+	fateUnknownApplied
+	fateUnknownDelayed
+	fateUnknownLost
+	fateCount
+)
+
+func (l *testLog) apply(command []byte) any {
+	l.index++
+	return l.group.Store.Apply(l.index, command)
+}
+
+func (l *testLog) flush() {
+	for _, c := range l.delayed {
+		l.apply(c)
+	}
+	l.delayed = nil
+}
+
+// commitOne applies the first command that is under way.
+func (l *testLog) commitOne() {
+	if len(l.delayed) > 0 {
+		l.apply(l.delayed[0])
+		l.delayed = l.delayed[1:]
+	}
+}
+
+func (l *testLog) Propose(_ context.Context, command []byte) (any, error) {
+	fate := fateApplied
+	if l.fate != nil {
+		fate = l.fate()
+	}
+	switch fate {
+	case fateUnknownApplied:
+		l.flush()
+		l.apply(command)
+		return nil, errNotKnown
+	case fateUnknownDelayed:
+		l.delayed = append(l.delayed, command)
+		return nil, errNotKnown
+	case fateUnknownLost:
+		return nil, errNotKnown
+	}
+	l.flush()
+	return l.apply(command), nil
+}
+
+func (l *testLog) Lease() (time.Duration, bool) { return l.since, true }
+func (l *testLog) Leader() (string, string)     { return "c", "c:1" }
+
+// testEntry is an entry with its real table and its questions under way.
+type testEntry struct {
+	name     string
+	table    *routing.Table
+	draining bool
+	// asked holds a question that the leader has not received.
+	asked  *peerv1.ListInstancesRequest
+	askedA time.Duration
+	// reply holds an answer that the entry has not received.
+	reply  *peerv1.ListInstancesResponse
+	replyA time.Duration
+	calls  []routing.Grant
+}
+
+type slotModel struct {
+	clock    *testClock
+	log      *testLog
+	group    *DataCentreGroup
+	server   *Server
+	dc       *DataCentreServer
+	entries  []*testEntry
+	restarts int
+	versions map[string]uint64
+}
+
+func newSlotModel(entries int) *slotModel {
+	m := &slotModel{clock: &testClock{}, versions: map[string]uint64{}}
+	m.group = NewDataCentreGroup("x")
+	m.log = &testLog{group: m.group}
+	m.group.Log = m.log
+	m.server = &Server{clock: m.clock, logger: slog.New(slog.DiscardHandler), groups: map[string]*DataCentreGroup{"x": m.group}}
+	m.dc = &DataCentreServer{m.server}
+	for i := range entries {
+		m.entries = append(m.entries, newTestEntry(fmt.Sprintf("e%d", i)))
+	}
+	return m
+}
+
+func newTestEntry(name string) *testEntry {
+	return &testEntry{name: name, table: routing.NewTable(routing.Config{Self: name, DataCentre: "x", TeamQueue: 10})}
+}
+
+func (m *slotModel) announce(id string, incarnation uint64) {
+	_, _ = m.dc.Announce(context.Background(), &apiv1.AnnounceRequest{
+		InstanceId: id, Incarnation: incarnation, DataCentre: "x", Team: "t", Service: "s", Address: "addr-" + id, Slots: 8, Connections: 64,
+	})
+}
+
+func (m *slotModel) announceAll() {
+	for id, v := range m.versions {
+		m.announce(id, v)
+	}
+}
+
+func (m *slotModel) assign() {
+	m.server.assignSlots(context.Background(), m.group, m.log.since, m.clock.now)
+}
+
+func (m *slotModel) ask(e *testEntry) {
+	e.asked = &peerv1.ListInstancesRequest{DataCentre: "x", Entry: e.name, EntryAddress: e.name + ":1", Draining: e.draining, Released: e.table.Released()}
+	e.askedA = m.clock.now
+}
+
+func (m *slotModel) serve(e *testEntry) {
+	if e.asked == nil {
+		return
+	}
+	reply, err := m.dc.ListInstances(context.Background(), e.asked)
+	if err == nil {
+		e.reply, e.replyA = reply, e.askedA
+	}
+	e.asked = nil
+}
+
+func (m *slotModel) receive(e *testEntry) {
+	if e.reply == nil {
+		return
+	}
+	e.table.Update("x", e.reply.Instances, e.replyA, time.Duration(e.reply.LeaseMs)*time.Millisecond, m.clock.now)
+	e.reply = nil
+}
+
+// list is a whole exchange without delay.
+func (m *slotModel) list() {
+	for _, e := range m.entries {
+		m.exchange(e)
+	}
+}
+
+func (m *slotModel) exchange(e *testEntry) {
+	m.ask(e)
+	m.serve(e)
+	m.receive(e)
+}
+
+// grant makes one call in the entry; it returns false if no slot is had here.
+func (m *slotModel) grant(e *testEntry, tried []string) (routing.Grant, bool) {
+	ticket, err := e.table.Submit(routing.Call{
+		Service: routing.ServiceID{Team: "t", Service: "s"}, Deadline: m.clock.now + time.Hour, Forwarded: true, Tried: tried,
+	}, m.clock.now)
+	if err != nil || e.table.Cancel(ticket) {
+		return routing.Grant{}, false
+	}
+	return <-ticket.Ready(), true
+}
+
+// holders returns the entries that would use slots now, by address. Incarnations
+// of an instance share an address.
+func (m *slotModel) holders() map[string][]string {
+	holders := map[string][]string{}
+	for _, e := range m.entries {
+		var tried []string
+		for {
+			g, ok := m.grant(e, tried)
+			if !ok {
+				break
+			}
+			e.table.Release(g, routing.Report{}, m.clock.now)
+			holders[g.Address] = append(holders[g.Address], e.name)
+			tried = append(tried, g.InstanceID)
+		}
+	}
+	return holders
+}
+
+// pause stops an entry for longer than its lease while the others go on.
+func (m *slotModel) pause(t *rapid.T, paused *testEntry) {
+	for range 8 {
+		m.clock.now += 400 * time.Millisecond
+		m.announceAll()
+		for _, e := range m.entries {
+			if e != paused {
+				m.exchange(e)
+			}
+		}
+		if rapid.Bool().Draw(t, "pass of the leader") {
+			m.assign()
+		}
+	}
+}
+
+// lead starts a new leadership, after what was in the log has been applied.
+func (m *slotModel) lead() {
+	m.log.flush()
+	m.log.since = m.clock.now
+}
--- /dev/null
+++ b/internal/entry/fake_test.go
@@ -0,0 +1,240 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"laburnumgrade/gen/apiv1"
+	"laburnumgrade/gen/apiv1/apiv1connect"
+	"laburnumgrade/gen/peerv1"
+	"laburnumgrade/gen/statev1"
+	"laburnumgrade/internal/adapter/peer"
+	"laburnumgrade/internal/port"
+	"laburnumgrade/internal/state"
+	"laburnumgrade/internal/structs"
+)
+
+// fakeControl is a control process with the real state of a data centre group.
+type fakeControl struct {
+	peerv1.DataCentreService
+	peerv1.FleetService
+	*fates
+	server *httptest.Server
+
+	mu         sync.Mutex
+	index      uint64
+	store      *state.Store
+	instances  []*peerv1.Instance
+	fleet      *statev1.FleetState
+	leaderless string
+	released   []uint64
+	lists      []*peerv1.ListInstancesRequest
+	hold       chan struct{}
+	holding    sync.Once
+}
+
+// letGo ends the hold of heartbeats, in a failed test too.
+func (c *fakeControl) letGo() { c.holding.Do(func() { close(c.hold) }) }
+
+type nobody struct{}
+
+func (nobody) Reset()               {}
+func (nobody) WorkerChanged(string) {}
+func (nobody) JobChanged(string)    {}
+func (nobody) InstancesChanged()    {}
+
+func newFakeControl(t *testing.T) *fakeControl {
+	c := &fakeControl{fates: newFates(), store: state.New(nobody{}), hold: make(chan struct{})}
+	c.fleet = &statev1.FleetState{Index: 1}
+	mux := http.NewServeMux()
+	dc, fleet := peerv1.NewDataCentreServiceServer(c), peerv1.NewFleetServiceServer(c)
+	mux.Handle(dc.PathPrefix(), dc)
+	mux.Handle(fleet.PathPrefix(), fleet)
+	c.server = httptest.NewServer(c.handler(mux))
+	t.Cleanup(c.server.Close)
+	t.Cleanup(c.letGo)
+	c.apply(&statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_AdvanceTime{AdvanceTime: &statev1.AdvanceTime{UnixMs: time.Now().UnixMilli()}}})
+	return c
+}
+
+func (c *fakeControl) address() string { return strings.TrimPrefix(c.server.URL, "http://") }
+
+func (c *fakeControl) apply(command *statev1.DataCentreCommand) *state.Result {
+	b, err := proto.Marshal(command)
+	if err != nil {
+		panic(err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.index++
+	return c.store.Apply(c.index, b).(*state.Result)
+}
+
+// follow names another process as the leader; empty makes this one lead.
+func (c *fakeControl) follow(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaderless = address
+}
+
+func (c *fakeControl) leading() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leaderless == "" {
+		return nil
+	}
+	return peer.NotLeader(&port.NotLeaderError{Group: "x", Address: c.leaderless})
+}
+
+func (c *fakeControl) RecordRequest(_ context.Context, r *peerv1.RecordRequestRequest) (*peerv1.RecordRequestReply, error) {
+	if err := c.leading(); err != nil {
+		return nil, err
+	}
+	result := c.apply(&statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_RecordRequest{RecordRequest: r.Record}})
+	reply := &peerv1.RecordRequestReply{Granted: result.Granted, Refusal: result.Refusal}
+	if q := result.Request; q != nil {
+		reply.Pending = q.Outcome == structs.OutcomeNone
+		reply.Answer = &apiv1.CallResponse{RequestId: q.ID, Outcome: apiv1.Outcome(q.Outcome), Body: q.Body, Detail: q.Detail}
+	}
+	return reply, nil
+}
+
+func (c *fakeControl) EndRequest(_ context.Context, r *peerv1.EndRequestRequest) (*peerv1.RecordRequestReply, error) {
+	if err := c.leading(); err != nil {
+		return nil, err
+	}
+	result := c.apply(&statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_EndRequest{EndRequest: r.End}})
+	return &peerv1.RecordRequestReply{Refusal: result.Refusal}, nil
+}
+
+func (c *fakeControl) ListInstances(_ context.Context, r *peerv1.ListInstancesRequest) (*peerv1.ListInstancesResponse, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lists = append(c.lists, r)
+	reply := &peerv1.ListInstancesResponse{LeaseMs: 3000}
+	for _, in := range c.instances {
+		m := proto.Clone(in).(*peerv1.Instance)
+		if in.Entry == r.Entry && r.Draining {
+			m.Release = 5
+			if len(r.Released) > 0 {
+				c.released = r.Released
+				in.Entry = ""
+				continue
+			}
+		}
+		reply.Instances = append(reply.Instances, m)
+	}
+	return reply, nil
+}
+
+func (c *fakeControl) Heartbeat(ctx context.Context, _ *apiv1.HeartbeatRequest) (*apiv1.HeartbeatResponse, error) {
+	select {
+	case <-c.hold:
+		return &apiv1.HeartbeatResponse{LeaseMs: 4000, Sequence: 77}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (c *fakeControl) RenewConfig(_ context.Context, r *peerv1.RenewConfigRequest) (*peerv1.RenewConfigResponse, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reply := &peerv1.RenewConfigResponse{LeaseMs: 1500, Index: c.fleet.Index}
+	if r.AppliedIndex < c.fleet.Index {
+		reply.Full = proto.Clone(c.fleet).(*statev1.FleetState)
+	}
+	return reply, nil
+}
+
+// Ambiguous methods of the two embedded services.
+func (c *fakeControl) GetChange(context.Context, *apiv1.GetChangeRequest) (*apiv1.Change, error) {
+	return &apiv1.Change{}, nil
+}
+
+const testKey = "lg_0011_secret"
+
+// document adds a service of team t, and its key.
+func (c *fakeControl) document(service string, change func(*statev1.WorkSpec)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	spec := &statev1.WorkSpec{Team: "t", Service: service}
+	change(spec)
+	hash := sha256.Sum256([]byte(testKey))
+	c.fleet.Index++
+	c.fleet.Documents = append(c.fleet.Documents, &statev1.Document{Team: "t", Service: service, Spec: spec, Share: 1})
+	c.fleet.Keys = []*statev1.Key{{KeyId: "0011", Team: "t", Hash: hash[:]}}
+}
+
+func (c *fakeControl) withdrawKey() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fleet.Index++
+	c.fleet.Keys[0].Withdrawn = true
+}
+
+// fakeInstance answers calls as its answer function says.
+type fakeInstance struct {
+	*fates
+	id     string
+	server *httptest.Server
+	// answer changes a right answer; nil leaves it.
+	answer func(*apiv1.InvokeResponse)
+	// hold, if not nil, is waited for before the answer; letGo closes it.
+	hold    chan struct{}
+	holding sync.Once
+
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// letGo ends the wait before answers, in a failed test too.
+func (in *fakeInstance) letGo() {
+	in.holding.Do(func() {
+		if in.hold != nil {
+			close(in.hold)
+		}
+	})
+}
+
+func newFakeInstance(t *testing.T, id string) *fakeInstance {
+	in := &fakeInstance{fates: newFates(), id: id, runs: map[string]int{}}
+	mux := http.NewServeMux()
+	mux.Handle(apiv1connect.NewInstanceServiceHandler(in))
+	in.server = httptest.NewServer(in.handler(mux))
+	t.Cleanup(in.server.Close)
+	t.Cleanup(in.letGo)
+	return in
+}
+
+func (in *fakeInstance) Invoke(_ context.Context, r *connect.Request[apiv1.InvokeRequest]) (*connect.Response[apiv1.InvokeResponse], error) {
+	m := r.Msg
+	in.mu.Lock()
+	in.runs[m.RequestId]++
+	in.mu.Unlock()
+	if in.hold != nil {
+		<-in.hold
+	}
+	reply := &apiv1.InvokeResponse{
+		RequestId: m.RequestId, Attempt: m.Attempt, Body: m.Body, Length: int64(len(m.Body)), Digest: xxhash.Sum64(m.Body), Outcome: apiv1.Outcome_OUTCOME_OK,
+	}
+	if in.answer != nil {
+		in.answer(reply)
+	}
+	return connect.NewResponse(reply), nil
+}
+
+func (in *fakeInstance) ran(id string) int {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.runs[id]
+}
