Point two mutations at the tests that find them

Cause: test/mutate.sh showed that the state-machine test no longer finds lease-ending at 1,000 checks, and that allotment-enforced did not build. Result: both are found failing by TestEndedLeaseIsNotRenewed and TestTransfersKeepTheLimit.

--- a/test/mutate.sh
+++ b/test/mutate.sh
@@ -42,7 +42,7 @@
 
 m lease-drift $S TaskLeasesLost $L/doc.go "$drift" length
 m lease-wait-out $S TaskLeasesLost $L/table.go 'now < max(g.expires, since+Stretch(t.length))' 'now < g.expires'
-m lease-ending $S TaskLeasesLost $L/table.go '	g.ending = true' ''
+m lease-ending $L EndedLease $L/table.go '	g.ending = true' ''
 m lease-from-receipt $S TaskLeasesLost $S/lease_model_test.go 'm.expires = max(m.expires, asked+lease.Worker)' 'm.expires = max(m.expires, local(w.now, m.rate)+lease.Worker)'
 m lease-own-reply $S TaskLeasesLost $S/lease_model_test.go 'local(w.now, m.rate) >= asked+lease.Worker' 'local(w.now, m.rate) >= m.expires'
 m lease-retry-lost $S 'TaskLeases$' $S/attempt.go '(j.Spec.Idempotent && e.outcome != structs.OutcomeOK)' '(e.outcome != structs.OutcomeOK)'
@@ -90,7 +90,7 @@
 	if c.Transfer != a.Transfer+1 {' '	if false {'
 m allotment-shed $Q TransfersKeep $Q/exchange.go '	if excess.IsZero() {' '	if true {'
 m allotment-prune $Q TransfersKeep $allotment '	if open >= len(a.Grants) {' '	if true {'
-m allotment-enforced $Q TransfersKeep $S/plan.go 'if !t.Running.Add(j.Spec.Size).Fits(t.Allotment) {' 'if false {'
+m allotment-enforced $Q TransfersKeep $S/plan.go 'if !t.Running.Add(j.Spec.Size).Fits(t.Allotment) {' 'if t.Running.MilliCPU < 0 {'
 m allotment-return-early $S TransferIsReturned $S/allotment.go 't == nil || !t.Running.Fits(t.Allotment)' 't == nil'
 m allotment-pool $F GrantsStay $allotment 'if !s.poolCovers(c.Team, amount) {' 'if false {'
 m allotment-grant-twice $F GrantsStay $allotment '	if c.Grant <= a.Grant {' '	if false {'
