The leader checks keys again before it commits

Cause: an entry that pauses between its check of a key and the submission could have work accepted long after the key was withdrawn. Ruled out: a deadline on the submission by the entry's clock; a pause can fall after any check in the entry. Change: submissions and request records carry the key's id; the data centre's leader checks it under its own configuration lease before it proposes. The harness of the leader's tests submits to open queues; TestKeyIsCheckedAgain covers the keys.

--- a/internal/control/admit.go
+++ b/internal/control/admit.go
@@ -85,9 +85,11 @@
 // refuse returns why a job that is not known is refused, "" if it is admitted
 // or was accepted in the meantime. A command committed after an earlier
 // submission shows whether that one took effect.
-func (g *DataCentreGroup) refuse(ctx context.Context, job *statev1.SubmitJob) (string, error) {
-	spec := structs.WorkSpecFromProto(job.Spec)
-	refusal := g.mirror.admit(&spec, spec.Tasks, time.Duration(job.DeadlineMs)*time.Millisecond)
+func (g *DataCentreGroup) refuse(ctx context.Context, job *statev1.SubmitJob, refusal string) (string, error) {
+	if refusal == "" {
+		spec := structs.WorkSpecFromProto(job.Spec)
+		refusal = g.mirror.admit(&spec, spec.Tasks, time.Duration(job.DeadlineMs)*time.Millisecond)
+	}
 	if refusal == "" {
 		return "", nil
 	}
--- a/internal/control/datacentre.go
+++ b/internal/control/datacentre.go
@@ -25,7 +25,7 @@
 	}
 	// A resend of an accepted job is not refused for lack of room.
 	if _, known := g.Store.Job(r.Job.JobId); !known {
-		refusal, err := g.refuse(ctx, r.Job)
+		refusal, err := g.refuse(ctx, r.Job, d.server.checkKey(r.KeyId, r.Job.Spec.GetTeam(), r.Job.Spec.GetService()))
 		if err != nil || refusal != "" {
 			return &peerv1.SubmitJobReply{Refusal: refusal}, err
 		}
@@ -95,6 +95,12 @@
 	if err != nil {
 		return nil, err
 	}
+	// A recorded request is answered from its record whatever became of the key.
+	if _, known := g.Store.Request(r.Record.RequestId); !known {
+		if refusal := d.server.checkKey(r.KeyId, r.Record.Team, r.Record.Service); refusal != "" {
+			return &peerv1.RecordRequestReply{Refusal: refusal}, nil
+		}
+	}
 	result, err := g.propose(ctx, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_RecordRequest{RecordRequest: r.Record}})
 	if err != nil {
 		return nil, err
--- a/internal/control/leader_test.go
+++ b/internal/control/leader_test.go
@@ -189,7 +189,16 @@
 	}
 }
 
+// submit submits a job to a queue that is open to all unless a test has put a
+// document.
 func (l *leader) submit(job *statev1.SubmitJob) (*peerv1.SubmitJobReply, error) {
+	config := l.server.follower.Store()
+	if team, service := job.Spec.GetTeam(), job.Spec.GetService(); config.Document(team, service) == nil {
+		index := config.Index() + 1
+		config.Follow(index, []*statev1.FleetChange{{Index: index, Document: &statev1.Document{
+			Team: team, Service: service, Spec: &statev1.WorkSpec{Team: team, Service: service, OpenQueue: true},
+		}}}, nil)
+	}
 	return l.dc.SubmitJob(context.Background(), &peerv1.SubmitJobCommand{DataCentre: "x", Job: job})
 }
 
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -61,7 +61,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(m.DeadlineMs)*time.Millisecond)
 	defer cancel()
 	if !d.Spec.Idempotent {
-		return s.callOnce(ctx, m)
+		return s.callOnce(ctx, m, keyID(key))
 	}
 	result := s.callIdempotent(ctx, m, p)
 	if m.Resend && result.Outcome == apiv1.Outcome_OUTCOME_NOT_RUN {
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -56,7 +56,7 @@
 		deadline = spec.DeadlineMs
 	}
 	dc, group := s.home(m.JobId)
-	command := &peerv1.SubmitJobCommand{DataCentre: dc, Job: &statev1.SubmitJob{
+	command := &peerv1.SubmitJobCommand{DataCentre: dc, KeyId: keyID(bearer(r.Header())), Job: &statev1.SubmitJob{
 		JobId: m.JobId, Spec: spec, Payload: m.Payload, Urgent: m.Urgent, DeadlineMs: deadline, Digest: jobDigest(m),
 	}}
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
--- a/internal/entry/key.go
+++ b/internal/entry/key.go
@@ -75,9 +75,14 @@
 	return d, nil
 }
 
-func (s *Server) keyAllows(key, team string) bool {
+// keyID returns the id that a key carries; it is not secret.
+func keyID(key string) string {
 	id, _, _ := strings.Cut(strings.TrimPrefix(key, keyPrefix), "_")
-	k := s.follower.Store().Key(id)
+	return id
+}
+
+func (s *Server) keyAllows(key, team string) bool {
+	k := s.follower.Store().Key(keyID(key))
 	if k == nil {
 		return false
 	}
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -32,14 +32,15 @@
 type record struct {
 	dataCentre string
 	group      *peer.Group
+	keyID      string
 	command    *statev1.RecordRequest
 }
 
 // callOnce runs a non-idempotent call: its record is durable before a target
 // hears of it, only the record's owner may send it, and it does so once.
-func (s *Server) callOnce(ctx context.Context, m *apiv1.CallRequest) *apiv1.CallResponse {
+func (s *Server) callOnce(ctx context.Context, m *apiv1.CallRequest, keyID string) *apiv1.CallResponse {
 	dc, group := s.home(m.RequestId)
-	r := &record{dataCentre: dc, group: group, command: &statev1.RecordRequest{
+	r := &record{dataCentre: dc, group: group, keyID: keyID, command: &statev1.RecordRequest{
 		RequestId: m.RequestId, Team: m.Team, Service: m.Service, Digest: xxhash.Sum64(m.Body), Owner: s.owner(), DeadlineMs: m.DeadlineMs,
 	}}
 	deadline := s.clock.Now() + time.Duration(m.DeadlineMs)*time.Millisecond
@@ -88,7 +89,7 @@
 }
 
 func (s *Server) record(ctx context.Context, r *record) (*peerv1.RecordRequestReply, error) {
-	request := &peerv1.RecordRequestRequest{DataCentre: r.dataCentre, Record: r.command}
+	request := &peerv1.RecordRequestRequest{DataCentre: r.dataCentre, Record: r.command, KeyId: r.keyID}
 	return peer.Call(ctx, r.group, peer.Within(tryLimit, func(ctx context.Context, c *http.Client, url string) (*peerv1.RecordRequestReply, error) {
 		return peerv1.NewDataCentreServiceProtobufClient(url, c).RecordRequest(ctx, request)
 	}))
