--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -71,21 +71,14 @@
 
 // watchLeader records changes of a group's leader.
 func (s *Server) watchLeader(ctx context.Context, group string, leader func() (string, string)) {
-	ticker := time.NewTicker(leaderCheck)
-	defer ticker.Stop()
 	last := ""
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	every(ctx, leaderCheck, func() {
 		id, _ := leader()
 		if id == last {
-			continue
+			return
 		}
 		last = id
 		s.events.Record(timeline.Event{Kind: timeline.LeaderChanged, Peer: id, Detail: fmt.Sprintf("group %s", group)})
 		s.logger.Info("leader changed", "step", "watch leader", "group", group, "peer", id)
-	}
+	})
 }
--- a/internal/control/expire.go
+++ b/internal/control/expire.go
@@ -16,19 +16,7 @@
 // expire ends the leases of workers, instances and entries that have surely
 // run out, and keeps the log time moving, while this process leads the group.
 func (s *Server) expire(ctx context.Context, g *DataCentreGroup) {
-	ticker := time.NewTicker(expireInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		since, valid := g.Log.Lease()
-		if valid {
-			s.expireOnce(ctx, g, since)
-		}
-	}
+	whileLeading(ctx, g.Log, expireInterval, func(since time.Duration) { s.expireOnce(ctx, g, since) })
 }
 
 func (s *Server) expireOnce(ctx context.Context, g *DataCentreGroup, since time.Duration) {
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -126,42 +126,26 @@
 // announce tells the group's leader that the replica lives, until the context
 // ends.
 func (s *Server) announce(ctx context.Context, m *Member) {
-	ticker := time.NewTicker(announceInterval)
-	defer ticker.Stop()
-	for {
+	once := func() {
 		// The id is empty until the replica is started; the leader ignores it.
 		request := &peerv1.JoinRequest{Group: m.Group, Replica: &peerv1.RaftReplica{Id: m.Replica.ID(), Address: m.Address}}
 		call, cancel := context.WithTimeout(ctx, announceInterval)
+		defer cancel()
 		_, err := peer.Call(call, m.Peers, func(ctx context.Context, c *http.Client, url string) (*peerv1.JoinReply, error) {
 			return peerv1.NewGroupServiceProtobufClient(url, c).Join(ctx, request)
 		})
-		cancel()
 		if err != nil && ctx.Err() == nil {
 			s.logger.Debug("replica not announced", "step", "join", "group", m.Group, "error", err)
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
 	}
+	once()
+	every(ctx, announceInterval, once)
 }
 
 // repair makes the membership changes that are due, while this process leads
 // the group.
 func (s *Server) repair(ctx context.Context, m *Member) {
-	ticker := time.NewTicker(repairInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		if since, valid := m.Replica.Lease(); valid {
-			s.repairOnce(ctx, m, since)
-		}
-	}
+	whileLeading(ctx, m.Replica, repairInterval, func(since time.Duration) { s.repairOnce(ctx, m, since) })
 }
 
 func (s *Server) repairOnce(ctx context.Context, m *Member, since time.Duration) {
--- a/internal/control/meter.go
+++ b/internal/control/meter.go
@@ -45,19 +45,12 @@
 
 // gauges shows the state of the groups that this process leads.
 func (s *Server) gauges(ctx context.Context) {
-	ticker := time.NewTicker(gaugeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	every(ctx, gaugeInterval, func() {
 		for _, g := range s.groups {
 			s.groupGauges(g)
 		}
 		s.meter.scope.Gauge("config_index").Update(float64(s.follower.Store().Index()))
-	}
+	})
 }
 
 func (s *Server) groupGauges(g *DataCentreGroup) {
--- a/internal/control/quota.go
+++ b/internal/control/quota.go
@@ -8,7 +8,6 @@
 	"laburnumgrade/gen/peerv1"
 	"laburnumgrade/gen/statev1"
 	"laburnumgrade/internal/adapter/peer"
-	"laburnumgrade/internal/port"
 	"laburnumgrade/internal/quota"
 	"laburnumgrade/internal/structs"
 )
@@ -32,30 +31,12 @@
 	return list
 }
 
-// every runs the work at each quota interval while the log's leader lease is
-// valid, until the context ends.
-func every(ctx context.Context, log port.Log, work func(ctx context.Context)) {
-	ticker := time.NewTicker(quotaInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		if _, valid := log.Lease(); !valid {
-			continue
-		}
-		bounded, cancel := context.WithTimeout(ctx, opTimeout)
-		work(bounded)
-		cancel()
-	}
-}
-
 // exchangeAllotments follows the teams' allotments in the fleet group, and
 // returns what was given up, while this process leads the group.
 func (s *Server) exchangeAllotments(ctx context.Context, g *DataCentreGroup) {
-	every(ctx, g.Log, func(ctx context.Context) {
+	whileLeading(ctx, g.Log, quotaInterval, func(time.Duration) {
+		ctx, cancel := context.WithTimeout(ctx, opTimeout)
+		defer cancel()
 		for _, team := range teams(s.follower.Store().Documents()) {
 			s.exchangeOnce(ctx, g, team)
 		}
@@ -110,7 +91,9 @@
 // divideLimits divides each team's limit by demand while this process leads the
 // fleet group.
 func (s *Server) divideLimits(ctx context.Context) {
-	every(ctx, s.fleet.Log, func(ctx context.Context) {
+	whileLeading(ctx, s.fleet.Log, quotaInterval, func(time.Duration) {
+		ctx, cancel := context.WithTimeout(ctx, opTimeout)
+		defer cancel()
 		for _, team := range teams(s.fleet.Store.Documents()) {
 			s.divideOnce(ctx, team)
 		}
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -18,18 +18,11 @@
 // runServices keeps the services of a data centre as their documents say,
 // while this process leads the group and holds a configuration lease.
 func (s *Server) runServices(ctx context.Context, g *DataCentreGroup) {
-	ticker := time.NewTicker(serviceInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		if _, valid := g.Log.Lease(); valid && s.follower.Valid(0) {
+	whileLeading(ctx, g.Log, serviceInterval, func(time.Duration) {
+		if s.follower.Valid(0) {
 			s.runServicesOnce(ctx, g)
 		}
-	}
+	})
 }
 
 func (s *Server) runServicesOnce(ctx context.Context, g *DataCentreGroup) {
