--- a/test/faults/cases.go
+++ b/test/faults/cases.go
@@ -44,6 +44,15 @@
 	{"all targets paused 6 s", pauseTargets},
 }
 
+// startAndSettle starts a process and gives the system time.
+func (e *environment) startAndSettle(p *cluster.Process) error {
+	if err := e.c.Start(p); err != nil {
+		return err
+	}
+	time.Sleep(settle)
+	return nil
+}
+
 // killLeader kills the leader of a data centre group and starts it again.
 func killLeader(ctx context.Context, e *environment, _ func(func(*verdict))) error {
 	p, err := e.c.Leader(ctx, 0)
@@ -52,11 +61,7 @@
 	}
 	p.Kill()
 	time.Sleep(settle)
-	if err := e.c.Start(p); err != nil {
-		return err
-	}
-	time.Sleep(settle)
-	return nil
+	return e.startAndSettle(p)
 }
 
 func pauseLeader(ctx context.Context, e *environment, _ func(func(*verdict))) error {
@@ -79,11 +84,7 @@
 	p := e.c.Entries[0]
 	p.Kill()
 	time.Sleep(settle)
-	if err := e.c.Start(p); err != nil {
-		return err
-	}
-	time.Sleep(settle)
-	return nil
+	return e.startAndSettle(p)
 }
 
 // emptyFolder kills a voter with a disk, empties its data folder and starts it
@@ -122,11 +123,7 @@
 	second := e.c.Controls[0]
 	second.Kill()
 	time.Sleep(settle)
-	if err := e.c.Start(second); err != nil {
-		return err
-	}
-	time.Sleep(settle)
-	return nil
+	return e.startAndSettle(second)
 }
 
 // cutDataCentre cuts a data centre off; both sides go on serving.
@@ -201,10 +198,9 @@
 			return errors.Errorf("%s ended with exit code %d", p.Name, code)
 		}
 		time.Sleep(time.Second)
-		if err := e.c.Start(p); err != nil {
+		if err := e.startAndSettle(p); err != nil {
 			return err
 		}
-		time.Sleep(settle)
 	}
 	add(func(v *verdict) {
 		if v.unknown > 0 {
--- a/test/faults/main.go
+++ b/test/faults/main.go
@@ -104,7 +104,6 @@
 type environment struct {
 	c     *cluster.Cluster
 	l     *load
-	v     func(*verdict)
 	keyID map[string]string
 }
 
