--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -47,6 +47,9 @@
 	if err != nil {
 		return nil, notRun(err)
 	}
+	if d.Spec.Class == statev1.WorkSpec_SERVICE {
+		return nil, notRun(refusal("the instances of service " + m.Service + " are started by its document; send it calls instead of jobs"))
+	}
 	spec := proto.Clone(d.Spec).(*statev1.WorkSpec)
 	if m.Tasks > 0 {
 		spec.Tasks = m.Tasks
