Metrics of the entry; distinct ports in test clusters; time to force in fault runs

Cause: two of 30 fault cases ended with 'connection refused' or '404' while the first document was put: the kernel had given out the same port twice, because each found port was closed before the next one was looked for. Ruled out: a fault of the entry; it had exited or another process of the cluster answered at its address. Change: all ports are held until all are found. lg-entry counts calls by outcome, forwards and submissions. make faults prints how long a granted key took to be in force on all processes.

--- a/cmd/lg-entry/main.go
+++ b/cmd/lg-entry/main.go
@@ -94,7 +94,7 @@
 	}
 	incarnation := time.Now().UnixNano()
 	return entry.New(entry.Config{
-		Name: fmt.Sprintf("%s#%d", c.Process.Name, incarnation), Timeline: p.Timeline,
+		Name: fmt.Sprintf("%s#%d", c.Process.Name, incarnation), Timeline: p.Timeline, Scope: p.Scope,
 		Member:      p.Member("entry", c.Public.String(), uint64(incarnation)),
 		DataCentre:  c.Process.DataCentre,
 		PeerAddress: c.Peer.String(), Clock: p.Clock, Logger: p.Logger, Controls: controls,
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -30,7 +30,9 @@
 // failures and unknown outcomes are answers, not connect errors.
 func (s *callerService) Call(ctx context.Context, r *connect.Request[apiv1.CallRequest]) (*connect.Response[apiv1.CallResponse], error) {
 	s.events.Record(timeline.Event{Kind: timeline.Submitted, Request: r.Msg.RequestId, Team: r.Msg.Team})
+	began := s.clock.Now()
 	result := s.call(ctx, r.Msg, bearer(r.Header()))
+	s.meter.called(result.Outcome, s.clock.Now()-began)
 	s.recordAnswer(r.Msg, result)
 	return connect.NewResponse(result), nil
 }
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -42,6 +42,7 @@
 func (s *Server) recordRouted(m *apiv1.CallRequest, g routing.Grant, number int32) {
 	e := timeline.Event{Kind: timeline.Routed, Request: m.RequestId, Attempt: uint64(number), Team: m.Team, Worker: g.InstanceID}
 	if !g.Local {
+		s.meter.forwarded.Inc(1)
 		e.Kind = timeline.Forwarded
 		e.Peer = g.Entry
 	}
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -35,6 +35,7 @@
 	s.events.Record(timeline.Event{Kind: timeline.Submitted, Job: r.Msg.JobId, Team: r.Msg.Team})
 	reply, err := s.submitJob(ctx, r)
 	s.recordSubmission(r.Msg, err)
+	s.meter.submitted(err)
 	return reply, err
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -11,6 +11,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
 
 	"laburnumgrade/gen/apiv1"
 	"laburnumgrade/gen/apiv1/apiv1connect"
@@ -55,6 +56,7 @@
 	endBase   context.CancelFunc
 	abandoned <-chan struct{}
 	events    *timeline.Ring
+	meter     *meter
 	// relist wakes the listing of the own data centre's instances.
 	relist chan struct{}
 }
@@ -82,6 +84,8 @@
 	Member *apiv1.Member
 	// Timeline receives events; may be nil.
 	Timeline *timeline.Ring
+	// Scope receives metrics; may be nil.
+	Scope tally.Scope
 }
 
 // New returns a server.
@@ -90,7 +94,7 @@
 		name: c.Name, dataCentre: c.DataCentre, peerAddress: c.PeerAddress, clock: c.Clock, logger: c.Logger,
 		client: c.Client, groups: map[string]*peer.Group{}, operator: c.OperatorKeyHash, maxBody: c.MaxBody,
 		targets: c.Targets, admission: routing.NewAdmission(c.MaxCalls), progress: newRegistry(),
-		relist: make(chan struct{}, 1), events: c.Timeline,
+		relist: make(chan struct{}, 1), events: c.Timeline, meter: newMeter(c.Scope),
 	}
 	s.base, s.endBase = context.WithCancel(context.Background())
 	s.abandoned = s.base.Done()
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -65,26 +65,38 @@
 // ip returns the loopback address of a VM.
 func ip(dc, vm int) string { return fmt.Sprintf("127.77.%d.%d", dc+1, vm+1) }
 
-// freeAddress returns an address of the IP number with a port that is free now.
-func freeAddress(ip string) (string, error) {
+// ports finds free ports. It keeps them taken until all are found, because the
+// kernel may give out a port again as soon as it is closed.
+type ports struct{ taken []net.Listener }
+
+// address returns an address of the IP number with a free port.
+func (p *ports) address(ip string) (string, error) {
 	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return "", errors.Wrap(err, "find a free port")
 	}
-	defer l.Close()
+	p.taken = append(p.taken, l)
 	return l.Addr().String(), nil
 }
 
+func (p *ports) release() {
+	for _, l := range p.taken {
+		_ = l.Close()
+	}
+}
+
 // New chooses addresses and writes settings; nothing is started.
 func New(spec Spec) (*Cluster, error) {
 	c := &Cluster{Spec: spec, OperatorKey: "operator-key-of-the-test-cluster", Client: &http.Client{Timeout: 30 * time.Second}}
+	free := &ports{}
+	defer free.release()
 	for d, dc := range spec.DataCentres {
 		for v := range spec.VMs {
 			control := &Process{Name: fmt.Sprintf("control-%s-%d", strings.ToLower(dc), v), DataCentre: dc, bin: "lg-control"}
 			entry := &Process{Name: fmt.Sprintf("entry-%s-%d", strings.ToLower(dc), v), DataCentre: dc, bin: "lg-entry"}
 			for _, a := range []*string{&control.Peer, &control.Admin, &entry.Peer, &entry.Public, &entry.Admin} {
 				var err error
-				if *a, err = freeAddress(ip(d, v)); err != nil {
+				if *a, err = free.address(ip(d, v)); err != nil {
 					return nil, err
 				}
 			}
@@ -110,13 +122,13 @@
 			return nil, err
 		}
 	}
-	return c, c.prepareStandin()
+	return c, c.prepareStandin(free)
 }
 
-func (c *Cluster) prepareStandin() error {
+func (c *Cluster) prepareStandin(free *ports) error {
 	p := &Process{Name: "standin", bin: "lg-standin"}
 	var err error
-	if p.Admin, err = freeAddress("127.0.0.1"); err != nil {
+	if p.Admin, err = free.address("127.0.0.1"); err != nil {
 		return err
 	}
 	p.args = append([]string{"--admin", p.Admin}, c.Spec.Standin...)
--- a/test/faults/judge.go
+++ b/test/faults/judge.go
@@ -22,6 +22,9 @@
 	// and kind: jobs need a key, calls go to an open queue.
 	missed map[string]time.Duration
 	notes  []string
+	// inForce is how long the last grant of a key took to be in force on all
+	// processes.
+	inForce time.Duration
 }
 
 // judge compares what callers were told with what the targets saw.
@@ -136,8 +139,8 @@
 	if !v.ok() {
 		result = "FAILED"
 	}
-	fmt.Printf("%-30s %-6s operations %4d answered %4d refused %3d unknown %2d | missed: keyed jobs %s, open calls %s | lost %d doubled %d wrong %d overcommitted %d over-limit %d late-key %d not-run-but-ran %d\n",
-		v.name, result, v.operations, v.answered, v.refused, v.unknown, jobs, calls,
+	fmt.Printf("%-30s %-6s in force %4d ms | operations %4d answered %4d refused %3d unknown %2d | missed: keyed jobs %s, open calls %s | lost %d doubled %d wrong %d overcommitted %d over-limit %d late-key %d not-run-but-ran %d\n",
+		v.name, result, v.inForce.Milliseconds(), v.operations, v.answered, v.refused, v.unknown, jobs, calls,
 		v.lost, v.doubled, v.wrong, v.overcommitted, v.overLimit, v.lateKey, v.extra)
 	for i, n := range v.notes {
 		if i == 5 {
--- a/test/faults/main.go
+++ b/test/faults/main.go
@@ -105,6 +105,8 @@
 	c     *cluster.Cluster
 	l     *load
 	keyID map[string]string
+	// inForce is how long the last change took to be in force everywhere.
+	inForce time.Duration
 }
 
 func runCase(o *options, fc faultCase) (*verdict, error) {
@@ -151,6 +153,7 @@
 		if _, err := c.PutDocument(ctx, entry, text); err != nil {
 			return nil, errors.Wrapf(err, "put document of team %s", team)
 		}
+		began := time.Now()
 		key, err := c.GrantKey(ctx, entry, team)
 		if err != nil {
 			return nil, errors.Wrapf(err, "grant key of team %s", team)
@@ -158,6 +161,7 @@
 		if err := c.AwaitForce(ctx, entry, key.Change.Index); err != nil {
 			return nil, errors.Wrapf(err, "wait for the key of team %s", team)
 		}
+		e.inForce = time.Since(began)
 		keys[team] = key.Key
 		e.keyID[team] = key.KeyId
 	}
@@ -183,6 +187,7 @@
 		return nil, err
 	}
 	v := judge(fc.name, operations, report, began, teamLimits)
+	v.inForce = e.inForce
 	if fix != nil {
 		fix(v)
 	}
