--- a/test/cluster/client.go
+++ b/test/cluster/client.go
@@ -170,3 +170,31 @@
 	}
 	return true
 }
+
+// TaskStarts returns how many tasks have started on a target.
+func (c *Cluster) TaskStarts(ctx context.Context, target string) (int, error) {
+	report, err := c.Report(ctx)
+	if err != nil {
+		return 0, err
+	}
+	n := 0
+	for _, run := range report.Runs {
+		if run.Target == target {
+			n++
+		}
+	}
+	return n, nil
+}
+
+// Leave makes a target announce that it leaves.
+func (c *Cluster) Leave(ctx context.Context, target string) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/leave?target=%s", c.Standin.Admin, target), nil)
+	if err != nil {
+		return err
+	}
+	resp, err := c.Client.Do(r)
+	if err != nil {
+		return errors.Wrap(err, "announce that a target leaves")
+	}
+	return resp.Body.Close()
+}
--- a/test/faults/cases.go
+++ b/test/faults/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"syscall"
 	"time"
@@ -42,6 +43,7 @@
 	}},
 	{"entry and leader shut down", shutDown},
 	{"all targets paused 6 s", pauseTargets},
+	{"worker leaves", leaveWorker},
 }
 
 // startAndSettle starts a process and gives the system time.
@@ -224,3 +226,37 @@
 	time.Sleep(settle)
 	return nil
 }
+
+// leaveBound is the time after which a leaving target gets no new work.
+const leaveBound = 3 * time.Second
+
+// leaveWorker makes a worker announce that it leaves. Tasks that start on it
+// after the bound are wrong.
+func leaveWorker(ctx context.Context, e *environment, add func(func(*verdict))) error {
+	const worker = "Plateau-w0"
+	before, err := e.c.TaskStarts(ctx, worker)
+	if err != nil {
+		return err
+	}
+	if before == 0 {
+		return errors.Errorf("no task has started on %s", worker)
+	}
+	if err := e.c.Leave(ctx, worker); err != nil {
+		return err
+	}
+	time.Sleep(leaveBound)
+	atBound, err := e.c.TaskStarts(ctx, worker)
+	if err != nil {
+		return err
+	}
+	time.Sleep(settle)
+	after, err := e.c.TaskStarts(ctx, worker)
+	if err != nil {
+		return err
+	}
+	add(func(v *verdict) {
+		v.wrong += after - atBound
+		v.notes = append(v.notes, fmt.Sprintf("tasks started on the worker: %d before, %d until the bound, %d after it", before, atBound-before, after-atBound))
+	})
+	return nil
+}
