entry: connections outlast the answers to abandoned calls

At the drain limit the listener closed its connections in the same moment in which the calls in progress were to be answered as not run or unknown; on a busy machine it came first, so callers got no answer and the log lacked them. Ruled out: the test's timing; it counts the calls before the shutdown begins. Change: the listeners get a context that ends at most 1 s after the abandoned calls were told to answer. Conclusion: a fault of the product, not of the test; the test is unchanged.

--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -15,6 +15,8 @@
 	// giveBackLimit bounds the wait for the slots to be given back after the
 	// last call; after that the slot lease runs out by itself.
 	giveBackLimit = 2 * time.Second
+	// answerLimit is how long the answers to abandoned calls may take to leave.
+	answerLimit = time.Second
 )
 
 // Listener is a server of the entry's handlers.
@@ -34,10 +36,19 @@
 	public.Drain()
 	s.logger.Info("shutdown began", "step", "drain", "calls", s.progress.count.Load())
 	pause(ctx, drainNotice)
+	// The listeners close connections when their context ends, so they get one
+	// that outlasts the answers to abandoned calls.
+	closing, closeNow := context.WithCancel(context.WithoutCancel(ctx))
+	defer closeNow()
 	done := make(chan error, 1)
-	go func() { done <- public.Shutdown(ctx) }()
+	go func() { done <- public.Shutdown(closing) }()
 	abandoned := s.finishCalls(ctx)
-	err := <-done
+	if abandoned > 0 {
+		limited, cancel := context.WithTimeout(closing, answerLimit)
+		defer cancel()
+		ctx = limited
+	}
+	err := awaitShutdown(ctx, done, closeNow)
 	if err != nil {
 		s.logger.Error("requests abandoned", "step", "drain", "answered", "unavailable, or not at all", "error", err)
 	}
@@ -53,6 +64,18 @@
 	return err
 }
 
+// awaitShutdown waits for a listener's shutdown, and closes its connections when
+// the context ends first.
+func awaitShutdown(ctx context.Context, done <-chan error, closeNow func()) error {
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		closeNow()
+		return <-done
+	}
+}
+
 // beginDrain stops the acceptance of new work.
 func (s *Server) beginDrain() {
 	s.draining.Store(true)
