follower: one rule for keys and configuration leases

Cause: the entry and the leader each had their own copy of the rule that decides whether work may be accepted under a key (open queue, lease with its grace, key of the team and not withdrawn); a change to one could miss the other. Ruled out: moving the comparison of the hash too; only the entry holds the key. Change: Follower.Permit, called by both. Conclusion: behaviour and texts are unchanged.

--- a/internal/entry/key.go
+++ b/internal/entry/key.go
@@ -7,12 +7,12 @@
 	"encoding/hex"
 	"net/http"
 	"strings"
-	"time"
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
 	"laburnumgrade/gen/statev1"
+	"laburnumgrade/internal/follower"
 )
 
 const (
@@ -55,18 +55,13 @@
 // admitKey returns the document if the key allows work for it.
 // Open queues need neither a key nor a configuration lease.
 func (s *Server) admitKey(key, team, service string) (*statev1.Document, error) {
-	d := s.follower.Store().Document(team, service)
-	if d != nil && d.Spec.OpenQueue {
+	d, permit := s.follower.Permit(keyID(key), team, service)
+	switch {
+	case permit == follower.OpenQueue:
 		return d, nil
-	}
-	var grace time.Duration
-	if d != nil {
-		grace = time.Duration(d.CutGraceMs) * time.Millisecond
-	}
-	if !s.follower.Valid(grace) {
+	case permit == follower.NoLease:
 		return nil, refusal("this entry has no valid configuration lease; try another entry")
-	}
-	if !s.keyAllows(key, team) {
+	case permit == follower.KeyRefused || !s.keyAllows(key, team):
 		return nil, refusal("the key does not allow work for team " + team)
 	}
 	if d == nil {
