Cell: scheduling for workers that are called, on the users' platform

Cause: the platform's workers are called and list their ends, jobs have steps, gangs and advice, and processes know three addresses only; the product had workers that ask, documents and a static list of peers.

--- /dev/null
+++ b/cmd/lg-cell/main.go
@@ -0,0 +1,77 @@
+// Command lg-cell holds a replica of a cell's state on a core VM and schedules
+// its jobs while it leads.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"os"
+	"time"
+
+	"laburnumgrade/internal/adapter/metrics"
+	"laburnumgrade/internal/cellnode"
+	"laburnumgrade/internal/config"
+	"laburnumgrade/internal/dispatch"
+	"laburnumgrade/internal/logging"
+	"laburnumgrade/internal/port"
+	"laburnumgrade/internal/process"
+	"laburnumgrade/platform"
+)
+
+// finishTime is how long calls in progress may take after leadership was handed
+// over.
+const finishTime = time.Second
+
+func main() {
+	c, code, done := config.Start("lg-cell", os.Args[1:], config.ReadCell, os.Stdout, os.Stderr)
+	if done {
+		os.Exit(code)
+	}
+	if err := run(c); err != nil {
+		fmt.Fprintln(os.Stderr, "lg-cell:", err)
+		os.Exit(1)
+	}
+}
+
+func run(c *config.Cell) error {
+	ctx, second := process.Signals()
+	logger := logging.New(os.Stdout, c.Process.Name, c.Process.DataCentre, slog.LevelInfo)
+	scope, metricsHandler, closer := metrics.New(c.Process.Name, c.Process.DataCentre, metrics.ReportInterval)
+	defer closer.Close()
+	working, stop := context.WithCancel(context.Background())
+	defer stop()
+	node, err := cellnode.Start(working, cellnode.Config{
+		Peer: c.Peer.String(), Public: c.Public.String(), Seeds: c.Seeds, Folder: c.DataFolder, Bootstrap: c.Bootstrap,
+		Clock: port.NewBootClock(), Workers: platform.NewWorkers(), Adviser: platform.NewAdviser(c.Advice.String()),
+		Bounds: dispatch.Bounds{MaxLease: c.MaxLease, KeepEnded: c.KeepEnded, RemoteFactor: c.RemoteFactor},
+		Logger: logger, Scope: scope,
+	})
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", metricsHandler)
+	servers, err := process.Serve(map[string]http.Handler{
+		c.Public.String():        platform.Control(node, logger),
+		c.Peer.String():          node.Handler(),
+		c.Process.Admin.String(): mux,
+	})
+	if err != nil {
+		return err
+	}
+	go process.Reload(config.Path(os.Args[1:]), logger, config.ReadCell, func(fresh *config.Cell) { node.SetSeeds(fresh.Seeds) })
+	logger.Info("process started", logging.Step("start"), "seeds", c.Seeds, "bootstrap", c.Bootstrap)
+	select {
+	case <-ctx.Done():
+	case <-node.Failed():
+		return node.Err()
+	}
+	logger.Info("process draining", logging.Step("drain"))
+	node.Resign()
+	err = servers.Shutdown(second, finishTime)
+	node.Stop()
+	logger.Info("process stopped", logging.Step("stop"), "error", err)
+	return nil
+}
--- /dev/null
+++ b/cmd/lg-gateway/main.go
@@ -0,0 +1,62 @@
+// Command lg-gateway takes clients' requests on an edge VM and passes them to
+// the leader of the cell.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"os"
+	"time"
+
+	"laburnumgrade/internal/cellapi"
+	"laburnumgrade/internal/config"
+	"laburnumgrade/internal/gateway"
+	"laburnumgrade/internal/logging"
+	"laburnumgrade/internal/process"
+	"laburnumgrade/platform"
+)
+
+// leaveTime is how long the gateway takes new connections after it has stopped
+// being ready: the platform notices within two checks of a second each.
+const leaveTime = 2500 * time.Millisecond
+
+func main() {
+	c, code, done := config.Start("lg-gateway", os.Args[1:], config.ReadGateway, os.Stdout, os.Stderr)
+	if done {
+		os.Exit(code)
+	}
+	if err := run(c); err != nil {
+		fmt.Fprintln(os.Stderr, "lg-gateway:", err)
+		os.Exit(1)
+	}
+}
+
+func run(c *config.Gateway) error {
+	ctx, second := process.Signals()
+	logger := logging.New(os.Stdout, c.Process.Name, c.Process.DataCentre, slog.LevelInfo)
+	client := cellapi.NewClient(c.Seeds)
+	g := gateway.New(client, c.Peer.String())
+	servers, err := process.Serve(map[string]http.Handler{
+		c.Public.String(): platform.Front(client, logger),
+		c.Ready.String():  platform.Ready(g.Ready),
+		c.Peer.String():   cellapi.Handler(nil, platform.NewAdviser(c.Advice.String())),
+	})
+	if err != nil {
+		return err
+	}
+	go process.Reload(config.Path(os.Args[1:]), logger, config.ReadGateway, func(fresh *config.Gateway) { client.SetSeeds(fresh.Seeds) })
+	working, stop := context.WithCancel(context.Background())
+	defer stop()
+	go g.Run(working)
+	logger.Info("process started", logging.Step("start"), "seeds", c.Seeds)
+	<-ctx.Done()
+	logger.Info("process draining", logging.Step("drain"))
+	g.Drain()
+	servers.Drain()
+	process.Wait(second, leaveTime)
+	err = servers.Shutdown(second, c.Drain-leaveTime)
+	logger.Info("process stopped", logging.Step("stop"), "error", err)
+	return nil
+}
--- /dev/null
+++ b/internal/cell/job.go
@@ -0,0 +1,140 @@
+package cell
+
+import (
+	"laburnumgrade/internal/structs"
+)
+
+// JobState is the state of a job.
+type JobState uint8
+
+// States of a job.
+const (
+	Active JobState = iota
+	Complete
+	Failed
+	Cancelled
+)
+
+// Step is a group of equal tasks as submitted.
+type Step struct {
+	Count int
+	Size  structs.Resources
+	// EstimateMS is a rough estimate of a task's duration, in milliseconds.
+	EstimateMS     int64
+	DependsOn      []int
+	Checkpoints    bool
+	Gang           bool
+	SameRack       bool
+	Label          string
+	DataRack       string
+	MaxPerWorker   int
+	Speculative    bool
+	Lasting        bool // runs until the job is cancelled
+	Image          string
+	TailMS         int64 // bound on the tail of response times of a lasting task
+	Filler         bool  // takes the capacity that other tasks leave unused
+	MaxUnavailable int   // tasks that orders may make unavailable at a time
+}
+
+// Schedule makes the steps of a job run several times.
+type Schedule struct {
+	Times int
+	// StartMS is the Unix time of the first occurrence in milliseconds.
+	StartMS    int64
+	IntervalMS int64
+}
+
+// Submission is a job as a client submits it.
+type Submission struct {
+	ID       string
+	Spec     string
+	Steps    []Step
+	Schedule Schedule
+}
+
+// Task is one task of an occurrence of a step.
+type Task struct {
+	// Run is the number of the newest attempt, 0 before the first.
+	Run      uint32
+	Failures uint8
+	Done     bool
+	// Open is set while an attempt of Run may be in progress.
+	Open bool
+	// Saved is the newest known checkpoint.
+	Saved string
+}
+
+// StepRun is one occurrence of a step.
+type StepRun struct {
+	Tasks []Task
+	Done  int
+	// Open counts attempts, of any run, that may be in progress.
+	Open int
+	// Run and Failures count for the gang as a whole; FailedRun is the newest
+	// run that is counted as failed.
+	Run       uint32
+	Failures  int
+	FailedRun uint32
+}
+
+// Job is an accepted job.
+type Job struct {
+	ID       string
+	Queue    string
+	Team     string
+	Spec     string
+	Steps    []Step
+	Schedule Schedule
+	State    JobState
+	// Accepted is the log index of the submission.
+	Accepted uint64
+	Started  bool
+	// Runs holds the occurrences that have become due, each with all steps.
+	Runs [][]StepRun
+	// Ended counts the occurrences of which all tasks are done.
+	Ended int
+}
+
+// StepKey names an occurrence of a step.
+type StepKey struct {
+	Job        string
+	Occurrence int
+	Step       int
+}
+
+// TaskKey names a task.
+type TaskKey struct {
+	StepKey
+	Index int
+}
+
+// occurrences returns how often the steps are to run.
+func (j *Job) occurrences() int { return max(1, j.Schedule.Times) }
+
+// open adds the next occurrence.
+func (j *Job) open() {
+	steps := make([]StepRun, len(j.Steps))
+	for i := range j.Steps {
+		steps[i].Tasks = make([]Task, j.Steps[i].Count)
+	}
+	j.Runs = append(j.Runs, steps)
+}
+
+// stepRun returns the occurrence of a step, nil if there is none.
+func (j *Job) stepRun(k StepKey) *StepRun {
+	if k.Occurrence < 0 || k.Occurrence >= len(j.Runs) || k.Step < 0 || k.Step >= len(j.Runs[k.Occurrence]) {
+		return nil
+	}
+	return &j.Runs[k.Occurrence][k.Step]
+}
+
+// due reports whether the steps before the given one are done.
+func (j *Job) due(k StepKey) bool {
+	for _, before := range j.Steps[k.Step].DependsOn {
+		s := &j.Runs[k.Occurrence][before]
+		if s.Done < len(s.Tasks) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/cellapi/client.go
@@ -0,0 +1,244 @@
+package cellapi
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+
+	"laburnumgrade/internal/port"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection; round trips within a site
+	// take a few milliseconds.
+	dialTimeout = 400 * time.Millisecond
+	// silenceTimeout is after how long unacknowledged bytes break a connection,
+	// so that one that was silenced is replaced.
+	silenceTimeout = 1500 * time.Millisecond
+	// tryTimeout bounds one try of a call: longer than a commit while the leader
+	// changes would only delay the try at another process.
+	tryTimeout = 900 * time.Millisecond
+	// roundPause is the pause after all known processes were asked.
+	roundPause = 40 * time.Millisecond
+	// idleTimeout closes connections that are not used.
+	idleTimeout = 30 * time.Second
+	// connectionsPerPeer bounds idle connections to one process.
+	connectionsPerPeer = 32
+)
+
+// NewHTTPClient returns a client whose connections notice a silent peer.
+func NewHTTPClient(perHost int) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout, Control: SetSilenceTimeout, KeepAlive: 5 * time.Second}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: perHost,
+		IdleConnTimeout: idleTimeout, DisableCompression: true,
+	}}
+}
+
+// SetSilenceTimeout makes a connection break if its bytes stay unacknowledged.
+func SetSilenceTimeout(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silenceTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// Client calls the leader of the cell through any of its control processes.
+type Client struct {
+	http *http.Client
+
+	mu      sync.Mutex
+	seeds   []string
+	members []string
+	leader  string
+	next    int
+	heard   time.Time
+}
+
+// NewClient returns a client that knows some peer addresses.
+func NewClient(seeds []string) *Client {
+	return &Client{http: NewHTTPClient(connectionsPerPeer), seeds: seeds}
+}
+
+// SetSeeds replaces the addresses from the settings.
+func (c *Client) SetSeeds(seeds []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seeds = seeds
+}
+
+// Members returns the control processes that the leader named last.
+func (c *Client) Members() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.members)
+}
+
+// Heard returns when a leader answered last, the zero time if none has.
+func (c *Client) Heard() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.heard
+}
+
+// target returns the process to ask next.
+func (c *Client) target() (address string, known int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := c.members
+	for _, s := range c.seeds {
+		if !slices.Contains(all, s) {
+			all = append(slices.Clone(all), s)
+		}
+	}
+	if c.leader != "" {
+		return c.leader, len(all)
+	}
+	if len(all) == 0 {
+		return "", 0
+	}
+	c.next++
+	return all[c.next%len(all)], len(all)
+}
+
+func (c *Client) note(address string, r *Reply, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case err != nil:
+		if c.leader == address {
+			c.leader = ""
+		}
+	case r.NotLeader:
+		c.leader = ""
+		if r.Leader != address {
+			c.leader = r.Leader
+		}
+	default:
+		c.leader, c.heard = address, time.Now()
+		if len(r.Members) > 0 {
+			c.members = r.Members
+		}
+	}
+}
+
+// forget makes the next try go to another process.
+func (c *Client) forget(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader == address {
+		c.leader = ""
+	}
+}
+
+// Do calls the leader until it answers or the context ends. The reply's Unknown
+// is set if a try without an answer may have been carried out.
+func (c *Client) Do(ctx context.Context, call *Call) *Reply {
+	data, err := cbor.Marshal(call)
+	if err != nil {
+		return &Reply{Refused: err.Error()}
+	}
+	sent := ""
+	for tries := 1; ; tries++ {
+		address, known := c.target()
+		if address == "" {
+			return &Reply{Refused: "no control process is known"}
+		}
+		var r Reply
+		reached, err := c.try(ctx, address, data, &r)
+		c.note(address, &r, err)
+		switch {
+		case err == nil && r.Unknown != "":
+			// The call is idempotent, so a leader that knows its outcome is asked.
+			sent = r.Unknown
+			c.forget(address)
+		case err == nil && !r.NotLeader:
+			if r.Refused != "" && sent != "" {
+				return &Reply{Unknown: sent}
+			}
+			return &r
+		case err != nil && reached:
+			sent = err.Error()
+		}
+		if err == nil && r.NotLeader {
+			err = errors.Errorf("%s does not lead; leader %q", address, r.Leader)
+		}
+		if tries%max(1, known) == 0 || r.NotLeader || r.Unknown != "" {
+			sleep(ctx, roundPause)
+		}
+		if ctx.Err() != nil {
+			if sent != "" {
+				return &Reply{Unknown: sent}
+			}
+			return &Reply{Refused: err.Error()}
+		}
+	}
+}
+
+// try makes one call. It reports whether the process may have received it.
+func (c *Client) try(ctx context.Context, address string, data []byte, r *Reply) (reached bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	return Post(ctx, c.http, address, callPath, data, r)
+}
+
+// Post sends encoded bytes and decodes the answer. It reports whether the
+// process may have received the bytes.
+func Post(ctx context.Context, client *http.Client, address, path string, data []byte, answer any) (reached bool, err error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(data))
+	if err != nil {
+		return false, port.AtStep("call", address, err)
+	}
+	request.Header.Set("Content-Type", "application/cbor")
+	response, err := client.Do(request)
+	if err != nil {
+		var dial *net.OpError
+		refused := errors.As(err, &dial) && dial.Op == "dial"
+		return !refused, port.AtStep("call", address, err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBody))
+	if err != nil {
+		return true, port.AtStep("read answer", address, err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return true, port.AtStep("call", address, errors.Errorf("status %d: %.200s", response.StatusCode, body))
+	}
+	return true, port.AtStep("decode answer", address, cbor.Unmarshal(body, answer))
+}
+
+// Ask obtains advice through another process.
+func (c *Client) Ask(ctx context.Context, address string, q *AdviceQuestion) *AdviceAnswer {
+	data, err := cbor.Marshal(q)
+	if err != nil {
+		return &AdviceAnswer{Error: err.Error()}
+	}
+	var a AdviceAnswer
+	if _, err := Post(ctx, c.http, address, advicePath, data, &a); err != nil {
+		return &AdviceAnswer{Error: err.Error()}
+	}
+	return &a
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/cellapi/message.go
@@ -0,0 +1,78 @@
+package cellapi
+
+import "laburnumgrade/internal/cell"
+
+// Call is a request to the leader; one field is set.
+type Call struct {
+	Submit    *cell.Submit        `cbor:"1,keyasint,omitempty"`
+	Status    *cell.Request       `cbor:"2,keyasint,omitempty"`
+	Cancel    *cell.Request       `cbor:"3,keyasint,omitempty"`
+	Configure *cell.Configuration `cbor:"4,keyasint,omitempty"`
+	Read      *Read               `cbor:"5,keyasint,omitempty"`
+	Report    *Report             `cbor:"6,keyasint,omitempty"`
+	Announce  *Announce           `cbor:"7,keyasint,omitempty"`
+	Join      *Join               `cbor:"8,keyasint,omitempty"`
+}
+
+// Read asks for the configuration in force.
+type Read struct{}
+
+// Report is what a worker said of itself.
+type Report struct {
+	cell.Register
+	// Sequence grows with each report of a life.
+	Sequence uint64
+	// ClockMS is the worker's own clock in milliseconds.
+	ClockMS int64
+}
+
+// Announce tells the leader that a process can be asked for advice.
+type Announce struct {
+	// Peer is where the process serves calls of other processes.
+	Peer string
+}
+
+// Join tells the leader that a replica lives.
+type Join struct {
+	Replica string
+	Peer    string
+	Public  string
+}
+
+// Reply answers a Call.
+type Reply struct {
+	Verdict cell.Verdict   `cbor:"1,keyasint,omitempty"`
+	Status  cell.JobStatus `cbor:"2,keyasint,omitempty"`
+	// Pending is set if the request named a queue.
+	Pending *int `cbor:"3,keyasint,omitempty"`
+	// Source is the configuration as it was sent.
+	Source []byte `cbor:"4,keyasint,omitempty"`
+	// Members are the peer addresses of the control processes.
+	Members []string `cbor:"5,keyasint,omitempty"`
+	// Public is where the leader takes reports of workers.
+	Public string `cbor:"6,keyasint,omitempty"`
+	// Refused says why the call was certainly not carried out.
+	Refused string `cbor:"7,keyasint,omitempty"`
+	// Unknown says why it may or may not have been carried out.
+	Unknown string `cbor:"8,keyasint,omitempty"`
+	// Leader is the peer address of the leader, if the process asked does not
+	// lead; the call was not carried out.
+	Leader    string `cbor:"9,keyasint,omitempty"`
+	NotLeader bool   `cbor:"10,keyasint,omitempty"`
+}
+
+// AdviceQuestion asks which of the workers may run a step.
+type AdviceQuestion struct {
+	Step    cell.StepKey
+	Workers []string
+	// TimeoutMS bounds the call, in milliseconds.
+	TimeoutMS int64
+}
+
+// AdviceAnswer names the workers that may run the step, each with a ticket.
+type AdviceAnswer struct {
+	Tickets    map[string]string
+	ValidityMS int64
+	// Error is set if there was no answer.
+	Error string
+}
--- a/internal/config/start.go
+++ b/internal/config/start.go
@@ -14,6 +14,17 @@
 	Check    bool   `long:"check" description:"check the settings file, print every setting with its default, and exit"`
 }
 
+// Path returns the settings file that a command line names. Start must have
+// accepted the command line.
+func Path(args []string) string {
+	var given arguments
+	parser := flags.NewParser(&given, flags.PassDoubleDash)
+	if _, err := parser.ParseArgs(args); err != nil {
+		return ""
+	}
+	return given.Settings
+}
+
 // Exit codes of Start.
 const (
 	exitOK    = 0
--- /dev/null
+++ b/internal/dispatch/leader.go
@@ -0,0 +1,147 @@
+package dispatch
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"laburnumgrade/internal/cell"
+	"laburnumgrade/internal/logging"
+	"laburnumgrade/internal/port"
+)
+
+const (
+	// leadInterval is how often a process looks whether it leads.
+	leadInterval = 20 * time.Millisecond
+	// planInterval is how often the leader plans without an event.
+	planInterval = 50 * time.Millisecond
+	// proposeTimeout bounds a commit; an election takes up to 2 s.
+	proposeTimeout = 3 * time.Second
+)
+
+// Config states what a Leader works with.
+type Config struct {
+	Log     Log
+	Store   *cell.Store
+	Clock   port.Clock
+	Workers Workers
+	Callers AdviceCallers
+	// Self is the peer address of this process.
+	Self string
+	// Public is where this process takes reports of workers.
+	Public string
+	// Members returns the peer addresses of the control processes.
+	Members func() []string
+	// Joined is told of each replica that announces itself.
+	Joined func(replica, peer, public string)
+	Bounds Bounds
+	Logger *slog.Logger
+	Scope  tally.Scope
+}
+
+// Bounds are the limits in time that the site states.
+type Bounds struct {
+	// MaxLease bounds a worker's lease.
+	MaxLease time.Duration
+	// KeepEnded is how long the state of an ended job can be asked for.
+	KeepEnded time.Duration
+	// RemoteFactor is how much longer work takes off its rack.
+	RemoteFactor float64
+}
+
+// Leader runs on every control process and acts while the process leads.
+type Leader struct {
+	Config
+	wake chan struct{}
+
+	mu   sync.Mutex
+	term *term
+}
+
+// New returns a leader that is to be run. Its Applied method must be called with
+// each command that the store has applied.
+func New(c Config) *Leader {
+	return &Leader{Config: c, wake: make(chan struct{}, 1)}
+}
+
+// Applied notes that the state has changed.
+func (l *Leader) Applied(c *cell.Command) {
+	if c.Cancel != nil || c.Lapse != nil || c.Note != nil || c.Register != nil {
+		if t := l.current(); t != nil {
+			t.pokeAffected(c)
+		}
+	}
+	l.signal()
+}
+
+func (l *Leader) signal() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (l *Leader) current() *term {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.term
+}
+
+// Run acts while the process leads, until the context ends.
+func (l *Leader) Run(ctx context.Context) {
+	ticker := time.NewTicker(leadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if since, leads := l.Log.Lease(); leads {
+			l.lead(ctx, since)
+		}
+	}
+}
+
+// lead acts as the leader until the lease is lost.
+func (l *Leader) lead(ctx context.Context, since time.Duration) {
+	number, _ := l.Log.Term()
+	if s, leads := l.Log.Lease(); !leads || s != since {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	t := newTerm(ctx, l, number, l.Clock.Now())
+	l.mu.Lock()
+	l.term = t
+	l.mu.Unlock()
+	l.Logger.Info("leading the cell", logging.Step("lead"), "term", number)
+	t.run()
+	l.mu.Lock()
+	l.term = nil
+	l.mu.Unlock()
+	cancel()
+	t.wait()
+	l.Logger.Info("no longer leading the cell", logging.Step("lead"), "term", number)
+}
+
+// propose commits a command and returns the result of applying it.
+func (l *Leader) propose(ctx context.Context, c *cell.Command) (any, error) {
+	data, err := cell.Encode(c)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	result, err := l.Log.Propose(ctx, data)
+	if err != nil {
+		return nil, err
+	}
+	if failed, ok := result.(error); ok {
+		return nil, errors.Wrap(failed, "apply command")
+	}
+	return result, nil
+}
--- /dev/null
+++ b/internal/dispatch/ports.go
@@ -0,0 +1,137 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"laburnumgrade/internal/cell"
+	"laburnumgrade/internal/cellapi"
+	"laburnumgrade/internal/port"
+)
+
+// Log is the replicated log of the cell.
+type Log interface {
+	port.Log
+	// Term returns the current term, which fences orders, and the commit index.
+	Term() (term, commit uint64)
+}
+
+// Target is one life of a worker as it is called.
+type Target struct {
+	ID      string
+	Address string
+}
+
+// StartOrder makes a worker start an attempt.
+type StartOrder struct {
+	Task   cell.TaskKey
+	Run    uint32
+	Spec   string
+	Saved  string
+	Ticket string
+	// DeadlineMS is on the worker's clock; later the order has no effect.
+	DeadlineMS int64
+	Fence      uint64
+}
+
+// StopOrder makes a worker stop an attempt, or never start it.
+type StopOrder struct {
+	Task  cell.TaskKey
+	Run   uint32
+	Fence uint64
+}
+
+// HoldOrder extends the lease of all that runs on a worker and asks what does.
+type HoldOrder struct {
+	// DeadlineMS is the end of the lease on the worker's clock, 0 to leave it.
+	DeadlineMS int64
+	Fence      uint64
+	// Noted is the number of the newest end that is durably known.
+	Noted uint64
+	// Wait is how long the worker may wait for an end before it answers.
+	Wait time.Duration
+}
+
+// Answer is how a worker answered a start or stop.
+type Answer uint8
+
+// Answers.
+const (
+	// Done orders are carried out.
+	Done Answer = iota + 1
+	// StaleFence says that the worker follows a later leader.
+	StaleFence
+	// StaleRun says that the run has ended or was stopped there.
+	StaleRun
+	// PastDeadline says that the order came too late.
+	PastDeadline
+	// NoRoom says that the worker refuses for want of capacity.
+	NoRoom
+	// BadTicket says that the worker refuses the ticket.
+	BadTicket
+	// OtherLife says that another life answers at the address.
+	OtherLife
+	// Unhealthy workers have done nothing.
+	Unhealthy
+	// Invalid orders could not be read.
+	Invalid
+)
+
+// OrderReply is a worker's reply to a start or stop.
+type OrderReply struct {
+	Answer Answer
+	// ClockMS is the worker's clock, 0 if it is not stated.
+	ClockMS int64
+}
+
+// Running is an attempt that a worker lists as running.
+type Running struct {
+	Task cell.TaskKey
+	Run  uint32
+	// Saved is the newest checkpoint.
+	Saved string
+	// Percent is how much of the work is done; of a lasting task 100 means that
+	// it is at work.
+	Percent float64
+	// Load is the response time tail of a lasting task in milliseconds, or the
+	// processors in use in thousandths.
+	Load float64
+}
+
+// ListedEnd is an end that a worker lists until it is noted.
+type ListedEnd struct {
+	Number uint64
+	cell.End
+}
+
+// Listing is what a worker says of the attempts it has.
+type Listing struct {
+	Answer  Answer
+	ClockMS int64
+	Born    int64
+	Running []Running
+	Ended   []ListedEnd
+}
+
+// Workers calls workers. An error means that there was no answer; the order may
+// be carried out later, unless the error is a *NotSentError.
+type Workers interface {
+	Start(ctx context.Context, t Target, o *StartOrder) (OrderReply, error)
+	Stop(ctx context.Context, t Target, o *StopOrder) (OrderReply, error)
+	Hold(ctx context.Context, t Target, o *HoldOrder) (*Listing, error)
+}
+
+// NotSentError says that no byte of an order has left.
+type NotSentError struct{ Err error }
+
+// Error implements error.
+func (e *NotSentError) Error() string { return "not sent: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Err }
+
+// AdviceCallers obtain advice from processes of the cell; each process makes one
+// call at a time.
+type AdviceCallers interface {
+	Ask(ctx context.Context, peer string, q *cellapi.AdviceQuestion) *cellapi.AdviceAnswer
+}
--- /dev/null
+++ b/internal/dispatch/serve.go
@@ -0,0 +1,237 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"laburnumgrade/internal/cell"
+	"laburnumgrade/internal/cellapi"
+	"laburnumgrade/internal/logging"
+	"laburnumgrade/internal/port"
+	"laburnumgrade/internal/replica"
+)
+
+var _ cellapi.Service = (*Leader)(nil)
+
+// Do implements cellapi.Service.
+func (l *Leader) Do(ctx context.Context, c *cellapi.Call) *cellapi.Reply {
+	t := l.current()
+	since, leads := l.Log.Lease()
+	if t == nil || !leads {
+		return l.notLeader()
+	}
+	r := l.answer(ctx, t, c)
+	// What was read counts only if nobody else could lead until now.
+	if s, still := l.Log.Lease(); (!still || s != since) && r.Refused == "" && r.Unknown == "" && !changes(c) {
+		return l.notLeader()
+	}
+	r.Members = l.Members()
+	r.Public = l.Public
+	return r
+}
+
+// changes reports whether the call's answer rests on a commit, not on a lease.
+func changes(c *cellapi.Call) bool {
+	return c.Submit != nil || c.Cancel != nil || c.Configure != nil || c.Report != nil
+}
+
+func (l *Leader) notLeader() *cellapi.Reply {
+	_, address := l.Log.Leader()
+	if address == l.Self {
+		address = ""
+	}
+	return &cellapi.Reply{NotLeader: true, Leader: address}
+}
+
+func (l *Leader) answer(ctx context.Context, t *term, c *cellapi.Call) *cellapi.Reply {
+	switch {
+	case c.Submit != nil:
+		return l.submit(ctx, c.Submit)
+	case c.Status != nil:
+		return l.status(c.Status)
+	case c.Cancel != nil:
+		return l.commit(ctx, &cell.Command{Cancel: c.Cancel})
+	case c.Configure != nil:
+		return l.configure(ctx, c.Configure)
+	case c.Read != nil:
+		return l.read()
+	case c.Report != nil:
+		return t.report(ctx, c.Report)
+	case c.Announce != nil:
+		t.advice.announce(c.Announce.Peer, l.Clock.Now())
+		return &cellapi.Reply{Verdict: cell.Accepted}
+	case c.Join != nil:
+		l.Joined(c.Join.Replica, c.Join.Peer, c.Join.Public)
+		t.advice.announce(c.Join.Peer, l.Clock.Now())
+		return &cellapi.Reply{Verdict: cell.Accepted}
+	}
+	return &cellapi.Reply{Refused: "the call is empty"}
+}
+
+// commit proposes a command whose result is a verdict.
+func (l *Leader) commit(ctx context.Context, c *cell.Command) *cellapi.Reply {
+	result, err := l.propose(ctx, c)
+	if err != nil {
+		return l.failure(err)
+	}
+	v, ok := result.(cell.Verdict)
+	if !ok {
+		return &cellapi.Reply{Unknown: "the state answered without a verdict"}
+	}
+	return &cellapi.Reply{Verdict: v}
+}
+
+// failure tells a command that was certainly not committed from one that may be.
+func (l *Leader) failure(err error) *cellapi.Reply {
+	var notLeader *port.NotLeaderError
+	if errors.As(err, &notLeader) {
+		return l.notLeader()
+	}
+	if errors.Is(err, replica.ErrOverloaded) || errors.Is(err, context.DeadlineExceeded) && !unknown(err) {
+		return &cellapi.Reply{Refused: err.Error()}
+	}
+	return &cellapi.Reply{Unknown: err.Error()}
+}
+
+func unknown(err error) bool {
+	var outcome *replica.OutcomeUnknownError
+	return errors.As(err, &outcome)
+}
+
+func (l *Leader) submit(ctx context.Context, c *cell.Submit) *cellapi.Reply {
+	var verdict cell.Verdict
+	known := false
+	l.Store.View(func(v *cell.View) {
+		if verdict = v.Authorize(&c.Request); verdict == cell.Accepted {
+			_, s := v.Status(&c.Request)
+			known = s == cell.Accepted
+		}
+	})
+	if known || verdict != cell.Accepted {
+		return &cellapi.Reply{Verdict: verdict}
+	}
+	return l.commit(ctx, &cell.Command{Submit: c})
+}
+
+func (l *Leader) status(r *cell.Request) *cellapi.Reply {
+	reply := &cellapi.Reply{}
+	l.Store.View(func(v *cell.View) {
+		if v.IsQueue(r) {
+			var n int
+			n, reply.Verdict = v.Pending(r)
+			reply.Pending = &n
+			return
+		}
+		reply.Status, reply.Verdict = v.Status(r)
+	})
+	return reply
+}
+
+func (l *Leader) configure(ctx context.Context, c *cell.Configuration) *cellapi.Reply {
+	if err := c.Validate(); err != nil {
+		l.Logger.Info("configuration refused", logging.Step("configure"), "version", c.Version, logging.Error(err))
+		return &cellapi.Reply{Verdict: cell.BadJob}
+	}
+	var held int64
+	l.Store.View(func(v *cell.View) {
+		if now := v.Configuration(); now != nil {
+			held = now.Version
+		}
+	})
+	if c.Version <= held {
+		l.Logger.Info("configuration overtaken", logging.Step("configure"), "version", c.Version, "held", held)
+		return &cellapi.Reply{Verdict: cell.Accepted}
+	}
+	r := l.commit(ctx, &cell.Command{Configure: c})
+	l.Logger.Info("configuration put", logging.Step("configure"), "version", c.Version, "held", held, "verdict", r.Verdict, "unknown", r.Unknown)
+	return r
+}
+
+func (l *Leader) read() *cellapi.Reply {
+	reply := &cellapi.Reply{Verdict: cell.NoConfiguration}
+	l.Store.View(func(v *cell.View) {
+		if c := v.Configuration(); c != nil {
+			reply.Verdict, reply.Source = cell.Accepted, c.Source
+		}
+	})
+	return reply
+}
+
+// report takes in what a worker says of itself; what changes its record is
+// committed before it is acknowledged.
+func (t *term) report(ctx context.Context, r *cellapi.Report) *cellapi.Reply {
+	changed := true
+	t.l.Store.View(func(v *cell.View) {
+		w := v.Worker(r.ID)
+		if r.Left {
+			changed = w != nil && complete(&r.Register, w)
+		} else if w != nil {
+			changed = differs(w, &r.Register)
+		}
+	})
+	t.heard(r)
+	if !changed {
+		return &cellapi.Reply{Verdict: cell.Accepted}
+	}
+	if _, err := t.l.propose(ctx, &cell.Command{Register: &r.Register}); err != nil {
+		return t.l.failure(err)
+	}
+	t.l.Logger.Info("worker registered", logging.Step("register"), logging.Peer(r.ID), "address", r.Address, "born", r.Born, "draining", r.Draining, "left", r.Left)
+	return &cellapi.Reply{Verdict: cell.Accepted}
+}
+
+// complete fills in what a worker that leaves does not repeat. It returns false
+// if the report is not about the life that is known.
+func complete(r *cell.Register, w *cell.Worker) bool {
+	if w.Gone || r.Born != 0 && r.Born != w.Born {
+		return false
+	}
+	*r = cell.Register{
+		ID: w.ID, Born: w.Born, Address: w.Address, DataCentre: w.DataCentre, Service: w.Service,
+		Capacity: w.Capacity, Labels: w.Labels, Draining: true, Left: true,
+	}
+	return true
+}
+
+// differs reports whether a report would change the worker's record.
+func differs(w *cell.Worker, r *cell.Register) bool {
+	if r.Born < w.Born || r.Born == w.Born && w.Gone {
+		return false
+	}
+	return w.Born != r.Born || w.Address != r.Address || w.Service != r.Service || w.DataCentre != r.DataCentre ||
+		w.Capacity != r.Capacity || !slices.Equal(w.Labels, r.Labels) || r.Draining && !w.Draining || r.Left
+}
+
+// forgetEnded drops jobs that ended long ago, until the term is over.
+func (t *term) forgetEnded() {
+	seen := map[string]time.Duration{}
+	for t.pause(t.l.Bounds.KeepEnded / 8) {
+		now := t.l.Clock.Now()
+		var old []string
+		t.l.Store.View(func(v *cell.View) {
+			for id, j := range v.Jobs() {
+				if j.State == cell.Active {
+					continue
+				}
+				at, known := seen[id]
+				if !known {
+					seen[id] = now
+				} else if now-at > t.l.Bounds.KeepEnded {
+					old = append(old, id)
+				}
+			}
+		})
+		if len(old) == 0 {
+			continue
+		}
+		if _, err := t.l.propose(t.ctx, &cell.Command{Forget: &cell.Forget{Jobs: old}}); err != nil {
+			continue // tried again in the next round
+		}
+		for _, id := range old {
+			delete(seen, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatch/term.go
@@ -0,0 +1,237 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"laburnumgrade/internal/cell"
+	"laburnumgrade/internal/cellapi"
+	"laburnumgrade/internal/logging"
+)
+
+const (
+	// planGap is the least time between two plans, so that events that arrive
+	// together are planned together.
+	planGap = 8 * time.Millisecond
+	// stopRepeat is after how long a stop without effect is sent again.
+	stopRepeat = 400 * time.Millisecond
+)
+
+// term is what a leader knows beyond the replicated state. It is lost with the
+// leadership and learned anew by the next leader.
+type term struct {
+	l      *Leader
+	ctx    context.Context
+	number uint64
+	began  time.Duration
+	advice *adviceDesk
+	speeds *speedBook
+	tasks  sync.WaitGroup
+
+	mu       sync.Mutex
+	sessions map[string]*session
+	// arrived is when the leader first saw a job.
+	arrived map[string]time.Duration
+	stops   map[stopKey]time.Duration
+}
+
+type stopKey struct {
+	worker string
+	task   cell.TaskKey
+	run    uint32
+}
+
+func newTerm(ctx context.Context, l *Leader, number uint64, now time.Duration) *term {
+	t := &term{
+		l: l, ctx: ctx, number: number, began: now, sessions: map[string]*session{},
+		arrived: map[string]time.Duration{}, stops: map[stopKey]time.Duration{}, speeds: newSpeedBook(),
+	}
+	t.advice = newAdviceDesk(t)
+	return t
+}
+
+// spawn runs f; wait returns only after it has.
+func (t *term) spawn(f func()) {
+	t.tasks.Add(1)
+	go func() {
+		defer t.tasks.Done()
+		f()
+	}()
+}
+
+func (t *term) wait() { t.tasks.Wait() }
+
+// leads reports whether orders may still be given.
+func (t *term) leads() bool {
+	_, leads := t.l.Log.Lease()
+	number, _ := t.l.Log.Term()
+	return leads && number == t.number && t.ctx.Err() == nil
+}
+
+// pause waits and reports whether the term goes on.
+func (t *term) pause(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-t.ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// run plans until the lease is lost.
+func (t *term) run() {
+	t.spawn(t.forgetEnded)
+	ticker := time.NewTicker(planInterval)
+	defer ticker.Stop()
+	for t.leads() {
+		t.syncSessions()
+		t.stopUnwanted()
+		t.openDue()
+		t.planOnce()
+		if !t.pause(planGap) {
+			return
+		}
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-t.l.wake:
+		case <-ticker.C:
+		}
+	}
+}
+
+// session returns the session of a worker's life, nil if there is none.
+func (t *term) session(worker string, born int64) *session {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.sessions[worker]; s != nil && s.born == born {
+		return s
+	}
+	return nil
+}
+
+// syncSessions starts a session for each life of a worker.
+func (t *term) syncSessions() {
+	var fresh []*session
+	t.l.Store.View(func(v *cell.View) {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		for id, w := range v.Workers() {
+			s := t.sessions[id]
+			if s != nil && s.born == w.Born && s.target.Address == w.Address {
+				continue
+			}
+			if w.Gone && len(w.Attempts) == 0 {
+				continue
+			}
+			n := newSession(t, w)
+			if s != nil {
+				s.end()
+				if s.born == w.Born {
+					n.clock, n.attempts = s.handOver()
+				}
+			}
+			t.sessions[id] = n
+			fresh = append(fresh, n)
+		}
+	})
+	for _, s := range fresh {
+		t.spawn(s.run)
+	}
+}
+
+// heard takes in a report of a worker.
+func (t *term) heard(r *cellapi.Report) {
+	if s := t.session(r.ID, r.Born); s != nil {
+		s.reported(r, t.l.Clock.Now())
+	}
+}
+
+// pokeAffected wakes the sessions that a command concerns.
+func (t *term) pokeAffected(c *cell.Command) {
+	if c.Register == nil {
+		return
+	}
+	if s := t.session(c.Register.ID, c.Register.Born); s != nil {
+		s.poke()
+	}
+}
+
+// stopUnwanted sends stops for attempts whose job has ended or whose gang is
+// not complete any more.
+func (t *term) stopUnwanted() {
+	now := t.l.Clock.Now()
+	var orders []stopKey
+	t.l.Store.View(func(v *cell.View) {
+		for id, w := range v.Workers() {
+			if w.Gone {
+				continue
+			}
+			for key, a := range w.Attempts {
+				if !wanted(v, key, a.Run) {
+					orders = append(orders, stopKey{id, key, a.Run})
+				}
+			}
+		}
+	})
+	for _, o := range orders {
+		t.mu.Lock()
+		last, sent := t.stops[o]
+		due := !sent || now-last > stopRepeat
+		if due {
+			t.stops[o] = now
+		}
+		s := t.sessions[o.worker]
+		t.mu.Unlock()
+		if due && s != nil {
+			t.spawn(func() { s.stop(o.task, o.run) })
+		}
+	}
+	if len(orders) == 0 {
+		t.mu.Lock()
+		clear(t.stops)
+		t.mu.Unlock()
+	}
+}
+
+// wanted reports whether an attempt is to go on.
+func wanted(v *cell.View, key cell.TaskKey, run uint32) bool {
+	j := v.Job(key.Job)
+	if j == nil || j.State != cell.Active || key.Occurrence >= len(j.Runs) {
+		return false
+	}
+	step, sr := &j.Steps[key.Step], &j.Runs[key.Occurrence][key.Step]
+	if sr.Tasks[key.Index].Run != run {
+		return false
+	}
+	return !step.Gang || sr.Done == len(sr.Tasks) || sr.Open == len(sr.Tasks)
+}
+
+// openDue makes the occurrences of scheduled jobs due when it is time.
+func (t *term) openDue() {
+	nowMS := time.Now().UnixMilli()
+	var due []cell.OpenDue
+	t.l.Store.View(func(v *cell.View) {
+		for id, j := range v.Jobs() {
+			next := len(j.Runs)
+			if j.State == cell.Active && next < j.Schedule.Times && nowMS >= j.Schedule.StartMS+int64(next)*j.Schedule.IntervalMS {
+				due = append(due, cell.OpenDue{Job: id, Occurrence: next})
+			}
+		}
+	})
+	for _, d := range due {
+		if _, err := t.l.propose(t.ctx, &cell.Command{Open: &d}); err != nil {
+			t.l.Logger.Warn("occurrence not opened", logging.Step("open occurrence"), logging.Job(d.Job), logging.Error(err))
+			return // tried again with the next plan
+		}
+	}
+}
+
+// note commits ends of attempts on a worker.
+func (t *term) note(worker string, born int64, upto uint64, ends []cell.End) error {
+	_, err := t.l.propose(t.ctx, &cell.Command{Note: &cell.Note{Worker: worker, Born: born, Upto: upto, Ends: ends}})
+	return err
+}
--- a/internal/membership/next.go
+++ b/internal/membership/next.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -45,6 +46,8 @@
 	// Heard returns when a voter was last heard of.
 	Heard func(id string) time.Duration
 	Now   time.Duration
+	// Silent replaces the constant of that name if it is not 0.
+	Silent time.Duration
 }
 
 // Kind is the kind of a membership change.
@@ -150,8 +153,9 @@
 	if !ok {
 		return Change{}
 	}
+	silent := cmp.Or(v.Silent, Silent)
 	for _, old := range v.Voters {
-		if v.Now-v.Heard(old.ID) > Silent {
+		if v.Now-v.Heard(old.ID) > silent {
 			return Change{Kind: Replace, Old: old.ID, New: c.Replica}
 		}
 	}
