dispatch: calls for advice that end

Each plan chose other workers than those whose tickets had been renewed, higher work took their room meanwhile, and each worker that got room led to a call of its own. Change: workers with valid tickets rank first; a renewal names all workers with room and keeps the room; a call names full workers too; callers get calls at most 0.9 s ahead.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -12,12 +12,15 @@
 
 const (
 	// callerLife is how long a process that announced itself can be asked.
-	callerLife = 3 * time.Second
+	callerLife = 1600 * time.Millisecond
+	// maxBacklog is how far ahead a caller is given calls. What is asked further
+	// ahead is answered when its step may no longer be first in order.
+	maxBacklog = 900 * time.Millisecond
 	// ticketMargin is how long a ticket must still hold when a start is planned:
 	// the commit and the order take some milliseconds.
 	ticketMargin = 150 * time.Millisecond
 	// adviceSlack is how much longer than stated a call for advice may take.
-	adviceSlack = 700 * time.Millisecond
+	adviceSlack = 400 * time.Millisecond
 )
 
 // adviceDesk keeps the advice for steps and spreads the calls for it over the
@@ -111,9 +114,10 @@
 			best, bestAt = peer, at
 		}
 	}
-	if best != "" {
-		d.callers[best].free = bestAt + cost
+	if best == "" || bestAt > now+maxBacklog {
+		return ""
 	}
+	d.callers[best].free = bestAt + cost
 	return best
 }
 
@@ -130,8 +134,7 @@
 	cost := time.Duration((q.terms.DecideMS + q.terms.PerWorkerMS*float64(len(q.workers))) * float64(time.Millisecond))
 	peer := d.choose(now, cost)
 	if peer == "" {
-		s.retryAt = now + retryPause
-		return
+		return // asked again with a later plan
 	}
 	timeout := max(0, d.callers[peer].free-now) + adviceSlack
 	s.waiting++
@@ -181,7 +184,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.steps[k]
-	if s == nil {
+	if s == nil || s.waiting == 0 && len(s.asked) == 0 && s.retryAt == 0 {
 		return nil
 	}
 	c := &stepAdvice{asked: make(map[string]bool, len(s.asked)), tickets: make(map[string]ticket, len(s.tickets)), waiting: s.waiting, held: s.held, retryAt: s.retryAt}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -16,6 +16,8 @@
 	askWorkers = 30
 	// reservedGangs is how many gangs that do not fit keep room from others.
 	reservedGangs = 2
+	// renewalCost puts workers with a valid ticket before all others.
+	renewalCost = 10
 	// hopeless jobs have waited this many times their objective and go last.
 	hopeless = 3
 )
@@ -44,6 +46,8 @@
 	// deadline is when the job is meant to be complete.
 	deadline time.Duration
 	late     bool
+	// advice is what is known of the step's workers, nil if nothing is.
+	advice *stepAdvice
 }
 
 // ask is a call for advice that a plan wants.
@@ -216,6 +220,16 @@
 
 // decide goes through the wishes in order.
 func (p *planner) decide(wishes []*wish) {
+	for _, w := range wishes {
+		if w.queue.Advice == nil {
+			continue
+		}
+		// Room for which tickets are being renewed is given to nobody else, or
+		// the renewal would have to be repeated without end.
+		if w.advice = p.advice(w.key); w.advice != nil && w.advice.waiting > 0 {
+			p.keep(w.advice.held, w)
+		}
+	}
 	for _, w := range wishes {
 		p.serve(w)
 	}
@@ -223,18 +237,13 @@
 
 // serve places what it can of a step, or asks for advice.
 func (p *planner) serve(w *wish) {
-	var advice *stepAdvice
+	advice := w.advice
 	if w.queue.Advice != nil {
-		advice = p.advice(w.key)
 		if advice == nil {
 			p.want(w, p.unasked(w, nil), nil)
 			return
 		}
-		if advice.waiting > 0 {
-			p.keep(advice.held, w)
-			return
-		}
-		if p.now < advice.retryAt {
+		if advice.waiting > 0 || p.now < advice.retryAt {
 			return
 		}
 	}
@@ -268,8 +277,8 @@
 		return
 	}
 	if advice != nil {
-		if stale := p.stale(placed, advice); len(stale) > 0 {
-			p.want(w, stale, placed)
+		if p.stale(placed, advice) {
+			p.want(w, p.renewals(w, placed, fitting, advice), placed)
 			return
 		}
 	}
@@ -346,7 +355,10 @@
 			value = 2 - factor + 0.2*spare - 2
 		}
 		if w.step.DataRack != "" && !c.worker.Has(w.step.DataRack) {
-			value += 1
+			value++
+		}
+		if w.advice != nil && !p.valid(w.advice, c.id) {
+			value += renewalCost
 		}
 		return value
 	}
@@ -420,10 +432,7 @@
 		return
 	}
 	p.gangs++
-	advice := (*stepAdvice)(nil)
-	if w.queue.Advice != nil {
-		advice = p.advice(w.key)
-	}
+	advice := w.advice
 	var list []*candidate
 	for _, c := range p.candidates {
 		if c.service != w.queue.Service || c.kept || !c.worker.Has(w.step.Label) {
@@ -459,27 +468,60 @@
 	return n
 }
 
-// unasked returns the workers to ask about next: those with room first.
+// unasked returns the workers to ask about next, those with room first; none if
+// none of them has room. Workers without room are asked about as well: one more
+// name in a call costs far less than one more call.
 func (p *planner) unasked(w *wish, advice *stepAdvice) []*candidate {
-	var list []*candidate
+	var roomy, full []*candidate
 	for _, c := range p.candidates {
-		if advice != nil && advice.asked[c.id] && (advice.tickets[c.id].born == c.born || advice.tickets[c.id].born == 0) {
+		if c.service != w.queue.Service || !c.worker.Has(w.step.Label) || advice.covers(c) {
 			continue
 		}
 		if p.fits(w, c) {
-			list = append(list, c)
+			roomy = append(roomy, c)
+		} else {
+			full = append(full, c)
 		}
 	}
-	p.rank(w, list)
+	if len(roomy) == 0 {
+		return nil
+	}
+	p.rank(w, roomy)
+	p.rank(w, full)
+	list := append(roomy, full...)
 	return list[:min(len(list), askWorkers)]
 }
 
-// stale returns the workers of placements whose tickets run out too soon.
-func (p *planner) stale(placed []cell.Placement, advice *stepAdvice) []*candidate {
+// covers reports whether the service was asked about this life of a worker.
+func (s *stepAdvice) covers(c *candidate) bool {
+	if s == nil || !s.asked[c.id] {
+		return false
+	}
+	k, allowed := s.tickets[c.id]
+	return !allowed || k.born == c.born
+}
+
+// valid reports whether the ticket of a worker holds long enough for a start.
+func (p *planner) valid(advice *stepAdvice, worker string) bool {
+	return advice.tickets[worker].until >= p.now+ticketMargin
+}
+
+// stale reports whether a placement's ticket runs out too soon.
+func (p *planner) stale(placed []cell.Placement, advice *stepAdvice) bool {
+	return slices.ContainsFunc(placed, func(c cell.Placement) bool { return !p.valid(advice, c.Worker) })
+}
+
+// renewals returns the workers whose tickets to renew: those of the placements,
+// then others with room, because naming one more worker costs little.
+func (p *planner) renewals(w *wish, placed []cell.Placement, fitting []*candidate, advice *stepAdvice) []*candidate {
 	var list []*candidate
 	for i := range placed {
-		c := p.byID[placed[i].Worker]
-		if advice.tickets[c.id].until < p.now+ticketMargin && !slices.Contains(list, c) {
+		if c := p.byID[placed[i].Worker]; !slices.Contains(list, c) {
+			list = append(list, c)
+		}
+	}
+	for _, c := range fitting {
+		if len(list) < askWorkers && !p.valid(advice, c.id) && !slices.Contains(list, c) {
 			list = append(list, c)
 		}
 	}
--- /dev/null
+++ b/internal/dispatch/plan_test.go
@@ -0,0 +1,142 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumgrade/internal/cell"
+	"laburnumgrade/internal/structs"
+)
+
+const service = "planner"
+
+// newPlanner returns a planner with workers of 64 cores at a time of 10 s.
+func newPlanner(workers int, advice map[cell.StepKey]*stepAdvice) *planner {
+	p := &planner{
+		now: 10 * time.Second, byID: map[string]*candidate{}, headroom: map[string]structs.Resources{},
+		advice: func(k cell.StepKey) *stepAdvice { return advice[k] },
+	}
+	for i := range workers {
+		capacity := structs.Resources{MilliCPU: 64_000, MemoryBytes: 128 << 30}
+		c := &candidate{
+			id: fmt.Sprintf("w%02d", i), born: 1, service: service, factor: 1, free: capacity,
+			worker: &cell.Worker{ID: fmt.Sprintf("w%02d", i), Born: 1, Service: service, Capacity: capacity},
+		}
+		p.candidates = append(p.candidates, c)
+		p.byID[c.id] = c
+	}
+	return p
+}
+
+// newWish returns a step of a queue that needs advice.
+func (p *planner) newWish(job string, priority int, step cell.Step) *wish {
+	j := &cell.Job{ID: job, Team: "red", Steps: []cell.Step{step}}
+	p.headroom["red"] = structs.Resources{MilliCPU: 1 << 40, MemoryBytes: 1 << 60, Accelerators: 1}
+	return &wish{
+		key: cell.StepKey{Job: job}, job: j, step: &j.Steps[0], run: &cell.StepRun{Tasks: make([]cell.Task, step.Count)},
+		queue:    &cell.Queue{Service: service, Priority: priority, Advice: &cell.AdviceTerms{DecideMS: 500, PerWorkerMS: 7, ValidityMS: 2000}},
+		expected: time.Second, deadline: time.Minute,
+	}
+}
+
+func gang(count int, cores int64) cell.Step {
+	return cell.Step{Count: count, Gang: true, Size: structs.Resources{MilliCPU: cores * 1000, MemoryBytes: 1 << 30}}
+}
+
+// allowed returns advice that allows the workers until a time.
+func allowed(until time.Duration, workers ...string) *stepAdvice {
+	s := &stepAdvice{asked: map[string]bool{}, tickets: map[string]ticket{}}
+	for _, w := range workers {
+		s.asked[w] = true
+		s.tickets[w] = ticket{value: "t-" + w, until: until, born: 1}
+	}
+	return s
+}
+
+func placedOn(p *planner) []string {
+	var list []string
+	for i := range p.placements {
+		list = append(list, p.placements[i].Worker)
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
+// Guards against a call for advice for each worker as it gets room: workers
+// without room are named in the first call.
+func TestAskNamesFullWorkers(t *testing.T) {
+	p := newPlanner(5, nil)
+	for _, c := range p.candidates[1:] {
+		c.free.MilliCPU = 1000
+	}
+	p.decide([]*wish{p.newWish("a", 1, gang(2, 18))})
+	assert.Equal(t, len(p.asks), 1)
+	assert.Equal(t, len(p.asks[0].workers), 5)
+	assert.Equal(t, p.asks[0].workers[0].id, "w00")
+}
+
+// Guards against calls for advice while no worker could take a task.
+func TestNoAskWithoutRoom(t *testing.T) {
+	p := newPlanner(3, nil)
+	for _, c := range p.candidates {
+		c.free.MilliCPU = 1000
+	}
+	p.decide([]*wish{p.newWish("a", 1, gang(2, 18))})
+	assert.Equal(t, len(p.asks), 0)
+}
+
+// Guards against renewals without end: workers with a valid ticket are chosen
+// before workers that rank better.
+func TestValidTicketsFirst(t *testing.T) {
+	advice := allowed(12*time.Second, "w00", "w01", "w02")
+	for _, w := range []string{"w00", "w02"} {
+		k := advice.tickets[w]
+		k.until = 9 * time.Second
+		advice.tickets[w] = k
+	}
+	p := newPlanner(3, map[cell.StepKey]*stepAdvice{{Job: "a"}: advice})
+	p.candidates[0].factor, p.candidates[2].factor = 0.5, 0.5
+	p.decide([]*wish{p.newWish("a", 0, gang(3, 18))})
+	assert.Equal(t, len(p.asks), 0)
+	assert.DeepEqual(t, placedOn(p), []string{"w01"})
+}
+
+// Guards against a renewal that covers only the chosen workers, so that the next
+// plan, which may choose others, renews again.
+func TestRenewalCoversAllWithRoom(t *testing.T) {
+	advice := allowed(9*time.Second, "w00", "w01", "w02", "w03")
+	p := newPlanner(4, map[cell.StepKey]*stepAdvice{{Job: "a"}: advice})
+	p.decide([]*wish{p.newWish("a", 0, gang(3, 18))})
+	assert.Equal(t, len(p.placements), 0)
+	assert.Equal(t, len(p.asks), 1)
+	assert.Equal(t, len(p.asks[0].workers), 4)
+	assert.Equal(t, len(p.asks[0].held), 3)
+}
+
+// Guards against smaller work that takes the room for which a gang's tickets are
+// being renewed, also when that work ranks higher.
+func TestRoomIsKeptDuringRenewal(t *testing.T) {
+	advice := allowed(9*time.Second, "w00")
+	advice.waiting = 1
+	for i := range 3 {
+		advice.held = append(advice.held, cell.Placement{Task: cell.TaskKey{StepKey: cell.StepKey{Job: "gang"}, Index: i}, Worker: "w00", Born: 1})
+	}
+	p := newPlanner(1, map[cell.StepKey]*stepAdvice{{Job: "gang"}: advice, {Job: "small"}: allowed(20*time.Second, "w00")})
+	small := p.newWish("small", 0, cell.Step{Count: 1, Size: structs.Resources{MilliCPU: 18_000, MemoryBytes: 1 << 30}})
+	p.decide([]*wish{small, p.newWish("gang", 1, gang(3, 18))})
+	assert.Equal(t, len(p.placements), 0)
+}
+
+// Guards against a gang that is started in part.
+func TestGangIsPlacedWholeOrNotAtAll(t *testing.T) {
+	p := newPlanner(2, map[cell.StepKey]*stepAdvice{{Job: "a"}: allowed(20*time.Second, "w00", "w01"), {Job: "b"}: allowed(20*time.Second, "w00", "w01")})
+	p.decide([]*wish{p.newWish("a", 1, gang(7, 18)), p.newWish("b", 1, gang(6, 18))})
+	assert.Equal(t, len(p.placements), 0, "the room that the first gang waits for is kept from the second")
+	p = newPlanner(2, map[cell.StepKey]*stepAdvice{{Job: "b"}: allowed(20*time.Second, "w00", "w01")})
+	p.decide([]*wish{p.newWish("b", 1, gang(6, 18))})
+	assert.Equal(t, len(p.placements), 6)
+}
