dispatch: a new leader asks idle workers for their clocks

Cause: a start needs the worker's clock, which a new leader learned from reports; reports reach it up to 2.5 s after a failover. Change: a session whose clock is not known makes one hold at once.

--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -180,8 +180,11 @@
 // idle waits for work. It returns true if the worker is to be probed meanwhile.
 func (s *session) idle() bool {
 	s.mu.Lock()
-	failing := s.failing
+	failing, unknown := s.failing, !s.clock.known
 	s.mu.Unlock()
+	if unknown && !failing {
+		return true // nothing can be started before the worker's clock is known
+	}
 	var probe <-chan time.Time
 	if failing {
 		timer := time.NewTimer(probeInterval)
