raft: lease of 400 ms, elections after 0.5 to 1 s

Change: LeaseDuration 600 to 400 ms, election timeout 800-1600 to 500-1000 ms. TestLease answers 100 ms before the end of the lease instead of at 500 ms, which is past the shorter lease; it checks the same.

--- a/internal/raft/config.go
+++ b/internal/raft/config.go
@@ -13,7 +13,7 @@
 	TickInterval = 50 * time.Millisecond
 	// LeaseDuration is how long a leader may act outside the log, counted from
 	// when it sent the heartbeat round that a quorum answered.
-	LeaseDuration = 600 * time.Millisecond
+	LeaseDuration = 400 * time.Millisecond
 	// MaxClockDriftPercent bounds how much faster one clock runs than another.
 	MaxClockDriftPercent = 1
 	// PromiseDuration is how long a voter that answered a heartbeat round grants
@@ -21,8 +21,8 @@
 	PromiseDuration = LeaseDuration + LeaseDuration*MaxClockDriftPercent/100
 
 	heartbeatTicks   = 2  // 100 ms
-	electionTicksMin = 16 // 800 ms
-	electionTicksMax = 32 // 1600 ms
+	electionTicksMin = 10 // 500 ms
+	electionTicksMax = 20 // 1000 ms
 	snapshotTicks    = 60 // 3 s without an answer, then the snapshot is sent again
 	maxInflight      = 64
 	maxAppendBytes   = 512 << 10
--- a/internal/raft/lease_test.go
+++ b/internal/raft/lease_test.go
@@ -108,22 +108,23 @@
 // entry of its term.
 func TestLease(t *testing.T) {
 	const elected = 2 * time.Second
+	const answered = LeaseDuration - 100*time.Millisecond
 	n := newLeader(t, elected)
 	reply := message(peerv1.RaftMessage_HEARTBEAT_REPLY, 4)
 	reply.Round = 1
-	n.Step(elected+500*time.Millisecond, reply)
+	n.Step(elected+answered, reply)
 	_, _, valid := n.Lease()
 	assert.Assert(t, !valid, "lease without an own commit")
 
 	ack := message(peerv1.RaftMessage_APPEND_REPLY, 4)
 	ack.LogIndex = 1
-	n.Step(elected+500*time.Millisecond, ack)
+	n.Step(elected+answered, ack)
 	assert.Equal(t, n.log.commit, uint64(0), "entry of an earlier term committed by count")
 	_, _, err := n.ProposeChange(Change{Remove, &peerv1.RaftReplica{Id: "c.1"}})
 	assert.ErrorIs(t, err, ErrNoOwnCommit)
 
 	ack.LogIndex = 2
-	n.Step(elected+500*time.Millisecond, ack)
+	n.Step(elected+answered, ack)
 	_, _, valid = n.Lease()
 	assert.Assert(t, !valid, "lease before the own entry is applied")
 	drain(n)
