dispatch: leases of workers that do not answer end; tests in simulated time

Cause: each unanswered hold moved the bound on the worker's lease, so work of a worker that stayed silent was given up only when the worker was heard of again. TestSilentWorker shows it: not started again after 6 s. Change: holds after a failure do not extend the lease. A stand-in of workers with leases, fences, late orders and listed ends; tests of the leader and of the replicated state.

--- a/cmd/lg-cell/main.go
+++ b/cmd/lg-cell/main.go
@@ -24,6 +24,9 @@
 // over.
 const finishTime = time.Second
 
+// maxLines bounds the log, in lines a second: three lines for each of 300 starts.
+const maxLines = 1000
+
 func main() {
 	c, code, done := config.Start("lg-cell", os.Args[1:], config.ReadCell, os.Stdout, os.Stderr)
 	if done {
@@ -37,7 +40,9 @@
 
 func run(c *config.Cell) error {
 	ctx, second := process.Signals()
-	logger := logging.New(os.Stdout, c.Process.Name, c.Process.DataCentre, slog.LevelInfo)
+	lines := logging.NewBounded(os.Stdout, maxLines)
+	defer lines.Close()
+	logger := logging.New(lines, c.Process.Name, c.Process.DataCentre, slog.LevelInfo)
 	scope, metricsHandler, closer := metrics.New(c.Process.Name, c.Process.DataCentre, metrics.ReportInterval)
 	defer closer.Close()
 	working, stop := context.WithCancel(context.Background())
--- a/cmd/lg-gateway/main.go
+++ b/cmd/lg-gateway/main.go
@@ -22,6 +22,9 @@
 // being ready: the platform notices within two checks of a second each.
 const leaveTime = 2500 * time.Millisecond
 
+// maxLines bounds the log, in lines a second: one line for each of 200 requests that fail.
+const maxLines = 200
+
 func main() {
 	c, code, done := config.Start("lg-gateway", os.Args[1:], config.ReadGateway, os.Stdout, os.Stderr)
 	if done {
@@ -35,7 +38,9 @@
 
 func run(c *config.Gateway) error {
 	ctx, second := process.Signals()
-	logger := logging.New(os.Stdout, c.Process.Name, c.Process.DataCentre, slog.LevelInfo)
+	lines := logging.NewBounded(os.Stdout, maxLines)
+	defer lines.Close()
+	logger := logging.New(lines, c.Process.Name, c.Process.DataCentre, slog.LevelInfo)
 	client := cellapi.NewClient(c.Seeds)
 	g := gateway.New(client, c.Peer.String())
 	servers, err := process.Serve(map[string]http.Handler{
--- a/internal/cell/command.go
+++ b/internal/cell/command.go
@@ -91,6 +91,21 @@
 	EndedUnstarted
 )
 
+// String returns the outcome as shown in logs.
+func (o Outcome) String() string {
+	switch o {
+	case EndedDone:
+		return "done"
+	case EndedFailed:
+		return "failed"
+	case EndedEarly:
+		return "early"
+	case EndedUnstarted:
+		return "unstarted"
+	}
+	return "unknown"
+}
+
 // Lapse ends all attempts of a worker's life: its lease has certainly run out.
 type Lapse struct {
 	Worker string
--- /dev/null
+++ b/internal/dispatch/fake_test.go
@@ -0,0 +1,382 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"laburnumgrade/internal/cell"
+	"laburnumgrade/internal/cellapi"
+	"laburnumgrade/internal/port"
+	"laburnumgrade/internal/structs"
+)
+
+// fakeLog commits at once and leads while term is not 0.
+type fakeLog struct {
+	mu    sync.Mutex
+	term  uint64
+	since time.Duration
+	index uint64
+	apply func(index uint64, command []byte) any
+}
+
+func (l *fakeLog) Propose(_ context.Context, command []byte) (any, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.term == 0 {
+		return nil, &port.NotLeaderError{Group: "cell"}
+	}
+	l.index++
+	return l.apply(l.index, command), nil
+}
+
+func (l *fakeLog) Lease() (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.since, l.term != 0
+}
+
+func (l *fakeLog) Leader() (id, address string) { return "", "" }
+
+func (l *fakeLog) Term() (term, commit uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.term, l.index
+}
+
+// lead makes the log lead in a term; 0 ends the leadership.
+func (l *fakeLog) lead(term uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.term, l.since = term, l.since+1
+}
+
+// fleet emulates workers as the platform's pages describe them: leases, fences,
+// deadlines, ends that are listed until they are noted.
+type fleet struct {
+	t       *testing.T
+	began   time.Time
+	mu      sync.Mutex
+	workers map[string]*fakeWorker
+	// starts counts how often each task began to run.
+	starts map[string]int
+}
+
+type fakeWorker struct {
+	born     int64
+	clockAt  time.Time // when its clock showed 0
+	fence    uint64
+	deadline int64
+	running  map[attemptKey]*fakeRun
+	refused  map[cell.TaskKey]uint32
+	ends     []ListedEnd
+	last     uint64
+	// silent workers get no orders and give no answers.
+	silent bool
+	// late workers answer no start and carry it out after this time.
+	late time.Duration
+	// work is how long a task takes, and how is how it ends.
+	work time.Duration
+	how  cell.Outcome
+}
+
+type fakeRun struct{ until time.Time }
+
+var errNoAnswer = errors.New("no answer")
+
+func newFleet(t *testing.T) *fleet {
+	return &fleet{t: t, began: time.Now(), workers: map[string]*fakeWorker{}, starts: map[string]int{}}
+}
+
+func (f *fleet) add(id string, born int64) *fakeWorker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := &fakeWorker{
+		born: born, clockAt: time.Now(), running: map[attemptKey]*fakeRun{}, refused: map[cell.TaskKey]uint32{},
+		work: time.Second, how: cell.EndedDone,
+	}
+	f.workers[id] = w
+	return w
+}
+
+// change changes a worker under the lock.
+func (f *fleet) change(id string, change func(w *fakeWorker)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f.workers[id])
+}
+
+func (w *fakeWorker) clock() int64 { return time.Since(w.clockAt).Milliseconds() }
+
+// settle ends what is done or has lost its lease.
+func (w *fakeWorker) settle() {
+	lapsed := w.clockAt.Add(time.Duration(w.deadline) * time.Millisecond)
+	for k, r := range w.running {
+		switch {
+		case !r.until.After(time.Now()) && r.until.Before(lapsed):
+			w.end(k, w.how)
+		case !lapsed.After(time.Now()):
+			w.end(k, cell.EndedEarly)
+		}
+	}
+}
+
+func (w *fakeWorker) end(k attemptKey, how cell.Outcome) {
+	delete(w.running, k)
+	w.refused[k.task] = max(w.refused[k.task], k.run)
+	w.last++
+	w.ends = append(w.ends, ListedEnd{Number: w.last, End: cell.End{Task: k.task, Run: k.run, How: how}})
+}
+
+// reach returns a worker that answers.
+func (f *fleet) reach(ctx context.Context, t Target) (*fakeWorker, error) {
+	w := f.workers[t.ID]
+	if w == nil || w.silent {
+		f.mu.Unlock()
+		<-ctx.Done()
+		f.mu.Lock()
+		return nil, errNoAnswer
+	}
+	w.settle()
+	return w, nil
+}
+
+func (f *fleet) Start(ctx context.Context, t Target, o *StartOrder) (OrderReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w, err := f.reach(ctx, t)
+	if err != nil {
+		return OrderReply{}, err
+	}
+	if late := w.late; late > 0 {
+		order := *o
+		time.AfterFunc(late, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			w.settle()
+			f.begin(w, &order)
+		})
+		f.mu.Unlock()
+		<-ctx.Done()
+		f.mu.Lock()
+		return OrderReply{}, errNoAnswer
+	}
+	return OrderReply{Answer: f.begin(w, o), ClockMS: w.clock()}, nil
+}
+
+// begin carries a start out.
+func (f *fleet) begin(w *fakeWorker, o *StartOrder) Answer {
+	k := attemptKey{o.Task, o.Run}
+	switch {
+	case o.Fence < w.fence:
+		return StaleFence
+	case w.running[k] != nil:
+		return Done
+	case o.Run <= w.refused[o.Task]:
+		return StaleRun
+	case o.DeadlineMS < w.clock():
+		return PastDeadline
+	}
+	w.fence = o.Fence
+	w.deadline = max(w.deadline, o.DeadlineMS)
+	w.running[k] = &fakeRun{until: time.Now().Add(w.work)}
+	f.starts[fmt.Sprint(o.Task)]++
+	f.check(o.Task)
+	return Done
+}
+
+// check fails the test if a task runs twice at the same time.
+func (f *fleet) check(task cell.TaskKey) {
+	n := 0
+	for _, w := range f.workers {
+		w.settle()
+		for k := range w.running {
+			if k.task == task {
+				n++
+			}
+		}
+	}
+	if n > 1 {
+		f.t.Errorf("task %v runs %d times at %v", task, n, time.Since(f.began))
+	}
+}
+
+func (f *fleet) Stop(ctx context.Context, t Target, o *StopOrder) (OrderReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w, err := f.reach(ctx, t)
+	if err != nil {
+		return OrderReply{}, err
+	}
+	if o.Fence < w.fence {
+		return OrderReply{Answer: StaleFence, ClockMS: w.clock()}, nil
+	}
+	w.refused[o.Task] = max(w.refused[o.Task], o.Run)
+	if k := (attemptKey{o.Task, o.Run}); w.running[k] != nil {
+		w.end(k, cell.EndedEarly)
+	}
+	return OrderReply{Answer: Done, ClockMS: w.clock()}, nil
+}
+
+func (f *fleet) Hold(ctx context.Context, t Target, o *HoldOrder) (*Listing, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w, err := f.reach(ctx, t)
+	if err != nil {
+		return nil, err
+	}
+	if o.Fence < w.fence {
+		return &Listing{Answer: StaleFence, ClockMS: w.clock()}, nil
+	}
+	w.fence = o.Fence
+	w.deadline = max(w.deadline, o.DeadlineMS)
+	for waited := time.Duration(0); waited < o.Wait && len(w.ends) == 0; waited += 10 * time.Millisecond {
+		f.mu.Unlock()
+		time.Sleep(10 * time.Millisecond)
+		f.mu.Lock()
+		if ctx.Err() != nil {
+			return nil, errNoAnswer
+		}
+		if w.silent {
+			f.mu.Unlock()
+			<-ctx.Done()
+			f.mu.Lock()
+			return nil, errNoAnswer
+		}
+		w.settle()
+	}
+	l := &Listing{Answer: Done, ClockMS: w.clock(), Born: w.born}
+	for k := range w.running {
+		l.Running = append(l.Running, Running{Task: k.task, Run: k.run})
+	}
+	var kept []ListedEnd
+	for _, e := range w.ends {
+		if e.Number > o.Noted {
+			kept = append(kept, e)
+		}
+	}
+	w.ends = kept
+	l.Ended = append(l.Ended, kept...)
+	return l, nil
+}
+
+// cellBench is a leader with a fake log and fake workers.
+type cellBench struct {
+	t      *testing.T
+	log    *fakeLog
+	fleet  *fleet
+	store  *cell.Store
+	leader *Leader
+}
+
+const queuePath = "/q/"
+
+// run runs a test in simulated time.
+func run(t *testing.T, workers int, test func(b *cellBench)) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &cellBench{t: t, log: &fakeLog{}, fleet: newFleet(t)}
+		b.store = cell.NewStore(func(c *cell.Command) { b.leader.Applied(c) })
+		b.log.apply = b.store.Apply
+		b.leader = New(Config{
+			Log: b.log, Store: b.store, Clock: port.NewSystemClock(), Workers: b.fleet,
+			Members: func() []string { return nil }, Joined: func(string, string, string) {},
+			Bounds: Bounds{KeepEnded: time.Hour}, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		stopped := make(chan struct{})
+		go func() {
+			b.leader.Run(ctx)
+			close(stopped)
+		}()
+		b.lead(1)
+		b.do(&cellapi.Call{Configure: &cell.Configuration{
+			Version: 1, Services: []cell.Service{{Name: service}},
+			Queues: []cell.Queue{{Name: "q", Host: "h", Prefix: queuePath, Service: service, TimeoutMS: 1000, Attempts: 2, Open: true}},
+		}})
+		for i := range workers {
+			b.register(fmt.Sprintf("w%d", i), 1, i)
+		}
+		test(b)
+		cancel()
+		<-stopped
+		time.Sleep(time.Minute) // what was delayed comes to its end
+	})
+}
+
+func (b *cellBench) lead(term uint64) {
+	b.log.lead(0)
+	time.Sleep(200 * time.Millisecond)
+	b.log.lead(term)
+	time.Sleep(200 * time.Millisecond)
+}
+
+func (b *cellBench) register(id string, born int64, number int) {
+	b.fleet.add(id, born)
+	b.do(&cellapi.Call{Report: &cellapi.Report{
+		Register: cell.Register{
+			ID: id, Born: born, Address: fmt.Sprintf("10.0.0.%d:80", number), Service: service,
+			Capacity: structs.Resources{MilliCPU: 4000, MemoryBytes: 4 << 30},
+		},
+		Sequence: 1,
+	}})
+}
+
+func (b *cellBench) do(c *cellapi.Call) *cellapi.Reply {
+	b.t.Helper()
+	r := b.leader.Do(b.t.Context(), c)
+	assert.Equal(b.t, r.Refused+r.Unknown, "")
+	assert.Equal(b.t, r.Verdict, cell.Accepted)
+	return r
+}
+
+func jobRequest(id string) cell.Request { return cell.Request{Host: "h", Path: queuePath + id} }
+
+func (b *cellBench) submit(id string, steps ...cell.Step) {
+	b.t.Helper()
+	b.do(&cellapi.Call{Submit: &cell.Submit{Request: jobRequest(id), Job: cell.Submission{Spec: "s", Steps: steps}}})
+}
+
+func (b *cellBench) state(id string) cell.JobState {
+	b.t.Helper()
+	r := jobRequest(id)
+	return b.do(&cellapi.Call{Status: &r}).Status.State
+}
+
+// until waits for a state and returns how long it took.
+func (b *cellBench) until(id string, state cell.JobState, limit time.Duration) time.Duration {
+	b.t.Helper()
+	began := time.Now()
+	for b.state(id) != state {
+		if time.Since(began) > limit {
+			b.t.Fatalf("job %s is in state %d after %v", id, b.state(id), limit)
+		}
+		b.reports()
+		time.Sleep(50 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+// reports makes all workers that can be reached report.
+func (b *cellBench) reports() {
+	b.fleet.mu.Lock()
+	defer b.fleet.mu.Unlock()
+	for id, w := range b.fleet.workers {
+		if t := b.leader.current(); t != nil && !w.silent {
+			t.heard(&cellapi.Report{Register: cell.Register{ID: id, Born: w.born}, Sequence: uint64(time.Since(b.fleet.began)), ClockMS: w.clock()})
+		}
+	}
+}
+
+func (b *cellBench) started(id string, index int) int {
+	b.fleet.mu.Lock()
+	defer b.fleet.mu.Unlock()
+	return b.fleet.starts[fmt.Sprint(cell.TaskKey{StepKey: cell.StepKey{Job: id}, Index: index})]
+}
--- /dev/null
+++ b/internal/dispatch/leader_test.go
@@ -0,0 +1,175 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumgrade/internal/cell"
+	"laburnumgrade/internal/cellapi"
+	"laburnumgrade/internal/structs"
+)
+
+const jobID1 = "00000000000000b1"
+
+func tasks(n int, cores int64) cell.Step {
+	return cell.Step{Count: n, Size: structs.Resources{MilliCPU: cores * 1000}, EstimateMS: 1000}
+}
+
+// Guards against a path on which accepted jobs do not come to an end.
+func TestJobCompletes(t *testing.T) {
+	run(t, 2, func(b *cellBench) {
+		second := tasks(3, 2)
+		second.DependsOn = []int{0}
+		b.submit(jobID1, tasks(4, 2), second)
+		took := b.until(jobID1, cell.Complete, 5*time.Second)
+		assert.Assert(t, took < 2500*time.Millisecond, "two steps of 1 s took %v", took)
+	})
+}
+
+// Guards against a second run of a task whose start had no answer and is carried
+// out seconds later.
+func TestLateStart(t *testing.T) {
+	for _, late := range []time.Duration{300 * time.Millisecond, 2 * time.Second, 6 * time.Second, 12 * time.Second} {
+		run(t, 2, func(b *cellBench) {
+			for _, id := range []string{"w0", "w1"} {
+				b.fleet.change(id, func(w *fakeWorker) { w.late = late })
+			}
+			b.submit(jobID1, tasks(1, 2))
+			time.Sleep(time.Second)
+			for _, id := range []string{"w0", "w1"} {
+				b.fleet.change(id, func(w *fakeWorker) { w.late = 0 })
+			}
+			b.until(jobID1, cell.Complete, 10*time.Second)
+			time.Sleep(20 * time.Second)
+			assert.Equal(t, b.started(jobID1, 0), 1, "late by %v", late)
+		})
+	}
+}
+
+// Guards against work of a silent worker that starts elsewhere before its lease
+// has run out, or long after.
+func TestSilentWorker(t *testing.T) {
+	run(t, 2, func(b *cellBench) {
+		for _, id := range []string{"w0", "w1"} {
+			b.fleet.change(id, func(w *fakeWorker) { w.work = 20 * time.Second })
+		}
+		b.submit(jobID1, tasks(1, 4))
+		time.Sleep(2 * time.Second)
+		b.reports()
+		silent := ""
+		b.store.View(func(v *cell.View) {
+			for id, w := range v.Workers() {
+				if len(w.Attempts) > 0 {
+					silent = id
+				}
+			}
+		})
+		b.fleet.change(silent, func(w *fakeWorker) { w.silent = true })
+		for range 60 {
+			time.Sleep(100 * time.Millisecond)
+			b.reports()
+		}
+		assert.Equal(t, b.started(jobID1, 0), 2, "not started again after 6 s")
+		b.until(jobID1, cell.Complete, 30*time.Second)
+	})
+}
+
+// Guards against a new leader that starts running work again, or does not take
+// in the ends of what an earlier leader started.
+func TestNewLeader(t *testing.T) {
+	run(t, 2, func(b *cellBench) {
+		b.submit(jobID1, tasks(4, 2))
+		time.Sleep(300 * time.Millisecond)
+		b.lead(2)
+		b.until(jobID1, cell.Complete, 5*time.Second)
+		for i := range 4 {
+			assert.Equal(t, b.started(jobID1, i), 1)
+		}
+	})
+}
+
+// Guards against a task that is lost because its leader went before the start
+// was sent, or while the start had no answer.
+func TestNewLeaderAfterUnansweredStart(t *testing.T) {
+	run(t, 2, func(b *cellBench) {
+		for _, id := range []string{"w0", "w1"} {
+			b.fleet.change(id, func(w *fakeWorker) { w.late = 3 * time.Second })
+		}
+		b.submit(jobID1, tasks(2, 2))
+		time.Sleep(300 * time.Millisecond)
+		b.lead(2)
+		for _, id := range []string{"w0", "w1"} {
+			b.fleet.change(id, func(w *fakeWorker) { w.late = 0 })
+		}
+		b.until(jobID1, cell.Complete, 8*time.Second)
+	})
+}
+
+// Guards against attempts of a cancelled job that run on or keep their room.
+func TestCancelStops(t *testing.T) {
+	run(t, 1, func(b *cellBench) {
+		b.fleet.change("w0", func(w *fakeWorker) { w.work = time.Minute })
+		b.submit(jobID1, tasks(2, 2))
+		time.Sleep(500 * time.Millisecond)
+		r := jobRequest(jobID1)
+		b.do(&cellapi.Call{Cancel: &r})
+		time.Sleep(500 * time.Millisecond)
+		b.fleet.change("w0", func(w *fakeWorker) { assert.Equal(t, len(w.running), 0) })
+		b.store.View(func(v *cell.View) { assert.Equal(t, v.Worker("w0").Free().MilliCPU, int64(4000)) })
+	})
+}
+
+// Guards against the members of a gang that wait for one that cannot come.
+func TestGangOfLostWorkerIsStoppedAndStartsAgain(t *testing.T) {
+	run(t, 3, func(b *cellBench) {
+		gangStep := tasks(2, 4)
+		gangStep.Gang = true
+		for _, id := range []string{"w0", "w1", "w2"} {
+			b.fleet.change(id, func(w *fakeWorker) { w.work = 3 * time.Second })
+		}
+		b.submit(jobID1, gangStep)
+		time.Sleep(time.Second)
+		b.reports()
+		b.register("w0", 7, 0) // a new life under the same id
+		b.register("w1", 7, 1)
+		b.until(jobID1, cell.Complete, 10*time.Second)
+	})
+}
+
+// Guards against an end that is noted for another run than the one it ends, and
+// against failures beyond what the queue allows.
+func TestFailuresEndTheJob(t *testing.T) {
+	run(t, 2, func(b *cellBench) {
+		for _, id := range []string{"w0", "w1"} {
+			b.fleet.change(id, func(w *fakeWorker) { w.how = cell.EndedFailed })
+		}
+		b.submit(jobID1, tasks(1, 2))
+		b.until(jobID1, cell.Failed, 5*time.Second)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, b.started(jobID1, 0), 2)
+	})
+}
+
+// Guards against answers by a process that does not lead any more.
+func TestNoAnswerWithoutLease(t *testing.T) {
+	run(t, 1, func(b *cellBench) {
+		b.log.lead(0)
+		r := jobRequest(jobID1)
+		assert.Assert(t, b.leader.Do(t.Context(), &cellapi.Call{Status: &r}).NotLeader)
+		assert.Assert(t, b.leader.Do(t.Context(), &cellapi.Call{Read: &cellapi.Read{}}).NotLeader)
+	})
+}
+
+// Guards against a lease that is believed to be over before the slowest clock
+// says so, and against readings that arrived late.
+func TestWorkerClock(t *testing.T) {
+	var c workerClock
+	c.observe(1000, time.Second)
+	c.observe(1010, 3*time.Second)
+	assert.Equal(t, c.estimate(time.Second), int64(1000), "a delayed reading was taken in")
+	passed := c.passed(3000)
+	slowest := c.reading + int64(float64((passed-c.at).Milliseconds())*(1-workerDrift))
+	assert.Assert(t, slowest >= 3000, "the slowest clock shows %d", slowest)
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -106,7 +106,10 @@
 	for i, ok := range accepted {
 		if ok {
 			t.order(&p.placements[i])
+			continue
 		}
+		at := &p.placements[i]
+		t.l.Logger.Info("placement refused by the state", logging.Step("plan"), logging.Job(at.Task.Job), "task", wire(at.Task), "run", at.Run, logging.Peer(at.Worker))
 	}
 }
 
@@ -117,6 +120,10 @@
 		return // the life is over; its attempts end with it
 	}
 	o := StartOrder{Task: p.Task, Run: p.Run, Fence: t.number}
+	var arrived time.Duration
+	t.mu.Lock()
+	arrived = t.arrived[p.Task.Job]
+	t.mu.Unlock()
 	found := false
 	t.l.Store.View(func(v *cell.View) {
 		j := v.Job(p.Task.Job)
@@ -139,7 +146,8 @@
 		})
 		return
 	}
-	t.l.Logger.Debug("start", logging.Step("start"), logging.Job(p.Task.Job), "task", wire(p.Task), "run", p.Run, logging.Peer(p.Worker))
+	t.l.Logger.Info("task planned", logging.Step("plan"), logging.Job(p.Task.Job), "task", wire(p.Task), "run", p.Run, logging.Peer(p.Worker),
+		"since_seen_ms", (t.l.Clock.Now() - arrived).Milliseconds(), "factor", t.speeds.factorOf(p.Worker), "saved", o.Saved != "")
 	t.spawn(func() { s.start(o) })
 }
 
@@ -211,7 +219,10 @@
 		if s := t.session(id, w.Born); s == nil || !s.usable(p.now) {
 			continue
 		}
-		c := &candidate{id: id, born: w.Born, service: w.Service, worker: w, free: w.Free(), factor: valueOr(factors, id, 1)}
+		c := &candidate{id: id, born: w.Born, service: w.Service, worker: w, free: w.Free(), factor: 1}
+		if f, known := factors[id]; known {
+			c.factor = f
+		}
 		p.candidates = append(p.candidates, c)
 		p.byID[id] = c
 	}
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -53,7 +54,9 @@
 	case c.Status != nil:
 		return l.status(c.Status)
 	case c.Cancel != nil:
-		return l.commit(ctx, &cell.Command{Cancel: c.Cancel})
+		r := l.commit(ctx, &cell.Command{Cancel: c.Cancel})
+		l.Logger.Info("job cancelled", logging.Step("cancel"), logging.Job(jobID(c.Cancel.Path)), "verdict", r.Verdict, "unknown", r.Unknown)
+		return r
 	case c.Configure != nil:
 		return l.configure(ctx, c.Configure)
 	case c.Read != nil:
@@ -113,9 +116,14 @@
 	if known || verdict != cell.Accepted {
 		return &cellapi.Reply{Verdict: verdict}
 	}
-	return l.commit(ctx, &cell.Command{Submit: c})
+	r := l.commit(ctx, &cell.Command{Submit: c})
+	l.Logger.Info("job submitted", logging.Step("submit"), logging.Job(jobID(c.Path)), "path", c.Path, "steps", len(c.Job.Steps), "verdict", r.Verdict, "unknown", r.Unknown)
+	return r
 }
 
+// jobID returns the id in the path of a request.
+func jobID(path string) string { return path[strings.LastIndexByte(path, '/')+1:] }
+
 func (l *Leader) status(r *cell.Request) *cellapi.Reply {
 	reply := &cellapi.Reply{}
 	l.Store.View(func(v *cell.View) {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -213,7 +213,9 @@
 	if s.fenced && len(state.attempts) > 0 {
 		order.Wait = holdWait
 	}
-	if s.clock.known && len(state.attempts) > 0 {
+	// A worker that does not answer gets no longer lease: any of the holds may
+	// have been carried out, and its lease would never be known to have run out.
+	if s.clock.known && len(state.attempts) > 0 && !s.failing {
 		order.DeadlineMS = s.clock.estimate(sent) + leaseLength.Milliseconds()
 		s.leaseBound = max(s.leaseBound, s.clock.passed(order.DeadlineMS))
 	}
@@ -327,6 +329,11 @@
 		s.t.pause(retryPause)
 		return
 	}
+	for i := range ends {
+		e := &ends[i]
+		s.t.l.Logger.Info("attempt ended", logging.Step("note ends"), logging.Job(e.Task.Job), "task", wire(e.Task), "run", e.Run, logging.Peer(s.target.ID),
+			"how", e.How.String(), "took_ms", s.tookOf(e, now).Milliseconds())
+	}
 	s.mu.Lock()
 	for i := range ends {
 		delete(s.attempts, attemptKey{ends[i].Task, ends[i].Run})
@@ -362,6 +369,16 @@
 	return s.info(k).saved
 }
 
+// tookOf returns how long an attempt ran as far as is known.
+func (s *session) tookOf(e *cell.End, now time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i := s.info(attemptKey{e.Task, e.Run}); i.confirmed {
+		return now - i.confirmedAt
+	}
+	return 0
+}
+
 // finished learns from an attempt that has ended.
 func (s *session) finished(e *ListedEnd, now time.Duration) {
 	s.mu.Lock()
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -8,8 +9,15 @@
 )
 
 const (
-	// speedWeight is the weight of a new sample in the moving averages.
-	speedWeight = 0.2
+	// leastWeight is the weight of a sample in the long averages once there are
+	// many: single run times are off by half, so few samples tell little.
+	leastWeight = 0.06
+	// recentWeight is the weight of a sample in the average that notices a worker
+	// that turns slow.
+	recentWeight = 0.4
+	// slowdown is the difference of the logarithms from which the recent average
+	// counts: a factor of 2.2, which samples of a sound worker rarely reach.
+	slowdown = 0.8
 	// defaultEstimate stands in for an estimate that a job does not state.
 	defaultEstimate = time.Second
 	// suspectJobs is how many different jobs must fail in a row on a worker
@@ -25,15 +33,40 @@
 	mu sync.Mutex
 	// bias is real over estimated time by queue, factor the same by worker
 	// relative to the bias of the queue.
-	bias   map[string]float64
-	factor map[string]float64
+	bias   map[string]*average
+	factor map[string]*average
 	fails  map[string]map[string]bool
 	until  map[string]time.Duration
 }
 
+// average is a moving average of the logarithms of ratios.
+type average struct {
+	samples int
+	long    float64
+	recent  float64
+}
+
+func (a *average) add(ratio float64) {
+	v := math.Log(ratio)
+	a.samples++
+	a.long += (v - a.long) * max(1/float64(a.samples), leastWeight)
+	a.recent += (v - a.recent) * max(1/float64(a.samples), recentWeight)
+}
+
+// ratio returns the average, 1 if there are no samples.
+func (a *average) ratio() float64 {
+	if a == nil {
+		return 1
+	}
+	if a.recent > a.long+slowdown {
+		return math.Exp(a.recent)
+	}
+	return math.Exp(a.long)
+}
+
 func newSpeedBook() *speedBook {
 	return &speedBook{
-		bias: map[string]float64{}, factor: map[string]float64{},
+		bias: map[string]*average{}, factor: map[string]*average{},
 		fails: map[string]map[string]bool{}, until: map[string]time.Duration{},
 	}
 }
@@ -60,17 +93,17 @@
 		return
 	}
 	ratio := float64(took) / float64(estimate)
-	bias := valueOr(b.bias, queue, ratio)
-	b.bias[queue] = bias + (ratio-bias)*speedWeight/4
-	f := valueOr(b.factor, worker, 1)
-	b.factor[worker] = f + (ratio/bias-f)*speedWeight
-}
-
-func valueOr(m map[string]float64, key string, otherwise float64) float64 {
-	if v, ok := m[key]; ok {
-		return v
+	bias, factor := b.bias[queue], b.factor[worker]
+	if bias == nil {
+		bias = &average{}
+		b.bias[queue] = bias
 	}
-	return otherwise
+	if factor == nil {
+		factor = &average{}
+		b.factor[worker] = factor
+	}
+	bias.add(ratio)
+	factor.add(ratio / math.Exp(bias.long))
 }
 
 // failed notes a failure. Failures of different jobs without a success between
@@ -93,7 +126,7 @@
 	defer b.mu.Unlock()
 	factor, out = make(map[string]float64, len(b.factor)), map[string]bool{}
 	for w, f := range b.factor {
-		factor[w] = f
+		factor[w] = f.ratio()
 	}
 	for w, until := range b.until {
 		if now < until {
@@ -103,6 +136,13 @@
 	return factor, out
 }
 
+// factorOf returns the factor of a worker, 1 if nothing is known.
+func (b *speedBook) factorOf(worker string) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.factor[worker].ratio()
+}
+
 // expected returns how long a task of a queue takes on a worker of factor 1.
 func (b *speedBook) expected(queue string, estimateMS int64) time.Duration {
 	b.mu.Lock()
@@ -111,5 +151,5 @@
 	if estimate <= 0 {
 		estimate = defaultEstimate
 	}
-	return time.Duration(float64(estimate) * valueOr(b.bias, queue, 1))
+	return time.Duration(float64(estimate) * b.bias[queue].ratio())
 }
