--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -15,7 +15,10 @@
 	// time for each.
 	askWorkers = 30
 	// reservedGangs is how many gangs that do not fit keep room from others.
-	reservedGangs = 2
+	reservedGangs = 4
+	// reservedCost makes urgent work take workers that are kept for a gang only
+	// after all others.
+	reservedCost = 5
 	// renewalCost puts workers with a valid ticket before all others.
 	renewalCost = 10
 	// hopeless jobs have waited this many times their objective and go last.
@@ -31,8 +34,10 @@
 	free    structs.Resources
 	// factor is how much longer than expected work takes here.
 	factor float64
-	// kept is set if the room is kept for a gang of higher rank.
-	kept bool
+	// kept is set if the room is kept for a gang of higher rank, reserved names
+	// the gang for which the last plan kept it.
+	kept     bool
+	reserved cell.StepKey
 }
 
 // wish is a step that has tasks to start.
@@ -45,7 +50,9 @@
 	expected time.Duration
 	// deadline is when the job is meant to be complete.
 	deadline time.Duration
+	// late jobs cannot be complete in time any more, hopeless ones earn nothing.
 	late     bool
+	hopeless bool
 	// advice is what is known of the step's workers, nil if nothing is.
 	advice *stepAdvice
 }
@@ -62,6 +69,8 @@
 type plan struct {
 	placements []cell.Placement
 	asks       []*ask
+	// reserved names the gang for which a worker is kept.
+	reserved map[string]cell.StepKey
 }
 
 // planner holds the inputs of one round. It has no clock and no I/O.
@@ -77,7 +86,10 @@
 
 // planOnce makes a plan, commits it and sends the orders.
 func (t *term) planOnce() {
-	p := &planner{now: t.l.Clock.Now(), byID: map[string]*candidate{}, headroom: map[string]structs.Resources{}, advice: t.advice.snapshot}
+	p := &planner{
+		now: t.l.Clock.Now(), byID: map[string]*candidate{}, headroom: map[string]structs.Resources{}, advice: t.advice.snapshot,
+		plan: plan{reserved: map[string]cell.StepKey{}},
+	}
 	t.l.Store.View(func(v *cell.View) {
 		wishes := t.wishes(v, p.now)
 		if len(wishes) == 0 {
@@ -91,6 +103,7 @@
 		}
 		p.decide(wishes)
 	})
+	t.reserved = p.reserved
 	for _, q := range p.asks {
 		t.advice.ask(q)
 	}
@@ -173,7 +186,8 @@
 		w.expected = t.speeds.expected(q.Name, w.step.EstimateMS)
 		objective := time.Duration(float64(chain(t, j, q))*q.Stretch) + time.Duration(q.ObjectiveMS)*time.Millisecond
 		w.deadline = at + objective
-		w.late = now > at+hopeless*objective
+		w.late = now+w.expected > w.deadline
+		w.hopeless = now > at+hopeless*objective
 		wishes = append(wishes, w)
 	}
 	for id := range t.arrived {
@@ -183,17 +197,23 @@
 	}
 	t.advice.keepOnly(ready)
 	slices.SortFunc(wishes, func(a, b *wish) int {
-		if a.late != b.late {
-			if b.late {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(cmp.Compare(a.queue.Priority, b.queue.Priority), cmp.Compare(a.job.Accepted, b.job.Accepted), cmp.Compare(a.key.Step, b.key.Step))
+		return cmp.Or(first(!a.hopeless, !b.hopeless), cmp.Compare(a.queue.Priority, b.queue.Priority),
+			first(!a.step.Gang || !a.late, !b.step.Gang || !b.late), cmp.Compare(a.job.Accepted, b.job.Accepted), cmp.Compare(a.key.Step, b.key.Step))
 	})
 	return wishes
 }
 
+// first orders what is true before what is not.
+func first(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
+
 // chain returns the expected duration of the longest chain of a job's steps.
 func chain(t *term, j *cell.Job, q *cell.Queue) time.Duration {
 	ends := make([]time.Duration, len(j.Steps))
@@ -219,7 +239,7 @@
 		if s := t.session(id, w.Born); s == nil || !s.usable(p.now) {
 			continue
 		}
-		c := &candidate{id: id, born: w.Born, service: w.Service, worker: w, free: w.Free(), factor: 1}
+		c := &candidate{id: id, born: w.Born, service: w.Service, worker: w, free: w.Free(), factor: 1, reserved: t.reserved[id]}
 		if f, known := factors[id]; known {
 			c.factor = f
 		}
@@ -371,6 +391,9 @@
 		if w.advice != nil && !p.valid(w.advice, c.id) {
 			value += renewalCost
 		}
+		if c.reserved.Job != "" && c.reserved != w.key {
+			value += reservedCost
+		}
 		return value
 	}
 	costs := make(map[string]float64, len(list))
@@ -463,6 +486,7 @@
 			return
 		}
 		c.kept = true
+		p.reserved[c.id] = w.key
 		need -= multiple(w.claim(), c.worker.Capacity)
 	}
 }
--- a/internal/dispatch/plan_test.go
+++ b/internal/dispatch/plan_test.go
@@ -18,7 +18,7 @@
 func newPlanner(workers int, advice map[cell.StepKey]*stepAdvice) *planner {
 	p := &planner{
 		now: 10 * time.Second, byID: map[string]*candidate{}, headroom: map[string]structs.Resources{},
-		advice: func(k cell.StepKey) *stepAdvice { return advice[k] },
+		advice: func(k cell.StepKey) *stepAdvice { return advice[k] }, plan: plan{reserved: map[string]cell.StepKey{}},
 	}
 	for i := range workers {
 		capacity := structs.Resources{MilliCPU: 64_000, MemoryBytes: 128 << 30}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -27,7 +27,9 @@
 	began  time.Duration
 	advice *adviceDesk
 	speeds *speedBook
-	tasks  sync.WaitGroup
+	// reserved is what the last plan kept for gangs; it belongs to the planner.
+	reserved map[string]cell.StepKey
+	tasks    sync.WaitGroup
 
 	mu       sync.Mutex
 	sessions map[string]*session
