--- /dev/null
+++ b/internal/config/cell_test.go
@@ -0,0 +1,71 @@
+package config
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const cellSettings = `[process]
+name = core-1
+vm = core-1
+data_centre = balaju
+admin = 10.1.0.20:7421
+
+[cell]
+seeds = 10.1.0.20:8180,10.2.0.18:8180,10.3.0.38:8180
+bootstrap = yes
+max_lease = 6000ms
+keep_ended = 120s
+remote_factor = 3
+advice = 10.200.1.9:8182
+
+[listen]
+public = 10.1.0.20:8180
+peer = 10.1.0.20:7420
+
+[disk]
+folder = /data/core
+`
+
+// Guards against seeds that are asked at the port for operators, and against
+// printed settings that are not accepted again.
+func TestCell(t *testing.T) {
+	c, err := ParseCell("f", []byte(cellSettings))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, c.Seeds, []string{"10.1.0.20:7420", "10.2.0.18:7420", "10.3.0.38:7420"})
+	assert.Assert(t, c.Bootstrap && c.MaxLease == 6*time.Second && c.KeepEnded == 2*time.Minute && c.RemoteFactor == 3)
+	again, err := ParseCell("f", []byte(c.String()))
+	assert.NilError(t, err)
+	assert.Equal(t, again.String(), c.String())
+}
+
+// Guards against settings with faults that are taken in.
+func TestCellFaults(t *testing.T) {
+	for _, change := range [][2]string{
+		{"seeds = ", "seeds = host:1,"}, {"bootstrap = yes", "bootstrap = perhaps"}, {"folder = /data", "folder = data"},
+		{"max_lease = 6000ms", "max_lease = 6000"}, {"[disk]", "[disc]"}, {"peer = 10.1.0.20:7420", "peer = 10.1.0.20:0"}, {"advice = ", "advise = "},
+	} {
+		_, err := ParseCell("f", []byte(strings.Replace(cellSettings, change[0], change[1], 1)))
+		assert.Assert(t, err != nil, change[1])
+	}
+}
+
+// Guards against gateway settings that lack an address.
+func TestGateway(t *testing.T) {
+	text := strings.Replace(cellSettings, "[disk]\nfolder = /data/core\n", "", 1)
+	for _, key := range []string{"bootstrap", "max_lease", "keep_ended", "remote_factor"} {
+		at := strings.Index(text, key+" =")
+		text = text[:at] + text[at+strings.Index(text[at:], "\n")+1:]
+	}
+	_, err := ParseGateway("f", []byte(text))
+	assert.ErrorContains(t, err, "ready")
+	text = strings.Replace(text, "peer =", "ready = 10.1.0.20:8181\npeer =", 1)
+	g, err := ParseGateway("f", []byte(text))
+	assert.NilError(t, err)
+	again, err := ParseGateway("f", []byte(g.String()))
+	assert.NilError(t, err)
+	assert.Equal(t, again.String(), g.String())
+}
