--- a/cmd/lg-cell/main.go
+++ b/cmd/lg-cell/main.go
@@ -56,12 +56,10 @@
 	if err != nil {
 		return err
 	}
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", metricsHandler)
 	servers, err := process.Serve(map[string]http.Handler{
 		c.Public.String():        platform.Control(node, logger),
 		c.Peer.String():          node.Handler(),
-		c.Process.Admin.String(): mux,
+		c.Process.Admin.String(): process.Metrics(metricsHandler),
 	})
 	if err != nil {
 		return err
--- a/cmd/lg-gateway/main.go
+++ b/cmd/lg-gateway/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"time"
 
+	"laburnumgrade/internal/adapter/metrics"
 	"laburnumgrade/internal/cellapi"
 	"laburnumgrade/internal/config"
 	"laburnumgrade/internal/gateway"
@@ -41,12 +42,15 @@
 	lines := logging.NewBounded(os.Stdout, maxLines)
 	defer lines.Close()
 	logger := logging.New(lines, c.Process.Name, c.Process.DataCentre, slog.LevelInfo)
+	scope, metricsHandler, closer := metrics.New(c.Process.Name, c.Process.DataCentre, metrics.ReportInterval)
+	defer closer.Close()
 	client := cellapi.NewClient(c.Seeds)
 	g := gateway.New(client, c.Peer.String())
 	servers, err := process.Serve(map[string]http.Handler{
-		c.Public.String(): platform.Front(client, logger),
-		c.Ready.String():  platform.Ready(g.Ready),
-		c.Peer.String():   cellapi.Handler(nil, platform.NewAdviser(c.Advice.String())),
+		c.Public.String():        platform.Front(client, logger, scope),
+		c.Ready.String():         platform.Ready(g.Ready),
+		c.Process.Admin.String(): process.Metrics(metricsHandler),
+		c.Peer.String():          cellapi.Handler(nil, platform.NewAdviser(c.Advice.String())),
 	})
 	if err != nil {
 		return err
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -15,6 +15,21 @@
 	Cancelled
 )
 
+// String returns the state as shown in logs.
+func (s JobState) String() string {
+	switch s {
+	case Active:
+		return "active"
+	case Complete:
+		return "complete"
+	case Failed:
+		return "failed"
+	case Cancelled:
+		return "cancelled"
+	}
+	return "unknown"
+}
+
 // Step is a group of equal tasks as submitted.
 type Step struct {
 	Count int
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -90,7 +90,7 @@
 	}
 	close(started)
 	n.raft.Register(group, n.replica)
-	c.Logger.Info("replica started", logging.Step("start replica"), "id", id, "founding", founders != nil)
+	c.Logger.Info("replica started", logging.Step("start replica"), "id", id, "founder", founders != nil)
 	go n.announce(ctx)
 	go n.repair(ctx)
 	go n.leader.Run(ctx)
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -152,6 +152,10 @@
 	}
 	a := d.t.l.Callers.Ask(ctx, peer, question)
 	now := d.t.l.Clock.Now()
+	d.t.l.metrics.advice.Inc(1)
+	if a.Error != "" {
+		d.t.l.metrics.adviceErrors.Inc(1)
+	}
 	d.mu.Lock()
 	s := d.steps[q.step]
 	s.waiting--
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -56,7 +56,8 @@
 // Leader runs on every control process and acts while the process leads.
 type Leader struct {
 	Config
-	wake chan struct{}
+	wake    chan struct{}
+	metrics leaderMetrics
 
 	mu   sync.Mutex
 	term *term
@@ -65,7 +66,38 @@
 // New returns a leader that is to be run. Its Applied method must be called with
 // each command that the store has applied.
 func New(c Config) *Leader {
-	return &Leader{Config: c, wake: make(chan struct{}, 1)}
+	return &Leader{Config: c, wake: make(chan struct{}, 1), metrics: newLeaderMetrics(c.Scope)}
+}
+
+// leaderMetrics are the counters and histograms of a leader.
+type leaderMetrics struct {
+	planned, refused, done, failed, early, unstarted, lapses, advice, adviceErrors tally.Counter
+	commit, wait                                                                   tally.Histogram
+}
+
+func newLeaderMetrics(scope tally.Scope) leaderMetrics {
+	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
+	return leaderMetrics{
+		planned: scope.Counter("cell_placements"), refused: scope.Counter("cell_placement_refusals"),
+		done: scope.Counter("cell_ends_done"), failed: scope.Counter("cell_ends_failed"),
+		early: scope.Counter("cell_ends_early"), unstarted: scope.Counter("cell_ends_unstarted"),
+		lapses: scope.Counter("cell_lapses"), advice: scope.Counter("cell_advice_calls"), adviceErrors: scope.Counter("cell_advice_errors"),
+		commit: scope.Histogram("cell_commit", buckets), wait: scope.Histogram("cell_wait", buckets),
+	}
+}
+
+// ended counts an end.
+func (m *leaderMetrics) ended(how cell.Outcome) {
+	switch how {
+	case cell.EndedDone:
+		m.done.Inc(1)
+	case cell.EndedFailed:
+		m.failed.Inc(1)
+	case cell.EndedUnstarted:
+		m.unstarted.Inc(1)
+	default:
+		m.early.Inc(1)
+	}
 }
 
 // Applied notes that the state has changed.
@@ -136,7 +168,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
+	began := l.Clock.Now()
 	result, err := l.Log.Propose(ctx, data)
+	l.metrics.commit.RecordDuration(l.Clock.Now() - began)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -118,9 +118,11 @@
 	accepted, _ := result.([]bool)
 	for i, ok := range accepted {
 		if ok {
+			t.l.metrics.planned.Inc(1)
 			t.order(&p.placements[i])
 			continue
 		}
+		t.l.metrics.refused.Inc(1)
 		at := &p.placements[i]
 		t.l.Logger.Info("placement refused by the state", logging.Step("plan"), logging.Job(at.Task.Job), "task", wire(at.Task), "run", at.Run, logging.Peer(at.Worker))
 	}
@@ -159,6 +161,7 @@
 		})
 		return
 	}
+	t.l.metrics.wait.RecordDuration(t.l.Clock.Now() - arrived)
 	t.l.Logger.Info("task planned", logging.Step("plan"), logging.Job(p.Task.Job), "task", wire(p.Task), "run", p.Run, logging.Peer(p.Worker),
 		"since_seen_ms", (t.l.Clock.Now() - arrived).Milliseconds(), "factor", t.speeds.factorOf(p.Worker), "saved", o.Saved != "")
 	t.spawn(func() { s.start(o) })
--- a/internal/dispatch/ports.go
+++ b/internal/dispatch/ports.go
@@ -77,6 +77,17 @@
 	Invalid
 )
 
+// answerNames are the answers as shown in logs; no answer comes first.
+var answerNames = [...]string{"none", "done", "stale fence", "stale run", "past deadline", "no room", "bad ticket", "other life", "unhealthy", "invalid"}
+
+// String returns the answer as shown in logs.
+func (a Answer) String() string {
+	if int(a) < len(answerNames) {
+		return answerNames[a]
+	}
+	return "unknown"
+}
+
 // OrderReply is a worker's reply to a start or stop.
 type OrderReply struct {
 	Answer Answer
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -301,6 +301,7 @@
 
 // lapse gives up all attempts of the life.
 func (s *session) lapse(why string) {
+	s.t.l.metrics.lapses.Inc(1)
 	s.t.l.Logger.Warn("attempts of worker given up", logging.Step("lapse"), logging.Peer(s.target.ID), "reason", why)
 	if _, err := s.t.l.propose(s.ctx, &cell.Command{Lapse: &cell.Lapse{Worker: s.target.ID, Born: s.born}}); err != nil {
 		s.t.l.Logger.Warn("lapse not committed", logging.Step("lapse"), logging.Peer(s.target.ID), logging.Error(err))
@@ -368,9 +369,11 @@
 	}
 	for i := range ends {
 		e := &ends[i]
+		s.t.l.metrics.ended(e.How)
 		s.t.l.Logger.Info("attempt ended", logging.Step("note ends"), logging.Job(e.Task.Job), "task", wire(e.Task), "run", e.Run, logging.Peer(s.target.ID),
 			"how", e.How.String(), "took_ms", s.tookOf(e, now).Milliseconds())
 	}
+	s.t.logEnded(ends)
 	s.mu.Lock()
 	for i := range ends {
 		delete(s.attempts, attemptKey{ends[i].Task, ends[i].Run})
@@ -489,7 +492,7 @@
 	if answer == Done {
 		return
 	}
-	s.t.l.Logger.Warn("start failed", logging.Step("start"), logging.Peer(s.target.ID), logging.Job(o.Task.Job), "task", wire(o.Task), "run", o.Run, "answer", answer, "certain", certain)
+	s.t.l.Logger.Warn("start failed", logging.Step("start"), logging.Peer(s.target.ID), logging.Job(o.Task.Job), "task", wire(o.Task), "run", o.Run, "answer", answer.String(), "certain", certain)
 	switch answer {
 	case BadTicket:
 		s.t.advice.drop(o.Task.StepKey, s.target.ID)
@@ -546,7 +549,7 @@
 	defer cancel()
 	r, err := s.t.l.Workers.Stop(ctx, s.target, &StopOrder{Task: task, Run: run, Fence: s.t.number})
 	if err != nil || r.Answer != Done {
-		s.t.l.Logger.Info("stop not answered", logging.Step("stop"), logging.Peer(s.target.ID), logging.Job(task.Job), "run", run, "answer", r.Answer, "error", err)
+		s.t.l.Logger.Info("stop not answered", logging.Step("stop"), logging.Peer(s.target.ID), logging.Job(task.Job), "run", run, "answer", r.Answer.String(), "error", err)
 		return
 	}
 	s.mu.Lock()
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -237,3 +237,18 @@
 	_, err := t.l.propose(t.ctx, &cell.Command{Note: &cell.Note{Worker: worker, Born: born, Upto: upto, Ends: ends}})
 	return err
 }
+
+// logEnded logs the jobs that ended with some attempts.
+func (t *term) logEnded(ends []cell.End) {
+	for i := range ends {
+		state := cell.Active
+		t.l.Store.View(func(v *cell.View) {
+			if j := v.Job(ends[i].Task.Job); j != nil {
+				state = j.State
+			}
+		})
+		if state == cell.Complete || state == cell.Failed {
+			t.l.Logger.Info("job ended", logging.Step("note ends"), logging.Job(ends[i].Task.Job), "state", state.String())
+		}
+	}
+}
