--- a/internal/cell/command.go
+++ b/internal/cell/command.go
@@ -22,29 +22,29 @@
 
 // Request names a queue or a job of it as a client does.
 type Request struct {
-	Host string
-	Path string
-	Key  string
+	Host string `cbor:"1,keyasint,omitempty"`
+	Path string `cbor:"2,keyasint,omitempty"`
+	Key  string `cbor:"3,keyasint,omitempty"`
 }
 
 // Submit accepts a job.
 type Submit struct {
 	Request
-	Job Submission
+	Job Submission `cbor:"10,keyasint,omitempty"`
 }
 
 // Register states what a worker says of itself.
 type Register struct {
-	ID         string
-	Born       int64
-	Address    string
-	DataCentre string
-	Service    string
-	Capacity   structs.Resources
-	Labels     []string
-	Draining   bool
+	ID         string            `cbor:"1,keyasint,omitempty"`
+	Born       int64             `cbor:"2,keyasint,omitempty"`
+	Address    string            `cbor:"3,keyasint,omitempty"`
+	DataCentre string            `cbor:"4,keyasint,omitempty"`
+	Service    string            `cbor:"5,keyasint,omitempty"`
+	Capacity   structs.Resources `cbor:"6,keyasint,omitempty"`
+	Labels     []string          `cbor:"7,keyasint,omitempty"`
+	Draining   bool              `cbor:"8,keyasint,omitempty"`
 	// Left is set if the worker says that it ends.
-	Left bool
+	Left bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Start commits attempts to workers. Attempts of a gang stand or fall together.
@@ -52,27 +52,27 @@
 
 // Placement is one task on one worker.
 type Placement struct {
-	Task   TaskKey
-	Run    uint32
-	Worker string
-	Born   int64
+	Task   TaskKey `cbor:"1,keyasint,omitempty"`
+	Run    uint32  `cbor:"2,keyasint,omitempty"`
+	Worker string  `cbor:"3,keyasint,omitempty"`
+	Born   int64   `cbor:"4,keyasint,omitempty"`
 }
 
 // Note takes in the ends that a worker lists.
 type Note struct {
-	Worker string
-	Born   int64
+	Worker string `cbor:"1,keyasint,omitempty"`
+	Born   int64  `cbor:"2,keyasint,omitempty"`
 	// Upto is the number of the newest end in the list.
-	Upto uint64
-	Ends []End
+	Upto uint64 `cbor:"3,keyasint,omitempty"`
+	Ends []End  `cbor:"4,keyasint,omitempty"`
 }
 
 // End is how an attempt ended.
 type End struct {
-	Task  TaskKey
-	Run   uint32
-	How   Outcome
-	Saved string
+	Task  TaskKey `cbor:"1,keyasint,omitempty"`
+	Run   uint32  `cbor:"2,keyasint,omitempty"`
+	How   Outcome `cbor:"3,keyasint,omitempty"`
+	Saved string  `cbor:"4,keyasint,omitempty"`
 }
 
 // Outcome is how an attempt ended.
@@ -108,14 +108,14 @@
 
 // Lapse ends all attempts of a worker's life: its lease has certainly run out.
 type Lapse struct {
-	Worker string
-	Born   int64
+	Worker string `cbor:"1,keyasint,omitempty"`
+	Born   int64  `cbor:"2,keyasint,omitempty"`
 }
 
 // OpenDue makes the next occurrence of a scheduled job due.
 type OpenDue struct {
-	Job        string
-	Occurrence int
+	Job        string `cbor:"1,keyasint,omitempty"`
+	Occurrence int    `cbor:"2,keyasint,omitempty"`
 }
 
 // Forget drops ended jobs.
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -32,51 +32,51 @@
 
 // Step is a group of equal tasks as submitted.
 type Step struct {
-	Count int
-	Size  structs.Resources
+	Count int               `cbor:"1,keyasint,omitempty"`
+	Size  structs.Resources `cbor:"2,keyasint,omitempty"`
 	// EstimateMS is a rough estimate of a task's duration, in milliseconds.
-	EstimateMS     int64
-	DependsOn      []int
-	Checkpoints    bool
-	Gang           bool
-	SameRack       bool
-	Label          string
-	DataRack       string
-	MaxPerWorker   int
-	Speculative    bool
-	Lasting        bool // runs until the job is cancelled
-	Image          string
-	TailMS         int64 // bound on the tail of response times of a lasting task
-	Filler         bool  // takes the capacity that other tasks leave unused
-	MaxUnavailable int   // tasks that orders may make unavailable at a time
+	EstimateMS     int64  `cbor:"3,keyasint,omitempty"`
+	DependsOn      []int  `cbor:"4,keyasint,omitempty"`
+	Checkpoints    bool   `cbor:"5,keyasint,omitempty"`
+	Gang           bool   `cbor:"6,keyasint,omitempty"`
+	SameRack       bool   `cbor:"7,keyasint,omitempty"`
+	Label          string `cbor:"8,keyasint,omitempty"`
+	DataRack       string `cbor:"9,keyasint,omitempty"`
+	MaxPerWorker   int    `cbor:"10,keyasint,omitempty"`
+	Speculative    bool   `cbor:"11,keyasint,omitempty"`
+	Lasting        bool   `cbor:"12,keyasint,omitempty"` // runs until the job is cancelled
+	Image          string `cbor:"13,keyasint,omitempty"`
+	TailMS         int64  `cbor:"14,keyasint,omitempty"` // bound on the tail of response times of a lasting task
+	Filler         bool   `cbor:"15,keyasint,omitempty"` // takes the capacity that other tasks leave unused
+	MaxUnavailable int    `cbor:"16,keyasint,omitempty"` // tasks that orders may make unavailable at a time
 }
 
 // Schedule makes the steps of a job run several times.
 type Schedule struct {
-	Times int
+	Times int `cbor:"1,keyasint,omitempty"`
 	// StartMS is the Unix time of the first occurrence in milliseconds.
-	StartMS    int64
-	IntervalMS int64
+	StartMS    int64 `cbor:"2,keyasint,omitempty"`
+	IntervalMS int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Submission is a job as a client submits it.
 type Submission struct {
-	ID       string
-	Spec     string
-	Steps    []Step
-	Schedule Schedule
+	ID       string   `cbor:"1,keyasint,omitempty"`
+	Spec     string   `cbor:"2,keyasint,omitempty"`
+	Steps    []Step   `cbor:"3,keyasint,omitempty"`
+	Schedule Schedule `cbor:"4,keyasint,omitempty"`
 }
 
 // Task is one task of an occurrence of a step.
 type Task struct {
 	// Run is the number of the newest attempt, 0 before the first.
-	Run      uint32
-	Failures uint8
-	Done     bool
+	Run      uint32 `cbor:"1,keyasint,omitempty"`
+	Failures uint8  `cbor:"2,keyasint,omitempty"`
+	Done     bool   `cbor:"3,keyasint,omitempty"`
 	// Open is set while an attempt of Run may be in progress.
-	Open bool
+	Open bool `cbor:"4,keyasint,omitempty"`
 	// Saved is the newest known checkpoint.
-	Saved string
+	Saved string `cbor:"5,keyasint,omitempty"`
 }
 
 // StepRun is one occurrence of a step.
@@ -112,15 +112,15 @@
 
 // StepKey names an occurrence of a step.
 type StepKey struct {
-	Job        string
-	Occurrence int
-	Step       int
+	Job        string `cbor:"1,keyasint,omitempty"`
+	Occurrence int    `cbor:"2,keyasint,omitempty"`
+	Step       int    `cbor:"3,keyasint,omitempty"`
 }
 
 // TaskKey names a task.
 type TaskKey struct {
 	StepKey
-	Index int
+	Index int `cbor:"10,keyasint,omitempty"`
 }
 
 // occurrences returns how often the steps are to run.
--- a/internal/cellapi/message.go
+++ b/internal/cellapi/message.go
@@ -21,22 +21,22 @@
 type Report struct {
 	cell.Register
 	// Sequence grows with each report of a life.
-	Sequence uint64
+	Sequence uint64 `cbor:"20,keyasint,omitempty"`
 	// ClockMS is the worker's own clock in milliseconds.
-	ClockMS int64
+	ClockMS int64 `cbor:"21,keyasint,omitempty"`
 }
 
 // Announce tells the leader that a process can be asked for advice.
 type Announce struct {
 	// Peer is where the process serves calls of other processes.
-	Peer string
+	Peer string `cbor:"1,keyasint,omitempty"`
 }
 
 // Join tells the leader that a replica lives.
 type Join struct {
-	Replica string
-	Peer    string
-	Public  string
+	Replica string `cbor:"1,keyasint,omitempty"`
+	Peer    string `cbor:"2,keyasint,omitempty"`
+	Public  string `cbor:"3,keyasint,omitempty"`
 }
 
 // Reply answers a Call.
@@ -63,16 +63,16 @@
 
 // AdviceQuestion asks which of the workers may run a step.
 type AdviceQuestion struct {
-	Step    cell.StepKey
-	Workers []string
+	Step    cell.StepKey `cbor:"1,keyasint,omitempty"`
+	Workers []string     `cbor:"2,keyasint,omitempty"`
 	// TimeoutMS bounds the call, in milliseconds.
-	TimeoutMS int64
+	TimeoutMS int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // AdviceAnswer names the workers that may run the step, each with a ticket.
 type AdviceAnswer struct {
-	Tickets    map[string]string
-	ValidityMS int64
+	Tickets    map[string]string `cbor:"1,keyasint,omitempty"`
+	ValidityMS int64             `cbor:"2,keyasint,omitempty"`
 	// Error is set if there was no answer.
-	Error string
+	Error string `cbor:"3,keyasint,omitempty"`
 }
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -30,6 +30,9 @@
 	// snapshotThreshold bounds the log on a disk of 128 MB: 4,000 entries of at
 	// most a few kilobytes, beside configurations of up to some hundred.
 	snapshotThreshold = 4000
+	// batchDelay gathers proposals for one round to the followers, which costs
+	// bytes between data centres whatever it carries; a commit takes 10 ms.
+	batchDelay = 5 * time.Millisecond
 	// transferTimeout bounds the hand-over of leadership at shutdown.
 	transferTimeout = time.Second
 )
@@ -83,7 +86,7 @@
 	})
 	n.replica, err = replica.Start(replica.Config{
 		Group: group, ID: id, Address: c.Peer, Membership: founders, Storage: storage, Machine: store,
-		Transport: n.transport, Clock: c.Clock, Logger: c.Logger, SnapshotThreshold: snapshotThreshold, Supersedes: supersedes,
+		Transport: n.transport, Clock: c.Clock, Logger: c.Logger, SnapshotThreshold: snapshotThreshold, BatchDelay: batchDelay, Supersedes: supersedes,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -67,6 +67,9 @@
 	// SnapshotThreshold is the number of entries applied between snapshots,
 	// 10,000 if 0. Half as many are kept in memory for followers that lag.
 	SnapshotThreshold uint64
+	// BatchDelay is how long a proposal may wait for others to be committed with
+	// it; 0 means that it does not wait.
+	BatchDelay time.Duration
 	// Supersedes reports whether the existence of replica newID proves that
 	// oldID is gone for good, as for incarnations of one VM; nil means never.
 	Supersedes func(newID, oldID string) bool
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync/atomic"
+	"time"
 
 	"laburnumgrade/internal/port"
 	"laburnumgrade/internal/raft"
@@ -62,14 +63,19 @@
 func (r *Replica) enqueue(p *proposal) error {
 	r.mu.Lock()
 	full := len(r.queue.proposals) >= maxQueuedProposals
+	first := len(r.queue.proposals) == 0
 	if !full {
 		r.queue.proposals = append(r.queue.proposals, p)
 	}
 	r.mu.Unlock()
-	if full {
+	switch {
+	case full:
 		return ErrOverloaded
+	case r.cfg.BatchDelay == 0:
+		r.signal()
+	case first:
+		time.AfterFunc(r.cfg.BatchDelay, r.signal)
 	}
-	r.signal()
 	return nil
 }
 
