A new leader knows the processes that can be asked for advice

Cause: after a failover no step that needs advice started until gateways and control processes had announced themselves to the new leader, up to 0.7 s. Change: the leader names them to the control processes, which keep them.

--- a/internal/cellapi/message.go
+++ b/internal/cellapi/message.go
@@ -51,6 +51,9 @@
 	Members []string `cbor:"5,keyasint,omitempty"`
 	// Public is where the leader takes reports of workers.
 	Public string `cbor:"6,keyasint,omitempty"`
+	// Callers are the processes that can be asked for advice, for a process that
+	// may lead next.
+	Callers []string `cbor:"11,keyasint,omitempty"`
 	// Refused says why the call was certainly not carried out.
 	Refused string `cbor:"7,keyasint,omitempty"`
 	// Unknown says why it may or may not have been carried out.
--- a/internal/cellnode/member.go
+++ b/internal/cellnode/member.go
@@ -66,6 +66,8 @@
 		call, cancel := context.WithTimeout(ctx, announceInterval)
 		if r := n.Do(call, &cellapi.Call{Join: join}); r.Refused != "" || r.Unknown != "" {
 			n.c.Logger.Debug("replica not announced", logging.Step("join"), "reason", r.Refused+r.Unknown)
+		} else {
+			n.leader.SetCallers(r.Callers)
 		}
 		cancel()
 		if !pause(ctx, announceInterval) {
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -78,6 +79,20 @@
 	c.seen = now
 }
 
+// living returns the processes that can be asked.
+func (d *adviceDesk) living(now time.Duration) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []string
+	for peer, c := range d.callers {
+		if now-c.seen <= callerLife {
+			list = append(list, peer)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
 // drop forgets a ticket that a worker refused.
 func (d *adviceDesk) drop(step cell.StepKey, worker string) {
 	d.mu.Lock()
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -292,7 +292,7 @@
 		b.store = cell.NewStore(func(c *cell.Command) { b.leader.Applied(c) })
 		b.log.apply = b.store.Apply
 		b.leader = New(Config{
-			Log: b.log, Store: b.store, Clock: port.NewSystemClock(), Workers: b.fleet,
+			Log: b.log, Store: b.store, Clock: port.NewSystemClock(), Workers: b.fleet, Self: "self",
 			Members: func() []string { return nil }, Joined: func(string, string, string) {},
 			Bounds: Bounds{KeepEnded: time.Hour}, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 		})
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -61,6 +61,15 @@
 
 	mu   sync.Mutex
 	term *term
+	// callers are the processes that an earlier leader could ask for advice.
+	callers []string
+}
+
+// SetCallers notes the processes that the present leader can ask for advice.
+func (l *Leader) SetCallers(callers []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.callers = callers
 }
 
 // New returns a leader that is to be run. Its Applied method must be called with
@@ -149,6 +158,9 @@
 	t := newTerm(ctx, l, number, l.Clock.Now())
 	l.mu.Lock()
 	l.term = t
+	for _, peer := range append([]string{l.Self}, l.callers...) {
+		t.advice.announce(peer, t.began)
+	}
 	l.mu.Unlock()
 	l.Logger.Info("leading the cell", logging.Step("lead"), "term", number)
 	t.run()
--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -174,6 +174,18 @@
 	})
 }
 
+// Guards against a new leader that cannot ask for advice until other processes
+// have announced themselves to it.
+func TestNewLeaderKnowsCallers(t *testing.T) {
+	run(t, 1, func(b *cellBench) {
+		b.do(&cellapi.Call{Announce: &cellapi.Announce{Peer: "g"}})
+		r := b.do(&cellapi.Call{Join: &cellapi.Join{Replica: "a#1", Peer: "a"}})
+		b.leader.SetCallers(r.Callers)
+		b.lead(2)
+		assert.DeepEqual(t, b.leader.current().advice.living(b.leader.Clock.Now()), []string{"a", "g", "self"})
+	})
+}
+
 // Guards against answers by a process that does not lead any more.
 func TestNoAnswerWithoutLease(t *testing.T) {
 	run(t, 1, func(b *cellBench) {
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -69,7 +69,7 @@
 	case c.Join != nil:
 		l.Joined(c.Join.Replica, c.Join.Peer, c.Join.Public)
 		t.advice.announce(c.Join.Peer, l.Clock.Now())
-		return &cellapi.Reply{Verdict: cell.Accepted}
+		return &cellapi.Reply{Verdict: cell.Accepted, Callers: t.advice.living(l.Clock.Now())}
 	}
 	return &cellapi.Reply{Refused: "the call is empty"}
 }
