dispatch: slow workers only for work that has the time for its whole chain

Cause: a slow worker was taken when the step alone was in time; later steps and a failed run then made the job late. Change: the rest of the chain counts, with a margin of 1.3.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -19,6 +19,9 @@
 	// reservedCost makes urgent work take workers that are kept for a gang only
 	// after all others.
 	reservedCost = 5
+	// slowMargin is how much longer than expected work may take and still be in
+	// time on a slow worker: estimates are off, and one run in twenty fails.
+	slowMargin = 1.3
 	// renewalCost puts workers with a valid ticket before all others.
 	renewalCost = 10
 	// hopeless jobs have waited this many times their objective and go last.
@@ -42,12 +45,13 @@
 
 // wish is a step that has tasks to start.
 type wish struct {
-	key      cell.StepKey
-	job      *cell.Job
-	step     *cell.Step
-	run      *cell.StepRun
-	queue    *cell.Queue
-	expected time.Duration
+	key   cell.StepKey
+	job   *cell.Job
+	step  *cell.Step
+	run   *cell.StepRun
+	queue *cell.Queue
+	// rest is the expected duration of this step and the longest chain after it.
+	rest time.Duration
 	// deadline is when the job is meant to be complete.
 	deadline time.Duration
 	// late jobs cannot be complete in time any more, hopeless ones earn nothing.
@@ -186,10 +190,11 @@
 			t.arrived[key.Job] = now
 		}
 		w := &wish{key: key, job: j, step: &j.Steps[key.Step], run: run, queue: q}
-		w.expected = t.speeds.expected(q.Name, w.step.EstimateMS)
-		objective := time.Duration(float64(chain(t, j, q))*q.Stretch) + time.Duration(q.ObjectiveMS)*time.Millisecond
+		rest := t.chains(j, q)
+		w.rest = rest[key.Step]
+		objective := time.Duration(float64(slices.Max(rest))*q.Stretch) + time.Duration(q.ObjectiveMS)*time.Millisecond
 		w.deadline = at + objective
-		w.late = now+w.expected > w.deadline
+		w.late = now+w.rest > w.deadline
 		w.hopeless = now > at+hopeless*objective
 		wishes = append(wishes, w)
 	}
@@ -217,19 +222,17 @@
 	return 1
 }
 
-// chain returns the expected duration of the longest chain of a job's steps.
-func chain(t *term, j *cell.Job, q *cell.Queue) time.Duration {
-	ends := make([]time.Duration, len(j.Steps))
-	var longest time.Duration
-	for i := range j.Steps {
-		var from time.Duration
+// chains returns, for each step of a job, the expected duration of the longest
+// chain of steps that begins with it.
+func (t *term) chains(j *cell.Job, q *cell.Queue) []time.Duration {
+	rest := make([]time.Duration, len(j.Steps))
+	for i := len(j.Steps) - 1; i >= 0; i-- {
+		rest[i] += t.speeds.expected(q.Name, j.Steps[i].EstimateMS)
 		for _, before := range j.Steps[i].DependsOn {
-			from = max(from, ends[before])
+			rest[before] = max(rest[before], rest[i])
 		}
-		ends[i] = from + t.speeds.expected(q.Name, j.Steps[i].EstimateMS)
-		longest = max(longest, ends[i])
 	}
-	return longest
+	return rest
 }
 
 // gather fills in the workers.
@@ -384,7 +387,7 @@
 		left := c.free.Sub(w.claim())
 		spare := float64(left.MilliCPU) / float64(max(1, c.worker.Capacity.MilliCPU))
 		value := factor + 0.2*spare
-		if w.queue.Priority > 0 && p.now+time.Duration(float64(w.expected)*factor) < w.deadline {
+		if w.queue.Priority > 0 && p.now+time.Duration(slowMargin*factor*float64(w.rest)) < w.deadline {
 			// Slow workers are left to work that has the time.
 			value = 2 - factor + 0.2*spare - 2
 		}
--- a/internal/dispatch/plan_test.go
+++ b/internal/dispatch/plan_test.go
@@ -38,8 +38,8 @@
 	p.headroom["red"] = structs.Resources{MilliCPU: 1 << 40, MemoryBytes: 1 << 60, Accelerators: 1}
 	return &wish{
 		key: cell.StepKey{Job: job}, job: j, step: &j.Steps[0], run: &cell.StepRun{Tasks: make([]cell.Task, step.Count)},
-		queue:    &cell.Queue{Service: service, Priority: priority, Advice: &cell.AdviceTerms{DecideMS: 500, PerWorkerMS: 7, ValidityMS: 2000}},
-		expected: time.Second, deadline: time.Minute,
+		queue: &cell.Queue{Service: service, Priority: priority, Advice: &cell.AdviceTerms{DecideMS: 500, PerWorkerMS: 7, ValidityMS: 2000}},
+		rest:  time.Second, deadline: time.Minute,
 	}
 }
 
@@ -140,3 +140,19 @@
 	p.decide([]*wish{p.newWish("b", 1, gang(6, 18))})
 	assert.Equal(t, len(p.placements), 6)
 }
+
+// Guards against work on a slow worker on which it would be late, and against
+// work that takes fast workers although it has the time.
+func TestSlowWorkersForWorkWithTime(t *testing.T) {
+	for _, c := range []struct {
+		deadline time.Duration
+		want     string
+	}{{30 * time.Second, "w01"}, {25 * time.Second, "w00"}} {
+		p := newPlanner(2, map[cell.StepKey]*stepAdvice{{Job: "a"}: allowed(20*time.Second, "w00", "w01")})
+		p.candidates[1].factor = 2
+		w := p.newWish("a", 1, cell.Step{Count: 1, Size: structs.Resources{MilliCPU: 1000}})
+		w.rest, w.deadline = 6*time.Second, c.deadline
+		p.decide([]*wish{w})
+		assert.DeepEqual(t, placedOn(p), []string{c.want})
+	}
+}
