--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -63,6 +63,7 @@
 	client    *cellapi.Client
 	leader    *dispatch.Leader
 	members   members
+	storage   *timedStorage
 }
 
 // Start opens or creates the replica and runs the node until the context ends.
@@ -75,17 +76,18 @@
 			n.leader.Applied(command)
 		}
 	})
-	storage, id, founders, err := n.open()
+	opened, id, founders, err := n.open()
 	if err != nil {
 		return nil, err
 	}
+	n.storage = &timedStorage{LogStorage: opened, clock: c.Clock}
 	started := make(chan struct{})
 	n.leader = dispatch.New(dispatch.Config{
 		Log: log{n, started}, Store: store, Clock: c.Clock, Workers: c.Workers, Callers: callers{n}, Self: c.Peer, Public: c.Public,
 		Members: n.peers, Joined: n.joined, Bounds: c.Bounds, Logger: c.Logger, Scope: c.Scope,
 	})
 	n.replica, err = replica.Start(replica.Config{
-		Group: group, ID: id, Address: c.Peer, Membership: founders, Storage: storage, Machine: store,
+		Group: group, ID: id, Address: c.Peer, Membership: founders, Storage: n.storage, Machine: store,
 		Transport: n.transport, Clock: c.Clock, Logger: c.Logger, SnapshotThreshold: snapshotThreshold, BatchDelay: batchDelay, Supersedes: supersedes,
 	})
 	if err != nil {
@@ -96,6 +98,7 @@
 	c.Logger.Info("replica started", logging.Step("start replica"), "id", id, "founder", founders != nil)
 	go n.announce(ctx)
 	go n.repair(ctx)
+	go n.watchDisk(ctx, n.storage)
 	go n.leader.Run(ctx)
 	return n, nil
 }
--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -7,11 +7,13 @@
 	"net/http"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
+	"laburnumgrade/gen/peerv1"
 	"laburnumgrade/internal/cell"
 	"laburnumgrade/internal/cellapi"
 	"laburnumgrade/internal/dispatch"
@@ -223,6 +225,51 @@
 	assert.Equal(t, s.version(3), byte(1))
 }
 
+// slowStorage takes a time for each append.
+type slowStorage struct {
+	port.LogStorage
+	takes time.Duration
+}
+
+func (s slowStorage) Append(*peerv1.RaftHardState, []*peerv1.RaftEntry) error {
+	time.Sleep(s.takes)
+	return nil
+}
+
+// Guards against a leader that stays on a slow disk, and against one that hands
+// over for a single slow sync.
+func TestSlowAppendsAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &timedStorage{clock: port.NewSystemClock()}
+		for _, c := range []struct {
+			takes time.Duration
+			want  int64
+		}{{slowAppend, 1}, {time.Second, 2}, {slowAppend / 2, 0}, {slowAppend, 1}} {
+			s.LogStorage = slowStorage{takes: c.takes}
+			assert.NilError(t, s.Append(nil, nil))
+			assert.Equal(t, s.slow.Load(), c.want)
+		}
+	})
+}
+
+// Guards against a slow disk that slows the whole cell down.
+func TestLeaderOnSlowDiskHandsOver(t *testing.T) {
+	s := newSite(t, 3)
+	for i := range 3 {
+		s.start(i, true)
+	}
+	s.put(0, 1)
+	slow := s.leader()
+	s.nodes[slow].node.storage.slow.Store(slowAppends)
+	for deadline := time.Now().Add(siteLimit); ; time.Sleep(20 * time.Millisecond) {
+		if now := s.leader(); now >= 0 && now != slow {
+			break
+		}
+		assert.Assert(t, time.Now().Before(deadline), "node %d still leads", slow)
+	}
+	s.put(slow, 2)
+}
+
 // Guards against a process with an empty disk that founds a second group.
 func TestEmptyDiskDoesNotFound(t *testing.T) {
 	s := newSite(t, 3)
