--- a/cmd/lg-cell/main.go
+++ b/cmd/lg-cell/main.go
@@ -5,12 +5,10 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"net/http"
 	"os"
 	"time"
 
-	"laburnumgrade/internal/adapter/metrics"
 	"laburnumgrade/internal/cellnode"
 	"laburnumgrade/internal/config"
 	"laburnumgrade/internal/dispatch"
@@ -40,18 +38,15 @@
 
 func run(c *config.Cell) error {
 	ctx, second := process.Signals()
-	lines := logging.NewBounded(os.Stdout, maxLines)
-	defer lines.Close()
-	logger := logging.New(lines, c.Process.Name, c.Process.DataCentre, slog.LevelInfo)
-	scope, metricsHandler, closer := metrics.New(c.Process.Name, c.Process.DataCentre, metrics.ReportInterval)
-	defer closer.Close()
+	base := process.Open(c.Process, maxLines)
+	logger := base.Logger
 	working, stop := context.WithCancel(context.Background())
 	defer stop()
 	node, err := cellnode.Start(working, cellnode.Config{
 		Peer: c.Peer.String(), Public: c.Public.String(), Seeds: c.Seeds, Folder: c.DataFolder, Bootstrap: c.Bootstrap,
 		Clock: port.NewBootClock(), Workers: platform.NewWorkers(), Adviser: platform.NewAdviser(c.Advice.String()),
 		Bounds: dispatch.Bounds{MaxLease: c.MaxLease, KeepEnded: c.KeepEnded, RemoteFactor: c.RemoteFactor},
-		Logger: logger, Scope: scope,
+		Logger: logger, Scope: base.Scope,
 	})
 	if err != nil {
 		return err
@@ -59,7 +54,7 @@
 	servers, err := process.Serve(map[string]http.Handler{
 		c.Public.String():        platform.Control(node, logger),
 		c.Peer.String():          node.Handler(),
-		c.Process.Admin.String(): process.Metrics(metricsHandler),
+		c.Process.Admin.String(): base.Metrics,
 	})
 	if err != nil {
 		return err
@@ -76,5 +71,5 @@
 	err = servers.Shutdown(second, finishTime)
 	node.Stop()
 	logger.Info("process stopped", logging.Step("stop"), "error", err)
-	return nil
+	return base.Close()
 }
--- a/cmd/lg-gateway/main.go
+++ b/cmd/lg-gateway/main.go
@@ -5,12 +5,10 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"net/http"
 	"os"
 	"time"
 
-	"laburnumgrade/internal/adapter/metrics"
 	"laburnumgrade/internal/cellapi"
 	"laburnumgrade/internal/config"
 	"laburnumgrade/internal/gateway"
@@ -39,17 +37,14 @@
 
 func run(c *config.Gateway) error {
 	ctx, second := process.Signals()
-	lines := logging.NewBounded(os.Stdout, maxLines)
-	defer lines.Close()
-	logger := logging.New(lines, c.Process.Name, c.Process.DataCentre, slog.LevelInfo)
-	scope, metricsHandler, closer := metrics.New(c.Process.Name, c.Process.DataCentre, metrics.ReportInterval)
-	defer closer.Close()
+	base := process.Open(c.Process, maxLines)
+	logger := base.Logger
 	client := cellapi.NewClient(c.Seeds)
 	g := gateway.New(client, c.Peer.String())
 	servers, err := process.Serve(map[string]http.Handler{
-		c.Public.String():        platform.Front(client, logger, scope),
+		c.Public.String():        platform.Front(client, logger, base.Scope),
 		c.Ready.String():         platform.Ready(g.Ready),
-		c.Process.Admin.String(): process.Metrics(metricsHandler),
+		c.Process.Admin.String(): base.Metrics,
 		c.Peer.String():          cellapi.Handler(nil, platform.NewAdviser(c.Advice.String())),
 	})
 	if err != nil {
@@ -67,5 +62,5 @@
 	process.Wait(second, leaveTime)
 	err = servers.Shutdown(second, c.Drain-leaveTime)
 	logger.Info("process stopped", logging.Step("stop"), "error", err)
-	return nil
+	return base.Close()
 }
--- a/internal/cell/request.go
+++ b/internal/cell/request.go
@@ -20,8 +20,8 @@
 	BadKey
 	// NoJob says that no such job exists.
 	NoJob
-	// BadJob says that the job cannot be read or makes no sense.
-	BadJob
+	// Invalid says that the job or configuration makes no sense.
+	Invalid
 )
 
 // authorize finds the queue, the rest of the path and the team of a request.
@@ -111,7 +111,7 @@
 		return Accepted
 	}
 	if !idPattern.MatchString(id) {
-		return BadJob
+		return Invalid
 	}
 	j := &Job{
 		ID: id, Queue: q.Name, Team: team, Spec: c.Job.Spec, Steps: c.Job.Steps, Schedule: c.Job.Schedule,
--- a/internal/cellapi/client.go
+++ b/internal/cellapi/client.go
@@ -178,7 +178,7 @@
 			err = errors.Errorf("%s does not lead; leader %q", address, r.Leader)
 		}
 		if tries%max(1, known) == 0 || r.NotLeader || r.Unknown != "" {
-			sleep(ctx, roundPause)
+			Pause(ctx, roundPause)
 		}
 		if ctx.Err() != nil {
 			if sent != "" {
@@ -234,11 +234,14 @@
 	return &a
 }
 
-func sleep(ctx context.Context, d time.Duration) {
+// Pause waits and reports whether the context goes on.
+func Pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
+		return false
 	case <-t.C:
+		return true
 	}
 }
--- a/internal/cellapi/message.go
+++ b/internal/cellapi/message.go
@@ -36,7 +36,6 @@
 type Join struct {
 	Replica string `cbor:"1,keyasint,omitempty"`
 	Peer    string `cbor:"2,keyasint,omitempty"`
-	Public  string `cbor:"3,keyasint,omitempty"`
 }
 
 // Reply answers a Call.
--- a/internal/cellnode/member.go
+++ b/internal/cellnode/member.go
@@ -33,7 +33,7 @@
 }
 
 // joined notes a replica that announces itself.
-func (n *Node) joined(id, address, _ string) {
+func (n *Node) joined(id, address string) {
 	n.members.mu.Lock()
 	defer n.members.mu.Unlock()
 	n.members.candidates[membership.Name(id)] = membership.Candidate{
@@ -61,7 +61,7 @@
 
 // announce tells the leader that the replica lives, until the context ends.
 func (n *Node) announce(ctx context.Context) {
-	join := &cellapi.Join{Replica: n.replica.Status().ID, Peer: n.c.Peer, Public: n.c.Public}
+	join := &cellapi.Join{Replica: n.replica.Status().ID, Peer: n.c.Peer}
 	for {
 		call, cancel := context.WithTimeout(ctx, announceInterval)
 		if r := n.Do(call, &cellapi.Call{Join: join}); r.Refused != "" || r.Unknown != "" {
@@ -70,7 +70,7 @@
 			n.leader.SetCallers(r.Callers)
 		}
 		cancel()
-		if !pause(ctx, announceInterval) {
+		if !cellapi.Pause(ctx, announceInterval) {
 			return
 		}
 	}
@@ -78,7 +78,7 @@
 
 // repair makes the membership changes that are due while the process leads.
 func (n *Node) repair(ctx context.Context) {
-	for pause(ctx, repairInterval) {
+	for cellapi.Pause(ctx, repairInterval) {
 		since, leads := n.replica.Lease()
 		if !leads {
 			continue
@@ -142,14 +142,3 @@
 	}
 	return v
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/cellnode/slowdisk.go
+++ b/internal/cellnode/slowdisk.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"laburnumgrade/gen/peerv1"
+	"laburnumgrade/internal/cellapi"
 	"laburnumgrade/internal/logging"
 	"laburnumgrade/internal/port"
 	"laburnumgrade/internal/raft"
@@ -43,7 +44,7 @@
 // watchDisk hands leadership over while the process leads on a slow disk: the
 // group commits as fast as its leader and the faster of the others.
 func (n *Node) watchDisk(ctx context.Context, s *timedStorage) {
-	for pause(ctx, diskInterval) {
+	for cellapi.Pause(ctx, diskInterval) {
 		slow := s.slow.Load()
 		if slow < slowAppends || n.replica.Status().Role != raft.Leader {
 			continue
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -293,8 +293,8 @@
 		b.log.apply = b.store.Apply
 		b.leader = New(Config{
 			Log: b.log, Store: b.store, Clock: port.NewSystemClock(), Workers: b.fleet, Self: "self",
-			Members: func() []string { return nil }, Joined: func(string, string, string) {},
-			Bounds: Bounds{KeepEnded: time.Hour}, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+			Members: func() []string { return nil }, Joined: func(string, string) {},
+			Bounds: Bounds{KeepEnded: time.Hour, MaxLease: 6 * time.Second, RemoteFactor: 2}, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		stopped := make(chan struct{})
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -37,7 +37,7 @@
 	// Members returns the peer addresses of the control processes.
 	Members func() []string
 	// Joined is told of each replica that announces itself.
-	Joined func(replica, peer, public string)
+	Joined func(replica, peer string)
 	Bounds Bounds
 	Logger *slog.Logger
 	Scope  tally.Scope
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -67,7 +67,7 @@
 		t.advice.announce(c.Announce.Peer, l.Clock.Now())
 		return &cellapi.Reply{Verdict: cell.Accepted}
 	case c.Join != nil:
-		l.Joined(c.Join.Replica, c.Join.Peer, c.Join.Public)
+		l.Joined(c.Join.Replica, c.Join.Peer)
 		t.advice.announce(c.Join.Peer, l.Clock.Now())
 		return &cellapi.Reply{Verdict: cell.Accepted, Callers: t.advice.living(l.Clock.Now())}
 	}
@@ -141,7 +141,7 @@
 func (l *Leader) configure(ctx context.Context, c *cell.Configuration) *cellapi.Reply {
 	if err := c.Validate(); err != nil {
 		l.Logger.Info("configuration refused", logging.Step("configure"), "version", c.Version, logging.Error(err))
-		return &cellapi.Reply{Verdict: cell.BadJob}
+		return &cellapi.Reply{Verdict: cell.Invalid}
 	}
 	var held int64
 	l.Store.View(func(v *cell.View) {
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -25,6 +25,8 @@
 	ctx    context.Context
 	number uint64
 	began  time.Duration
+	// lease is the length of the leases of workers.
+	lease  time.Duration
 	advice *adviceDesk
 	speeds *speedBook
 	// reserved is what the last plan kept for gangs; it belongs to the planner.
@@ -46,7 +48,7 @@
 
 func newTerm(ctx context.Context, l *Leader, number uint64, now time.Duration) *term {
 	t := &term{
-		l: l, ctx: ctx, number: number, began: now, sessions: map[string]*session{},
+		l: l, ctx: ctx, number: number, began: now, lease: min(leaseLength, l.Bounds.MaxLease), sessions: map[string]*session{},
 		arrived: map[string]time.Duration{}, stops: map[stopKey]time.Duration{}, speeds: newSpeedBook(),
 	}
 	t.advice = newAdviceDesk(t)
@@ -72,16 +74,7 @@
 }
 
 // pause waits and reports whether the term goes on.
-func (t *term) pause(d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-t.ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
+func (t *term) pause(d time.Duration) bool { return cellapi.Pause(t.ctx, d) }
 
 // run plans until the lease is lost.
 func (t *term) run() {
--- /dev/null
+++ b/internal/dispatch/wish.go
@@ -0,0 +1,73 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"laburnumgrade/internal/cell"
+)
+
+// wishes returns the ready steps in the order in which they are served.
+func (t *term) wishes(v *cell.View, now time.Duration) []*wish {
+	var wishes []*wish
+	ready := make(map[cell.StepKey]bool, len(v.Ready()))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for key, run := range v.Ready() {
+		ready[key] = true
+		j := v.Job(key.Job)
+		q := v.Queue(j.Queue)
+		if q == nil {
+			continue // dropped from the configuration; it may come back
+		}
+		at, known := t.arrived[key.Job]
+		if !known {
+			at = now
+			t.arrived[key.Job] = now
+		}
+		w := &wish{key: key, job: j, step: &j.Steps[key.Step], run: run, queue: q}
+		rest := t.chains(j, q)
+		w.rest = rest[key.Step]
+		objective := time.Duration(float64(slices.Max(rest))*q.Stretch) + time.Duration(q.ObjectiveMS)*time.Millisecond
+		w.deadline = at + objective
+		w.late = now+w.rest > w.deadline
+		w.hopeless = now > at+hopeless*objective
+		wishes = append(wishes, w)
+	}
+	for id := range t.arrived {
+		if j := v.Job(id); j == nil || j.State != cell.Active {
+			delete(t.arrived, id)
+		}
+	}
+	t.advice.keepOnly(ready)
+	slices.SortFunc(wishes, func(a, b *wish) int {
+		return cmp.Or(first(!a.hopeless, !b.hopeless), cmp.Compare(a.queue.Priority, b.queue.Priority),
+			first(!a.step.Gang || !a.late, !b.step.Gang || !b.late), cmp.Compare(a.job.Accepted, b.job.Accepted), cmp.Compare(a.key.Step, b.key.Step))
+	})
+	return wishes
+}
+
+// first orders what is true before what is not.
+func first(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
+
+// chains returns, for each step of a job, the expected duration of the longest
+// chain of steps that begins with it.
+func (t *term) chains(j *cell.Job, q *cell.Queue) []time.Duration {
+	rest := make([]time.Duration, len(j.Steps))
+	for i := len(j.Steps) - 1; i >= 0; i-- {
+		rest[i] += t.speeds.expected(q.Name, j.Steps[i].EstimateMS)
+		for _, before := range j.Steps[i].DependsOn {
+			rest[before] = max(rest[before], rest[i])
+		}
+	}
+	return rest
+}
--- a/internal/process/serve.go
+++ b/internal/process/serve.go
@@ -32,13 +32,6 @@
 	return servers, nil
 }
 
-// Metrics serves the metrics of a process at the usual path.
-func Metrics(handler http.Handler) http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", handler)
-	return mux
-}
-
 // Drain asks the clients of all servers to use other connections.
 func (s Servers) Drain() {
 	for _, server := range s {
