dispatch: leases of workers of 5.7 s

Cause: with leases of 4.2 s all running work was lost when the control VMs were dark for 4.5 s, and urgent work of lost workers came too late all the same. Change: lease 5.7 s, bounded by max_lease.

--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	// leaseLength is how long a worker may go on without contact. It outlasts an
-	// election (up to 1.2 s) and the restart of a process (up to 1 s) after a hold
-	// that waited its full time; work of a lost worker starts again after it.
-	leaseLength = 4200 * time.Millisecond
+	// leaseLength is how long a worker may go on without contact, if the settings
+	// allow it. Work goes on while all control processes are away for up to 4.5 s;
+	// work of a lost worker starts again after it.
+	leaseLength = 5700 * time.Millisecond
 	// holdWait is how long a worker waits for an end before it answers a hold.
 	holdWait = 800 * time.Millisecond
 	// callTimeout bounds a call to a worker beyond the time it is asked to wait.
