dispatch, cellapi: refusals need the lease; leaders found and lost in the log

Cause: a submission refused from the state (404, 401) was not checked against the lease after the read, so a leader paused in between could refuse by an older configuration. A report with a service that the cell does not have could end the life of the worker at the same address. A call whose caller left made the client forget the leader. Change: replies say whether they rest on a commit; foreign reports are acknowledged and ignored; log lines with the version of the configuration that decided; one copy of Worker.Count and of the claim of a step.

--- a/cmd/lg-gateway/main.go
+++ b/cmd/lg-gateway/main.go
@@ -39,7 +39,7 @@
 	ctx, second := process.Signals()
 	base := process.Open(c.Process, maxLines)
 	logger := base.Logger
-	client := cellapi.NewClient(c.Seeds)
+	client := cellapi.NewClient(c.Seeds, logger)
 	g := gateway.New(client, c.Peer.String())
 	servers, err := process.Serve(map[string]http.Handler{
 		c.Public.String():        platform.Front(client, logger, base.Scope),
--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -96,22 +96,10 @@
 	if q == nil || q.Service != w.Service || !w.Has(step.Label) {
 		return false
 	}
-	if step.MaxPerWorker > 0 && w.count(p.Task.StepKey) >= step.MaxPerWorker {
+	if step.MaxPerWorker > 0 && w.Count(p.Task.StepKey) >= step.MaxPerWorker {
 		return false
 	}
-	a := Attempt{Size: step.Size, Filler: step.Filler}
-	return a.claim().Fits(w.Free()) && step.Size.Fits(s.headroom(j.Team))
-}
-
-// count returns how many tasks of an occurrence of a step the worker holds.
-func (w *Worker) count(step StepKey) int {
-	n := 0
-	for k := range w.Attempts {
-		if k.Job == step.Job && k.Occurrence == step.Occurrence && k.Step == step.Step {
-			n++
-		}
-	}
-	return n
+	return step.Claim().Fits(w.Free()) && step.Size.Fits(s.headroom(j.Team))
 }
 
 func (s *Store) commit(j *Job, step *Step, run *StepRun, p *Placement) {
--- a/internal/cell/configuration.go
+++ b/internal/cell/configuration.go
@@ -135,14 +135,18 @@
 
 // index finds queues by place and teams by key.
 type index struct {
-	byHost map[string][]*Queue
-	byName map[string]*Queue
-	owners map[string]*Team
-	teams  map[string]*Team
+	byHost   map[string][]*Queue
+	byName   map[string]*Queue
+	services map[string]bool
+	owners   map[string]*Team
+	teams    map[string]*Team
 }
 
 func newIndex(c *Configuration) *index {
-	x := &index{byHost: map[string][]*Queue{}, byName: map[string]*Queue{}, owners: map[string]*Team{}, teams: map[string]*Team{}}
+	x := &index{
+		byHost: map[string][]*Queue{}, byName: map[string]*Queue{}, services: map[string]bool{},
+		owners: map[string]*Team{}, teams: map[string]*Team{},
+	}
 	if c == nil {
 		return x
 	}
@@ -151,6 +155,9 @@
 		x.byHost[q.Host] = append(x.byHost[q.Host], q)
 		x.byName[q.Name] = q
 	}
+	for _, s := range c.Services {
+		x.services[s.Name] = true
+	}
 	for i := range c.Teams {
 		t := &c.Teams[i]
 		x.teams[t.Name] = t
--- a/internal/cell/request.go
+++ b/internal/cell/request.go
@@ -24,6 +24,17 @@
 	Invalid
 )
 
+// verdictNames are the verdicts as shown in logs; no verdict comes first.
+var verdictNames = [...]string{"none", "accepted", "no configuration", "no queue", "bad key", "no job", "invalid"}
+
+// String returns the verdict as shown in logs.
+func (v Verdict) String() string {
+	if int(v) < len(verdictNames) {
+		return verdictNames[v]
+	}
+	return "unknown"
+}
+
 // authorize finds the queue, the rest of the path and the team of a request.
 func (s *Store) authorize(r *Request) (q *Queue, rest, team string, v Verdict) {
 	if s.Configuration == nil {
--- a/internal/cell/store.go
+++ b/internal/cell/store.go
@@ -161,6 +161,9 @@
 // Queue returns a queue by name, nil if it is not configured.
 func (v *View) Queue(name string) *Queue { return v.s.index.byName[name] }
 
+// HasService reports whether a service is configured.
+func (v *View) HasService(name string) bool { return v.s.index.services[name] }
+
 // Headroom returns what a team may still start; a negative dimension says that
 // its limit is exceeded. Unlimited dimensions are set to unlimited.
 func (v *View) Headroom(team string) structs.Resources { return v.s.headroom(team) }
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -34,14 +34,30 @@
 }
 
 // claim is what the attempt takes of a worker's capacity.
-func (a *Attempt) claim() structs.Resources {
-	size := a.Size
-	if a.Filler {
+func (a *Attempt) claim() structs.Resources { return claim(a.Size, a.Filler) }
+
+// Claim is what a task of the step takes of a worker's capacity.
+func (s *Step) Claim() structs.Resources { return claim(s.Size, s.Filler) }
+
+// claim leaves the processors of a filler out: it takes what others leave unused.
+func claim(size structs.Resources, filler bool) structs.Resources {
+	if filler {
 		size.MilliCPU = 0
 	}
 	return size
 }
 
+// Count returns how many tasks of an occurrence of a step the worker holds.
+func (w *Worker) Count(step StepKey) int {
+	n := 0
+	for k := range w.Attempts {
+		if k.StepKey == step {
+			n++
+		}
+	}
+	return n
+}
+
 // Free returns the capacity that no attempt holds.
 func (w *Worker) Free() structs.Resources { return w.Capacity.Sub(w.used) }
 
--- a/internal/cellapi/client.go
+++ b/internal/cellapi/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"slices"
@@ -15,6 +16,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"laburnumgrade/internal/logging"
 	"laburnumgrade/internal/port"
 )
 
@@ -59,19 +61,23 @@
 
 // Client calls the leader of the cell through any of its control processes.
 type Client struct {
-	http *http.Client
+	http   *http.Client
+	logger *slog.Logger
 
 	mu      sync.Mutex
 	seeds   []string
 	members []string
+	// leader is asked first; serving is the leader that answered last, empty
+	// once it has failed to.
 	leader  string
+	serving string
 	next    int
 	heard   time.Time
 }
 
 // NewClient returns a client that knows some peer addresses.
-func NewClient(seeds []string) *Client {
-	return &Client{http: NewHTTPClient(connectionsPerPeer), seeds: seeds}
+func NewClient(seeds []string, logger *slog.Logger) *Client {
+	return &Client{http: NewHTTPClient(connectionsPerPeer), logger: logger, seeds: seeds}
 }
 
 // SetSeeds replaces the addresses from the settings.
@@ -123,6 +129,10 @@
 		if c.leader == address {
 			c.leader = ""
 		}
+		if c.serving == address {
+			c.serving = ""
+			c.logger.Warn("leader lost", logging.Step("call"), logging.Peer(address), logging.Error(err))
+		}
 	case r.NotLeader:
 		c.leader = ""
 		if r.Leader != address {
@@ -130,6 +140,10 @@
 		}
 	default:
 		c.leader, c.heard = address, time.Now()
+		if c.serving != address {
+			c.logger.Info("leader found", logging.Step("call"), logging.Peer(address), "before", c.serving)
+			c.serving = address
+		}
 		if len(r.Members) > 0 {
 			c.members = r.Members
 		}
@@ -160,7 +174,9 @@
 		}
 		var r Reply
 		reached, err := c.try(ctx, address, data, &r)
-		c.note(address, &r, err)
+		if err == nil || !errors.Is(ctx.Err(), context.Canceled) {
+			c.note(address, &r, err) // a caller that has left says nothing of the process
+		}
 		switch {
 		case err == nil && r.Unknown != "":
 			// The call is idempotent, so a leader that knows its outcome is asked.
@@ -168,8 +184,9 @@
 			c.forget(address)
 		case err == nil && !r.NotLeader:
 			if r.Refused != "" && sent != "" {
-				return &Reply{Unknown: sent}
+				r = Reply{Unknown: sent}
 			}
+			r.By, r.Tries = address, tries
 			return &r
 		case err != nil && reached:
 			sent = err.Error()
@@ -182,9 +199,9 @@
 		}
 		if ctx.Err() != nil {
 			if sent != "" {
-				return &Reply{Unknown: sent}
+				return &Reply{Unknown: sent, By: address, Tries: tries}
 			}
-			return &Reply{Refused: err.Error()}
+			return &Reply{Refused: err.Error(), By: address, Tries: tries}
 		}
 	}
 }
--- a/internal/cellapi/client_test.go
+++ b/internal/cellapi/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http/httptest"
 	"strings"
@@ -46,6 +47,8 @@
 	return ctx
 }
 
+var quiet = slog.New(slog.DiscardHandler)
+
 var status = &Call{Status: &cell.Request{Host: "h", Path: "/q/"}}
 
 // Guards against a client that does not find the leader, forgets it, or does not
@@ -53,7 +56,7 @@
 func TestClientFindsLeader(t *testing.T) {
 	leader, served := serveAt(t, func(context.Context) *Reply { return &Reply{Verdict: cell.Accepted, Members: []string{"m"}} })
 	follower, asked := serveAt(t, func(context.Context) *Reply { return &Reply{NotLeader: true, Leader: leader} })
-	c := NewClient([]string{closedAddress(t), follower})
+	c := NewClient([]string{closedAddress(t), follower}, quiet)
 	for range 3 {
 		assert.Equal(t, c.Do(within(t, 5*time.Second), status).Verdict, cell.Accepted)
 	}
@@ -65,7 +68,7 @@
 // Guards against a refusal that says "not run" after a call that may have been
 // carried out, and against one that says "unknown" when nothing was sent.
 func TestClientTellsRefusedFromUnknown(t *testing.T) {
-	c := NewClient([]string{closedAddress(t)})
+	c := NewClient([]string{closedAddress(t)}, quiet)
 	r := c.Do(within(t, 200*time.Millisecond), status)
 	assert.Assert(t, r.Refused != "" && r.Unknown == "", "%+v", r)
 
@@ -73,7 +76,7 @@
 		<-ctx.Done()
 		return &Reply{}
 	})
-	c = NewClient([]string{silent})
+	c = NewClient([]string{silent}, quiet)
 	r = c.Do(within(t, 200*time.Millisecond), status)
 	assert.Assert(t, r.Refused == "" && r.Unknown != "", "%+v", r)
 
@@ -85,7 +88,7 @@
 		}
 		return &Reply{Refused: "overloaded"}
 	})
-	c = NewClient([]string{refusing})
+	c = NewClient([]string{refusing}, quiet)
 	r = c.Do(within(t, 2*time.Second), status)
 	assert.Equal(t, r.Unknown, "leadership was lost", "an earlier try may be committed")
 }
@@ -94,6 +97,27 @@
 func TestClientTriesTheNextLeader(t *testing.T) {
 	next, _ := serveAt(t, func(context.Context) *Reply { return &Reply{Verdict: cell.Accepted} })
 	lost, _ := serveAt(t, func(context.Context) *Reply { return &Reply{Unknown: "leadership was lost", Leader: ""} })
-	c := NewClient([]string{lost, next})
+	c := NewClient([]string{lost, next}, quiet)
+	assert.Equal(t, c.Do(within(t, 5*time.Second), status).Verdict, cell.Accepted)
+}
+
+// Guards against a client whose caller gives up early and that forgets the leader
+// for it, so that the calls of others go astray.
+func TestClientKeepsLeaderWhenCallerLeaves(t *testing.T) {
+	wait := make(chan struct{})
+	leader, _ := serveAt(t, func(ctx context.Context) *Reply {
+		select {
+		case <-wait:
+		case <-ctx.Done():
+		}
+		return &Reply{Verdict: cell.Accepted}
+	})
+	follower, asked := serveAt(t, func(context.Context) *Reply { return &Reply{NotLeader: true, Leader: leader} })
+	c := NewClient([]string{follower}, quiet)
+	ctx, leave := context.WithCancel(t.Context())
+	time.AfterFunc(100*time.Millisecond, leave)
+	assert.Assert(t, c.Do(ctx, status).Unknown != "")
+	close(wait)
 	assert.Equal(t, c.Do(within(t, 5*time.Second), status).Verdict, cell.Accepted)
+	assert.Equal(t, asked.calls.Load(), int64(1))
 }
--- a/internal/cellapi/message.go
+++ b/internal/cellapi/message.go
@@ -61,6 +61,10 @@
 	// lead; the call was not carried out.
 	Leader    string `cbor:"9,keyasint,omitempty"`
 	NotLeader bool   `cbor:"10,keyasint,omitempty"`
+	// By is the process that answered or was asked last, and Tries how many were
+	// asked. The client sets them; they are not sent.
+	By    string `cbor:"-"`
+	Tries int    `cbor:"-"`
 }
 
 // AdviceQuestion asks which of the workers may run a step.
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -68,7 +68,7 @@
 
 // Start opens or creates the replica and runs the node until the context ends.
 func Start(ctx context.Context, c Config) (*Node, error) {
-	n := &Node{c: c, raft: peer.NewRaftServer(), client: cellapi.NewClient(c.Seeds)}
+	n := &Node{c: c, raft: peer.NewRaftServer(), client: cellapi.NewClient(c.Seeds, c.Logger)}
 	n.members.candidates = map[string]membership.Candidate{}
 	n.transport = peer.NewRaftTransport(cellapi.NewHTTPClient(peerConnections), membership.Name, c.Logger)
 	store := cell.NewStore(func(command *cell.Command) {
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -111,9 +111,12 @@
 
 // Applied notes that the state has changed.
 func (l *Leader) Applied(c *cell.Command) {
-	if c.Cancel != nil || c.Lapse != nil || c.Note != nil || c.Register != nil {
-		if t := l.current(); t != nil {
-			t.pokeAffected(c)
+	if c.Configure != nil {
+		l.Logger.Info("configuration applied", logging.Step("apply"), "version", c.Configure.Version, "in_force", l.version())
+	}
+	if t := l.current(); t != nil && c.Register != nil {
+		if s := t.session(c.Register.ID, c.Register.Born); s != nil {
+			s.poke()
 		}
 	}
 	l.signal()
--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"context"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -208,3 +210,47 @@
 	slowest := c.reading + int64(float64((passed-c.at).Milliseconds())*(1-workerDrift))
 	assert.Assert(t, slowest >= 3000, "the slowest clock shows %d", slowest)
 }
+
+// hook is a log handler that runs a function at each record.
+type hook struct {
+	slog.Handler
+	at func(message string)
+}
+
+func (h hook) Enabled(context.Context, slog.Level) bool { return true }
+
+func (h hook) Handle(_ context.Context, r slog.Record) error {
+	h.at(r.Message)
+	return nil
+}
+
+// Guards against a refusal from an old state: a leader that was paused between
+// its check of the lease and its answer says that a queue does not exist that a
+// later leader has configured.
+func TestNoRefusalAfterLeaseIsLost(t *testing.T) {
+	run(t, 1, func(b *cellBench) {
+		b.log.lead(0)
+		time.Sleep(100 * time.Millisecond)
+		b.leader.Logger = slog.New(hook{slog.DiscardHandler, func(message string) {
+			if message == "submission answered from the state" {
+				b.log.lead(0)
+			}
+		}})
+		b.lead(2)
+		r := cell.Request{Host: "h", Path: "/added/" + jobID1}
+		reply := b.leader.Do(t.Context(), &cellapi.Call{Submit: &cell.Submit{Request: r, Job: cell.Submission{Steps: []cell.Step{tasks(1, 1)}}}})
+		assert.Assert(t, reply.NotLeader, "%+v", reply)
+	})
+}
+
+// Guards against a report of something that is no worker of the cell and that ends
+// the life of the worker at the same address.
+func TestReportOfForeignService(t *testing.T) {
+	run(t, 1, func(b *cellBench) {
+		b.do(&cellapi.Call{Report: &cellapi.Report{Register: cell.Register{ID: "other", Born: 9, Address: "10.0.0.0:80", Service: "none"}}})
+		b.store.View(func(v *cell.View) {
+			assert.Assert(t, v.Worker("other") == nil)
+			assert.Assert(t, !v.Worker("w0").Gone)
+		})
+	})
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -263,11 +263,11 @@
 // place puts tasks on workers in their order, as many on each as fit.
 func (p *planner) place(w *wish, tasks []int, list []*candidate) []cell.Placement {
 	var placed []cell.Placement
-	claim := w.claim()
+	claim := w.step.Claim()
 	for _, c := range list {
 		onWorker := 0
 		if w.step.MaxPerWorker > 0 {
-			onWorker = countStep(c.worker, w.key)
+			onWorker = c.worker.Count(w.key)
 		}
 		for len(placed) < len(tasks) && claim.Fits(c.free) {
 			if w.step.MaxPerWorker > 0 && onWorker >= w.step.MaxPerWorker {
@@ -287,21 +287,11 @@
 	return placed
 }
 
-func countStep(w *cell.Worker, k cell.StepKey) int {
-	n := 0
-	for key := range w.Attempts {
-		if key.StepKey == k {
-			n++
-		}
-	}
-	return n
-}
-
 // giveBack undoes place.
 func (p *planner) giveBack(w *wish, placed []cell.Placement) {
 	for i := range placed {
 		c := p.byID[placed[i].Worker]
-		c.free = c.free.Add(w.claim())
+		c.free = c.free.Add(w.step.Claim())
 	}
 	p.headroom[w.job.Team] = p.headroom[w.job.Team].Add(w.step.Size.Scale(int64(len(placed))))
 }
@@ -310,7 +300,7 @@
 func (p *planner) keep(held []cell.Placement, w *wish) {
 	for i := range held {
 		if c := p.byID[held[i].Worker]; c != nil {
-			c.free = c.free.Sub(w.claim())
+			c.free = c.free.Sub(w.step.Claim())
 		}
 	}
 	p.headroom[w.job.Team] = p.headroom[w.job.Team].Sub(w.step.Size.Scale(int64(len(held))))
--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -37,15 +37,7 @@
 
 // fits reports whether a worker could take one task of the step now.
 func (p *planner) fits(w *wish, c *candidate) bool {
-	return c.service == w.queue.Service && c.worker.Has(w.step.Label) && w.claim().Fits(c.free) && !c.kept
-}
-
-func (w *wish) claim() structs.Resources {
-	size := w.step.Size
-	if w.step.Filler {
-		size.MilliCPU = 0
-	}
-	return size
+	return c.service == w.queue.Service && c.worker.Has(w.step.Label) && w.step.Claim().Fits(c.free) && !c.kept
 }
 
 // fitting returns the workers that may take a task, best first.
@@ -73,7 +65,7 @@
 		if w.step.DataRack != "" && !c.worker.Has(w.step.DataRack) {
 			factor *= p.remote
 		}
-		left := c.free.Sub(w.claim())
+		left := c.free.Sub(w.step.Claim())
 		spare := float64(left.MilliCPU) / float64(max(1, c.worker.Capacity.MilliCPU))
 		value := factor + 0.2*spare
 		if w.queue.Priority > 0 && p.now+time.Duration(slowMargin*factor*float64(w.rest)) < w.deadline {
@@ -123,7 +115,7 @@
 		}
 		c.kept = true
 		p.reserved[c.id] = w.key
-		need -= multiple(w.claim(), c.worker.Capacity)
+		need -= multiple(w.step.Claim(), c.worker.Capacity)
 	}
 }
 
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -24,9 +24,9 @@
 	if t == nil || !leads {
 		return l.notLeader()
 	}
-	r := l.answer(ctx, t, c)
+	r, committed := l.answer(ctx, t, c)
 	// What was read counts only if nobody else could lead until now.
-	if s, still := l.Log.Lease(); (!still || s != since) && r.Refused == "" && r.Unknown == "" && !changes(c) {
+	if s, still := l.Log.Lease(); (!still || s != since) && !committed {
 		return l.notLeader()
 	}
 	r.Members = l.Members()
@@ -34,11 +34,6 @@
 	return r
 }
 
-// changes reports whether the call's answer rests on a commit, not on a lease.
-func changes(c *cellapi.Call) bool {
-	return c.Submit != nil || c.Cancel != nil || c.Configure != nil || c.Report != nil
-}
-
 func (l *Leader) notLeader() *cellapi.Reply {
 	_, address := l.Log.Leader()
 	if address == l.Self {
@@ -47,31 +42,44 @@
 	return &cellapi.Reply{NotLeader: true, Leader: address}
 }
 
-func (l *Leader) answer(ctx context.Context, t *term, c *cellapi.Call) *cellapi.Reply {
+// answer carries a call out. It also returns whether the reply rests on a commit
+// and so holds whoever leads by now; other replies rest on the leader's lease.
+func (l *Leader) answer(ctx context.Context, t *term, c *cellapi.Call) (r *cellapi.Reply, committed bool) {
 	switch {
 	case c.Submit != nil:
 		return l.submit(ctx, c.Submit)
 	case c.Status != nil:
-		return l.status(c.Status)
+		return l.status(c.Status), false
 	case c.Cancel != nil:
 		r := l.commit(ctx, &cell.Command{Cancel: c.Cancel})
-		l.Logger.Info("job cancelled", logging.Step("cancel"), logging.Job(jobID(c.Cancel.Path)), "verdict", r.Verdict, "unknown", r.Unknown)
-		return r
+		l.Logger.Info("job cancelled", logging.Step("cancel"), logging.Job(jobID(c.Cancel.Path)), "verdict", r.Verdict.String(), "configuration", l.version(), "unknown", r.Unknown)
+		return r, true
 	case c.Configure != nil:
 		return l.configure(ctx, c.Configure)
 	case c.Read != nil:
-		return l.read()
+		return l.read(), false
 	case c.Report != nil:
 		return t.report(ctx, c.Report)
 	case c.Announce != nil:
 		t.advice.announce(c.Announce.Peer, l.Clock.Now())
-		return &cellapi.Reply{Verdict: cell.Accepted}
+		return &cellapi.Reply{Verdict: cell.Accepted}, false
 	case c.Join != nil:
 		l.Joined(c.Join.Replica, c.Join.Peer)
 		t.advice.announce(c.Join.Peer, l.Clock.Now())
-		return &cellapi.Reply{Verdict: cell.Accepted, Callers: t.advice.living(l.Clock.Now())}
+		return &cellapi.Reply{Verdict: cell.Accepted, Callers: t.advice.living(l.Clock.Now())}, false
 	}
-	return &cellapi.Reply{Refused: "the call is empty"}
+	return &cellapi.Reply{Refused: "the call is empty"}, true
+}
+
+// version returns the version of the configuration in force, 0 if there is none.
+func (l *Leader) version() int64 {
+	var version int64
+	l.Store.View(func(v *cell.View) {
+		if c := v.Configuration(); c != nil {
+			version = c.Version
+		}
+	})
+	return version
 }
 
 // commit proposes a command whose result is a verdict.
@@ -104,7 +112,7 @@
 	return errors.As(err, &outcome)
 }
 
-func (l *Leader) submit(ctx context.Context, c *cell.Submit) *cellapi.Reply {
+func (l *Leader) submit(ctx context.Context, c *cell.Submit) (r *cellapi.Reply, committed bool) {
 	var verdict cell.Verdict
 	known := false
 	l.Store.View(func(v *cell.View) {
@@ -114,11 +122,12 @@
 		}
 	})
 	if known || verdict != cell.Accepted {
-		return &cellapi.Reply{Verdict: verdict}
+		l.Logger.Info("submission answered from the state", logging.Step("submit"), logging.Job(jobID(c.Path)), "host", c.Host, "path", c.Path, "known", known, "verdict", verdict.String(), "configuration", l.version())
+		return &cellapi.Reply{Verdict: verdict}, false
 	}
-	r := l.commit(ctx, &cell.Command{Submit: c})
-	l.Logger.Info("job submitted", logging.Step("submit"), logging.Job(jobID(c.Path)), "path", c.Path, "steps", len(c.Job.Steps), "verdict", r.Verdict, "unknown", r.Unknown)
-	return r
+	r = l.commit(ctx, &cell.Command{Submit: c})
+	l.Logger.Info("job submitted", logging.Step("submit"), logging.Job(jobID(c.Path)), "path", c.Path, "steps", len(c.Job.Steps), "verdict", r.Verdict.String(), "configuration", l.version(), "unknown", r.Unknown)
+	return r, true
 }
 
 // jobID returns the id in the path of a request.
@@ -135,27 +144,25 @@
 		}
 		reply.Status, reply.Verdict = v.Status(r)
 	})
+	if reply.Verdict != cell.Accepted {
+		l.Logger.Info("question refused", logging.Step("status"), logging.Job(jobID(r.Path)), "host", r.Host, "path", r.Path, "verdict", reply.Verdict.String(), "configuration", l.version())
+	}
 	return reply
 }
 
-func (l *Leader) configure(ctx context.Context, c *cell.Configuration) *cellapi.Reply {
+func (l *Leader) configure(ctx context.Context, c *cell.Configuration) (r *cellapi.Reply, committed bool) {
 	if err := c.Validate(); err != nil {
 		l.Logger.Info("configuration refused", logging.Step("configure"), "version", c.Version, logging.Error(err))
-		return &cellapi.Reply{Verdict: cell.Invalid}
+		return &cellapi.Reply{Verdict: cell.Invalid}, true
 	}
-	var held int64
-	l.Store.View(func(v *cell.View) {
-		if now := v.Configuration(); now != nil {
-			held = now.Version
-		}
-	})
+	held := l.version()
 	if c.Version <= held {
 		l.Logger.Info("configuration overtaken", logging.Step("configure"), "version", c.Version, "held", held)
-		return &cellapi.Reply{Verdict: cell.Accepted}
+		return &cellapi.Reply{Verdict: cell.Accepted}, false
 	}
-	r := l.commit(ctx, &cell.Command{Configure: c})
-	l.Logger.Info("configuration put", logging.Step("configure"), "version", c.Version, "held", held, "verdict", r.Verdict, "unknown", r.Unknown)
-	return r
+	r = l.commit(ctx, &cell.Command{Configure: c})
+	l.Logger.Info("configuration put", logging.Step("configure"), "version", c.Version, "held", held, "verdict", r.Verdict.String(), "unknown", r.Unknown)
+	return r, true
 }
 
 func (l *Leader) read() *cellapi.Reply {
@@ -170,25 +177,34 @@
 
 // report takes in what a worker says of itself; what changes its record is
 // committed before it is acknowledged.
-func (t *term) report(ctx context.Context, r *cellapi.Report) *cellapi.Reply {
-	changed := true
+func (t *term) report(ctx context.Context, r *cellapi.Report) (reply *cellapi.Reply, committed bool) {
+	changed, foreign := true, false
 	t.l.Store.View(func(v *cell.View) {
 		w := v.Worker(r.ID)
-		if r.Left {
+		switch {
+		case r.Left:
 			changed = w != nil && complete(&r.Register, w)
-		} else if w != nil {
+		case w != nil:
 			changed = differs(w, &r.Register)
+		default:
+			foreign = v.Configuration() != nil && !v.HasService(r.Service)
 		}
 	})
+	if foreign {
+		// It is not a worker of this cell, so it must not end the life of one
+		// that has the same address.
+		t.l.Logger.Warn("report ignored", logging.Step("register"), logging.Peer(r.ID), "reason", "no such service", "service", r.Service, "address", r.Address)
+		return &cellapi.Reply{Verdict: cell.Accepted}, false
+	}
 	t.heard(r)
 	if !changed {
-		return &cellapi.Reply{Verdict: cell.Accepted}
+		return &cellapi.Reply{Verdict: cell.Accepted}, false
 	}
 	if _, err := t.l.propose(ctx, &cell.Command{Register: &r.Register}); err != nil {
-		return t.l.failure(err)
+		return t.l.failure(err), true
 	}
 	t.l.Logger.Info("worker registered", logging.Step("register"), logging.Peer(r.ID), "address", r.Address, "born", r.Born, "draining", r.Draining, "left", r.Left)
-	return &cellapi.Reply{Verdict: cell.Accepted}
+	return &cellapi.Reply{Verdict: cell.Accepted}, true
 }
 
 // complete fills in what a worker that leaves does not repeat. It returns false
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -145,16 +145,6 @@
 	}
 }
 
-// pokeAffected wakes the sessions that a command concerns.
-func (t *term) pokeAffected(c *cell.Command) {
-	if c.Register == nil {
-		return
-	}
-	if s := t.session(c.Register.ID, c.Register.Born); s != nil {
-		s.poke()
-	}
-}
-
 // stopUnwanted sends stops for attempts whose job has ended or whose gang is
 // not complete any more.
 func (t *term) stopUnwanted() {
