--- /dev/null
+++ b/internal/cell/model_test.go
@@ -0,0 +1,466 @@
+package cell
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"laburnumgrade/internal/structs"
+)
+
+// TestMain fixes rapid's seed so that every run has the same verdict, and makes
+// runs long enough to bring tasks to their second attempt.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.steps": "120", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// modelAttempt is an open attempt as the model knows it.
+type modelAttempt struct {
+	worker string
+	run    uint32
+	claim  structs.Resources
+	size   structs.Resources
+	team   string
+}
+
+// modelWorker is the newest life of a worker.
+type modelWorker struct {
+	born     int64
+	draining bool
+	gone     bool
+	label    string
+}
+
+type modelJob struct {
+	steps []Step
+	team  string
+	queue string
+	state JobState
+}
+
+// cellModel keeps its own account of what the state has accepted and checks it
+// against what must hold at all times.
+type cellModel struct {
+	store   *Store
+	index   uint64
+	version int64
+	jobs    map[string]*modelJob
+	ids     []string
+	workers map[string]*modelWorker
+	open    map[TaskKey]modelAttempt
+	last    map[TaskKey]uint32
+	done    map[TaskKey]bool
+	fails   map[TaskKey]int
+	// gangFails counts the failed runs of a gang.
+	gangFails map[StepKey]map[uint32]bool
+	limit     int64
+	hasQueue  bool
+}
+
+const (
+	modelWorkers  = 3
+	modelCapacity = 8000
+	modelAttempts = 2
+)
+
+func newCellModel(t *rapid.T) *cellModel {
+	m := &cellModel{
+		store: NewStore(nil), jobs: map[string]*modelJob{}, workers: map[string]*modelWorker{}, open: map[TaskKey]modelAttempt{},
+		last: map[TaskKey]uint32{}, done: map[TaskKey]bool{}, fails: map[TaskKey]int{}, gangFails: map[StepKey]map[uint32]bool{},
+	}
+	m.configure(t, 12_000, true)
+	for i := range modelWorkers {
+		m.register(t, i, 1, false, false)
+	}
+	return m
+}
+
+func (m *cellModel) apply(t *rapid.T, c *Command) any {
+	data, err := Encode(c)
+	assert.NilError(t, err)
+	m.index++
+	result := m.store.Apply(m.index, data)
+	if err, failed := result.(error); failed {
+		t.Fatal(err)
+	}
+	return result
+}
+
+func (m *cellModel) configure(t *rapid.T, limit int64, hasQueue bool) {
+	m.version++
+	c := &Configuration{
+		Version: m.version, Services: []Service{{Name: "planner"}},
+		Queues: []Queue{{Name: "other", Host: "h", Prefix: "/o/", Service: "planner", TimeoutMS: 1, Attempts: modelAttempts}},
+		Teams: []Team{
+			{Name: "red", Keys: []string{"red"}, Limit: structs.Resources{MilliCPU: limit}},
+			{Name: "blue", Keys: []string{"blue"}, Limit: structs.Resources{MilliCPU: 16_000}},
+		},
+	}
+	if hasQueue {
+		c.Queues = append(c.Queues, Queue{Name: "q", Host: "h", Prefix: "/q/", Service: "planner", TimeoutMS: 1, Attempts: modelAttempts})
+	}
+	m.apply(t, &Command{Configure: c})
+	m.limit, m.hasQueue = limit, hasQueue
+}
+
+func workerName(i int) string { return fmt.Sprintf("w%d", i) }
+
+func (m *cellModel) register(t *rapid.T, i int, born int64, draining, left bool) {
+	label := ""
+	if i == 0 {
+		label = "a"
+	}
+	m.apply(t, &Command{Register: &Register{
+		ID: workerName(i), Born: born, Address: fmt.Sprintf("10.0.0.%d:80", i), Service: "planner", Labels: []string{label},
+		Capacity: structs.Resources{MilliCPU: modelCapacity}, Draining: draining, Left: left,
+	}})
+	w := m.workers[workerName(i)]
+	if w != nil && (born < w.born || born == w.born && w.gone) {
+		return
+	}
+	if w == nil || born > w.born {
+		m.endAll(workerName(i))
+		w = &modelWorker{born: born, label: label}
+		m.workers[workerName(i)] = w
+	}
+	w.draining = w.draining || draining
+	if left {
+		m.endAll(workerName(i))
+		w.gone = true
+	}
+}
+
+func (m *cellModel) endAll(worker string) {
+	for key, a := range m.open {
+		if a.worker == worker {
+			delete(m.open, key)
+		}
+	}
+}
+
+func (m *cellModel) submit(t *rapid.T) {
+	id := fmt.Sprintf("%016x", rapid.IntRange(1, 3).Draw(t, "id"))
+	team := rapid.SampledFrom([]string{"red", "blue"}).Draw(t, "team")
+	queue, prefix := "q", "/q/"
+	if rapid.Bool().Draw(t, "other queue") {
+		queue, prefix = "other", "/o/"
+	}
+	var steps []Step
+	for i := range rapid.IntRange(1, 2).Draw(t, "steps") {
+		s := Step{
+			Count: rapid.IntRange(1, 3).Draw(t, "count"), Size: structs.Resources{MilliCPU: rapid.Int64Range(1, 5).Draw(t, "cores") * 1000},
+			Gang: rapid.Bool().Draw(t, "gang"), MaxPerWorker: rapid.IntRange(0, 1).Draw(t, "per worker"), Filler: rapid.IntRange(0, 4).Draw(t, "filler") == 0,
+		}
+		if rapid.IntRange(0, 3).Draw(t, "labelled") == 0 {
+			s.Label = "a"
+		}
+		if i > 0 {
+			s.DependsOn = []int{0}
+		}
+		steps = append(steps, s)
+	}
+	verdict := m.apply(t, &Command{Submit: &Submit{Request: Request{Host: "h", Path: prefix + id, Key: team}, Job: Submission{ID: id, Spec: "s", Steps: steps}}})
+	if queue == "q" && !m.hasQueue {
+		assert.Equal(t, verdict, NoQueue)
+		return
+	}
+	assert.Equal(t, verdict, Accepted)
+	if m.jobs[id] == nil {
+		m.jobs[id] = &modelJob{steps: steps, team: team, queue: queue}
+		m.ids = append(m.ids, id)
+	}
+}
+
+func (m *cellModel) cancel(t *rapid.T) {
+	if len(m.ids) == 0 {
+		return
+	}
+	id := rapid.SampledFrom(m.ids).Draw(t, "job")
+	j := m.jobs[id]
+	prefix := map[string]string{"q": "/q/", "other": "/o/"}[j.queue]
+	verdict := m.apply(t, &Command{Cancel: &Request{Host: "h", Path: prefix + id, Key: j.team}})
+	if verdict == Accepted && j.state == Active {
+		j.state = Cancelled
+	}
+}
+
+// start places tasks of one step at random; the state has to refuse what must
+// not be.
+func (m *cellModel) start(t *rapid.T) {
+	if len(m.ids) == 0 {
+		return
+	}
+	id := rapid.SampledFrom(m.ids).Draw(t, "job")
+	j := m.jobs[id]
+	key := StepKey{Job: id, Step: rapid.IntRange(0, len(j.steps)-1).Draw(t, "step")}
+	count := j.steps[key.Step].Count
+	run := uint32(rapid.IntRange(1, 2).Draw(t, "ahead"))
+	for i := range count {
+		run = max(run, m.last[TaskKey{key, i}]+uint32(rapid.IntRange(0, 1).Draw(t, "above")))
+	}
+	var placements []Placement
+	for i := range count {
+		if !j.steps[key.Step].Gang && rapid.Bool().Draw(t, "left out") {
+			continue
+		}
+		w := rapid.IntRange(0, modelWorkers-1).Draw(t, "worker")
+		born := m.workers[workerName(w)].born - int64(rapid.IntRange(0, 9).Draw(t, "older life")/9)
+		placements = append(placements, Placement{Task: TaskKey{key, i}, Run: run, Worker: workerName(w), Born: born})
+	}
+	if len(placements) == 0 {
+		return
+	}
+	accepted := m.apply(t, &Command{Start: &Start{Placements: placements}}).([]bool)
+	if j.steps[key.Step].Gang && slices.Contains(accepted, true) {
+		assert.Assert(t, !slices.Contains(accepted, false), "a gang started in part: %v", accepted)
+		assert.Equal(t, len(accepted), count)
+		assert.Equal(t, m.openOf(key), 0, "two runs of a gang")
+	}
+	for i, ok := range accepted {
+		if ok {
+			m.started(t, j, &placements[i])
+		}
+	}
+}
+
+func (m *cellModel) openOf(key StepKey) int {
+	n := 0
+	for k := range m.open {
+		if k.StepKey == key {
+			n++
+		}
+	}
+	return n
+}
+
+// started checks a start that the state has accepted.
+func (m *cellModel) started(t *rapid.T, j *modelJob, p *Placement) {
+	step, w := &j.steps[p.Task.Step], m.workers[p.Worker]
+	assert.Equal(t, j.state, Active, "start of a job that has ended")
+	assert.Assert(t, w.born == p.Born && !w.gone && !w.draining, "start on a life that is over or leaves")
+	assert.Assert(t, j.queue == "other" || m.hasQueue, "start of a queue that is not configured")
+	assert.Assert(t, step.Label == "" || step.Label == w.label, "start without the label")
+	_, running := m.open[p.Task]
+	assert.Assert(t, !running && !m.done[p.Task], "second run of %v", p.Task)
+	assert.Assert(t, p.Run > m.last[p.Task], "run %d after run %d", p.Run, m.last[p.Task])
+	assert.Assert(t, m.fails[p.Task] < modelAttempts && len(m.gangFails[p.Task.StepKey]) < modelAttempts, "start beyond the budget")
+	for _, before := range step.DependsOn {
+		for i := range j.steps[before].Count {
+			assert.Assert(t, m.done[TaskKey{StepKey{Job: p.Task.Job, Step: before}, i}], "start before step %d is done", before)
+		}
+	}
+	m.open[p.Task] = modelAttempt{p.Worker, p.Run, step.Claim(), step.Size, j.team}
+	m.last[p.Task] = p.Run
+	assert.Assert(t, step.MaxPerWorker == 0 || m.onWorker(p.Worker, p.Task.StepKey) <= step.MaxPerWorker, "too many tasks of a step on a worker")
+	assert.Assert(t, m.usage(func(a modelAttempt) bool { return a.worker == p.Worker }, false) <= modelCapacity, "worker over its capacity")
+	limit := map[string]int64{"red": m.limit, "blue": 16_000}[j.team]
+	assert.Assert(t, m.usage(func(a modelAttempt) bool { return a.team == j.team }, true) <= limit, "team over its limit")
+}
+
+func (m *cellModel) onWorker(worker string, key StepKey) int {
+	n := 0
+	for k, a := range m.open {
+		if k.StepKey == key && a.worker == worker {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *cellModel) usage(counts func(modelAttempt) bool, whole bool) int64 {
+	var sum structs.Resources
+	for _, a := range m.open {
+		switch {
+		case counts(a) && whole:
+			sum = sum.Add(a.size)
+		case counts(a):
+			sum = sum.Add(a.claim)
+		}
+	}
+	return sum.MilliCPU
+}
+
+// note reports an end of an open attempt, or of one that is not known any more.
+func (m *cellModel) note(t *rapid.T) {
+	var keys []TaskKey
+	for k := range m.last {
+		keys = append(keys, k)
+	}
+	if len(keys) == 0 {
+		return
+	}
+	slices.SortFunc(keys, func(a, b TaskKey) int { return compareText(fmt.Sprint(a), fmt.Sprint(b)) })
+	key := rapid.SampledFrom(keys).Draw(t, "task")
+	run := uint32(max(1, int(m.last[key])-rapid.IntRange(0, 4).Draw(t, "earlier run")/4))
+	worker := workerName(rapid.IntRange(0, modelWorkers-1).Draw(t, "worker"))
+	if a, open := m.open[key]; open && rapid.IntRange(0, 3).Draw(t, "right worker") > 0 {
+		worker = a.worker
+	}
+	born := m.workers[worker].born - int64(rapid.IntRange(0, 9).Draw(t, "older life")/9)
+	how := rapid.SampledFrom([]Outcome{EndedDone, EndedFailed, EndedEarly, EndedUnstarted}).Draw(t, "how")
+	m.apply(t, &Command{Note: &Note{Worker: worker, Born: born, Ends: []End{{Task: key, Run: run, How: how}}}})
+	a, open := m.open[key]
+	if !open || a.run != run || a.worker != worker || m.workers[worker].born != born {
+		return
+	}
+	delete(m.open, key)
+	m.ended(key, run, how)
+}
+
+func compareText(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+func (m *cellModel) ended(key TaskKey, run uint32, how Outcome) {
+	j := m.jobs[key.Job]
+	if j.state != Active {
+		return
+	}
+	step := &j.steps[key.Step]
+	switch {
+	case how == EndedDone && step.Gang:
+		for i := range step.Count {
+			m.done[TaskKey{key.StepKey, i}] = true
+		}
+	case how == EndedDone:
+		m.done[key] = true
+	case how == EndedFailed && step.Gang:
+		if m.gangFails[key.StepKey] == nil {
+			m.gangFails[key.StepKey] = map[uint32]bool{}
+		}
+		m.gangFails[key.StepKey][run] = true
+		if len(m.gangFails[key.StepKey]) >= modelAttempts {
+			j.state = Failed
+		}
+	case how == EndedFailed:
+		m.fails[key]++
+		if m.fails[key] >= modelAttempts {
+			j.state = Failed
+		}
+	}
+	for i, s := range j.steps {
+		for k := range s.Count {
+			if !m.done[TaskKey{StepKey{Job: key.Job, Step: i}, k}] {
+				return
+			}
+		}
+	}
+	j.state = Complete
+}
+
+// check compares the state with the model.
+func (m *cellModel) check(t *rapid.T) {
+	m.store.View(func(v *View) {
+		for id, j := range m.jobs {
+			// The effect of a failed run of a gang's member that ends later than
+			// one that is done is the only order that the model does not follow.
+			assert.Equal(t, v.Job(id).State, j.state, "job %s", id)
+		}
+		for id, w := range v.Workers() {
+			free := int64(modelCapacity) - m.usage(func(a modelAttempt) bool { return a.worker == id }, false)
+			assert.Equal(t, w.Free().MilliCPU, free, "worker %s", id)
+		}
+		for team, limit := range map[string]int64{"red": m.limit, "blue": 16_000} {
+			left := limit - m.usage(func(a modelAttempt) bool { return a.team == team }, true)
+			assert.Equal(t, v.Headroom(team).MilliCPU, left, "team %s", team)
+		}
+		m.checkReady(t, v)
+	})
+}
+
+// checkReady checks that each task whose turn has come is among the ready steps,
+// or it would never be started.
+func (m *cellModel) checkReady(t *rapid.T, v *View) {
+	for id, j := range m.jobs {
+		for i := range j.steps {
+			key := StepKey{Job: id, Step: i}
+			_, ready := v.Ready()[key]
+			assert.Equal(t, ready, m.ready(j, key), "step %v", key)
+		}
+	}
+}
+
+func (m *cellModel) ready(j *modelJob, key StepKey) bool {
+	step := &j.steps[key.Step]
+	if j.state != Active {
+		return false
+	}
+	for _, before := range step.DependsOn {
+		for i := range j.steps[before].Count {
+			if !m.done[TaskKey{StepKey{Job: key.Job, Step: before}, i}] {
+				return false
+			}
+		}
+	}
+	open := m.openOf(key)
+	for i := range step.Count {
+		task := TaskKey{key, i}
+		_, running := m.open[task]
+		if !m.done[task] && !running && (!step.Gang || open == 0) {
+			return true
+		}
+	}
+	return false
+}
+
+// restore replaces the store by one that was restored from its snapshot.
+func (m *cellModel) restore(t *rapid.T) {
+	data, err := m.store.Snapshot()
+	assert.NilError(t, err)
+	m.store = NewStore(nil)
+	assert.NilError(t, m.store.Restore(m.index, data))
+}
+
+// Guards against any order of commands that commits more than a worker or team
+// may have, runs a task twice, out of order or beyond its attempts, starts a gang
+// in part, or leaves a task whose turn has come unknown to the planner.
+func TestCellModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newCellModel(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"submit":  m.submit,
+			"start":   m.start,
+			"start 2": m.start,
+			"start 3": m.start,
+			"note":    m.note,
+			"note 2":  m.note,
+			"cancel": func(t *rapid.T) {
+				if rapid.IntRange(0, 3).Draw(t, "really") == 0 {
+					m.cancel(t)
+				}
+			},
+			"lapse": func(t *rapid.T) {
+				id := workerName(rapid.IntRange(0, modelWorkers-1).Draw(t, "worker"))
+				m.apply(t, &Command{Lapse: &Lapse{Worker: id, Born: m.workers[id].born}})
+				m.endAll(id)
+			},
+			"register": func(t *rapid.T) {
+				i := rapid.IntRange(0, modelWorkers-1).Draw(t, "worker")
+				born := m.workers[workerName(i)].born + int64(rapid.IntRange(-1, 1).Draw(t, "life"))
+				m.register(t, i, born, rapid.IntRange(0, 5).Draw(t, "draining") == 0, rapid.IntRange(0, 9).Draw(t, "left") == 0)
+			},
+			"configure": func(t *rapid.T) {
+				m.configure(t, rapid.Int64Range(4, 16).Draw(t, "limit")*1000, rapid.IntRange(0, 4).Draw(t, "queue") > 0)
+			},
+			"restore": m.restore,
+			"":        m.check,
+		})
+	})
+}
