dispatch: long calls for advice leave callers to short ones

Leader's processor time (0.17 cores) and room were ruled out. Change: calls of 150 ms or more use two of three callers. The log names each call for advice with how long it waited and was expected to. TestLongCallsLeaveCallers fails without the change.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -20,6 +20,12 @@
 	// ticketMargin is how long a ticket must still hold when a start is planned:
 	// the commit and the order take some milliseconds.
 	ticketMargin = 150 * time.Millisecond
+	// longCall is from which cost a call for advice may not use the reserved
+	// callers: a wait of that length is a large part of what urgent work has.
+	longCall = 150 * time.Millisecond
+	// reservedCallers is the part of the callers, one in so many, that long calls
+	// leave to others: a caller cannot answer anything else meanwhile.
+	reservedCallers = 3
 	// adviceSlack is how much longer than stated a call for advice may take.
 	adviceSlack = 400 * time.Millisecond
 )
@@ -116,16 +122,23 @@
 	}
 }
 
-// choose returns the process that is expected to answer first.
+// choose returns the process that is expected to answer first, of those that may
+// be used for a call of such a cost.
 func (d *adviceDesk) choose(now, cost time.Duration) string {
-	best := ""
-	var bestAt time.Duration
+	var usable []string
 	for peer, c := range d.callers {
-		if now-c.seen > callerLife || now < c.failed {
-			continue
+		if now-c.seen <= callerLife && now >= c.failed {
+			usable = append(usable, peer)
 		}
-		at := max(c.free, now)
-		if best == "" || at < bestAt || at == bestAt && peer < best {
+	}
+	slices.Sort(usable)
+	if cost >= longCall {
+		usable = usable[len(usable)/reservedCallers:]
+	}
+	best := ""
+	var bestAt time.Duration
+	for _, peer := range usable {
+		if at := max(d.callers[peer].free, now); best == "" || at < bestAt {
 			best, bestAt = peer, at
 		}
 	}
@@ -193,7 +206,11 @@
 	}
 	d.mu.Unlock()
 	if a.Error != "" && d.t.ctx.Err() == nil {
-		d.t.l.Logger.Warn("no advice", logging.Step("advise"), logging.Peer(peer), logging.Job(q.step.Job), "error", a.Error, "waited_ms", (now - sent).Milliseconds())
+		d.t.l.Logger.Warn("no advice", logging.Step("advise"), logging.Peer(peer), logging.Job(q.step.Job), "error", a.Error, "waited_ms", (now - sent).Milliseconds(), "expected_ms", (timeout - adviceSlack).Milliseconds())
+	}
+	if a.Error == "" {
+		d.t.l.Logger.Info("advice obtained", logging.Step("advise"), logging.Peer(peer), logging.Job(q.step.Job), "workers", len(q.workers), "allowed", len(a.Tickets), "renewal", len(q.held) > 0,
+			"waited_ms", (now - sent).Milliseconds(), "expected_ms", (timeout - adviceSlack).Milliseconds())
 	}
 	d.t.l.signal()
 }
--- a/internal/dispatch/plan_test.go
+++ b/internal/dispatch/plan_test.go
@@ -156,3 +156,27 @@
 		assert.DeepEqual(t, placedOn(p), []string{c.want})
 	}
 }
+
+// Guards against urgent work that waits for advice behind calls that take most of
+// a second each: some callers are left to short calls.
+func TestLongCallsLeaveCallers(t *testing.T) {
+	d := newAdviceDesk(nil)
+	for i := range 6 {
+		d.announce(fmt.Sprintf("p%d", i), 0)
+	}
+	for d.choose(0, 600*time.Millisecond) != "" {
+	}
+	free := 0
+	for _, c := range d.callers {
+		if c.free == 0 {
+			free++
+		}
+	}
+	assert.Equal(t, free, 2)
+	assert.Assert(t, d.choose(0, 15*time.Millisecond) != "")
+	for i := range 5 {
+		d.callers[fmt.Sprintf("p%d", i)].failed = time.Second
+	}
+	d.callers["p5"].free = 0
+	assert.Equal(t, d.choose(0, 600*time.Millisecond), "p5", "the last caller takes all calls")
+}
