dispatch: evidence against faulty workers

Cause: a worker had to fail three different jobs in a row before it was put on probation, a retry could go to the worker that had just failed the task, and members of gangs were placed on suspects. Change: a sequential test for each worker, with the learned share of failures of each queue; probation from the evidence of about two failures, doubling; at most one worker in four on probation; doubt and earlier failures of the job count in the rank.

--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -153,14 +153,12 @@
 
 // finished learns from an attempt that has ended.
 func (s *session) finished(e *ListedEnd, now time.Duration) {
-	s.mu.Lock()
-	i := *s.info(attemptKey{e.Task, e.Run})
-	s.mu.Unlock()
+	took := s.tookOf(&e.End, now)
 	if e.How == cell.EndedFailed {
-		s.t.speeds.failed(s.target.ID, e.Task.Job, now)
+		s.t.failed(s.target.ID, e.Task, now)
 	}
-	if e.How == cell.EndedDone && i.confirmed {
-		s.t.learn(s.target.ID, e.Task, now-i.confirmedAt, now)
+	if e.How == cell.EndedDone {
+		s.t.learn(s.target.ID, e.Task, took)
 	}
 }
 
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -22,6 +22,11 @@
 	// slowMargin is how much longer than expected work may take and still be in
 	// time on a slow worker: estimates are off, and one run in twenty fails.
 	slowMargin = 1.3
+	// doubtCost is what a worker costs that is certainly faulty, in units of a
+	// worker's factor: the run is lost and the work done again elsewhere.
+	doubtCost = 3
+	// failedCost keeps a task off the workers on which its job has failed.
+	failedCost = 3
 	// renewalCost puts workers with a valid ticket before all others.
 	renewalCost = 10
 	// hopeless jobs have waited this many times their objective and go last.
@@ -37,6 +42,8 @@
 	free    structs.Resources
 	// factor is how much longer than expected work takes here.
 	factor float64
+	// doubt is the chance that the worker fails whatever it is given.
+	doubt float64
 	// kept is set if the room is kept for a gang of higher rank, reserved names
 	// the gang for which the last plan kept it.
 	kept     bool
@@ -59,6 +66,8 @@
 	hopeless bool
 	// advice is what is known of the step's workers, nil if nothing is.
 	advice *stepAdvice
+	// failedOn are the workers on which tasks of the job have failed.
+	failedOn map[string]bool
 }
 
 // ask is a call for advice that a plan wants.
@@ -175,20 +184,18 @@
 
 // gather fills in the workers.
 func (t *term) gather(v *cell.View, p *planner) {
-	factors, out := t.speeds.factors(p.now)
 	for id, w := range v.Workers() {
-		if !w.Usable() || out[id] {
+		if !w.Usable() {
 			continue
 		}
 		if s := t.session(id, w.Born); s == nil || !s.usable(p.now) {
 			continue
 		}
-		c := &candidate{id: id, born: w.Born, service: w.Service, worker: w, free: w.Free(), factor: 1, reserved: t.reserved[id]}
-		if f, known := factors[id]; known {
-			c.factor = f
-		}
-		p.candidates = append(p.candidates, c)
-		p.byID[id] = c
+		p.candidates = append(p.candidates, &candidate{id: id, born: w.Born, service: w.Service, worker: w, free: w.Free(), reserved: t.reserved[id]})
+	}
+	p.candidates = t.speeds.describe(p.candidates, p.now)
+	for _, c := range p.candidates {
+		p.byID[c.id] = c
 	}
 	slices.SortFunc(p.candidates, func(a, b *candidate) int { return cmp.Compare(a.id, b.id) })
 }
--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -72,6 +72,10 @@
 			// Slow workers are left to work that has the time.
 			value = 2 - factor + 0.2*spare - 2
 		}
+		value += doubtCost * c.doubt
+		if w.failedOn[c.id] {
+			value += failedCost
+		}
 		if w.advice != nil && !p.valid(w.advice, c.id) {
 			value += renewalCost
 		}
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,11 +22,6 @@
 	slowdown = 0.8
 	// defaultEstimate stands in for an estimate that a job does not state.
 	defaultEstimate = time.Second
-	// suspectJobs is how many different jobs must fail in a row on a worker
-	// before it is put on probation.
-	suspectJobs = 3
-	// probation is how long a worker that failed different jobs gets no work.
-	probation = 4 * time.Second
 )
 
 // speedBook learns how long work really takes, by queue and by worker, and which
@@ -33,10 +30,9 @@
 	mu sync.Mutex
 	// bias is real over estimated time by queue, factor the same by worker
 	// relative to the bias of the queue.
-	bias   map[string]*average
-	factor map[string]*average
-	fails  map[string]map[string]bool
-	until  map[string]time.Duration
+	bias      map[string]*average
+	factor    map[string]*average
+	suspicion *suspicion
 }
 
 // average is a moving average of the logarithms of ratios.
@@ -65,10 +61,7 @@
 }
 
 func newSpeedBook() *speedBook {
-	return &speedBook{
-		bias: map[string]*average{}, factor: map[string]*average{},
-		fails: map[string]map[string]bool{}, until: map[string]time.Duration{},
-	}
+	return &speedBook{bias: map[string]*average{}, factor: map[string]*average{}, suspicion: newSuspicion()}
 }
 
 // single reports whether a task works by itself and comes to an end: members of a
@@ -83,24 +76,38 @@
 	return single
 }
 
-// learn takes in how long a task took.
-func (t *term) learn(worker string, k cell.TaskKey, took, now time.Duration) {
+// learn takes in a task that was done and how long it took, 0 if that is not known.
+func (t *term) learn(worker string, k cell.TaskKey, took time.Duration) {
 	var estimate time.Duration
 	var queue string
 	t.l.Store.View(func(v *cell.View) {
 		j := v.Job(k.Job)
-		if j == nil || j.State != cell.Active || j.Steps[k.Step].Gang || j.Steps[k.Step].DataRack != "" {
+		if j == nil {
 			return
 		}
-		queue, estimate = j.Queue, time.Duration(j.Steps[k.Step].EstimateMS)*time.Millisecond
+		queue = j.Queue
+		if j.State == cell.Active && !j.Steps[k.Step].Gang && j.Steps[k.Step].DataRack == "" {
+			estimate = time.Duration(j.Steps[k.Step].EstimateMS) * time.Millisecond
+		}
 	})
 	t.speeds.done(worker, queue, estimate, took)
 }
 
+// failed takes in a failure of a task.
+func (t *term) failed(worker string, k cell.TaskKey, now time.Duration) {
+	queue := ""
+	t.l.Store.View(func(v *cell.View) {
+		if j := v.Job(k.Job); j != nil {
+			queue = j.Queue
+		}
+	})
+	t.speeds.failed(worker, queue, k.Job, now)
+}
+
 func (b *speedBook) done(worker, queue string, estimate, took time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delete(b.fails, worker)
+	b.suspicion.done(worker, queue)
 	if estimate <= 0 || took <= 0 {
 		return
 	}
@@ -118,41 +125,48 @@
 	factor.add(ratio / math.Exp(bias.long))
 }
 
-// failed notes a failure. Failures of different jobs without a success between
-// put the worker on probation.
-func (b *speedBook) failed(worker, job string, now time.Duration) {
+// failed notes a failure.
+func (b *speedBook) failed(worker, queue, job string, now time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.fails[worker] == nil {
-		b.fails[worker] = map[string]bool{}
-	}
-	b.fails[worker][job] = true
-	if len(b.fails[worker]) >= suspectJobs {
-		b.until[worker] = now + probation
-	}
+	b.suspicion.failed(worker, queue, job, now)
 }
 
 // hung puts a worker on probation on which an attempt stands still.
 func (b *speedBook) hung(worker string, now time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.until[worker] = now + probation
+	b.suspicion.hung(worker, now)
 }
 
-// factors returns the factors of all workers and the workers on probation.
-func (b *speedBook) factors(now time.Duration) (factor map[string]float64, out map[string]bool) {
+// forget drops what is known of jobs that have ended.
+func (b *speedBook) forget(ended func(job string) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	factor, out = make(map[string]float64, len(b.factor)), map[string]bool{}
-	for w, f := range b.factor {
-		factor[w] = f.ratio()
-	}
-	for w, until := range b.until {
-		if now < until {
-			out[w] = true
-		}
+	b.suspicion.forget(ended)
+}
+
+// failedOn returns the workers on which tasks of a job have failed.
+func (b *speedBook) failedOn(job string) map[string]bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.suspicion.failedOn[job])
+}
+
+// describe fills in what is known of the candidates and returns those that may
+// get work.
+func (b *speedBook) describe(candidates []*candidate, now time.Duration) []*candidate {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	ids := make([]string, 0, len(candidates))
+	for _, c := range candidates {
+		ids = append(ids, c.id)
 	}
-	return factor, out
+	out := b.suspicion.out(ids, now)
+	return slices.DeleteFunc(candidates, func(c *candidate) bool {
+		c.factor, c.doubt = b.factor[c.id].ratio(), b.suspicion.doubt(c.id)
+		return out[c.id]
+	})
 }
 
 // factorOf returns the factor of a worker, 1 if nothing is known.
--- a/internal/dispatch/wish.go
+++ b/internal/dispatch/wish.go
@@ -26,7 +26,7 @@
 			at = now
 			t.arrived[key.Job] = now
 		}
-		w := &wish{key: key, job: j, step: &j.Steps[key.Step], run: run, queue: q}
+		w := &wish{key: key, job: j, step: &j.Steps[key.Step], run: run, queue: q, failedOn: t.speeds.failedOn(key.Job)}
 		rest := t.chains(j, q)
 		w.rest = rest[key.Step]
 		objective := time.Duration(float64(slices.Max(rest))*q.Stretch) + time.Duration(q.ObjectiveMS)*time.Millisecond
@@ -35,11 +35,16 @@
 		w.hopeless = now > at+hopeless*objective
 		wishes = append(wishes, w)
 	}
+	ended := func(id string) bool {
+		j := v.Job(id)
+		return j == nil || j.State != cell.Active
+	}
 	for id := range t.arrived {
-		if j := v.Job(id); j == nil || j.State != cell.Active {
+		if ended(id) {
 			delete(t.arrived, id)
 		}
 	}
+	t.speeds.forget(ended)
 	t.advice.keepOnly(ready)
 	slices.SortFunc(wishes, func(a, b *wish) int {
 		return cmp.Or(first(!a.hopeless, !b.hopeless), cmp.Compare(a.queue.Priority, b.queue.Priority),
