dispatch: short leases for brief work, placed apart from other work

Cause: a worker that is lost keeps its attempts for up to 6 s, which is longer than urgent work may take before it counts for nothing (three times 1.45 to 1.75 s); each hold of a failing worker took 1.2 s, so leases were found run out up to 1.3 s late; a life that registers during a term was taken to have a lease of an earlier leader. Change: workers that hold only jobs whose objective is shorter than the long lease get leases of 1.8 s and holds of 0.4 s; the rank keeps such work and other work apart; holds of failing workers do not wait; only lives that an earlier leader knew start with a bound. TestSilentWorker (brief path) and TestBriefWorkIsPlacedApart fail without the change.

--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -283,7 +283,11 @@
 	leader *Leader
 }
 
-const queuePath = "/q/"
+// Jobs of the first queue have 20 s, those of the second about 2 s.
+const (
+	queuePath = "/q/"
+	briefPath = "/b/"
+)
 
 // run runs a test in simulated time.
 func run(t *testing.T, workers int, test func(b *cellBench)) {
@@ -305,7 +309,10 @@
 		b.lead(1)
 		b.do(&cellapi.Call{Configure: &cell.Configuration{
 			Version: 1, Services: []cell.Service{{Name: service}},
-			Queues: []cell.Queue{{Name: "q", Host: "h", Prefix: queuePath, Service: service, TimeoutMS: 1000, Attempts: 2, Open: true}},
+			Queues: []cell.Queue{
+				{Name: "q", Host: "h", Prefix: queuePath, Service: service, TimeoutMS: 1000, Attempts: 2, ObjectiveMS: 20_000, Open: true},
+				{Name: "b", Host: "h", Prefix: briefPath, Service: service, TimeoutMS: 1000, Attempts: 2, ObjectiveMS: 1000, Stretch: 1, Open: true},
+			},
 		}})
 		for i := range workers {
 			b.register(fmt.Sprintf("w%d", i), 1, i)
@@ -347,22 +354,32 @@
 
 func (b *cellBench) submit(id string, steps ...cell.Step) {
 	b.t.Helper()
-	b.do(&cellapi.Call{Submit: &cell.Submit{Request: jobRequest(id), Job: cell.Submission{Spec: "s", Steps: steps}}})
+	b.submitTo(queuePath, id, steps...)
+}
+
+func (b *cellBench) submitTo(path, id string, steps ...cell.Step) {
+	b.t.Helper()
+	r := cell.Request{Host: "h", Path: path + id}
+	b.do(&cellapi.Call{Submit: &cell.Submit{Request: r, Job: cell.Submission{Spec: "s", Steps: steps}}})
 }
 
-func (b *cellBench) state(id string) cell.JobState {
+func (b *cellBench) state(path, id string) cell.JobState {
 	b.t.Helper()
-	r := jobRequest(id)
-	return b.do(&cellapi.Call{Status: &r}).Status.State
+	return b.do(&cellapi.Call{Status: &cell.Request{Host: "h", Path: path + id}}).Status.State
 }
 
 // until waits for a state and returns how long it took.
 func (b *cellBench) until(id string, state cell.JobState, limit time.Duration) time.Duration {
+	b.t.Helper()
+	return b.untilAt(queuePath, id, state, limit)
+}
+
+func (b *cellBench) untilAt(path, id string, state cell.JobState, limit time.Duration) time.Duration {
 	b.t.Helper()
 	began := time.Now()
-	for b.state(id) != state {
+	for b.state(path, id) != state {
 		if time.Since(began) > limit {
-			b.t.Fatalf("job %s is in state %d after %v", id, b.state(id), limit)
+			b.t.Fatalf("job %s is in state %d after %v", id, b.state(path, id), limit)
 		}
 		b.reports()
 		time.Sleep(50 * time.Millisecond)
@@ -386,3 +403,16 @@
 	defer b.fleet.mu.Unlock()
 	return b.fleet.starts[fmt.Sprint(cell.TaskKey{StepKey: cell.StepKey{Job: id}, Index: index})]
 }
+
+// holder returns the worker that has attempts.
+func (b *cellBench) holder() string {
+	holder := ""
+	b.store.View(func(v *cell.View) {
+		for id, w := range v.Workers() {
+			if len(w.Attempts) > 0 {
+				holder = id
+			}
+		}
+	})
+	return holder
+}
--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -51,31 +51,49 @@
 }
 
 // Guards against work of a silent worker that starts elsewhere before its lease
-// has run out, or long after.
+// has run out, or long after. Work that is late by the end of a long lease has a
+// short one.
 func TestSilentWorker(t *testing.T) {
+	for path, lease := range map[string]time.Duration{queuePath: leaseLength, briefPath: briefLease} {
+		run(t, 2, func(b *cellBench) {
+			for _, id := range []string{"w0", "w1"} {
+				b.fleet.change(id, func(w *fakeWorker) { w.work = 20 * time.Second })
+			}
+			b.submitTo(path, jobID1, tasks(1, 4))
+			time.Sleep(time.Second)
+			b.reports()
+			b.fleet.change(b.holder(), func(w *fakeWorker) { w.silent = true })
+			// The slowest clock, the call in progress and one more try.
+			again := lease + lease/25 + 2*callTimeout + holdWait
+			for began := time.Now(); time.Since(began) < again; time.Sleep(100 * time.Millisecond) {
+				b.reports()
+			}
+			assert.Equal(t, b.started(jobID1, 0), 2, "not started again after %v", again)
+			b.untilAt(path, jobID1, cell.Complete, 30*time.Second)
+		})
+	}
+}
+
+// Guards against brief work that is put under the long lease of other work, and
+// that waits for its end when the worker is lost.
+func TestBriefWorkIsPlacedApart(t *testing.T) {
 	run(t, 2, func(b *cellBench) {
 		for _, id := range []string{"w0", "w1"} {
 			b.fleet.change(id, func(w *fakeWorker) { w.work = 20 * time.Second })
 		}
-		b.submit(jobID1, tasks(1, 4))
-		time.Sleep(2 * time.Second)
+		b.submit(jobID1, tasks(1, 1))
+		time.Sleep(time.Second)
 		b.reports()
-		silent := ""
+		long := b.holder()
+		b.submitTo(briefPath, "00000000000000b2", tasks(2, 1))
+		time.Sleep(time.Second)
+		held := map[string]int{}
 		b.store.View(func(v *cell.View) {
 			for id, w := range v.Workers() {
-				if len(w.Attempts) > 0 {
-					silent = id
-				}
+				held[id] = len(w.Attempts)
 			}
 		})
-		b.fleet.change(silent, func(w *fakeWorker) { w.silent = true })
-		// The slowest clock, the call in progress and one more try.
-		again := leaseLength + leaseLength/25 + 2*callTimeout + holdWait
-		for began := time.Now(); time.Since(began) < again; time.Sleep(100 * time.Millisecond) {
-			b.reports()
-		}
-		assert.Equal(t, b.started(jobID1, 0), 2, "not started again after %v", again)
-		b.until(jobID1, cell.Complete, 30*time.Second)
+		assert.Equal(t, held[long], 1)
 	})
 }
 
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -25,6 +25,9 @@
 	// doubtCost is what a worker costs that is certainly faulty, in units of a
 	// worker's factor: the run is lost and the work done again elsewhere.
 	doubtCost = 3
+	// mixedCost keeps brief work and other work on different workers, so that the
+	// leases of the former stay short.
+	mixedCost = 0.25
 	// failedCost keeps a task off the workers on which its job has failed.
 	failedCost = 3
 	// renewalCost puts workers with a valid ticket before all others.
@@ -44,6 +47,10 @@
 	factor float64
 	// doubt is the chance that the worker fails whatever it is given.
 	doubt float64
+	// leased is how long the worker's lease may go on if it is lost now, and busy
+	// whether anything runs there.
+	leased time.Duration
+	busy   bool
 	// kept is set if the room is kept for a gang of higher rank, reserved names
 	// the gang for which the last plan kept it.
 	kept     bool
@@ -61,6 +68,8 @@
 	rest time.Duration
 	// deadline is when the job is meant to be complete.
 	deadline time.Duration
+	// brief work is placed apart from other work, under short leases.
+	brief bool
 	// late jobs cannot be complete in time any more, hopeless ones earn nothing.
 	late     bool
 	hopeless bool
@@ -150,9 +159,8 @@
 		return // the life is over; its attempts end with it
 	}
 	o := StartOrder{Task: p.Task, Run: p.Run, Fence: t.number}
-	var arrived time.Duration
 	t.mu.Lock()
-	arrived = t.arrived[p.Task.Job]
+	arrived := t.jobs[p.Task.Job].arrived
 	t.mu.Unlock()
 	found := false
 	t.l.Store.View(func(v *cell.View) {
@@ -188,10 +196,14 @@
 		if !w.Usable() {
 			continue
 		}
-		if s := t.session(id, w.Born); s == nil || !s.usable(p.now) {
+		s := t.session(id, w.Born)
+		if s == nil || !s.usable(p.now) {
 			continue
 		}
-		p.candidates = append(p.candidates, &candidate{id: id, born: w.Born, service: w.Service, worker: w, free: w.Free(), reserved: t.reserved[id]})
+		p.candidates = append(p.candidates, &candidate{
+			id: id, born: w.Born, service: w.Service, worker: w, free: w.Free(), reserved: t.reserved[id],
+			leased: s.leased(p.now), busy: len(w.Attempts) > 0,
+		})
 	}
 	p.candidates = t.speeds.describe(p.candidates, p.now)
 	for _, c := range p.candidates {
--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -73,6 +73,9 @@
 			value = 2 - factor + 0.2*spare - 2
 		}
 		value += doubtCost * c.doubt
+		if c.mixes(w) {
+			value += mixedCost
+		}
 		if w.failedOn[c.id] {
 			value += failedCost
 		}
@@ -91,6 +94,13 @@
 	slices.SortStableFunc(list, func(a, b *candidate) int { return cmp.Compare(costs[a.id], costs[b.id]) })
 }
 
+// mixes reports whether the step would put brief work under a long lease, or the
+// brief work of a worker under the long lease that the step needs.
+func (c *candidate) mixes(w *wish) bool {
+	long := c.leased > briefLease+briefLease/10
+	return w.brief && long || !w.brief && c.busy && !long
+}
+
 // reserve keeps the allowed workers with the most room for a gang that does not
 // fit, so that smaller work does not take each hole as it opens.
 func (p *planner) reserve(w *wish) {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -17,6 +17,12 @@
 	leaseLength = 5700 * time.Millisecond
 	// holdWait is how long a worker waits for an end before it answers a hold.
 	holdWait = 800 * time.Millisecond
+	// briefLease is the lease of a worker with brief work only. It outlasts the
+	// change of the leader, which takes up to 1.2 s; a longer one would make the
+	// work late by itself when the worker is lost.
+	briefLease = 1800 * time.Millisecond
+	// briefHoldWait keeps a brief lease from being used up by a hold.
+	briefHoldWait = 400 * time.Millisecond
 	// callTimeout bounds a call to a worker beyond the time it is asked to wait.
 	callTimeout = 400 * time.Millisecond
 	// startLife is how long a start may take effect; a call that is carried out
@@ -58,13 +64,17 @@
 	attempts map[attemptKey]*attemptInfo
 }
 
-func newSession(t *term, w *cell.Worker) *session {
+// newSession returns a session that is to be run. Inherited lives may have leases
+// that an earlier leader has given.
+func newSession(t *term, w *cell.Worker, inherited bool) *session {
 	ctx, cancel := context.WithCancel(t.ctx)
-	// Twice the drift is more than the lease takes on the slowest clock.
-	bound := t.began + t.lease + t.lease/25 + 10*settleMargin
 	s := &session{
 		t: t, target: Target{w.ID, w.Address}, born: w.Born, ctx: ctx, end: cancel, wake: make(chan struct{}, 1),
-		heardAt: t.l.Clock.Now(), leaseBound: bound, attempts: map[attemptKey]*attemptInfo{},
+		heardAt: t.l.Clock.Now(), attempts: map[attemptKey]*attemptInfo{},
+	}
+	if inherited {
+		// Twice the drift is more than the lease takes on the slowest clock.
+		s.leaseBound = t.began + t.lease + t.lease/25 + 10*settleMargin
 	}
 	for key, a := range w.Attempts {
 		s.attempts[attemptKey{key, a.Run}] = &attemptInfo{inherited: true}
@@ -79,16 +89,15 @@
 	}
 }
 
-// handOver returns what a session for another address of the life continues with.
-func (s *session) handOver() (workerClock, map[attemptKey]*attemptInfo) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	known := make(map[attemptKey]*attemptInfo, len(s.attempts))
-	for k, i := range s.attempts {
+// continueFrom takes over what the session of another address of the life knows.
+func (s *session) continueFrom(earlier *session) {
+	earlier.mu.Lock()
+	defer earlier.mu.Unlock()
+	for k, i := range earlier.attempts {
 		c := *i
-		known[k] = &c
+		s.attempts[k] = &c
 	}
-	return s.clock, known
+	s.clock, s.leaseBound = earlier.clock, earlier.leaseBound
 }
 
 // reported takes in a report of the worker.
@@ -111,6 +120,13 @@
 	return s.clock.known && !s.failing && !silent && now >= s.penaltyUntil && now-s.heardAt < reportSilence
 }
 
+// leased returns how long the worker's lease may go on if it is lost now.
+func (s *session) leased(now time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaseBound - now
+}
+
 // answered notes an answer to a call that was sent at a time.
 func (s *session) answered(sent time.Duration, clockMS int64, now time.Duration) {
 	s.mu.Lock()
@@ -140,6 +156,8 @@
 	gone     bool
 	noted    uint64
 	attempts map[cell.TaskKey]cell.Attempt
+	// brief is set if all of the attempts are of brief jobs.
+	brief bool
 }
 
 func (s *session) view() local {
@@ -155,10 +173,33 @@
 		for k, a := range w.Attempts {
 			r.attempts[k] = a
 		}
+		r.brief = s.t.allBrief(v, r.attempts)
 	})
 	return r
 }
 
+// allBrief reports whether all of the attempts are of brief jobs, or of such that
+// have ended.
+func (t *term) allBrief(v *cell.View, attempts map[cell.TaskKey]cell.Attempt) bool {
+	now := t.l.Clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for k := range attempts {
+		j := v.Job(k.Job)
+		if j == nil || j.State != cell.Active {
+			continue
+		}
+		times, known := t.jobs[k.Job]
+		if q := v.Queue(j.Queue); !known && q != nil {
+			times, known = t.times(j, q, t.chains(j, q), now), true
+		}
+		if !known || !times.brief() {
+			return false
+		}
+	}
+	return true
+}
+
 // run keeps the worker's lease and takes in its ends until the life is over.
 func (s *session) run() {
 	defer s.end()
@@ -205,18 +246,26 @@
 	}
 	sent := s.t.l.Clock.Now()
 	order := HoldOrder{Fence: s.t.number, Noted: state.noted}
+	lease, wait := s.t.lease, holdWait
+	if state.brief {
+		lease, wait = s.t.briefLease, briefHoldWait
+	}
 	s.mu.Lock()
-	if s.fenced && len(state.attempts) > 0 {
-		order.Wait = holdWait
+	if s.fenced && !s.failing && len(state.attempts) > 0 {
+		order.Wait = wait
 	}
 	// A worker that does not answer gets no longer lease: any of the holds may
 	// have been carried out, and its lease would never be known to have run out.
 	if s.clock.known && len(state.attempts) > 0 && !s.failing {
-		order.DeadlineMS = s.clock.estimate(sent) + s.t.lease.Milliseconds()
+		order.DeadlineMS = s.clock.estimate(sent) + lease.Milliseconds()
 		s.leaseBound = max(s.leaseBound, s.clock.passed(order.DeadlineMS))
 	}
+	limit := order.Wait + callTimeout
+	if left := s.leaseBound - sent; s.failing && left > 0 {
+		limit = min(limit, left+retryPause) // the attempts are given up soon after
+	}
 	s.mu.Unlock()
-	ctx, cancel := context.WithTimeout(s.ctx, order.Wait+callTimeout)
+	ctx, cancel := context.WithTimeout(s.ctx, limit)
 	defer cancel()
 	listing, err := s.t.l.Workers.Hold(ctx, s.target, &order)
 	now := s.t.l.Clock.Now()
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -25,21 +25,40 @@
 	ctx    context.Context
 	number uint64
 	began  time.Duration
-	// lease is the length of the leases of workers.
-	lease  time.Duration
-	advice *adviceDesk
-	speeds *speedBook
+	// lease is the length of the leases of workers, briefLease that of those with
+	// brief work only.
+	lease      time.Duration
+	briefLease time.Duration
+	advice     *adviceDesk
+	speeds     *speedBook
 	// reserved is what the last plan kept for gangs; it belongs to the planner.
 	reserved map[string]cell.StepKey
 	tasks    sync.WaitGroup
 
 	mu       sync.Mutex
 	sessions map[string]*session
-	// arrived is when the leader first saw a job.
-	arrived map[string]time.Duration
-	stops   map[stopKey]time.Duration
+	// synced is set once all lives that an earlier leader may have given leases to
+	// have a session.
+	synced bool
+	// jobs holds what the leader knows of active jobs that had a ready step.
+	jobs  map[string]jobTimes
+	stops map[stopKey]time.Duration
 }
 
+// jobTimes are the times of an active job.
+type jobTimes struct {
+	// arrived is when the leader first saw the job.
+	arrived time.Duration
+	// objective is the time in which the job is meant to be complete.
+	objective time.Duration
+	// lasting jobs run until they are cancelled.
+	lasting bool
+}
+
+// brief reports whether the job is late anyway if its work waits for the end of
+// a long lease.
+func (j jobTimes) brief() bool { return !j.lasting && j.objective < leaseLength }
+
 type stopKey struct {
 	worker string
 	task   cell.TaskKey
@@ -48,8 +67,8 @@
 
 func newTerm(ctx context.Context, l *Leader, number uint64, now time.Duration) *term {
 	t := &term{
-		l: l, ctx: ctx, number: number, began: now, lease: min(leaseLength, l.Bounds.MaxLease), sessions: map[string]*session{},
-		arrived: map[string]time.Duration{}, stops: map[stopKey]time.Duration{}, speeds: newSpeedBook(),
+		l: l, ctx: ctx, number: number, began: now, lease: min(leaseLength, l.Bounds.MaxLease), briefLease: min(briefLease, l.Bounds.MaxLease), sessions: map[string]*session{},
+		jobs: map[string]jobTimes{}, stops: map[stopKey]time.Duration{}, speeds: newSpeedBook(),
 	}
 	t.advice = newAdviceDesk(t)
 	return t
@@ -122,16 +141,17 @@
 			if w.Gone && len(w.Attempts) == 0 {
 				continue
 			}
-			n := newSession(t, w)
+			n := newSession(t, w, !t.synced)
 			if s != nil {
 				s.end()
 				if s.born == w.Born {
-					n.clock, n.attempts = s.handOver()
+					n.continueFrom(s)
 				}
 			}
 			t.sessions[id] = n
 			fresh = append(fresh, n)
 		}
+		t.synced = true
 	})
 	for _, s := range fresh {
 		t.spawn(s.run)
--- a/internal/dispatch/wish.go
+++ b/internal/dispatch/wish.go
@@ -21,27 +21,23 @@
 		if q == nil {
 			continue // dropped from the configuration; it may come back
 		}
-		at, known := t.arrived[key.Job]
-		if !known {
-			at = now
-			t.arrived[key.Job] = now
-		}
 		w := &wish{key: key, job: j, step: &j.Steps[key.Step], run: run, queue: q, failedOn: t.speeds.failedOn(key.Job)}
 		rest := t.chains(j, q)
+		times := t.times(j, q, rest, now)
 		w.rest = rest[key.Step]
-		objective := time.Duration(float64(slices.Max(rest))*q.Stretch) + time.Duration(q.ObjectiveMS)*time.Millisecond
-		w.deadline = at + objective
+		w.brief = times.brief()
+		w.deadline = times.arrived + times.objective
 		w.late = now+w.rest > w.deadline
-		w.hopeless = now > at+hopeless*objective
+		w.hopeless = now > times.arrived+hopeless*times.objective && !w.step.Lasting
 		wishes = append(wishes, w)
 	}
 	ended := func(id string) bool {
 		j := v.Job(id)
 		return j == nil || j.State != cell.Active
 	}
-	for id := range t.arrived {
+	for id := range t.jobs {
 		if ended(id) {
-			delete(t.arrived, id)
+			delete(t.jobs, id)
 		}
 	}
 	t.speeds.forget(ended)
@@ -53,6 +49,19 @@
 	return wishes
 }
 
+// times returns the times of an active job, with the objective by the newest
+// estimates. The caller holds the lock.
+func (t *term) times(j *cell.Job, q *cell.Queue, rest []time.Duration, now time.Duration) jobTimes {
+	times, known := t.jobs[j.ID]
+	if !known {
+		times.arrived = now
+	}
+	times.objective = time.Duration(float64(slices.Max(rest))*q.Stretch) + time.Duration(q.ObjectiveMS)*time.Millisecond
+	times.lasting = slices.ContainsFunc(j.Steps, func(s cell.Step) bool { return s.Lasting })
+	t.jobs[j.ID] = times
+	return times
+}
+
 // first orders what is true before what is not.
 func first(a, b bool) int {
 	switch {
--- /dev/null
+++ b/spec/note.pml
@@ -0,0 +1,153 @@
+/*
+ * The note of an end against the lapse of a lease: one attempt on one worker and
+ * two leaders. Once the worker has been told that the end "done" was taken in,
+ * while its lease had held since that end, the task must not start again. Calls to
+ * the worker and commands of a leader that is gone are delayed without bound.
+ * Clocks run alike here; their drift is in order.pml.
+ * Bounds: HORIZON ticks, two leaders, one call, one note and one lapse under way.
+ * Mutations: ACK_BEFORE_COMMIT, NOTE_AFTER_LAPSE, LAPSE_AFTER_NOTE, LAPSE_EARLY,
+ * NO_WAIT_NEW.
+ */
+#define LEASE 2
+#define HORIZON 5
+#define MAX(a, b) ((a) > (b) -> (a) : (b))
+
+mtype = { Running, Done, Lapsed };
+
+byte now = 1;
+
+/* The worker. */
+mtype attempt = Running;
+byte lease = LEASE;
+bool listed = false;      /* the end is listed until it is noted */
+bool lapsedSince = false; /* the lease has run out after the end */
+bool taken = false;       /* the end counts as taken note of */
+
+/* The replicated state. */
+bool open = true, done = false, noted = false;
+bool second = false;      /* the task was started again */
+bool counted = false;     /* it has once counted as done */
+
+/* The leader of the term. */
+byte term = 1;
+byte bound = LEASE;
+bool seen = false;
+
+/* A call to the worker, its reply, and commands, under way. */
+bool calling = false, callAck;
+byte callDeadline;
+bool replied = false, replyEnded;
+byte replyTerm, callTerm;
+bool noting = false, lapsing = false;
+
+proctype Leader() {
+	do
+	:: atomic { !calling && !replied && now < HORIZON ->
+			calling = true; callTerm = term;
+#ifdef ACK_BEFORE_COMMIT
+			callAck = noted || seen;
+#else
+			callAck = noted;
+#endif
+			callDeadline = now + LEASE;
+			bound = MAX(bound, callDeadline) }
+	:: atomic { replied ->
+			replied = false;
+			if
+			:: replyTerm == term && replyEnded -> seen = true
+			:: else
+			fi }
+	:: atomic { seen && !noted && !noting -> noting = true }
+#ifdef LAPSE_EARLY
+	:: atomic { open && !lapsing -> lapsing = true }
+#else
+	:: atomic { open && now > bound && !lapsing -> lapsing = true }
+#endif
+	:: atomic { term == 1 && now < HORIZON ->
+			term = 2; seen = false;
+#ifdef NO_WAIT_NEW
+			bound = now;
+#else
+			bound = now + LEASE;
+#endif
+			/* Commands of the earlier leader are lost or stay in the log. */
+			if
+			:: noting = false
+			:: lapsing = false
+			:: noting = false; lapsing = false
+			:: skip
+			fi }
+	od
+}
+
+/* Commands are checked when they are applied. */
+proctype Log() {
+	do
+	:: atomic { noting ->
+			noting = false;
+			if
+			:: open -> open = false; done = true; counted = true
+#ifdef NOTE_AFTER_LAPSE
+			:: !open && !done -> done = true; counted = true
+#else
+			:: else
+#endif
+			fi;
+			noted = true }
+	:: atomic { lapsing ->
+			lapsing = false;
+			if
+			:: open -> open = false
+#ifdef LAPSE_AFTER_NOTE
+			:: !open && done -> done = false
+#else
+			:: else
+#endif
+			fi }
+	:: atomic { !open && !done && !second -> second = true }
+	od
+}
+
+proctype Worker() {
+	do
+	:: atomic { attempt == Running -> attempt = Done; listed = true }
+	:: atomic { calling && !replied ->
+			calling = false;
+			lease = MAX(lease, callDeadline);
+			if
+			:: callAck && listed -> listed = false; taken = taken || (attempt == Done && !lapsedSince)
+			:: else
+			fi;
+			/* The reply may be lost. */
+			if
+			:: replied = true; replyEnded = (listed && attempt == Done); replyTerm = callTerm
+			:: skip
+			fi }
+	od
+}
+
+proctype Time() {
+	do
+	:: atomic { now < HORIZON + LEASE + 2 ->
+			now++;
+			if
+			:: now > lease && attempt == Running -> attempt = Lapsed
+			:: now > lease && attempt == Done -> lapsedSince = true
+			:: else
+			fi }
+	od
+}
+
+proctype Monitor() {
+	atomic { second && taken -> assert(false) }
+}
+
+/* The task never runs twice at the same time, counts as done only if it was, and
+ * does not start again after that. */
+proctype Overlap() {
+	atomic { (second && attempt == Running) || (done && attempt == Lapsed) || (counted && second) -> assert(false) }
+}
+
+init {
+	atomic { run Leader(); run Log(); run Worker(); run Time(); run Monitor(); run Overlap() }
+}
