gateway: one that is cut off is not ready and refuses at once

Cause: during a cut of a data centre its gateways stayed ready for 2.5 s after the last answer of a leader, and the platform needs two checks more; requests waited up to 1.2 s and ended with 504; clients kept their connections to such a gateway. Change: a gateway that has heard no leader for 0.9 s asks all control processes whether they are there; if it reaches some, but less than half, it is not ready and refuses as not run. Also a try of a call takes 0.45 s instead of 0.9 s, so that one at a leader that was cut off leaves time for others; advice is kept for tasks that start again, and a further call for advice is made only if it is likely to find the room that is missing.

--- a/cmd/lg-gateway/main.go
+++ b/cmd/lg-gateway/main.go
@@ -40,9 +40,9 @@
 	base := process.Open(c.Process, maxLines)
 	logger := base.Logger
 	client := cellapi.NewClient(c.Seeds, logger)
-	g := gateway.New(client, c.Peer.String())
+	g := gateway.New(client, c.Peer.String(), logger)
 	servers, err := process.Serve(map[string]http.Handler{
-		c.Public.String():        platform.Front(client, logger, base.Scope),
+		c.Public.String():        platform.Front(g, logger, base.Scope),
 		c.Ready.String():         platform.Ready(g.Ready),
 		c.Process.Admin.String(): base.Metrics,
 		c.Peer.String():          cellapi.Handler(nil, platform.NewAdviser(c.Advice.String())),
--- a/internal/cellapi/client.go
+++ b/internal/cellapi/client.go
@@ -27,9 +27,9 @@
 	// silenceTimeout is after how long unacknowledged bytes break a connection,
 	// so that one that was silenced is replaced.
 	silenceTimeout = 1500 * time.Millisecond
-	// tryTimeout bounds one try of a call: longer than a commit while the leader
-	// changes would only delay the try at another process.
-	tryTimeout = 900 * time.Millisecond
+	// tryTimeout bounds one try of a call: a commit takes 10 to 20 ms, and a leader
+	// that was cut off or paused is replaced after half a second at the earliest.
+	tryTimeout = 450 * time.Millisecond
 	// roundPause is the pause after all known processes were asked.
 	roundPause = 40 * time.Millisecond
 	// idleTimeout closes connections that are not used.
@@ -101,16 +101,53 @@
 	return c.heard
 }
 
-// target returns the process to ask next.
-func (c *Client) target() (address string, known int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	all := c.members
+// known returns the control processes to ask. The caller holds the lock.
+func (c *Client) known() []string {
+	all := slices.Clone(c.members)
 	for _, s := range c.seeds {
 		if !slices.Contains(all, s) {
-			all = append(slices.Clone(all), s)
+			all = append(all, s)
+		}
+	}
+	return all
+}
+
+// Probe asks all control processes that the leader named last, or the seeds if
+// none has, whether they are there. One that refuses the connection is: its
+// process restarts.
+func (c *Client) Probe(ctx context.Context, timeout time.Duration) (reached, known int) {
+	c.mu.Lock()
+	all := slices.Clone(c.members)
+	if len(all) == 0 {
+		all = c.known()
+	}
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	answers := make(chan bool, len(all))
+	for _, address := range all {
+		go func() {
+			var r Reply
+			_, err := Post(ctx, c.http, address, callPath, emptyCall, &r)
+			answers <- err == nil || errors.Is(err, syscall.ECONNREFUSED)
+		}()
+	}
+	for range all {
+		if <-answers {
+			reached++
 		}
 	}
+	return reached, len(all)
+}
+
+// emptyCall is a call that changes nothing.
+var emptyCall = []byte{0xa0}
+
+// target returns the process to ask next.
+func (c *Client) target() (address string, known int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := c.known()
 	if c.leader != "" {
 		return c.leader, len(all)
 	}
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -111,12 +111,12 @@
 	}
 }
 
-// keepOnly drops the advice for steps that are no longer ready.
-func (d *adviceDesk) keepOnly(ready map[cell.StepKey]bool) {
+// keepOnly drops the advice for steps that need none any more.
+func (d *adviceDesk) keepOnly(needed func(cell.StepKey) bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for k, s := range d.steps {
-		if !ready[k] && s.waiting == 0 {
+		if s.waiting == 0 && !needed(k) {
 			delete(d.steps, k)
 		}
 	}
--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -30,6 +30,20 @@
 	return list[:min(len(list), askWorkers)]
 }
 
+// promising reports whether asking about more workers is likely to make the room
+// that is missing: a call for a few of them costs nearly as much as one for all,
+// and keeps a caller from the calls of others.
+func (p *planner) promising(w *wish, advice *stepAdvice, more []*candidate, missing int) bool {
+	tasks := 0
+	for _, c := range more {
+		if p.fits(w, c) {
+			tasks += multiple(w.step.Claim(), c.free)
+		}
+	}
+	share := float64(len(advice.tickets)+1) / float64(len(advice.asked)+2)
+	return len(more) > 0 && float64(tasks)*share >= float64(missing)
+}
+
 // covers reports whether the service was asked about this life of a worker.
 func (s *stepAdvice) covers(c *candidate) bool {
 	if s == nil || !s.asked[c.id] {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -253,7 +253,7 @@
 	if w.step.Gang && len(placed) < len(tasks) {
 		p.giveBack(w, placed)
 		if advice != nil {
-			if more := p.unasked(w, advice); len(more) > 0 {
+			if more := p.unasked(w, advice); p.promising(w, advice, more, len(tasks)-len(placed)) {
 				p.want(w, more, nil)
 				return
 			}
@@ -262,7 +262,7 @@
 		return
 	}
 	if advice != nil && len(placed) < len(tasks) {
-		if more := p.unasked(w, advice); len(more) > 0 && len(placed) == 0 {
+		if more := p.unasked(w, advice); len(placed) == 0 && p.promising(w, advice, more, 1) {
 			p.want(w, more, nil)
 			return
 		}
--- a/internal/dispatch/plan_test.go
+++ b/internal/dispatch/plan_test.go
@@ -180,3 +180,28 @@
 	d.callers["p5"].free = 0
 	assert.Equal(t, d.choose(0, 600*time.Millisecond), "p5", "the last caller takes all calls")
 }
+
+// Guards against a call for advice of half a second for each worker that is new or
+// has become free: it is made only if it is likely to complete the gang.
+func TestNoCallForTooFewWorkers(t *testing.T) {
+	for extra, asks := range map[int]int{1: 0, 12: 1} {
+		advice := map[cell.StepKey]*stepAdvice{{Job: "a"}: allowed(time.Minute, "w00", "w01")}
+		for i := 2; i < 6; i++ {
+			advice[cell.StepKey{Job: "a"}].asked[fmt.Sprintf("w%02d", i)] = true
+		}
+		p := newPlanner(6+extra, advice)
+		p.decide([]*wish{p.newWish("a", 1, gang(4, 40))})
+		assert.Equal(t, len(p.asks), asks, "%d workers that were not asked about", extra)
+		assert.Equal(t, len(p.reserved) > 0, asks == 0)
+	}
+}
+
+// Guards against a new call for advice for a task that failed and starts again
+// while others of its step run.
+func TestAdviceIsKeptForRetries(t *testing.T) {
+	d := newAdviceDesk(nil)
+	running, done := cell.StepKey{Job: "a"}, cell.StepKey{Job: "b"}
+	d.steps[running], d.steps[done] = allowed(time.Second, "w00"), allowed(time.Second, "w00")
+	d.keepOnly(func(k cell.StepKey) bool { return k == running })
+	assert.Assert(t, d.snapshot(running) != nil && d.snapshot(done) == nil)
+}
--- a/internal/dispatch/wish.go
+++ b/internal/dispatch/wish.go
@@ -11,11 +11,9 @@
 // wishes returns the ready steps in the order in which they are served.
 func (t *term) wishes(v *cell.View, now time.Duration) []*wish {
 	var wishes []*wish
-	ready := make(map[cell.StepKey]bool, len(v.Ready()))
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for key, run := range v.Ready() {
-		ready[key] = true
 		j := v.Job(key.Job)
 		q := v.Queue(j.Queue)
 		if q == nil {
@@ -41,7 +39,14 @@
 		}
 	}
 	t.speeds.forget(ended)
-	t.advice.keepOnly(ready)
+	// A task that fails starts again with the advice that its step has.
+	t.advice.keepOnly(func(k cell.StepKey) bool {
+		if ended(k.Job) {
+			return false
+		}
+		run := &v.Job(k.Job).Runs[k.Occurrence][k.Step]
+		return run.Done < len(run.Tasks)
+	})
 	slices.SortFunc(wishes, func(a, b *wish) int {
 		return cmp.Or(first(!a.hopeless, !b.hopeless), cmp.Compare(a.queue.Priority, b.queue.Priority),
 			first(!a.step.Gang || !a.late, !b.step.Gang || !b.late), cmp.Compare(a.job.Accepted, b.job.Accepted), cmp.Compare(a.key.Step, b.key.Step))
