dispatch: occurrences have their own times; due times by the median of the clocks

Cause: the objective of a job with a schedule was counted from its first occurrence, so later ones were served after all other work; they became due by the clock of the leader's VM, which may be stepped; each was opened by a commit of its own that held up the planner, after a look at all jobs. Change: times by occurrence; the time of day is the median of what processes announce; one command opens all that is due; an index of scheduled jobs.

--- a/internal/cell/command.go
+++ b/internal/cell/command.go
@@ -112,10 +112,15 @@
 	Born   int64  `cbor:"2,keyasint,omitempty"`
 }
 
-// OpenDue makes the next occurrence of a scheduled job due.
+// OpenDue makes the next occurrences of scheduled jobs due.
 type OpenDue struct {
-	Job        string `cbor:"1,keyasint,omitempty"`
-	Occurrence int    `cbor:"2,keyasint,omitempty"`
+	Occurrences []Occurrence `cbor:"3,keyasint,omitempty"`
+}
+
+// Occurrence names one run of all steps of a job.
+type Occurrence struct {
+	Job    string `cbor:"1,keyasint,omitempty"`
+	Number int    `cbor:"2,keyasint,omitempty"`
 }
 
 // Forget drops ended jobs.
--- a/internal/cell/configuration.go
+++ b/internal/cell/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -49,6 +50,11 @@
 	ValidityMS  int64
 }
 
+// Cost returns how long a call that names so many workers takes.
+func (t *AdviceTerms) Cost(workers int) time.Duration {
+	return time.Duration((t.DecideMS + t.PerWorkerMS*float64(workers)) * float64(time.Millisecond))
+}
+
 // Service is a pool of workers.
 type Service struct {
 	Name string
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -119,6 +119,9 @@
 	Step       int    `cbor:"3,keyasint,omitempty"`
 }
 
+// OccurrenceKey returns the occurrence that the step belongs to.
+func (k StepKey) OccurrenceKey() Occurrence { return Occurrence{k.Job, k.Occurrence} }
+
 // TaskKey names a task.
 type TaskKey struct {
 	StepKey
--- a/internal/cell/request.go
+++ b/internal/cell/request.go
@@ -134,6 +134,7 @@
 	}
 	s.Jobs[id] = j
 	s.refresh(j)
+	s.indexScheduled(j)
 	return Accepted
 }
 
@@ -153,10 +154,14 @@
 }
 
 func (s *Store) openDue(c *OpenDue) any {
-	j := s.Jobs[c.Job]
-	if j != nil && j.State == Active && len(j.Runs) == c.Occurrence && c.Occurrence < j.occurrences() {
+	for _, o := range c.Occurrences {
+		j := s.Jobs[o.Job]
+		if j == nil || j.State != Active || len(j.Runs) != o.Number || o.Number >= j.occurrences() {
+			continue
+		}
 		j.open()
 		s.refresh(j)
+		s.indexScheduled(j)
 	}
 	return nil
 }
@@ -180,6 +185,16 @@
 		}
 	}
 	j.Spec, j.Runs = "", nil
+	s.indexScheduled(j)
+}
+
+// indexScheduled notes whether further occurrences of the job become due.
+func (s *Store) indexScheduled(j *Job) {
+	if j.State == Active && len(j.Runs) < j.Schedule.Times {
+		s.scheduled[j.ID] = j
+		return
+	}
+	delete(s.scheduled, j.ID)
 }
 
 // refresh brings the index of ready steps up to the job's state.
--- a/internal/cell/store.go
+++ b/internal/cell/store.go
@@ -19,6 +19,8 @@
 	usage map[string]structs.Resources
 	// ready holds the steps with tasks that may be started now.
 	ready map[StepKey]*StepRun
+	// scheduled holds the jobs with occurrences that are not due yet.
+	scheduled map[string]*Job
 	// applied is called with each applied command, nil if nothing listens.
 	applied func(*Command)
 }
@@ -52,6 +54,7 @@
 	s.index = newIndex(st.Configuration)
 	s.usage = map[string]structs.Resources{}
 	s.ready = map[StepKey]*StepRun{}
+	s.scheduled = map[string]*Job{}
 	for _, w := range s.Workers {
 		w.used = structs.Resources{}
 		if w.Attempts == nil {
@@ -64,6 +67,7 @@
 	}
 	for _, j := range s.Jobs {
 		s.refresh(j)
+		s.indexScheduled(j)
 	}
 }
 
@@ -158,6 +162,9 @@
 // Ready returns the steps that have tasks to start.
 func (v *View) Ready() map[StepKey]*StepRun { return v.s.ready }
 
+// Scheduled returns the jobs with occurrences that are not due yet.
+func (v *View) Scheduled() map[string]*Job { return v.s.scheduled }
+
 // Queue returns a queue by name, nil if it is not configured.
 func (v *View) Queue(name string) *Queue { return v.s.index.byName[name] }
 
--- a/internal/cell/store_test.go
+++ b/internal/cell/store_test.go
@@ -292,6 +292,37 @@
 	}
 }
 
+// Guards against occurrences that are opened twice or never, and against a job that
+// is complete before its last one.
+func TestOccurrences(t *testing.T) {
+	b := newBench(t)
+	b.apply(&Command{Submit: &Submit{Request: request(firstID), Job: Submission{Steps: []Step{cores(1)}, Schedule: Schedule{Times: 2, StartMS: 1000, IntervalMS: 500}}}})
+	scheduled := func() bool {
+		found := false
+		b.store.View(func(v *View) { _, found = v.Scheduled()[firstID] })
+		return found
+	}
+	assert.Assert(t, scheduled() && !b.ready(firstID, 0))
+	open := func(n int) {
+		b.apply(&Command{Open: &OpenDue{Occurrences: []Occurrence{{Job: firstID, Number: n}, {Job: secondID, Number: n}}}})
+	}
+	open(1)
+	assert.Assert(t, !b.ready(firstID, 0), "opened out of order")
+	open(0)
+	open(0)
+	first := at(firstID, 0, 0, 1, "w0")
+	assert.DeepEqual(t, b.start(first), []bool{true})
+	b.end("w0", first, EndedDone)
+	assert.Assert(t, scheduled() && b.state(firstID).State == Active)
+	open(1)
+	assert.Assert(t, !scheduled())
+	second := first
+	second.Task.Occurrence = 1
+	assert.DeepEqual(t, b.start(second), []bool{true})
+	b.end("w0", second, EndedDone)
+	assert.Equal(t, b.state(firstID).State, Complete)
+}
+
 // Guards against configurations that cannot be in force.
 func TestValidate(t *testing.T) {
 	assert.NilError(t, configuration(1).Validate())
--- a/internal/cellapi/message.go
+++ b/internal/cellapi/message.go
@@ -30,12 +30,15 @@
 type Announce struct {
 	// Peer is where the process serves calls of other processes.
 	Peer string `cbor:"1,keyasint,omitempty"`
+	// UnixMS is the time of day by the process's clock.
+	UnixMS int64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Join tells the leader that a replica lives.
 type Join struct {
 	Replica string `cbor:"1,keyasint,omitempty"`
 	Peer    string `cbor:"2,keyasint,omitempty"`
+	UnixMS  int64  `cbor:"3,keyasint,omitempty"`
 }
 
 // Reply answers a Call.
--- a/internal/cellnode/member.go
+++ b/internal/cellnode/member.go
@@ -61,8 +61,9 @@
 
 // announce tells the leader that the replica lives, until the context ends.
 func (n *Node) announce(ctx context.Context) {
-	join := &cellapi.Join{Replica: n.replica.Status().ID, Peer: n.c.Peer}
+	replica := n.replica.Status().ID
 	for {
+		join := &cellapi.Join{Replica: replica, Peer: n.c.Peer, UnixMS: time.Now().UnixMilli()}
 		call, cancel := context.WithTimeout(ctx, announceInterval)
 		if r := n.Do(call, &cellapi.Call{Join: join}); r.Refused != "" || r.Unknown != "" {
 			n.c.Logger.Debug("replica not announced", logging.Step("join"), "reason", r.Refused+r.Unknown)
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -159,7 +159,7 @@
 		d.steps[q.step] = s
 	}
 	now := d.t.l.Clock.Now()
-	cost := time.Duration((q.terms.DecideMS + q.terms.PerWorkerMS*float64(len(q.workers))) * float64(time.Millisecond))
+	cost := q.terms.Cost(len(q.workers))
 	peer := d.choose(now, cost)
 	if peer == "" {
 		return // asked again with a later plan
--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -30,10 +30,13 @@
 	return list[:min(len(list), askWorkers)]
 }
 
-// promising reports whether asking about more workers is likely to make the room
-// that is missing: a call for a few of them costs nearly as much as one for all,
-// and keeps a caller from the calls of others.
+// promising reports whether asking about more workers may find a good part of the
+// room that a gang is missing: a long call for a few of them costs nearly as much as
+// one for all, and keeps a caller from the calls of others.
 func (p *planner) promising(w *wish, advice *stepAdvice, more []*candidate, missing int) bool {
+	if len(more) == 0 || w.queue.Advice.Cost(len(more)) < longCall {
+		return len(more) > 0
+	}
 	tasks := 0
 	for _, c := range more {
 		if p.fits(w, c) {
@@ -41,7 +44,7 @@
 		}
 	}
 	share := float64(len(advice.tickets)+1) / float64(len(advice.asked)+2)
-	return len(more) > 0 && float64(tasks)*share >= float64(missing)
+	return goodPart*float64(tasks)*share >= float64(missing)
 }
 
 // covers reports whether the service was asked about this life of a worker.
@@ -64,7 +67,8 @@
 }
 
 // renewals returns the workers whose tickets to renew: those of the placements,
-// then others with room, because naming one more worker costs little.
+// then others with room, asked about before or not, because naming one more worker
+// costs little.
 func (p *planner) renewals(w *wish, placed []cell.Placement, fitting []*candidate, advice *stepAdvice) []*candidate {
 	var list []*candidate
 	for i := range placed {
@@ -72,7 +76,7 @@
 			list = append(list, c)
 		}
 	}
-	for _, c := range fitting {
+	for _, c := range append(slices.Clone(fitting), p.unasked(w, advice)...) {
 		if len(list) < askWorkers && !p.valid(advice, c.id) && !slices.Contains(list, c) {
 			list = append(list, c)
 		}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -14,6 +14,9 @@
 	// askWorkers is how many workers one call for advice names; a call costs
 	// time for each.
 	askWorkers = 30
+	// goodPart of the room that a gang is missing, one in so many, makes a further
+	// long call for advice worth its time.
+	goodPart = 4
 	// reservedGangs is how many gangs that do not fit keep room from others.
 	reservedGangs = 4
 	// reservedCost makes urgent work take workers that are kept for a gang only
@@ -160,7 +163,7 @@
 	}
 	o := StartOrder{Task: p.Task, Run: p.Run, Fence: t.number}
 	t.mu.Lock()
-	arrived := t.jobs[p.Task.Job].arrived
+	arrived := t.times[p.Task.OccurrenceKey()].arrived
 	t.mu.Unlock()
 	found := false
 	t.l.Store.View(func(v *cell.View) {
@@ -262,7 +265,7 @@
 		return
 	}
 	if advice != nil && len(placed) < len(tasks) {
-		if more := p.unasked(w, advice); len(placed) == 0 && p.promising(w, advice, more, 1) {
+		if more := p.unasked(w, advice); len(more) > 0 && len(placed) == 0 {
 			p.want(w, more, nil)
 			return
 		}
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -61,16 +61,23 @@
 	case c.Report != nil:
 		return t.report(ctx, c.Report)
 	case c.Announce != nil:
-		t.advice.announce(c.Announce.Peer, l.Clock.Now())
+		t.announced(c.Announce.Peer, c.Announce.UnixMS)
 		return &cellapi.Reply{Verdict: cell.Accepted}, false
 	case c.Join != nil:
 		l.Joined(c.Join.Replica, c.Join.Peer)
-		t.advice.announce(c.Join.Peer, l.Clock.Now())
+		t.announced(c.Join.Peer, c.Join.UnixMS)
 		return &cellapi.Reply{Verdict: cell.Accepted, Callers: t.advice.living(l.Clock.Now())}, false
 	}
 	return &cellapi.Reply{Refused: "the call is empty"}, true
 }
 
+// announced notes a process that lives, and its clock.
+func (t *term) announced(peer string, unixMS int64) {
+	now := t.l.Clock.Now()
+	t.advice.announce(peer, now)
+	t.wall.observe(peer, unixMS, now)
+}
+
 // version returns the version of the configuration in force, 0 if there is none.
 func (l *Leader) version() int64 {
 	var version int64
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -189,9 +189,9 @@
 		if j == nil || j.State != cell.Active {
 			continue
 		}
-		times, known := t.jobs[k.Job]
+		times, known := t.times[k.OccurrenceKey()]
 		if q := v.Queue(j.Queue); !known && q != nil {
-			times, known = t.times(j, q, t.chains(j, q), now), true
+			times, known = t.timesOf(k.StepKey, j, q, t.chains(j, q), now), true
 		}
 		if !known || !times.brief() {
 			return false
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -31,6 +31,7 @@
 	briefLease time.Duration
 	advice     *adviceDesk
 	speeds     *speedBook
+	wall       *wallClock
 	// reserved is what the last plan kept for gangs; it belongs to the planner.
 	reserved map[string]cell.StepKey
 	tasks    sync.WaitGroup
@@ -40,14 +41,15 @@
 	// synced is set once all lives that an earlier leader may have given leases to
 	// have a session.
 	synced bool
-	// jobs holds what the leader knows of active jobs that had a ready step.
-	jobs  map[string]jobTimes
+	// times holds what the leader knows of occurrences of active jobs that had a
+	// ready step.
+	times map[cell.Occurrence]jobTimes
 	stops map[stopKey]time.Duration
 }
 
-// jobTimes are the times of an active job.
+// jobTimes are the times of an occurrence of an active job.
 type jobTimes struct {
-	// arrived is when the leader first saw the job.
+	// arrived is when the leader first saw the occurrence.
 	arrived time.Duration
 	// objective is the time in which the job is meant to be complete.
 	objective time.Duration
@@ -68,7 +70,7 @@
 func newTerm(ctx context.Context, l *Leader, number uint64, now time.Duration) *term {
 	t := &term{
 		l: l, ctx: ctx, number: number, began: now, lease: min(leaseLength, l.Bounds.MaxLease), briefLease: min(briefLease, l.Bounds.MaxLease), sessions: map[string]*session{},
-		jobs: map[string]jobTimes{}, stops: map[stopKey]time.Duration{}, speeds: newSpeedBook(),
+		times: map[cell.Occurrence]jobTimes{}, wall: newWallClock(), stops: map[stopKey]time.Duration{}, speeds: newSpeedBook(),
 	}
 	t.advice = newAdviceDesk(t)
 	return t
@@ -217,21 +219,29 @@
 
 // openDue makes the occurrences of scheduled jobs due when it is time.
 func (t *term) openDue() {
-	nowMS := time.Now().UnixMilli()
-	var due []cell.OpenDue
+	now := t.l.Clock.Now()
+	if t.wall.samples(now) < wallSamples && now-t.began < wallSettle {
+		return // this process's own clock may have been stepped
+	}
+	nowMS := t.wall.unixMS(now)
+	var due []cell.Occurrence
 	t.l.Store.View(func(v *cell.View) {
-		for id, j := range v.Jobs() {
+		for id, j := range v.Scheduled() {
 			next := len(j.Runs)
-			if j.State == cell.Active && next < j.Schedule.Times && nowMS >= j.Schedule.StartMS+int64(next)*j.Schedule.IntervalMS {
-				due = append(due, cell.OpenDue{Job: id, Occurrence: next})
+			if nowMS >= j.Schedule.StartMS+int64(next)*j.Schedule.IntervalMS {
+				due = append(due, cell.Occurrence{Job: id, Number: next})
 			}
 		}
 	})
-	for _, d := range due {
-		if _, err := t.l.propose(t.ctx, &cell.Command{Open: &d}); err != nil {
-			t.l.Logger.Warn("occurrence not opened", logging.Step("open occurrence"), logging.Job(d.Job), logging.Error(err))
-			return // tried again with the next plan
-		}
+	if len(due) == 0 {
+		return
+	}
+	if _, err := t.l.propose(t.ctx, &cell.Command{Open: &cell.OpenDue{Occurrences: due}}); err != nil {
+		t.l.Logger.Warn("occurrences not opened", logging.Step("open occurrences"), "occurrences", len(due), logging.Error(err))
+		return // tried again with the next plan
+	}
+	for _, o := range due {
+		t.l.Logger.Info("occurrence due", logging.Step("open occurrences"), logging.Job(o.Job), "occurrence", o.Number, "unix_ms", nowMS, "clocks", t.wall.samples(now))
 	}
 }
 
--- a/internal/dispatch/wish.go
+++ b/internal/dispatch/wish.go
@@ -21,7 +21,7 @@
 		}
 		w := &wish{key: key, job: j, step: &j.Steps[key.Step], run: run, queue: q, failedOn: t.speeds.failedOn(key.Job)}
 		rest := t.chains(j, q)
-		times := t.times(j, q, rest, now)
+		times := t.timesOf(key, j, q, rest, now)
 		w.rest = rest[key.Step]
 		w.brief = times.brief()
 		w.deadline = times.arrived + times.objective
@@ -33,9 +33,9 @@
 		j := v.Job(id)
 		return j == nil || j.State != cell.Active
 	}
-	for id := range t.jobs {
-		if ended(id) {
-			delete(t.jobs, id)
+	for o := range t.times {
+		if ended(o.Job) {
+			delete(t.times, o)
 		}
 	}
 	t.speeds.forget(ended)
@@ -48,22 +48,23 @@
 		return run.Done < len(run.Tasks)
 	})
 	slices.SortFunc(wishes, func(a, b *wish) int {
-		return cmp.Or(first(!a.hopeless, !b.hopeless), cmp.Compare(a.queue.Priority, b.queue.Priority),
+		// Tasks that last are few, and each moment without them counts.
+		return cmp.Or(first(a.step.Lasting, b.step.Lasting), first(!a.hopeless, !b.hopeless), cmp.Compare(a.queue.Priority, b.queue.Priority),
 			first(!a.step.Gang || !a.late, !b.step.Gang || !b.late), cmp.Compare(a.job.Accepted, b.job.Accepted), cmp.Compare(a.key.Step, b.key.Step))
 	})
 	return wishes
 }
 
-// times returns the times of an active job, with the objective by the newest
-// estimates. The caller holds the lock.
-func (t *term) times(j *cell.Job, q *cell.Queue, rest []time.Duration, now time.Duration) jobTimes {
-	times, known := t.jobs[j.ID]
+// timesOf returns the times of an occurrence of an active job, with the objective
+// by the newest estimates. The caller holds the lock.
+func (t *term) timesOf(k cell.StepKey, j *cell.Job, q *cell.Queue, rest []time.Duration, now time.Duration) jobTimes {
+	times, known := t.times[k.OccurrenceKey()]
 	if !known {
 		times.arrived = now
 	}
 	times.objective = time.Duration(float64(slices.Max(rest))*q.Stretch) + time.Duration(q.ObjectiveMS)*time.Millisecond
 	times.lasting = slices.ContainsFunc(j.Steps, func(s cell.Step) bool { return s.Lasting })
-	t.jobs[j.ID] = times
+	t.times[k.OccurrenceKey()] = times
 	return times
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,7 +68,7 @@
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, announceInterval)
 		// The client remembers when it was answered; a failure needs no more.
-		_ = g.client.Do(call, &cellapi.Call{Announce: &cellapi.Announce{Peer: g.peer}})
+		_ = g.client.Do(call, &cellapi.Call{Announce: &cellapi.Announce{Peer: g.peer, UnixMS: time.Now().UnixMilli()}})
 		cancel()
 		if !cellapi.Pause(ctx, announceInterval) {
 			return
