dispatch: steps on one rack, fillers paced by the tasks that serve

Cause: steps that take longer on more than one rack were spread like others; fillers worked on beside tasks that serve, however long their tails, and were packed onto one worker because they take no processors of its capacity.

--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -307,7 +307,7 @@
 		w.Noted, w.Gone, w.Draining = 0, false, false
 	}
 	w.Born, w.Address, w.DataCentre, w.Service = c.Born, c.Address, c.DataCentre, c.Service
-	w.Capacity, w.Labels = c.Capacity, c.Labels
+	w.Capacity, w.Labels, w.Rack = c.Capacity, c.Labels, c.Rack
 	w.Draining = w.Draining || c.Draining
 	if c.Left {
 		s.leave(w)
--- a/internal/cell/command.go
+++ b/internal/cell/command.go
@@ -42,6 +42,7 @@
 	Service    string            `cbor:"5,keyasint,omitempty"`
 	Capacity   structs.Resources `cbor:"6,keyasint,omitempty"`
 	Labels     []string          `cbor:"7,keyasint,omitempty"`
+	Rack       string            `cbor:"10,keyasint,omitempty"`
 	Draining   bool              `cbor:"8,keyasint,omitempty"`
 	// Left is set if the worker says that it ends.
 	Left bool `cbor:"9,keyasint,omitempty"`
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -13,6 +13,7 @@
 	Service    string
 	Capacity   structs.Resources
 	Labels     []string
+	Rack       string
 	Draining   bool
 	// Gone is set once the worker has left or its life has ended.
 	Gone bool
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -149,8 +149,8 @@
 	return best
 }
 
-// ask asks about workers for a step.
-func (d *adviceDesk) ask(q *ask) {
+// ask asks about workers for a step. It returns false if no process can be asked now.
+func (d *adviceDesk) ask(q *ask) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.steps[q.step]
@@ -162,12 +162,13 @@
 	cost := q.terms.Cost(len(q.workers))
 	peer := d.choose(now, cost)
 	if peer == "" {
-		return // asked again with a later plan
+		return false // asked again with a later plan
 	}
 	timeout := max(0, d.callers[peer].free-now) + adviceSlack
 	s.waiting++
 	s.held = q.held
 	d.t.spawn(func() { d.call(peer, q, timeout) })
+	return true
 }
 
 func (d *adviceDesk) call(peer string, q *ask, timeout time.Duration) {
--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -56,6 +56,24 @@
 	return !allowed || k.born == c.born
 }
 
+// ticketFor returns the ticket of a worker.
+func (s *stepAdvice) ticketFor(worker string) (ticket, bool) {
+	if s == nil {
+		return ticket{}, false
+	}
+	k, ok := s.tickets[worker]
+	return k, ok
+}
+
+// denies reports whether the worker is known not to be allowed.
+func (s *stepAdvice) denies(c *candidate) bool {
+	if s == nil || !s.asked[c.id] {
+		return false
+	}
+	_, allowed := s.tickets[c.id]
+	return !allowed
+}
+
 // valid reports whether the ticket of a worker holds long enough for a start.
 func (p *planner) valid(advice *stepAdvice, worker string) bool {
 	return advice.tickets[worker].until >= p.now+ticketMargin
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -83,6 +83,8 @@
 	silent bool
 	// hung workers list attempts that make no progress.
 	hung bool
+	// tail returns the load that the worker lists for each attempt.
+	tail func(w *fakeWorker) float64
 	// late workers answer no start and carry it out after this time.
 	late time.Duration
 	// work is how long a task takes, and how is how it ends.
@@ -90,7 +92,10 @@
 	how  cell.Outcome
 }
 
-type fakeRun struct{ began, until time.Time }
+type fakeRun struct {
+	began, until time.Time
+	slowedBy     int
+}
 
 var errNoAnswer = errors.New("no answer")
 
@@ -189,7 +194,7 @@
 	}
 	w.fence = o.Fence
 	w.deadline = max(w.deadline, o.DeadlineMS)
-	w.running[k] = &fakeRun{time.Now(), time.Now().Add(w.work)}
+	w.running[k] = &fakeRun{began: time.Now(), until: time.Now().Add(w.work)}
 	f.starts[fmt.Sprint(o.Task)]++
 	f.check(o.Task)
 	return Done
@@ -228,6 +233,20 @@
 	return OrderReply{Answer: Done, ClockMS: w.clock()}, nil
 }
 
+// Pace notes the pace of a running attempt.
+func (f *fleet) Pace(ctx context.Context, t Target, o *PaceOrder) (OrderReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w, err := f.reach(ctx, t)
+	if err != nil {
+		return OrderReply{}, err
+	}
+	if r := w.running[attemptKey{o.Task, o.Run}]; r != nil {
+		r.slowedBy = fullPace - o.Percent
+	}
+	return OrderReply{Answer: Done, ClockMS: w.clock()}, nil
+}
+
 func (f *fleet) Hold(ctx context.Context, t Target, o *HoldOrder) (*Listing, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -261,7 +280,11 @@
 		if w.hung {
 			percent = 0
 		}
-		l.Running = append(l.Running, Running{Task: k.task, Run: k.run, Percent: percent})
+		load := 0.0
+		if w.tail != nil {
+			load = w.tail(w)
+		}
+		l.Running = append(l.Running, Running{Task: k.task, Run: k.run, Percent: percent, Load: load})
 	}
 	var kept []ListedEnd
 	for _, e := range w.ends {
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -26,6 +26,8 @@
 	movedAt time.Duration
 	// inherited attempts were committed by an earlier leader.
 	inherited bool
+	// slowedBy is by how many percent its pace was lowered.
+	slowedBy int
 	// seenAt is when an attempt without an order was first looked at.
 	seenAt time.Duration
 }
@@ -57,6 +59,7 @@
 			s.t.spawn(func() { s.stop(r.Task, r.Run) })
 		}
 	}
+	s.pace(listing, &state)
 	upto := state.noted
 	var ends []cell.End
 	for i := range listing.Ended {
--- /dev/null
+++ b/internal/dispatch/pace_test.go
@@ -0,0 +1,91 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumgrade/internal/cell"
+	"laburnumgrade/internal/structs"
+)
+
+// Guards against fillers that work on while a serving task is over its target
+// because of them, and against fillers that are not sped up again.
+func TestFillersGiveWay(t *testing.T) {
+	run(t, 1, func(b *cellBench) {
+		disturbing := true
+		tailNow := func(w *fakeWorker) float64 {
+			sum := 0
+			for k, r := range w.running {
+				if k.task.Job == jobID1 {
+					sum += fullPace - r.slowedBy
+				}
+			}
+			if !disturbing {
+				sum = 0
+			}
+			return 40 + float64(sum)
+		}
+		b.fleet.change("w0", func(w *fakeWorker) { w.work, w.tail = time.Hour, tailNow })
+		serving, filler := tasks(1, 1), tasks(2, 1)
+		serving.Lasting, serving.TailMS = true, 100
+		filler.Filler = true
+		b.submit("00000000000000b9", serving)
+		time.Sleep(500 * time.Millisecond)
+		b.submit(jobID1, filler)
+		over := time.Duration(0)
+		last := 0
+		watch := func(d time.Duration) {
+			for began := time.Now(); time.Since(began) < d; time.Sleep(50 * time.Millisecond) {
+				b.reports()
+				b.fleet.change("w0", func(w *fakeWorker) {
+					if over += 50 * time.Millisecond; tailNow(w) <= 100 {
+						over = 0
+					}
+					last = 0
+					for k, r := range w.running {
+						if k.task.Job == jobID1 {
+							last = fullPace - r.slowedBy
+						}
+					}
+				})
+				assert.Assert(t, over < 2*time.Second, "over the target for %v", over)
+			}
+		}
+		watch(20 * time.Second)
+		assert.Assert(t, last > 0 && last <= 20, "the fillers work at %d percent", last)
+		b.fleet.change("w0", func(*fakeWorker) { disturbing = false })
+		watch(10 * time.Second)
+		assert.Assert(t, last == fullPace, "the fillers work at %d percent beside tasks that they do not disturb", last)
+	})
+}
+
+// Guards against steps of the pace that overshoot.
+func TestNextPace(t *testing.T) {
+	for _, c := range []struct {
+		pace int
+		tail float64
+		want int
+	}{{100, 1.2, 0}, {100, 0.9, 50}, {50, 0.7, 50}, {50, 0.3, 60}, {95, 0, 100}} {
+		assert.Equal(t, nextPace(c.pace, c.tail), c.want)
+	}
+}
+
+// Guards against fillers that share the processors of one worker while others are
+// unused, and against fillers beside tasks that serve.
+func TestFillersSpread(t *testing.T) {
+	p := newPlanner(4, nil)
+	w := p.newWish("a", 1, cell.Step{Count: 3, Filler: true, Size: structs.Resources{MilliCPU: 20_000, MemoryBytes: 1 << 30}})
+	w.queue.Advice = nil
+	p.byID["w00"].serves = true
+	p.byID["w01"].worker.Attempts = map[cell.TaskKey]cell.Attempt{{Index: 1}: {Size: w.step.Size, Filler: true}}
+	p.decide([]*wish{w})
+	assert.DeepEqual(t, placedOn(p), []string{"w01", "w02", "w03"})
+	p = newPlanner(2, nil)
+	p.byID["w00"].worker.Attempts = map[cell.TaskKey]cell.Attempt{{Index: 1}: {Size: w.step.Size, Filler: true}}
+	w.step.Count, w.run = 1, &cell.StepRun{Tasks: make([]cell.Task, 1)}
+	p.headroom["red"] = structs.Resources{MilliCPU: 1 << 40, MemoryBytes: 1 << 60, Accelerators: 1}
+	p.decide([]*wish{w})
+	assert.DeepEqual(t, placedOn(p), []string{"w01"})
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -28,6 +28,9 @@
 	// doubtCost is what a worker costs that is certainly faulty, in units of a
 	// worker's factor: the run is lost and the work done again elsewhere.
 	doubtCost = 3
+	// besideCost keeps fillers off workers with tasks that serve, beside which they
+	// are slowed down.
+	besideCost = 1
 	// mixedCost keeps brief work and other work on different workers, so that the
 	// leases of the former stay short.
 	mixedCost = 0.25
@@ -54,6 +57,12 @@
 	// whether anything runs there.
 	leased time.Duration
 	busy   bool
+	// serves is set if tasks with a bound on their tails run there, filling is what
+	// this plan has placed of fillers.
+	serves  bool
+	filling structs.Resources
+	// placed counts what this plan has placed there, by step.
+	placed map[cell.StepKey]int
 	// kept is set if the room is kept for a gang of higher rank, reserved names
 	// the gang for which the last plan kept it.
 	kept     bool
@@ -205,7 +214,7 @@
 		}
 		p.candidates = append(p.candidates, &candidate{
 			id: id, born: w.Born, service: w.Service, worker: w, free: w.Free(), reserved: t.reserved[id],
-			leased: s.leased(p.now), busy: len(w.Attempts) > 0,
+			leased: s.leased(p.now), busy: len(w.Attempts) > 0, serves: s.serving(),
 		})
 	}
 	p.candidates = t.speeds.describe(p.candidates, p.now)
@@ -252,6 +261,9 @@
 		}
 		tasks = tasks[:room]
 	}
+	if w.step.SameRack {
+		fitting = p.oneRack(w, fitting, len(tasks))
+	}
 	placed := p.place(w, tasks, fitting)
 	if w.step.Gang && len(placed) < len(tasks) {
 		p.giveBack(w, placed)
@@ -282,16 +294,33 @@
 	p.placements = append(p.placements, placed...)
 }
 
-// place puts tasks on workers in their order, as many on each as fit.
+// place puts tasks on workers in their order, as many on each as fit; fillers, which
+// take no room but share it, one at a time.
 func (p *planner) place(w *wish, tasks []int, list []*candidate) []cell.Placement {
+	if !w.step.Filler {
+		return p.placeOnce(w, tasks, list, len(tasks))
+	}
+	var placed []cell.Placement
+	for len(placed) < len(tasks) {
+		more := p.placeOnce(w, tasks[len(placed):], list, 1)
+		if len(more) == 0 {
+			break
+		}
+		placed = append(placed, more...)
+	}
+	return placed
+}
+
+// placeOnce goes through the workers once and puts at most so many tasks on each.
+func (p *planner) placeOnce(w *wish, tasks []int, list []*candidate, most int) []cell.Placement {
 	var placed []cell.Placement
 	claim := w.step.Claim()
 	for _, c := range list {
-		onWorker := 0
+		onWorker, here := 0, 0
 		if w.step.MaxPerWorker > 0 {
-			onWorker = c.worker.Count(w.key)
+			onWorker = c.worker.Count(w.key) + c.placed[w.key]
 		}
-		for len(placed) < len(tasks) && claim.Fits(c.free) {
+		for len(placed) < len(tasks) && here < most && claim.Fits(c.free) {
 			if w.step.MaxPerWorker > 0 && onWorker >= w.step.MaxPerWorker {
 				break
 			}
@@ -302,18 +331,38 @@
 			}
 			placed = append(placed, cell.Placement{Task: cell.TaskKey{StepKey: w.key, Index: i}, Run: run, Worker: c.id, Born: c.born})
 			c.free = c.free.Sub(claim)
+			if w.step.Filler {
+				c.filling = c.filling.Add(w.step.Size)
+			}
 			onWorker++
+			here++
 		}
+		c.notePlaced(w.key, here)
 	}
 	p.headroom[w.job.Team] = p.headroom[w.job.Team].Sub(w.step.Size.Scale(int64(len(placed))))
 	return placed
 }
 
+// notePlaced counts what this plan has placed of a step on the worker.
+func (c *candidate) notePlaced(k cell.StepKey, n int) {
+	if n == 0 {
+		return
+	}
+	if c.placed == nil {
+		c.placed = map[cell.StepKey]int{}
+	}
+	c.placed[k] += n
+}
+
 // giveBack undoes place.
 func (p *planner) giveBack(w *wish, placed []cell.Placement) {
 	for i := range placed {
 		c := p.byID[placed[i].Worker]
+		c.placed[w.key]--
 		c.free = c.free.Add(w.step.Claim())
+		if w.step.Filler {
+			c.filling = c.filling.Sub(w.step.Size)
+		}
 	}
 	p.headroom[w.job.Team] = p.headroom[w.job.Team].Add(w.step.Size.Scale(int64(len(placed))))
 }
--- a/internal/dispatch/plan_test.go
+++ b/internal/dispatch/plan_test.go
@@ -205,3 +205,8 @@
 	d.keepOnly(func(k cell.StepKey) bool { return k == running })
 	assert.Assert(t, d.snapshot(running) != nil && d.snapshot(done) == nil)
 }
+
+// attemptsOf returns an attempt of another task of a step.
+func attemptsOf(k cell.StepKey) map[cell.TaskKey]cell.Attempt {
+	return map[cell.TaskKey]cell.Attempt{{StepKey: k, Index: 99}: {Run: 1}}
+}
--- a/internal/dispatch/ports.go
+++ b/internal/dispatch/ports.go
@@ -41,6 +41,15 @@
 	Fence uint64
 }
 
+// PaceOrder makes an attempt work at a share of its speed.
+type PaceOrder struct {
+	Task cell.TaskKey
+	Run  uint32
+	// Percent is 0 to 100; an attempt starts at 100.
+	Percent int
+	Fence   uint64
+}
+
 // HoldOrder extends the lease of all that runs on a worker and asks what does.
 type HoldOrder struct {
 	// DeadlineMS is the end of the lease on the worker's clock, 0 to leave it.
@@ -129,6 +138,7 @@
 type Workers interface {
 	Start(ctx context.Context, t Target, o *StartOrder) (OrderReply, error)
 	Stop(ctx context.Context, t Target, o *StopOrder) (OrderReply, error)
+	Pace(ctx context.Context, t Target, o *PaceOrder) (OrderReply, error)
 	Hold(ctx context.Context, t Target, o *HoldOrder) (*Listing, error)
 }
 
--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -68,7 +68,10 @@
 		left := c.free.Sub(w.step.Claim())
 		spare := float64(left.MilliCPU) / float64(max(1, c.worker.Capacity.MilliCPU))
 		value := factor + 0.2*spare
-		if w.queue.Priority > 0 && p.now+time.Duration(slowMargin*factor*float64(w.rest)) < w.deadline {
+		if w.step.Filler {
+			value = factor + c.crowding(w)
+		}
+		if !w.step.Filler && w.queue.Priority > 0 && p.now+time.Duration(slowMargin*factor*float64(w.rest)) < w.deadline {
 			// Slow workers are left to work that has the time.
 			value = 2 - factor + 0.2*spare - 2
 		}
@@ -94,6 +97,21 @@
 	slices.SortStableFunc(list, func(a, b *candidate) int { return cmp.Compare(costs[a.id], costs[b.id]) })
 }
 
+// crowding is what a filler pays for the processors that it has to share.
+func (c *candidate) crowding(w *wish) float64 {
+	unused := c.free.Sub(c.filling).Sub(w.step.Size)
+	for _, a := range c.worker.Attempts {
+		if a.Filler {
+			unused = unused.Sub(a.Size)
+		}
+	}
+	cost := -float64(unused.MilliCPU) / float64(max(1, c.worker.Capacity.MilliCPU))
+	if c.serves {
+		cost += besideCost
+	}
+	return cost
+}
+
 // mixes reports whether the step would put brief work under a long lease, or the
 // brief work of a worker under the long lease that the step needs.
 func (c *candidate) mixes(w *wish) bool {
@@ -122,6 +140,9 @@
 		list = append(list, c)
 	}
 	slices.SortStableFunc(list, func(a, b *candidate) int { return cmp.Compare(b.free.MilliCPU, a.free.MilliCPU) })
+	if w.step.SameRack {
+		list = p.rackToKeep(w, list)
+	}
 	need := w.step.Count
 	for _, c := range list {
 		if need <= 0 {
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -222,7 +222,7 @@
 	}
 	*r = cell.Register{
 		ID: w.ID, Born: w.Born, Address: w.Address, DataCentre: w.DataCentre, Service: w.Service,
-		Capacity: w.Capacity, Labels: w.Labels, Draining: true, Left: true,
+		Capacity: w.Capacity, Labels: w.Labels, Rack: w.Rack, Draining: true, Left: true,
 	}
 	return true
 }
@@ -233,7 +233,7 @@
 		return false
 	}
 	return w.Born != r.Born || w.Address != r.Address || w.Service != r.Service || w.DataCentre != r.DataCentre ||
-		w.Capacity != r.Capacity || !slices.Equal(w.Labels, r.Labels) || r.Draining && !w.Draining || r.Left
+		w.Capacity != r.Capacity || !slices.Equal(w.Labels, r.Labels) || w.Rack != r.Rack || r.Draining && !w.Draining || r.Left
 }
 
 // forgetEnded drops jobs that ended long ago, until the term is over.
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -59,6 +59,9 @@
 	penaltyUntil time.Duration
 	// leaseBound is when every lease given has certainly run out.
 	leaseBound time.Duration
+	// fillerPace is the pace of fillers here, serves whether others serve beside them.
+	fillerPace int
+	serves     bool
 	// fenced is set once the worker has answered with this term's fence.
 	fenced   bool
 	attempts map[attemptKey]*attemptInfo
@@ -70,7 +73,7 @@
 	ctx, cancel := context.WithCancel(t.ctx)
 	s := &session{
 		t: t, target: Target{w.ID, w.Address}, born: w.Born, ctx: ctx, end: cancel, wake: make(chan struct{}, 1),
-		heardAt: t.l.Clock.Now(), attempts: map[attemptKey]*attemptInfo{},
+		heardAt: t.l.Clock.Now(), fillerPace: fullPace, attempts: map[attemptKey]*attemptInfo{},
 	}
 	if inherited {
 		// Twice the drift is more than the lease takes on the slowest clock.
@@ -120,6 +123,13 @@
 	return s.clock.known && !s.failing && !silent && now >= s.penaltyUntil && now-s.heardAt < reportSilence
 }
 
+// serving reports whether tasks with a bound on their tails run there.
+func (s *session) serving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.serves
+}
+
 // leased returns how long the worker's lease may go on if it is lost now.
 func (s *session) leased(now time.Duration) time.Duration {
 	s.mu.Lock()
@@ -158,6 +168,10 @@
 	attempts map[cell.TaskKey]cell.Attempt
 	// brief is set if all of the attempts are of brief jobs.
 	brief bool
+	// targets are the bounds on the tails of the tasks that serve, in milliseconds,
+	// and fills is set if others fill beside them.
+	targets map[cell.TaskKey]int64
+	fills   bool
 }
 
 func (s *session) view() local {
@@ -170,8 +184,13 @@
 		}
 		r.gone, r.noted = w.Gone, w.Noted
 		r.attempts = make(map[cell.TaskKey]cell.Attempt, len(w.Attempts))
+		r.targets = map[cell.TaskKey]int64{}
 		for k, a := range w.Attempts {
 			r.attempts[k] = a
+			r.fills = r.fills || a.Filler
+			if j := v.Job(k.Job); j != nil && j.State == cell.Active && j.Steps[k.Step].TailMS > 0 {
+				r.targets[k] = j.Steps[k.Step].TailMS
+			}
 		}
 		r.brief = s.t.allBrief(v, r.attempts)
 	})
@@ -250,6 +269,9 @@
 	if state.brief {
 		lease, wait = s.t.briefLease, briefHoldWait
 	}
+	if state.fills && len(state.targets) > 0 {
+		wait = briefHoldWait // the tails are seen, and the fillers paced, in time
+	}
 	s.mu.Lock()
 	if s.fenced && !s.failing && len(state.attempts) > 0 {
 		order.Wait = wait
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -129,6 +129,13 @@
 	return nil
 }
 
+// sessionOf returns the session of a worker, nil if there is none.
+func (t *term) sessionOf(worker string) *session {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sessions[worker]
+}
+
 // syncSessions starts a session for each life of a worker.
 func (t *term) syncSessions() {
 	var fresh []*session
--- a/internal/dispatch/wish.go
+++ b/internal/dispatch/wish.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -33,11 +34,7 @@
 		j := v.Job(id)
 		return j == nil || j.State != cell.Active
 	}
-	for o := range t.times {
-		if ended(o.Job) {
-			delete(t.times, o)
-		}
-	}
+	maps.DeleteFunc(t.times, func(o cell.Occurrence, _ jobTimes) bool { return ended(o.Job) })
 	t.speeds.forget(ended)
 	// A task that fails starts again with the advice that its step has.
 	t.advice.keepOnly(func(k cell.StepKey) bool {
