dispatch: gangs preempt tasks that have time

Change: a gang that has not fitted for 1 s stops such tasks where few give way, holds the room and asks for tickets for it meanwhile. Victims have at least 4 s more than they need and give way twice at most.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -111,12 +111,12 @@
 	}
 }
 
-// keepOnly drops the advice for steps that need none any more.
-func (d *adviceDesk) keepOnly(needed func(cell.StepKey) bool) {
+// keepOnly drops the advice for steps that are no longer ready.
+func (d *adviceDesk) keepOnly(ready map[cell.StepKey]*cell.StepRun) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for k, s := range d.steps {
-		if s.waiting == 0 && !needed(k) {
+		if s.waiting == 0 && ready[k] == nil {
 			delete(d.steps, k)
 		}
 	}
--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -85,8 +85,7 @@
 }
 
 // renewals returns the workers whose tickets to renew: those of the placements,
-// then others with room, asked about before or not, because naming one more worker
-// costs little.
+// then others with room, because naming one more worker costs little.
 func (p *planner) renewals(w *wish, placed []cell.Placement, fitting []*candidate, advice *stepAdvice) []*candidate {
 	var list []*candidate
 	for i := range placed {
@@ -94,7 +93,7 @@
 			list = append(list, c)
 		}
 	}
-	for _, c := range append(slices.Clone(fitting), p.unasked(w, advice)...) {
+	for _, c := range fitting {
 		if len(list) < askWorkers && !p.valid(advice, c.id) && !slices.Contains(list, c) {
 			list = append(list, c)
 		}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -97,12 +98,17 @@
 	workers []*candidate
 	terms   cell.AdviceTerms
 	held    []cell.Placement
+	// stops are the attempts that make room for the held placements.
+	stops []victim
 }
 
 // plan is what one round decides.
 type plan struct {
 	placements []cell.Placement
 	asks       []*ask
+	stops      []victim
+	// blocked are the gangs that did not fit for the first time.
+	blocked []cell.StepKey
 	// reserved names the gang for which a worker is kept.
 	reserved map[string]cell.StepKey
 }
@@ -117,6 +123,10 @@
 	// remote is how much longer work takes off the rack of its data.
 	remote float64
 	gangs  int
+	// victims returns the tasks on a worker that may give way to work of a
+	// priority; nil if none may. preempted is when tasks last gave way to a gang.
+	victims   func(c *candidate, priority int) []victim
+	preempted map[cell.StepKey]time.Duration
 	plan
 }
 
@@ -137,11 +147,25 @@
 				p.headroom[w.job.Team] = v.Headroom(w.job.Team)
 			}
 		}
+		p.victims = func(c *candidate, priority int) []victim { return t.victims(v, c, priority, p.now) }
+		t.mu.Lock()
+		p.preempted = maps.Clone(t.preempted)
+		t.mu.Unlock()
 		p.decide(wishes)
 	})
 	t.reserved = p.reserved
+	t.mu.Lock()
+	for _, k := range p.blocked {
+		t.preempted[k] = p.now + gangPatience - preemptPause
+	}
+	t.mu.Unlock()
 	for _, q := range p.asks {
-		t.advice.ask(q)
+		if t.advice.ask(q) && len(q.stops) > 0 {
+			t.preempt(q.stops, q.step)
+		}
+	}
+	for _, x := range p.stops {
+		t.preempt([]victim{x}, p.reserved[x.worker])
 	}
 	if len(p.placements) == 0 || !t.leads() {
 		return
@@ -273,7 +297,9 @@
 				return
 			}
 		}
-		p.reserve(w)
+		if !p.preempt(w, tasks) {
+			p.reserve(w)
+		}
 		return
 	}
 	if advice != nil && len(placed) < len(tasks) {
--- /dev/null
+++ b/internal/dispatch/preempt_test.go
@@ -0,0 +1,122 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumgrade/internal/cell"
+	"laburnumgrade/internal/cellapi"
+	"laburnumgrade/internal/structs"
+)
+
+// full returns a planner whose workers are full with tasks of 8 cores each that may
+// give way.
+func full(workers int, advice map[cell.StepKey]*stepAdvice) *planner {
+	p := newPlanner(workers, advice)
+	p.preempted = map[cell.StepKey]time.Duration{}
+	for _, c := range p.candidates {
+		c.free = structs.Resources{}
+	}
+	p.victims = func(c *candidate, priority int) []victim {
+		if priority >= 2 {
+			return nil
+		}
+		var list []victim
+		for i := range 8 {
+			key := cell.TaskKey{StepKey: cell.StepKey{Job: "low " + c.id}, Index: i}
+			list = append(list, victim{worker: c.id, task: key, run: 1, size: structs.Resources{MilliCPU: 8000, MemoryBytes: 16 << 30}, slack: time.Duration(10+i) * time.Second})
+		}
+		return list
+	}
+	return p
+}
+
+// Guards against a gang that waits for room while tasks with time to spare hold it,
+// and against more of them being stopped than it needs.
+func TestGangPreempts(t *testing.T) {
+	names := []string{"w00", "w01", "w02", "w03"}
+	p := full(4, map[cell.StepKey]*stepAdvice{{Job: "a"}: allowed(time.Minute, names...)})
+	w := p.newWish("a", 1, gang(4, 18))
+	p.decide([]*wish{w})
+	assert.Equal(t, len(p.asks), 0, "it waits for a moment first")
+	assert.DeepEqual(t, p.blocked, []cell.StepKey{w.key})
+	p = full(4, map[cell.StepKey]*stepAdvice{w.key: allowed(time.Minute, names...)})
+	p.preempted[w.key] = p.now - preemptPause
+	w = p.newWish("a", 1, gang(4, 18))
+	p.decide([]*wish{w})
+	assert.Equal(t, len(p.placements), 0)
+	assert.Equal(t, len(p.asks), 1)
+	q := p.asks[0]
+	assert.Equal(t, len(q.held), 4)
+	// Three tasks of 8 cores make room for one of 18, nine for four and eight cores over.
+	assert.Assert(t, len(q.stops) >= 9 && len(q.stops) <= 10, "%d stops", len(q.stops))
+	assert.Equal(t, q.stops[0].slack, 17*time.Second, "the task with the most time gives way first")
+	assert.Equal(t, len(q.workers), len(placedWorkers(q.held)))
+	// What is held is not given to others.
+	low := p.newWish("b", 2, cell.Step{Count: 1, Size: structs.Resources{MilliCPU: 1000}})
+	low.queue.Advice = nil
+	p.decide([]*wish{low})
+	assert.Equal(t, len(p.placements), 0)
+}
+
+func placedWorkers(placements []cell.Placement) map[string]bool {
+	workers := map[string]bool{}
+	for i := range placements {
+		workers[placements[i].Worker] = true
+	}
+	return workers
+}
+
+// Guards against tasks that are stopped for a gang that still does not fit, that is
+// late anyway, that has just had room made for it, or that is no more urgent.
+func TestNoUselessPreemption(t *testing.T) {
+	for name, change := range map[string]func(p *planner, w *wish){
+		"too wide":     func(_ *planner, w *wish) { w.step.Size.MilliCPU = 65_000 },
+		"late":         func(_ *planner, w *wish) { w.late = true },
+		"just now":     func(p *planner, w *wish) { p.preempted[w.key] = p.now - time.Second },
+		"same urgency": func(_ *planner, w *wish) { w.queue.Priority = 2 },
+	} {
+		p := full(4, nil)
+		w := p.newWish("a", 1, gang(4, 18))
+		w.queue.Advice = nil
+		p.preempted[w.key] = p.now - preemptPause
+		change(p, w)
+		p.decide([]*wish{w})
+		assert.Equal(t, len(p.stops), 0, name)
+	}
+}
+
+// Guards against preempted work that is lost or done twice, and against a gang that
+// does not get the room that was made for it.
+func TestPreemptedWorkGoesOn(t *testing.T) {
+	run(t, 1, func(b *cellBench) {
+		c := &cell.Configuration{
+			Version: 2, Services: []cell.Service{{Name: service}},
+			Queues: []cell.Queue{
+				{Name: "q", Host: "h", Prefix: queuePath, Service: service, TimeoutMS: 1000, Attempts: 2, ObjectiveMS: 60_000, Priority: 2, Open: true},
+				{Name: "g", Host: "h", Prefix: "/g/", Service: service, TimeoutMS: 1000, Attempts: 2, ObjectiveMS: 20_000, Stretch: 1, Priority: 1, Open: true},
+			},
+		}
+		b.do(&cellapi.Call{Configure: c})
+		b.fleet.change("w0", func(w *fakeWorker) { w.work = 10 * time.Second })
+		low := tasks(4, 1)
+		low.Checkpoints = true
+		b.submit(jobID1, low)
+		time.Sleep(time.Second)
+		b.reports()
+		b.fleet.change("w0", func(w *fakeWorker) { w.work = time.Second })
+		wide := tasks(1, 3)
+		wide.Gang = true
+		b.submitTo("/g/", "00000000000000b8", wide)
+		took := b.untilAt("/g/", "00000000000000b8", cell.Complete, 5*time.Second)
+		assert.Assert(t, took < 4*time.Second, "the gang took %v", took)
+		b.until(jobID1, cell.Complete, 15*time.Second)
+		again := 0
+		for i := range 4 {
+			again += b.started(jobID1, i) - 1
+		}
+		assert.Equal(t, again, 3, "tasks that started again")
+	})
+}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -44,7 +44,10 @@
 	// times holds what the leader knows of occurrences of active jobs that had a
 	// ready step.
 	times map[cell.Occurrence]jobTimes
-	stops map[stopKey]time.Duration
+	// preempted is when tasks last gave way to a gang, gaveWay how often a task did.
+	preempted map[cell.StepKey]time.Duration
+	gaveWay   map[cell.TaskKey]int
+	stops     map[stopKey]time.Duration
 }
 
 // jobTimes are the times of an occurrence of an active job.
@@ -70,7 +73,7 @@
 func newTerm(ctx context.Context, l *Leader, number uint64, now time.Duration) *term {
 	t := &term{
 		l: l, ctx: ctx, number: number, began: now, lease: min(leaseLength, l.Bounds.MaxLease), briefLease: min(briefLease, l.Bounds.MaxLease), sessions: map[string]*session{},
-		times: map[cell.Occurrence]jobTimes{}, wall: newWallClock(), stops: map[stopKey]time.Duration{}, speeds: newSpeedBook(),
+		times: map[cell.Occurrence]jobTimes{}, preempted: map[cell.StepKey]time.Duration{}, gaveWay: map[cell.TaskKey]int{}, wall: newWallClock(), stops: map[stopKey]time.Duration{}, speeds: newSpeedBook(),
 	}
 	t.advice = newAdviceDesk(t)
 	return t
--- a/internal/dispatch/wish.go
+++ b/internal/dispatch/wish.go
@@ -35,15 +35,11 @@
 		return j == nil || j.State != cell.Active
 	}
 	maps.DeleteFunc(t.times, func(o cell.Occurrence, _ jobTimes) bool { return ended(o.Job) })
+	maps.DeleteFunc(t.preempted, func(k cell.StepKey, _ time.Duration) bool { return ended(k.Job) })
+	maps.DeleteFunc(t.gaveWay, func(k cell.TaskKey, _ int) bool { return ended(k.Job) })
 	t.speeds.forget(ended)
-	// A task that fails starts again with the advice that its step has.
-	t.advice.keepOnly(func(k cell.StepKey) bool {
-		if ended(k.Job) {
-			return false
-		}
-		run := &v.Job(k.Job).Runs[k.Occurrence][k.Step]
-		return run.Done < len(run.Tasks)
-	})
+	// A task that starts again later asks anew: other workers have room by then.
+	t.advice.keepOnly(v.Ready())
 	slices.SortFunc(wishes, func(a, b *wish) int {
 		// Tasks that last are few, and each moment without them counts.
 		return cmp.Or(first(a.step.Lasting, b.step.Lasting), first(!a.hopeless, !b.hopeless), cmp.Compare(a.queue.Priority, b.queue.Priority),
