cell: a gang counts once for its occurrence

Cause: each member of a gang that was listed as done counted as an ended occurrence, so a scheduled job whose steps are gangs was shown as complete while later occurrences had not run, and these were stopped. Change: ends of a step that is done are ignored.

--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -181,8 +181,8 @@
 
 func (s *Store) noteDone(j *Job, run *StepRun, e *End) {
 	step := &j.Steps[e.Task.Step]
-	if step.Lasting {
-		return
+	if step.Lasting || run.Done == len(run.Tasks) {
+		return // a gang ends once, whatever its other members say later
 	}
 	if step.Gang {
 		// A gang is done as a whole: one member's end speaks for all.
--- a/internal/cell/store_test.go
+++ b/internal/cell/store_test.go
@@ -323,6 +323,24 @@
 	assert.Equal(t, b.state(firstID).State, Complete)
 }
 
+// Guards against a scheduled job that counts as complete too early, because every
+// member of a gang that ends counts as an occurrence.
+func TestGangOccurrenceCountsOnce(t *testing.T) {
+	b := newBench(t)
+	pair := Step{Count: 2, Gang: true, Size: structs.Resources{MilliCPU: 1000}}
+	b.apply(&Command{Submit: &Submit{Request: request(firstID), Job: Submission{Steps: []Step{pair}, Schedule: Schedule{Times: 2}}}})
+	b.apply(&Command{Open: &OpenDue{Occurrences: []Occurrence{{firstID, 0}, {firstID, 1}}}})
+	first, second := at(firstID, 0, 0, 1, "w0"), at(firstID, 0, 1, 1, "w1")
+	assert.DeepEqual(t, b.start(first, second), []bool{true, true})
+	b.end("w0", first, EndedDone)
+	b.end("w1", second, EndedDone)
+	assert.Equal(t, b.state(firstID).State, Active)
+	first.Task.Occurrence, second.Task.Occurrence = 1, 1
+	assert.DeepEqual(t, b.start(first, second), []bool{true, true})
+	b.end("w1", second, EndedDone)
+	assert.Equal(t, b.state(firstID).State, Complete)
+}
+
 // Guards against configurations that cannot be in force.
 func TestValidate(t *testing.T) {
 	assert.NilError(t, configuration(1).Validate())
