--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -24,8 +24,10 @@
 	mu    sync.Mutex
 	term  uint64
 	since time.Duration
-	index uint64
-	apply func(index uint64, command []byte) any
+	// lapsed leaders have lost their lease, but no other leads.
+	lapsed bool
+	index  uint64
+	apply  func(index uint64, command []byte) any
 }
 
 func (l *fakeLog) Propose(_ context.Context, command []byte) (any, error) {
@@ -41,10 +43,17 @@
 func (l *fakeLog) Lease() (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.since, l.term != 0
+	return l.since, l.term != 0 && !l.lapsed
 }
 
-func (l *fakeLog) Leader() (id, address string) { return "", "" }
+func (l *fakeLog) Leader() (id, address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.term == 0 {
+		return "", ""
+	}
+	return "self#1", "self"
+}
 
 func (l *fakeLog) Term() (term, commit uint64) {
 	l.mu.Lock()
@@ -59,6 +68,13 @@
 	l.term, l.since = term, l.since+1
 }
 
+// lapse takes the lease away, or gives it back.
+func (l *fakeLog) lapse(lapsed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lapsed = lapsed
+}
+
 // fleet emulates workers as the platform's pages describe them: leases, fences,
 // deadlines, ends that are listed until they are noted.
 type fleet struct {
--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -272,3 +272,20 @@
 		})
 	})
 }
+
+// Guards against a leader that acts without its lease, and against one that forgets
+// what it knows of the workers when the lease comes back within its term.
+func TestLeaseLostForAMoment(t *testing.T) {
+	run(t, 1, func(b *cellBench) {
+		term := b.leader.current()
+		b.log.lapse(true)
+		time.Sleep(time.Second)
+		r := jobRequest(jobID1)
+		assert.Assert(t, b.leader.Do(t.Context(), &cellapi.Call{Status: &r}).NotLeader)
+		b.log.lapse(false)
+		time.Sleep(100 * time.Millisecond)
+		assert.Assert(t, b.leader.current() == term)
+		b.submit(jobID1, tasks(1, 1))
+		b.until(jobID1, cell.Complete, 5*time.Second)
+	})
+}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -32,6 +32,8 @@
 	advice     *adviceDesk
 	speeds     *speedBook
 	wall       *wallClock
+	// pool belongs to the planner.
+	pool briefPool
 	// reserved is what the last plan kept for gangs; it belongs to the planner.
 	reserved map[string]cell.StepKey
 	tasks    sync.WaitGroup
@@ -97,6 +99,15 @@
 	return leads && number == t.number && t.ctx.Err() == nil
 }
 
+// holdsOffice reports whether no later leader is known. Without the lease no order
+// is given, but what the term has learned is kept: a lease is lost for a moment when
+// a voter is replaced or answers late.
+func (t *term) holdsOffice() bool {
+	number, _ := t.l.Log.Term()
+	_, address := t.l.Log.Leader()
+	return t.ctx.Err() == nil && number == t.number && (address == t.l.Self || t.leads())
+}
+
 // pause waits and reports whether the term goes on.
 func (t *term) pause(d time.Duration) bool { return cellapi.Pause(t.ctx, d) }
 
@@ -105,7 +116,11 @@
 	t.spawn(t.forgetEnded)
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
-	for t.leads() {
+	for t.holdsOffice() {
+		if !t.leads() {
+			t.pause(leadInterval) // the lease may come back before another leads
+			continue
+		}
 		t.syncSessions()
 		t.stopUnwanted()
 		t.openDue()
