dispatch: no pool of workers for brief work

Cause: a trial kept some workers, 1.5 times what brief work takes, free of other single tasks, so that brief work would run under short leases also in a full cell. Change: taken out again.

--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -12,7 +12,7 @@
 func (p *planner) unasked(w *wish, advice *stepAdvice) []*candidate {
 	var roomy, full []*candidate
 	for _, c := range p.candidates {
-		if c.service != w.queue.Service || !c.worker.Has(w.step.Label) || advice.covers(c) || !c.openTo(w) {
+		if c.service != w.queue.Service || !c.worker.Has(w.step.Label) || advice.covers(c) {
 			continue
 		}
 		if p.fits(w, c) {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -58,8 +58,6 @@
 	// whether anything runs there.
 	leased time.Duration
 	busy   bool
-	// pooled workers are kept for brief work and gangs.
-	pooled bool
 	// serves is set if tasks with a bound on their tails run there, filling is what
 	// this plan has placed of fillers.
 	serves  bool
@@ -228,21 +226,6 @@
 	t.spawn(func() { s.start(o) })
 }
 
-// briefCPU returns the processors that attempts of brief jobs take, in thousandths.
-func (t *term) briefCPU(v *cell.View) int64 {
-	var sum int64
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, w := range v.Workers() {
-		for k, a := range w.Attempts {
-			if times, known := t.times[k.OccurrenceKey()]; known && times.brief() {
-				sum += a.Size.MilliCPU
-			}
-		}
-	}
-	return sum
-}
-
 // gather fills in the workers.
 func (t *term) gather(v *cell.View, p *planner) {
 	for id, w := range v.Workers() {
@@ -259,8 +242,6 @@
 		})
 	}
 	p.candidates = t.speeds.describe(p.candidates, p.now)
-	t.pool.observe(t.briefCPU(v), p.now)
-	t.pool.choose(p.candidates)
 	for _, c := range p.candidates {
 		p.byID[c.id] = c
 	}
--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -37,13 +37,7 @@
 
 // fits reports whether a worker could take one task of the step now.
 func (p *planner) fits(w *wish, c *candidate) bool {
-	return c.service == w.queue.Service && c.worker.Has(w.step.Label) && w.step.Claim().Fits(c.free) && !c.kept && c.openTo(w)
-}
-
-// openTo reports whether the worker takes work of the kind: single tasks that are
-// not brief fill the pool of brief work only when they are late.
-func (c *candidate) openTo(w *wish) bool {
-	return !c.pooled || w.brief || w.step.Gang || w.step.Lasting || w.late
+	return c.service == w.queue.Service && c.worker.Has(w.step.Label) && w.step.Claim().Fits(c.free) && !c.kept
 }
 
 // fitting returns the workers that may take a task, best first.
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -32,8 +32,6 @@
 	advice     *adviceDesk
 	speeds     *speedBook
 	wall       *wallClock
-	// pool belongs to the planner.
-	pool briefPool
 	// reserved is what the last plan kept for gangs; it belongs to the planner.
 	reserved map[string]cell.StepKey
 	tasks    sync.WaitGroup
