dispatch: waves of upkeep

Cause: orders of operators for waves of upkeep were answered 404 and no machine was taken down. Change: waves are replicated; the leader empties as many machines as may be down at once, those with the least work first, waits for their work as long as the wave has the time, saves what can be saved, and orders the upkeep as the one holder.

--- a/cmd/lg-cell/main.go
+++ b/cmd/lg-cell/main.go
@@ -36,6 +36,14 @@
 	}
 }
 
+// machines returns the client of the service for machines, nil if there is none.
+func machines(c *config.Cell) dispatch.Machines {
+	if !c.Machines.IsValid() {
+		return nil
+	}
+	return platform.NewMachines(c.Machines.String())
+}
+
 func run(c *config.Cell) error {
 	ctx, second := process.Signals()
 	base := process.Open(c.Process, maxLines)
@@ -43,9 +51,12 @@
 	working, stop := context.WithCancel(context.Background())
 	defer stop()
 	node, err := cellnode.Start(working, cellnode.Config{
-		Peer: c.Peer.String(), Public: c.Public.String(), Seeds: c.Seeds, Folder: c.DataFolder, Bootstrap: c.Bootstrap,
+		Name: c.Process.Name, Peer: c.Peer.String(), Public: c.Public.String(), Seeds: c.Seeds, Folder: c.DataFolder, Bootstrap: c.Bootstrap,
 		Clock: port.NewBootClock(), Workers: platform.NewWorkers(), Adviser: platform.NewAdviser(c.Advice.String()),
-		Bounds: dispatch.Bounds{MaxLease: c.MaxLease, KeepEnded: c.KeepEnded, RemoteFactor: c.RemoteFactor},
+		Machines: machines(c),
+		Bounds: dispatch.Bounds{
+			MaxLease: c.MaxLease, KeepEnded: c.KeepEnded, RemoteFactor: c.RemoteFactor, HolderLease: c.HolderLease, Notice: c.Notice,
+		},
 		Logger: logger, Scope: base.Scope,
 	})
 	if err != nil {
--- a/internal/cell/command.go
+++ b/internal/cell/command.go
@@ -18,6 +18,8 @@
 	Lapse     *Lapse         `cbor:"7,keyasint,omitempty"`
 	Open      *OpenDue       `cbor:"8,keyasint,omitempty"`
 	Forget    *Forget        `cbor:"9,keyasint,omitempty"`
+	StartWave *StartWave     `cbor:"10,keyasint,omitempty"`
+	Settle    *Settle        `cbor:"11,keyasint,omitempty"`
 }
 
 // Request names a queue or a job of it as a client does.
--- a/internal/cell/request.go
+++ b/internal/cell/request.go
@@ -20,12 +20,14 @@
 	BadKey
 	// NoJob says that no such job exists.
 	NoJob
-	// Invalid says that the job or configuration makes no sense.
+	// Invalid says that the job, configuration or wave makes no sense.
 	Invalid
+	// NoWave says that no such wave of upkeep was accepted.
+	NoWave
 )
 
 // verdictNames are the verdicts as shown in logs; no verdict comes first.
-var verdictNames = [...]string{"none", "accepted", "no configuration", "no queue", "bad key", "no job", "invalid"}
+var verdictNames = [...]string{"none", "accepted", "no configuration", "no queue", "bad key", "no job", "invalid", "no wave"}
 
 // String returns the verdict as shown in logs.
 func (v Verdict) String() string {
--- a/internal/cell/store.go
+++ b/internal/cell/store.go
@@ -30,6 +30,7 @@
 	Configuration *Configuration
 	Jobs          map[string]*Job
 	Workers       map[string]*Worker
+	Waves         map[int64]*Wave
 }
 
 var _ port.StateMachine = (*Store)(nil)
@@ -50,6 +51,14 @@
 	if st.Workers == nil {
 		st.Workers = map[string]*Worker{}
 	}
+	if st.Waves == nil {
+		st.Waves = map[int64]*Wave{}
+	}
+	for _, w := range st.Waves {
+		if w.Settled == nil {
+			w.Settled = map[string]bool{}
+		}
+	}
 	s.state = st
 	s.index = newIndex(st.Configuration)
 	s.usage = map[string]structs.Resources{}
@@ -106,6 +115,10 @@
 		return s.openDue(c.Open)
 	case c.Forget != nil:
 		return s.forget(c.Forget)
+	case c.StartWave != nil:
+		return s.startWave(c.StartWave)
+	case c.Settle != nil:
+		return s.settle(c.Settle)
 	}
 	return errors.New("the command is empty")
 }
--- a/internal/cell/store_test.go
+++ b/internal/cell/store_test.go
@@ -375,3 +375,33 @@
 	restored.end("w1", at(firstID, 0, 1, 1, "w1"), EndedDone)
 	assert.Equal(t, restored.state(firstID).State, Complete)
 }
+
+// Guards against a wave that is complete before each machine had its upkeep, that
+// starts anew when its order arrives again, or is lost with a snapshot.
+func TestWave(t *testing.T) {
+	b := newBench(t)
+	order := &StartWave{Number: 3, Machines: []string{"b", "a", "b"}, Bound: 1, DurationMS: 500, AcceptedMS: 1000}
+	for _, spoil := range []StartWave{{Machines: []string{"a"}, Bound: 1}, {Number: 4, Machines: []string{"a"}}, {Number: 4, Machines: []string{""}, Bound: 1}} {
+		assert.Equal(t, b.apply(&Command{StartWave: &spoil}), Invalid)
+	}
+	assert.Equal(t, b.apply(&Command{StartWave: order}), Accepted)
+	b.apply(&Command{Settle: &Settle{Wave: 3, Machine: "a"}})
+	b.apply(&Command{Settle: &Settle{Wave: 3, Machine: "other"}})
+	later := *order
+	later.AcceptedMS = 9000
+	assert.Equal(t, b.apply(&Command{StartWave: &later}), Accepted)
+	data, err := b.store.Snapshot()
+	assert.NilError(t, err)
+	assert.NilError(t, b.store.Restore(b.index, data))
+	b.store.View(func(v *View) {
+		w := v.Wave(3)
+		assert.Assert(t, !w.Complete() && w.DueMS == 1500)
+		assert.DeepEqual(t, w.Waiting(), []string{"b"})
+		assert.Equal(t, len(v.RunningWaves()), 1)
+	})
+	b.apply(&Command{Settle: &Settle{Wave: 3, Machine: "b"}})
+	b.store.View(func(v *View) {
+		assert.Assert(t, v.Wave(3).Complete() && len(v.RunningWaves()) == 0)
+		assert.Assert(t, v.Wave(4) == nil)
+	})
+}
--- a/internal/cellapi/message.go
+++ b/internal/cellapi/message.go
@@ -12,6 +12,13 @@
 	Report    *Report             `cbor:"6,keyasint,omitempty"`
 	Announce  *Announce           `cbor:"7,keyasint,omitempty"`
 	Join      *Join               `cbor:"8,keyasint,omitempty"`
+	StartWave *cell.StartWave     `cbor:"9,keyasint,omitempty"`
+	WaveState *WaveState          `cbor:"10,keyasint,omitempty"`
+}
+
+// WaveState asks how far a wave of upkeep is.
+type WaveState struct {
+	Number int64 `cbor:"1,keyasint,omitempty"`
 }
 
 // Read asks for the configuration in force.
@@ -47,6 +54,8 @@
 	Status  cell.JobStatus `cbor:"2,keyasint,omitempty"`
 	// Pending is set if the request named a queue.
 	Pending *int `cbor:"3,keyasint,omitempty"`
+	// Complete is set if the wave that was asked for is complete.
+	Complete bool `cbor:"12,keyasint,omitempty"`
 	// Source is the configuration as it was sent.
 	Source []byte `cbor:"4,keyasint,omitempty"`
 	// Members are the peer addresses of the control processes.
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -39,6 +39,8 @@
 
 // Config states what a node is made of.
 type Config struct {
+	// Name is the process's own name.
+	Name string
 	// Peer and Public are the process's own addresses.
 	Peer   string
 	Public string
@@ -48,10 +50,12 @@
 	Bootstrap bool
 	Clock     port.Clock
 	Workers   dispatch.Workers
-	Adviser   cellapi.Adviser
-	Bounds    dispatch.Bounds
-	Logger    *slog.Logger
-	Scope     tally.Scope
+	// Machines is nil if there is no service for machines.
+	Machines dispatch.Machines
+	Adviser  cellapi.Adviser
+	Bounds   dispatch.Bounds
+	Logger   *slog.Logger
+	Scope    tally.Scope
 }
 
 // Node is a running control process.
@@ -83,7 +87,7 @@
 	n.storage = &timedStorage{LogStorage: opened, clock: c.Clock}
 	started := make(chan struct{})
 	n.leader = dispatch.New(dispatch.Config{
-		Log: log{n, started}, Store: store, Clock: c.Clock, Workers: c.Workers, Callers: callers{n}, Self: c.Peer, Public: c.Public,
+		Log: log{n, started}, Store: store, Clock: c.Clock, Workers: c.Workers, Callers: callers{n}, Machines: c.Machines, Name: c.Name, Self: c.Peer, Public: c.Public,
 		Members: n.peers, Joined: n.joined, Bounds: c.Bounds, Logger: c.Logger, Scope: c.Scope,
 	})
 	n.replica, err = replica.Start(replica.Config{
--- a/internal/config/cell.go
+++ b/internal/config/cell.go
@@ -15,6 +15,8 @@
 	defaultLease      = 6 * time.Second
 	defaultKeepEnded  = 2 * time.Minute
 	defaultCellDrain  = 5 * time.Second
+	defaultHolder     = 3 * time.Second
+	defaultNotice     = 4500 * time.Millisecond
 	maxSeedsTextBytes = 4096
 )
 
@@ -54,6 +56,13 @@
 	MaxLease time.Duration
 	// KeepEnded is how long the state of an ended job can be asked for.
 	KeepEnded time.Duration
+	// Machines is the service that takes machines down for upkeep; invalid if there
+	// is none.
+	Machines netip.AddrPort
+	// HolderLease is how long after another process one may order machines.
+	HolderLease time.Duration
+	// Notice is for how long a task that serves must be at work to count as such.
+	Notice time.Duration
 	// RemoteFactor is how much longer work takes off the rack of its data.
 	RemoteFactor float64
 }
@@ -128,6 +137,9 @@
 		Bootstrap:    optional(r, "cell", "bootstrap", yesNoKind, false),
 		MaxLease:     optional(r, "cell", "max_lease", durationKind(time.Second, maxLease), defaultLease),
 		KeepEnded:    optional(r, "cell", "keep_ended", durationKind(time.Second, maxKeep), defaultKeepEnded),
+		Machines:     optional(r, "cell", "machines", addressKind(), netip.AddrPort{}),
+		HolderLease:  optional(r, "cell", "holder_lease", durationKind(0, maxLease), defaultHolder),
+		Notice:       optional(r, "cell", "notice", durationKind(0, maxLease), defaultNotice),
 		RemoteFactor: optional(r, "cell", "remote_factor", fractionKind(1, maxRemoteFactor), 1),
 	}
 	if err := r.finish(); err != nil {
@@ -167,6 +179,11 @@
 	p.key("max_lease", c.MaxLease)
 	p.key("keep_ended", c.KeepEnded)
 	p.key("remote_factor", c.RemoteFactor)
+	if c.Machines.IsValid() {
+		p.key("machines", c.Machines)
+	}
+	p.key("holder_lease", c.HolderLease)
+	p.key("notice", c.Notice)
 	p.section("listen")
 	p.key("public", c.Public)
 	p.key("peer", c.Peer)
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -99,6 +99,8 @@
 	silent bool
 	// hung workers list attempts that make no progress.
 	hung bool
+	// atWork workers list attempts as fully at work.
+	atWork bool
 	// tail returns the load that the worker lists for each attempt.
 	tail func(w *fakeWorker) float64
 	// late workers answer no start and carry it out after this time.
@@ -122,14 +124,19 @@
 func (f *fleet) add(id string, born int64) *fakeWorker {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w := &fakeWorker{
-		born: born, clockAt: time.Now(), running: map[attemptKey]*fakeRun{}, refused: map[cell.TaskKey]uint32{},
-		work: time.Second, how: cell.EndedDone,
-	}
+	w := newFakeWorker(born, &fakeWorker{work: time.Second, how: cell.EndedDone})
 	f.workers[id] = w
 	return w
 }
 
+// newFakeWorker returns a life that behaves like an earlier one.
+func newFakeWorker(born int64, earlier *fakeWorker) *fakeWorker {
+	return &fakeWorker{
+		born: born, clockAt: time.Now(), running: map[attemptKey]*fakeRun{}, refused: map[cell.TaskKey]uint32{},
+		work: earlier.work, how: earlier.how, atWork: earlier.atWork,
+	}
+}
+
 // change changes a worker under the lock.
 func (f *fleet) change(id string, change func(w *fakeWorker)) {
 	f.mu.Lock()
@@ -296,6 +303,9 @@
 		if w.hung {
 			percent = 0
 		}
+		if w.atWork {
+			percent = 100
+		}
 		load := 0.0
 		if w.tail != nil {
 			load = w.tail(w)
@@ -372,13 +382,23 @@
 
 func (b *cellBench) register(id string, born int64, number int) {
 	b.fleet.add(id, born)
-	b.do(&cellapi.Call{Report: &cellapi.Report{
+	b.do(firstReport(id, born, number))
+}
+
+// reborn starts a new life of a worker, also after the leader has gone.
+func (b *cellBench) reborn(id string, born int64, number int) {
+	b.fleet.change(id, func(w *fakeWorker) { *w = *newFakeWorker(born, w) })
+	b.leader.Do(context.Background(), firstReport(id, born, number))
+}
+
+func firstReport(id string, born int64, number int) *cellapi.Call {
+	return &cellapi.Call{Report: &cellapi.Report{
 		Register: cell.Register{
 			ID: id, Born: born, Address: fmt.Sprintf("10.0.0.%d:80", number), Service: service,
 			Capacity: structs.Resources{MilliCPU: 4000, MemoryBytes: 4 << 30},
 		},
 		Sequence: 1,
-	}})
+	}}
 }
 
 func (b *cellBench) do(c *cellapi.Call) *cellapi.Reply {
@@ -455,3 +475,18 @@
 	})
 	return holder
 }
+
+// runningOf returns how many attempts of a job run on workers that answer.
+func (b *cellBench) runningOf(id string) int {
+	b.fleet.mu.Lock()
+	defer b.fleet.mu.Unlock()
+	n := 0
+	for _, w := range b.fleet.workers {
+		for k := range w.running {
+			if k.task.Job == id && !w.silent {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -30,7 +30,10 @@
 	Clock   port.Clock
 	Workers Workers
 	Callers AdviceCallers
-	// Self is the peer address of this process.
+	// Machines takes machines down for upkeep, nil if there is no such service.
+	Machines Machines
+	// Name is the name of this process, Self its peer address.
+	Name string
 	Self string
 	// Public is where this process takes reports of workers.
 	Public string
@@ -49,6 +52,10 @@
 	MaxLease time.Duration
 	// KeepEnded is how long the state of an ended job can be asked for.
 	KeepEnded time.Duration
+	// HolderLease is how long after another process it may order machines.
+	HolderLease time.Duration
+	// Notice is for how long a task that serves must be at work to count as such.
+	Notice time.Duration
 	// RemoteFactor is how much longer work takes off its rack.
 	RemoteFactor float64
 }
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -26,6 +26,8 @@
 	movedAt time.Duration
 	// inherited attempts were committed by an earlier leader.
 	inherited bool
+	// workingAt is when a lasting attempt was first listed at work without a break.
+	workingAt time.Duration
 	// slowedBy is by how many percent its pace was lowered.
 	slowedBy int
 	// seenAt is when an attempt without an order was first looked at.
@@ -125,11 +127,25 @@
 	if r.Saved != "" {
 		i.saved = r.Saved
 	}
+	switch {
+	case r.Percent < fullPace:
+		i.workingAt = 0
+	case i.workingAt == 0:
+		i.workingAt = now
+	}
 	if r.Percent != i.percent || i.movedAt == 0 {
 		i.percent, i.movedAt = r.Percent, now
 	}
 }
 
+// atWorkSince reports whether an attempt was at work at a time and has been since.
+func (s *session) atWorkSince(k attemptKey, at time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := s.attempts[k]
+	return i != nil && !i.stopped && i.workingAt > 0 && i.workingAt <= at
+}
+
 // stuck reports whether an attempt has stood still for too long.
 func (s *session) stuck(k attemptKey, now time.Duration) bool {
 	s.mu.Lock()
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -233,7 +233,7 @@
 			continue
 		}
 		s := t.session(id, w.Born)
-		if s == nil || !s.usable(p.now) {
+		if s == nil || !s.usable(p.now) || t.isCordoned(id) {
 			continue
 		}
 		p.candidates = append(p.candidates, &candidate{
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -60,6 +60,15 @@
 		return l.read(), false
 	case c.Report != nil:
 		return t.report(ctx, c.Report)
+	case c.StartWave != nil:
+		order := *c.StartWave
+		order.AcceptedMS = t.wall.unixMS(l.Clock.Now())
+		r := l.commit(ctx, &cell.Command{StartWave: &order})
+		l.Logger.Info("wave of upkeep", logging.Step("start wave"), "wave", c.StartWave.Number, "machines", len(c.StartWave.Machines), "bound", c.StartWave.Bound,
+			"duration_ms", c.StartWave.DurationMS, "verdict", r.Verdict.String(), "unknown", r.Unknown)
+		return r, true
+	case c.WaveState != nil:
+		return l.waveState(c.WaveState), false
 	case c.Announce != nil:
 		t.announced(c.Announce.Peer, c.Announce.UnixMS)
 		return &cellapi.Reply{Verdict: cell.Accepted}, false
@@ -182,6 +191,16 @@
 	return reply
 }
 
+func (l *Leader) waveState(q *cellapi.WaveState) *cellapi.Reply {
+	reply := &cellapi.Reply{Verdict: cell.NoWave}
+	l.Store.View(func(v *cell.View) {
+		if w := v.Wave(q.Number); w != nil {
+			reply.Verdict, reply.Complete = cell.Accepted, w.Complete()
+		}
+	})
+	return reply
+}
+
 // report takes in what a worker says of itself; what changes its record is
 // committed before it is acknowledged.
 func (t *term) report(ctx context.Context, r *cellapi.Report) (reply *cellapi.Reply, committed bool) {
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -38,6 +38,8 @@
 
 	mu       sync.Mutex
 	sessions map[string]*session
+	// cordoned workers get no new work: their machines are about to go down.
+	cordoned map[string]bool
 	// synced is set once all lives that an earlier leader may have given leases to
 	// have a session.
 	synced bool
@@ -73,7 +75,7 @@
 func newTerm(ctx context.Context, l *Leader, number uint64, now time.Duration) *term {
 	t := &term{
 		l: l, ctx: ctx, number: number, began: now, lease: min(leaseLength, l.Bounds.MaxLease), briefLease: min(briefLease, l.Bounds.MaxLease), sessions: map[string]*session{},
-		times: map[cell.Occurrence]jobTimes{}, preempted: map[cell.StepKey]time.Duration{}, gaveWay: map[cell.TaskKey]int{}, wall: newWallClock(), stops: map[stopKey]time.Duration{}, speeds: newSpeedBook(),
+		times: map[cell.Occurrence]jobTimes{}, preempted: map[cell.StepKey]time.Duration{}, gaveWay: map[cell.TaskKey]int{}, wall: newWallClock(), cordoned: map[string]bool{}, stops: map[stopKey]time.Duration{}, speeds: newSpeedBook(),
 	}
 	t.advice = newAdviceDesk(t)
 	return t
@@ -112,6 +114,7 @@
 // run plans until the lease is lost.
 func (t *term) run() {
 	t.spawn(t.forgetEnded)
+	t.spawn(t.keepMachines)
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
 	for t.holdsOffice() {
--- /dev/null
+++ b/internal/dispatch/upkeep_test.go
@@ -0,0 +1,169 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumgrade/internal/cell"
+	"laburnumgrade/internal/cellapi"
+)
+
+// fakeMachines are machines m0, m1 ... on which the workers w0, w1 ... run.
+type fakeMachines struct {
+	t *testing.T
+	b *cellBench
+
+	mu    sync.Mutex
+	count int
+	bound int
+	// down is until when a machine is down, orders how often it was taken down.
+	down   map[string]time.Time
+	orders map[string]int
+	// mute lets so many orders be carried out without an answer.
+	mute int
+	// most is how many machines were down at once.
+	most int
+}
+
+const upkeepTime = 2 * time.Second
+
+func (f *fakeMachines) List(context.Context) ([]Machine, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []Machine
+	for i := range f.count {
+		m := Machine{ID: fmt.Sprint("m", i), State: MachineUp, Worker: fmt.Sprint("w", i)}
+		if f.down[m.ID].After(time.Now()) {
+			m.State, m.Worker = MachineInUpkeep, ""
+		}
+		list = append(list, m)
+	}
+	return list, nil
+}
+
+func (f *fakeMachines) Upkeep(_ context.Context, o *UpkeepOrder) (UpkeepAnswer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.orders[o.Machine] == 0 {
+		f.orders[o.Machine]++
+		f.down[o.Machine] = time.Now().Add(upkeepTime)
+		n := 0
+		for _, until := range f.down {
+			if until.After(time.Now()) {
+				n++
+			}
+		}
+		f.most = max(f.most, n)
+		number := 0
+		_, err := fmt.Sscanf(o.Machine, "m%d", &number)
+		assert.NilError(f.t, err)
+		id := fmt.Sprint("w", number)
+		f.b.fleet.change(id, func(w *fakeWorker) {
+			w.silent = true
+			clear(w.running)
+		})
+		time.AfterFunc(upkeepTime, func() { f.b.reborn(id, 1000, number) })
+	}
+	if f.mute > 0 {
+		f.mute--
+		return 0, errors.New("no answer")
+	}
+	return UpkeepBegun, nil
+}
+
+// withMachines gives the leader machines before it leads again.
+func withMachines(b *cellBench, workers, mute int) *fakeMachines {
+	f := &fakeMachines{t: b.t, b: b, count: workers, down: map[string]time.Time{}, orders: map[string]int{}, mute: mute}
+	b.log.lead(0)
+	time.Sleep(100 * time.Millisecond)
+	b.leader.Machines, b.leader.Bounds.HolderLease, b.leader.Bounds.Notice = f, 3*time.Second, 2*time.Second
+	b.lead(2)
+	return f
+}
+
+func (b *cellBench) startWave(bound, machines int, d time.Duration) {
+	order := &cell.StartWave{Number: 1, Bound: bound, DurationMS: d.Milliseconds()}
+	for i := range machines {
+		order.Machines = append(order.Machines, fmt.Sprint("m", i))
+	}
+	b.do(&cellapi.Call{StartWave: order})
+}
+
+// untilWave waits until the wave is complete.
+func (b *cellBench) untilWave(limit time.Duration) time.Duration {
+	began := time.Now()
+	for !b.do(&cellapi.Call{WaveState: &cellapi.WaveState{Number: 1}}).Complete {
+		if time.Since(began) > limit {
+			b.t.Fatalf("the wave is not complete after %v", limit)
+		}
+		b.reports()
+		time.Sleep(100 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+// Guards against more machines down at once than a wave allows, machines that are
+// left out or taken down twice, and orders without an answer.
+func TestWaveIsCarriedOut(t *testing.T) {
+	run(t, 5, func(b *cellBench) {
+		f := withMachines(b, 5, 1)
+		b.startWave(2, 5, 20*time.Second)
+		took := b.untilWave(30 * time.Second)
+		assert.Assert(t, took < 20*time.Second, "the wave took %v", took)
+		assert.Equal(t, f.most, 2)
+		assert.Equal(t, len(f.orders), 5)
+	})
+}
+
+// Guards against work that is thrown away although the wave has the time for it, and
+// against new work on a machine that is about to go down.
+func TestWaveWaitsForWork(t *testing.T) {
+	run(t, 2, func(b *cellBench) {
+		for i := range 2 {
+			b.fleet.change(fmt.Sprint("w", i), func(w *fakeWorker) { w.work = 2 * time.Second })
+		}
+		f := withMachines(b, 2, 0)
+		b.reports()
+		b.submit(jobID1, tasks(2, 4))
+		time.Sleep(500 * time.Millisecond)
+		b.startWave(1, 2, 30*time.Second)
+		b.untilWave(30 * time.Second)
+		b.until(jobID1, cell.Complete, 5*time.Second)
+		for i := range 2 {
+			assert.Equal(t, b.started(jobID1, i), 1)
+		}
+		assert.Equal(t, f.most, 1)
+	})
+}
+
+// Guards against tasks that serve and are all taken down at once: each starts
+// elsewhere before the next is stopped.
+func TestWaveKeepsServiceAvailable(t *testing.T) {
+	run(t, 4, func(b *cellBench) {
+		for i := range 4 {
+			b.fleet.change(fmt.Sprint("w", i), func(w *fakeWorker) { w.work, w.atWork = time.Hour, true })
+		}
+		withMachines(b, 4, 0)
+		serving := tasks(2, 2)
+		serving.Lasting, serving.MaxUnavailable, serving.MaxPerWorker = true, 1, 1
+		b.submit(jobID1, serving)
+		for range 60 {
+			b.reports()
+			time.Sleep(100 * time.Millisecond)
+		}
+		b.startWave(2, 4, 60*time.Second)
+		began := time.Now()
+		for !b.do(&cellapi.Call{WaveState: &cellapi.WaveState{Number: 1}}).Complete && time.Since(began) < 90*time.Second {
+			b.reports()
+			assert.Assert(t, b.runningOf(jobID1) >= 1, "no task serves after %v", time.Since(began))
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Assert(t, time.Since(began) < 90*time.Second)
+	})
+}
