dispatch: tests of waves see stops that come too early

Cause: with the check of max_unavailable, or the wait for work, switched off the tests of waves still passed: work had ended before the wave began, and restarts were not watched. Change: the wave begins while the work runs; each stop is compared with how long the other tasks have been at work.

--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -476,17 +476,18 @@
 	return holder
 }
 
-// runningOf returns how many attempts of a job run on workers that answer.
-func (b *cellBench) runningOf(id string) int {
+// runningOf returns the attempts of a job that run on workers that answer, and since
+// when.
+func (b *cellBench) runningOf(id string) map[attemptKey]time.Time {
 	b.fleet.mu.Lock()
 	defer b.fleet.mu.Unlock()
-	n := 0
+	running := map[attemptKey]time.Time{}
 	for _, w := range b.fleet.workers {
-		for k := range w.running {
+		for k, r := range w.running {
 			if k.task.Job == id && !w.silent {
-				n++
+				running[k] = r.began
 			}
 		}
 	}
-	return n
+	return running
 }
--- a/internal/dispatch/upkeep_test.go
+++ b/internal/dispatch/upkeep_test.go
@@ -129,6 +129,7 @@
 			b.fleet.change(fmt.Sprint("w", i), func(w *fakeWorker) { w.work = 2 * time.Second })
 		}
 		f := withMachines(b, 2, 0)
+		time.Sleep(b.leader.Bounds.HolderLease)
 		b.reports()
 		b.submit(jobID1, tasks(2, 4))
 		time.Sleep(500 * time.Millisecond)
@@ -159,11 +160,23 @@
 		}
 		b.startWave(2, 4, 60*time.Second)
 		began := time.Now()
+		before := b.runningOf(jobID1)
+		moves := 0
 		for !b.do(&cellapi.Call{WaveState: &cellapi.WaveState{Number: 1}}).Complete && time.Since(began) < 90*time.Second {
 			b.reports()
-			assert.Assert(t, b.runningOf(jobID1) >= 1, "no task serves after %v", time.Since(began))
-			time.Sleep(100 * time.Millisecond)
+			after := b.runningOf(jobID1)
+			for k := range before {
+				if _, still := after[k]; still {
+					continue
+				}
+				moves++
+				for other, since := range after {
+					assert.Assert(t, other.task == k.task || time.Since(since) >= b.leader.Bounds.Notice, "%v was stopped while %v had just started", k, other)
+				}
+			}
+			before = after
+			time.Sleep(50 * time.Millisecond)
 		}
-		assert.Assert(t, time.Since(began) < 90*time.Second)
+		assert.Assert(t, moves >= 2 && time.Since(began) < 90*time.Second)
 	})
 }
