dispatch: tests of the leader set its settings before it runs

Cause: three tests changed settings of a running leader, which the race detector found. Change: runWith; an unused field is gone.

--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -340,15 +340,22 @@
 
 // run runs a test in simulated time.
 func run(t *testing.T, workers int, test func(b *cellBench)) {
+	runWith(t, workers, func(*Config) {}, test)
+}
+
+// runWith runs a test of a leader with other settings.
+func runWith(t *testing.T, workers int, change func(c *Config), test func(b *cellBench)) {
 	synctest.Test(t, func(t *testing.T) {
 		b := &cellBench{t: t, log: &fakeLog{}, fleet: newFleet(t)}
 		b.store = cell.NewStore(func(c *cell.Command) { b.leader.Applied(c) })
 		b.log.apply = b.store.Apply
-		b.leader = New(Config{
+		c := Config{
 			Log: b.log, Store: b.store, Clock: port.NewSystemClock(), Workers: b.fleet, Self: "self",
 			Members: func() []string { return nil }, Joined: func(string, string) {},
 			Bounds: Bounds{KeepEnded: time.Hour, MaxLease: 6 * time.Second, RemoteFactor: 2}, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
-		})
+		}
+		change(&c)
+		b.leader = New(c)
 		ctx, cancel := context.WithCancel(t.Context())
 		stopped := make(chan struct{})
 		go func() {
--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -246,15 +246,14 @@
 // its check of the lease and its answer says that a queue does not exist that a
 // later leader has configured.
 func TestNoRefusalAfterLeaseIsLost(t *testing.T) {
-	run(t, 1, func(b *cellBench) {
-		b.log.lead(0)
-		time.Sleep(100 * time.Millisecond)
-		b.leader.Logger = slog.New(hook{slog.DiscardHandler, func(message string) {
-			if message == "submission answered from the state" {
-				b.log.lead(0)
-			}
-		}})
-		b.lead(2)
+	var log *fakeLog
+	loseLease := hook{slog.DiscardHandler, func(message string) {
+		if message == "submission answered from the state" {
+			log.lead(0)
+		}
+	}}
+	runWith(t, 1, func(c *Config) { c.Logger = slog.New(loseLease) }, func(b *cellBench) {
+		log = b.log
 		r := cell.Request{Host: "h", Path: "/added/" + jobID1}
 		reply := b.leader.Do(t.Context(), &cellapi.Call{Submit: &cell.Submit{Request: r, Job: cell.Submission{Steps: []cell.Step{tasks(1, 1)}}}})
 		assert.Assert(t, reply.NotLeader, "%+v", reply)
--- a/internal/dispatch/upkeep_test.go
+++ b/internal/dispatch/upkeep_test.go
@@ -21,7 +21,6 @@
 
 	mu    sync.Mutex
 	count int
-	bound int
 	// down is until when a machine is down, orders how often it was taken down.
 	down   map[string]time.Time
 	orders map[string]int
@@ -77,14 +76,22 @@
 	return UpkeepBegun, nil
 }
 
-// withMachines gives the leader machines before it leads again.
-func withMachines(b *cellBench, workers, mute int) *fakeMachines {
-	f := &fakeMachines{t: b.t, b: b, count: workers, down: map[string]time.Time{}, orders: map[string]int{}, mute: mute}
-	b.log.lead(0)
-	time.Sleep(100 * time.Millisecond)
-	b.leader.Machines, b.leader.Bounds.HolderLease, b.leader.Bounds.Notice = f, 3*time.Second, 2*time.Second
-	b.lead(2)
-	return f
+const (
+	holderLease = 3 * time.Second
+	notice      = 2 * time.Second
+)
+
+// withMachines runs a test of a leader with machines.
+func withMachines(t *testing.T, workers, mute int, test func(b *cellBench, f *fakeMachines)) {
+	f := &fakeMachines{t: t, count: workers, down: map[string]time.Time{}, orders: map[string]int{}, mute: mute}
+	runWith(t, workers, func(c *Config) {
+		c.Machines, c.Bounds.HolderLease, c.Bounds.Notice = f, holderLease, notice
+	}, func(b *cellBench) {
+		f.mu.Lock()
+		f.b = b
+		f.mu.Unlock()
+		test(b, f)
+	})
 }
 
 func (b *cellBench) startWave(bound, machines int, d time.Duration) {
@@ -111,8 +118,7 @@
 // Guards against more machines down at once than a wave allows, machines that are
 // left out or taken down twice, and orders without an answer.
 func TestWaveIsCarriedOut(t *testing.T) {
-	run(t, 5, func(b *cellBench) {
-		f := withMachines(b, 5, 1)
+	withMachines(t, 5, 1, func(b *cellBench, f *fakeMachines) {
 		b.startWave(2, 5, 20*time.Second)
 		took := b.untilWave(30 * time.Second)
 		assert.Assert(t, took < 20*time.Second, "the wave took %v", took)
@@ -124,12 +130,11 @@
 // Guards against work that is thrown away although the wave has the time for it, and
 // against new work on a machine that is about to go down.
 func TestWaveWaitsForWork(t *testing.T) {
-	run(t, 2, func(b *cellBench) {
+	withMachines(t, 2, 0, func(b *cellBench, f *fakeMachines) {
 		for i := range 2 {
 			b.fleet.change(fmt.Sprint("w", i), func(w *fakeWorker) { w.work = 2 * time.Second })
 		}
-		f := withMachines(b, 2, 0)
-		time.Sleep(b.leader.Bounds.HolderLease)
+		time.Sleep(holderLease)
 		b.reports()
 		b.submit(jobID1, tasks(2, 4))
 		time.Sleep(500 * time.Millisecond)
@@ -146,11 +151,10 @@
 // Guards against tasks that serve and are all taken down at once: each starts
 // elsewhere before the next is stopped.
 func TestWaveKeepsServiceAvailable(t *testing.T) {
-	run(t, 4, func(b *cellBench) {
+	withMachines(t, 4, 0, func(b *cellBench, _ *fakeMachines) {
 		for i := range 4 {
 			b.fleet.change(fmt.Sprint("w", i), func(w *fakeWorker) { w.work, w.atWork = time.Hour, true })
 		}
-		withMachines(b, 4, 0)
 		serving := tasks(2, 2)
 		serving.Lasting, serving.MaxUnavailable, serving.MaxPerWorker = true, 1, 1
 		b.submit(jobID1, serving)
@@ -171,7 +175,7 @@
 				}
 				moves++
 				for other, since := range after {
-					assert.Assert(t, other.task == k.task || time.Since(since) >= b.leader.Bounds.Notice, "%v was stopped while %v had just started", k, other)
+					assert.Assert(t, other.task == k.task || time.Since(since) >= notice, "%v was stopped while %v had just started", k, other)
 				}
 			}
 			before = after
