--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -6,6 +6,15 @@
 	"laburnumgrade/internal/cell"
 )
 
+const (
+	// askWorkers is how many workers one call for advice names; a call costs
+	// time for each.
+	askWorkers = 30
+	// goodPart of the room that a gang is missing, one in so many, makes a further
+	// long call for advice worth its time.
+	goodPart = 4
+)
+
 // unasked returns the workers to ask about next, those with room first; none if
 // none of them has room. Workers without room are asked about as well: one more
 // name in a call costs far less than one more call.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -1,9 +1,7 @@
 package dispatch
 
 import (
-	"cmp"
 	"maps"
-	"slices"
 	"time"
 
 	"laburnumgrade/internal/cell"
@@ -11,87 +9,6 @@
 	"laburnumgrade/internal/structs"
 )
 
-const (
-	// askWorkers is how many workers one call for advice names; a call costs
-	// time for each.
-	askWorkers = 30
-	// goodPart of the room that a gang is missing, one in so many, makes a further
-	// long call for advice worth its time.
-	goodPart = 4
-	// reservedGangs is how many gangs that do not fit keep room from others.
-	reservedGangs = 4
-	// reservedCost makes urgent work take workers that are kept for a gang only
-	// after all others.
-	reservedCost = 5
-	// slowMargin is how much longer than expected work may take and still be in
-	// time on a slow worker: estimates are off, and one run in twenty fails.
-	slowMargin = 1.3
-	// doubtCost is what a worker costs that is certainly faulty, in units of a
-	// worker's factor: the run is lost and the work done again elsewhere.
-	doubtCost = 3
-	// besideCost keeps fillers off workers with tasks that serve, beside which they
-	// are slowed down.
-	besideCost = 1
-	// mixedCost keeps brief work and other work on different workers, so that the
-	// leases of the former stay short.
-	mixedCost = 0.25
-	// failedCost keeps a task off the workers on which its job has failed.
-	failedCost = 3
-	// renewalCost puts workers with a valid ticket before all others.
-	renewalCost = 10
-	// hopeless jobs have waited this many times their objective and go last.
-	hopeless = 3
-)
-
-// candidate is a worker as the planner sees it.
-type candidate struct {
-	id      string
-	born    int64
-	service string
-	worker  *cell.Worker
-	free    structs.Resources
-	// factor is how much longer than expected work takes here.
-	factor float64
-	// doubt is the chance that the worker fails whatever it is given.
-	doubt float64
-	// leased is how long the worker's lease may go on if it is lost now, and busy
-	// whether anything runs there.
-	leased time.Duration
-	busy   bool
-	// serves is set if tasks with a bound on their tails run there, filling is what
-	// this plan has placed of fillers.
-	serves  bool
-	filling structs.Resources
-	// placed counts what this plan has placed there, by step.
-	placed map[cell.StepKey]int
-	// kept is set if the room is kept for a gang of higher rank, reserved names
-	// the gang for which the last plan kept it.
-	kept     bool
-	reserved cell.StepKey
-}
-
-// wish is a step that has tasks to start.
-type wish struct {
-	key   cell.StepKey
-	job   *cell.Job
-	step  *cell.Step
-	run   *cell.StepRun
-	queue *cell.Queue
-	// rest is the expected duration of this step and the longest chain after it.
-	rest time.Duration
-	// deadline is when the job is meant to be complete.
-	deadline time.Duration
-	// brief work is placed apart from other work, under short leases.
-	brief bool
-	// late jobs cannot be complete in time any more, hopeless ones earn nothing.
-	late     bool
-	hopeless bool
-	// advice is what is known of the step's workers, nil if nothing is.
-	advice *stepAdvice
-	// failedOn are the workers on which tasks of the job have failed.
-	failedOn map[string]bool
-}
-
 // ask is a call for advice that a plan wants.
 type ask struct {
 	step    cell.StepKey
@@ -226,28 +143,6 @@
 	t.spawn(func() { s.start(o) })
 }
 
-// gather fills in the workers.
-func (t *term) gather(v *cell.View, p *planner) {
-	for id, w := range v.Workers() {
-		if !w.Usable() {
-			continue
-		}
-		s := t.session(id, w.Born)
-		if s == nil || !s.usable(p.now) || t.isCordoned(id) {
-			continue
-		}
-		p.candidates = append(p.candidates, &candidate{
-			id: id, born: w.Born, service: w.Service, worker: w, free: w.Free(), reserved: t.reserved[id],
-			leased: s.leased(p.now), busy: len(w.Attempts) > 0, serves: s.serving(),
-		})
-	}
-	p.candidates = t.speeds.describe(p.candidates, p.now)
-	for _, c := range p.candidates {
-		p.byID[c.id] = c
-	}
-	slices.SortFunc(p.candidates, func(a, b *candidate) int { return cmp.Compare(a.id, b.id) })
-}
-
 // decide goes through the wishes in order.
 func (p *planner) decide(wishes []*wish) {
 	for _, w := range wishes {
@@ -319,86 +214,3 @@
 	}
 	p.placements = append(p.placements, placed...)
 }
-
-// place puts tasks on workers in their order, as many on each as fit; fillers, which
-// take no room but share it, one at a time.
-func (p *planner) place(w *wish, tasks []int, list []*candidate) []cell.Placement {
-	if !w.step.Filler {
-		return p.placeOnce(w, tasks, list, len(tasks))
-	}
-	var placed []cell.Placement
-	for len(placed) < len(tasks) {
-		more := p.placeOnce(w, tasks[len(placed):], list, 1)
-		if len(more) == 0 {
-			break
-		}
-		placed = append(placed, more...)
-	}
-	return placed
-}
-
-// placeOnce goes through the workers once and puts at most so many tasks on each.
-func (p *planner) placeOnce(w *wish, tasks []int, list []*candidate, most int) []cell.Placement {
-	var placed []cell.Placement
-	claim := w.step.Claim()
-	for _, c := range list {
-		onWorker, here := 0, 0
-		if w.step.MaxPerWorker > 0 {
-			onWorker = c.worker.Count(w.key) + c.placed[w.key]
-		}
-		for len(placed) < len(tasks) && here < most && claim.Fits(c.free) {
-			if w.step.MaxPerWorker > 0 && onWorker >= w.step.MaxPerWorker {
-				break
-			}
-			i := tasks[len(placed)]
-			run := w.run.Tasks[i].Run + 1
-			if w.step.Gang {
-				run = w.run.Run + 1
-			}
-			placed = append(placed, cell.Placement{Task: cell.TaskKey{StepKey: w.key, Index: i}, Run: run, Worker: c.id, Born: c.born})
-			c.free = c.free.Sub(claim)
-			if w.step.Filler {
-				c.filling = c.filling.Add(w.step.Size)
-			}
-			onWorker++
-			here++
-		}
-		c.notePlaced(w.key, here)
-	}
-	p.headroom[w.job.Team] = p.headroom[w.job.Team].Sub(w.step.Size.Scale(int64(len(placed))))
-	return placed
-}
-
-// notePlaced counts what this plan has placed of a step on the worker.
-func (c *candidate) notePlaced(k cell.StepKey, n int) {
-	if n == 0 {
-		return
-	}
-	if c.placed == nil {
-		c.placed = map[cell.StepKey]int{}
-	}
-	c.placed[k] += n
-}
-
-// giveBack undoes place.
-func (p *planner) giveBack(w *wish, placed []cell.Placement) {
-	for i := range placed {
-		c := p.byID[placed[i].Worker]
-		c.placed[w.key]--
-		c.free = c.free.Add(w.step.Claim())
-		if w.step.Filler {
-			c.filling = c.filling.Sub(w.step.Size)
-		}
-	}
-	p.headroom[w.job.Team] = p.headroom[w.job.Team].Add(w.step.Size.Scale(int64(len(placed))))
-}
-
-// keep takes the room for placements whose tickets are being renewed.
-func (p *planner) keep(held []cell.Placement, w *wish) {
-	for i := range held {
-		if c := p.byID[held[i].Worker]; c != nil {
-			c.free = c.free.Sub(w.step.Claim())
-		}
-	}
-	p.headroom[w.job.Team] = p.headroom[w.job.Team].Sub(w.step.Size.Scale(int64(len(held))))
-}
--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -8,6 +8,30 @@
 	"laburnumgrade/internal/structs"
 )
 
+const (
+	// slowMargin is how much longer than expected work may take and still be in
+	// time on a slow worker: estimates are off, and one run in twenty fails.
+	slowMargin = 1.3
+	// doubtCost is what a worker costs that is certainly faulty, in units of a
+	// worker's factor: the run is lost and the work done again elsewhere.
+	doubtCost = 3
+	// besideCost keeps fillers off workers with tasks that serve, beside which they
+	// are slowed down.
+	besideCost = 1
+	// mixedCost keeps brief work and other work on different workers, so that the
+	// leases of the former stay short.
+	mixedCost = 0.25
+	// failedCost keeps a task off the workers on which its job has failed.
+	failedCost = 3
+	// reservedCost makes urgent work take workers that are kept for a gang only
+	// after all others.
+	reservedCost = 5
+	// renewalCost puts workers with a valid ticket before all others.
+	renewalCost = 10
+	// reservedGangs is how many gangs that do not fit keep room from others.
+	reservedGangs = 4
+)
+
 // waiting returns the numbers of the tasks that may be started.
 func (w *wish) waiting() []int {
 	var tasks []int
@@ -97,28 +121,6 @@
 	slices.SortStableFunc(list, func(a, b *candidate) int { return cmp.Compare(costs[a.id], costs[b.id]) })
 }
 
-// crowding is what a filler pays for the processors that it has to share.
-func (c *candidate) crowding(w *wish) float64 {
-	unused := c.free.Sub(c.filling).Sub(w.step.Size)
-	for _, a := range c.worker.Attempts {
-		if a.Filler {
-			unused = unused.Sub(a.Size)
-		}
-	}
-	cost := -float64(unused.MilliCPU) / float64(max(1, c.worker.Capacity.MilliCPU))
-	if c.serves {
-		cost += besideCost
-	}
-	return cost
-}
-
-// mixes reports whether the step would put brief work under a long lease, or the
-// brief work of a worker under the long lease that the step needs.
-func (c *candidate) mixes(w *wish) bool {
-	long := c.leased > briefLease+briefLease/10
-	return w.brief && long || !w.brief && c.busy && !long
-}
-
 // reserve keeps the allowed workers with the most room for a gang that does not
 // fit, so that smaller work does not take each hole as it opens.
 func (p *planner) reserve(w *wish) {
--- a/internal/dispatch/wish.go
+++ b/internal/dispatch/wish.go
@@ -9,6 +9,31 @@
 	"laburnumgrade/internal/cell"
 )
 
+// hopeless jobs have waited this many times their objective and go last.
+const hopeless = 3
+
+// wish is a step that has tasks to start.
+type wish struct {
+	key   cell.StepKey
+	job   *cell.Job
+	step  *cell.Step
+	run   *cell.StepRun
+	queue *cell.Queue
+	// rest is the expected duration of this step and the longest chain after it.
+	rest time.Duration
+	// deadline is when the job is meant to be complete.
+	deadline time.Duration
+	// brief work is placed apart from other work, under short leases.
+	brief bool
+	// late jobs cannot be complete in time any more, hopeless ones earn nothing.
+	late     bool
+	hopeless bool
+	// advice is what is known of the step's workers, nil if nothing is.
+	advice *stepAdvice
+	// failedOn are the workers on which tasks of the job have failed.
+	failedOn map[string]bool
+}
+
 // wishes returns the ready steps in the order in which they are served.
 func (t *term) wishes(v *cell.View, now time.Duration) []*wish {
 	var wishes []*wish
