dispatch: an answered order for upkeep does not end attempts

Cause: found when reading: an order for a machine that had its upkeep earlier (its first order was not answered, or its leader was lost before the end was committed) is answered like a new one, while a later worker runs work there; its attempts were given up and would have started again elsewhere at the same time. Change: attempts end when the machine is listed as in upkeep, for the life that ran there when the order was sent. Figures: TestUpkeepThatWasDoneBefore fails with the earlier code.

--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -38,6 +38,8 @@
 	chosen map[string]*emptying
 	// ordered machines are down, or may be, since an order was sent.
 	ordered map[string]time.Duration
+	// lives are the sessions of the workers that ran on them when they were ordered.
+	lives map[string]*session
 }
 
 // emptying is a machine that is about to be taken down.
@@ -55,7 +57,7 @@
 	if t.l.Machines == nil || !t.pause(t.l.Bounds.HolderLease) {
 		return
 	}
-	u := &upkeep{t: t, machines: map[string]Machine{}, chosen: map[string]*emptying{}, ordered: map[string]time.Duration{}}
+	u := &upkeep{t: t, machines: map[string]Machine{}, chosen: map[string]*emptying{}, ordered: map[string]time.Duration{}, lives: map[string]*session{}}
 	for t.pause(upkeepInterval) {
 		if !t.leads() {
 			continue
@@ -108,8 +110,15 @@
 	clear(u.machines)
 	for _, m := range list {
 		u.machines[m.ID] = m
+		if s := u.lives[m.ID]; s != nil && m.State == MachineInUpkeep {
+			// An order may be answered because it was carried out long ago, with a
+			// later worker on the machine; what is down runs nothing.
+			delete(u.lives, m.ID)
+			s.lapse("its machine is down for upkeep")
+		}
 		if at, down := u.ordered[m.ID]; down && m.State == MachineUp && at < now {
 			delete(u.ordered, m.ID)
+			delete(u.lives, m.ID)
 			u.t.l.Logger.Info("machine is up again", logging.Step("upkeep"), logging.Peer(m.ID), "worker", m.Worker)
 		}
 	}
@@ -205,6 +214,9 @@
 	}
 	// From here on the machine may be down, whatever is answered.
 	u.ordered[id] = u.t.l.Clock.Now()
+	if s := u.t.sessionOf(u.machines[id].Worker); s != nil && u.lives[id] == nil {
+		u.lives[id] = s
+	}
 	answer, err := u.t.l.Machines.Upkeep(ctx, &UpkeepOrder{Machine: id, Wave: w.Number, Holder: u.t.l.Name, Fence: u.t.number})
 	u.t.l.Logger.Info("upkeep ordered", logging.Step("upkeep"), logging.Peer(id), "wave", w.Number, "answer", answer.String(), "error", err)
 	switch {
@@ -213,9 +225,6 @@
 	case answer == UpkeepBegun:
 		delete(u.chosen, id)
 		u.settle(w.Number, id, "its upkeep has begun")
-		if s := u.t.sessionOf(u.machines[id].Worker); s != nil {
-			s.lapse("its machine is down for upkeep")
-		}
 	case answer == UpkeepNoMachine:
 		delete(u.chosen, id)
 		delete(u.ordered, id)
--- a/internal/dispatch/upkeep_test.go
+++ b/internal/dispatch/upkeep_test.go
@@ -28,6 +28,8 @@
 	mute int
 	// most is how many machines were down at once.
 	most int
+	// done machines have had their upkeep: an order is answered and has no effect.
+	done bool
 }
 
 const upkeepTime = 2 * time.Second
@@ -49,7 +51,7 @@
 func (f *fakeMachines) Upkeep(_ context.Context, o *UpkeepOrder) (UpkeepAnswer, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.orders[o.Machine] == 0 {
+	if f.orders[o.Machine] == 0 && !f.done {
 		f.orders[o.Machine]++
 		f.down[o.Machine] = time.Now().Add(upkeepTime)
 		n := 0
@@ -184,3 +186,24 @@
 		assert.Assert(t, moves >= 2 && time.Since(began) < 90*time.Second)
 	})
 }
+
+// Guards against a second run of work on a machine whose upkeep was carried out
+// earlier: its order is answered, but nothing on it ends.
+func TestUpkeepThatWasDoneBefore(t *testing.T) {
+	withMachines(t, 2, 0, func(b *cellBench, f *fakeMachines) {
+		time.Sleep(holderLease)
+		for i := range 2 {
+			b.fleet.change(fmt.Sprint("w", i), func(w *fakeWorker) { w.work = 20 * time.Second })
+		}
+		b.reports()
+		f.mu.Lock()
+		f.done = true
+		f.mu.Unlock()
+		b.submit(jobID1, tasks(1, 4))
+		time.Sleep(500 * time.Millisecond)
+		b.startWave(2, 2, 4*time.Second)
+		b.untilWave(10 * time.Second)
+		b.until(jobID1, cell.Complete, 30*time.Second)
+		assert.Equal(t, b.started(jobID1, 0), 1)
+	})
+}
