raft: elections after 0.45 to 0.7 s

Cause: after the loss of its leader, or a restart of all, a group waited up to 1 s before an election, and all urgent work of that time was late. Change: the time-out is 450 to 700 ms instead of 500 to 1000; leases and promises stay at 400 ms, and a voter still grants none while its promise holds.

--- a/internal/raft/config.go
+++ b/internal/raft/config.go
@@ -21,8 +21,8 @@
 	PromiseDuration = LeaseDuration + LeaseDuration*MaxClockDriftPercent/100
 
 	heartbeatTicks   = 2  // 100 ms
-	electionTicksMin = 10 // 500 ms
-	electionTicksMax = 20 // 1000 ms
+	electionTicksMin = 9  // 450 ms
+	electionTicksMax = 14 // 700 ms
 	snapshotTicks    = 60 // 3 s without an answer, then the snapshot is sent again
 	maxInflight      = 64
 	maxAppendBytes   = 512 << 10
