--- a/internal/cell/model_test.go
+++ b/internal/cell/model_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"slices"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -305,7 +306,7 @@
 	if len(keys) == 0 {
 		return
 	}
-	slices.SortFunc(keys, func(a, b TaskKey) int { return compareText(fmt.Sprint(a), fmt.Sprint(b)) })
+	slices.SortFunc(keys, func(a, b TaskKey) int { return strings.Compare(fmt.Sprint(a), fmt.Sprint(b)) })
 	key := rapid.SampledFrom(keys).Draw(t, "task")
 	run := uint32(max(1, int(m.last[key])-rapid.IntRange(0, 4).Draw(t, "earlier run")/4))
 	worker := workerName(rapid.IntRange(0, modelWorkers-1).Draw(t, "worker"))
@@ -323,16 +324,6 @@
 	m.ended(key, run, how)
 }
 
-func compareText(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 func (m *cellModel) ended(key TaskKey, run uint32, how Outcome) {
 	j := m.jobs[key.Job]
 	if j.state != Active {
