--- a/internal/dispatch/wish.go
+++ b/internal/dispatch/wish.go
@@ -66,7 +66,7 @@
 	// A task that starts again later asks anew: other workers have room by then.
 	t.advice.keepOnly(v.Ready())
 	slices.SortFunc(wishes, func(a, b *wish) int {
-		// Tasks that last are few, and each moment without them counts.
+		// Services go first: they are down while they wait.
 		return cmp.Or(first(a.step.Lasting, b.step.Lasting), first(!a.hopeless, !b.hopeless), cmp.Compare(a.queue.Priority, b.queue.Priority),
 			first(!a.step.Gang || !a.late, !b.step.Gang || !b.late), cmp.Compare(a.job.Accepted, b.job.Accepted), cmp.Compare(a.key.Step, b.key.Step))
 	})
