--- a/internal/cell/store_test.go
+++ b/internal/cell/store_test.go
@@ -166,30 +166,39 @@
 	assert.DeepEqual(t, b.start(at(firstID, 0, 0, 5, "w0")), []bool{false})
 }
 
-// Guards against a start beyond the attempts of a queue that was dropped while
-// the last of them ran, and that comes back; found by TestCellModel. Also against
-// a start beyond attempts that were lowered meanwhile.
+// Guards against a start beyond the attempts of a queue that was dropped while the
+// last of them ran, and that comes back; found by TestCellModel.
 func TestBudgetOfChangedQueue(t *testing.T) {
-	for name, change := range map[string]func(c *Configuration){
-		"dropped": func(c *Configuration) { c.Queues[0].Name = "other" },
-		"lowered": func(c *Configuration) { c.Queues[0].Attempts = 1 },
-	} {
-		b := newBench(t)
-		b.submit(firstID, cores(1))
-		for run := range uint32(2) {
-			p := at(firstID, 0, 0, run+1, "w0")
-			b.start(p)
-			if run == 1 || name == "lowered" {
-				c := configuration(2)
-				change(c)
-				b.apply(&Command{Configure: c})
-			}
-			b.end("w0", p, EndedFailed)
+	b := newBench(t)
+	b.submit(firstID, cores(1))
+	for run := range uint32(2) {
+		p := at(firstID, 0, 0, run+1, "w0")
+		b.start(p)
+		if run == 1 {
+			dropped := configuration(2)
+			dropped.Queues[0].Name = "other"
+			b.apply(&Command{Configure: dropped})
 		}
-		b.apply(&Command{Configure: configuration(3)})
-		assert.Equal(t, b.state(firstID).State, Failed, name)
-		assert.DeepEqual(t, b.start(at(firstID, 0, 0, 3, "w0")), []bool{false})
+		b.end("w0", p, EndedFailed)
 	}
+	b.apply(&Command{Configure: configuration(3)})
+	assert.Equal(t, b.state(firstID).State, Failed)
+	assert.DeepEqual(t, b.start(at(firstID, 0, 0, 3, "w0")), []bool{false})
+}
+
+// Guards against a start beyond attempts that were lowered after the task had failed.
+func TestBudgetOfLoweredAttempts(t *testing.T) {
+	b := newBench(t)
+	b.submit(firstID, cores(1))
+	p := at(firstID, 0, 0, 1, "w0")
+	b.start(p)
+	b.end("w0", p, EndedFailed)
+	assert.Equal(t, b.state(firstID).State, Active)
+	lowered := configuration(2)
+	lowered.Queues[0].Attempts = 1
+	b.apply(&Command{Configure: lowered})
+	assert.Equal(t, b.state(firstID).State, Failed)
+	assert.DeepEqual(t, b.start(at(firstID, 0, 0, 2, "w0")), []bool{false})
 }
 
 // Guards against a gang that starts in part, counts one failure for each member,
--- a/test/mutate.sh
+++ b/test/mutate.sh
@@ -35,7 +35,7 @@
 }
 
 declare -A flags
-for p in internal/state internal/fleet internal/quota; do flags[$p]="-rapid.nofailfile -rapid.shrinktime=1s"; done
+for p in internal/state internal/fleet internal/quota internal/cell; do flags[$p]="-rapid.nofailfile -rapid.shrinktime=1s"; done
 S=internal/state F=internal/fleet Q=internal/quota L=internal/lease
 request=$S/request.go allotment=$F/allotment.go
 drift='length + length*MaxClockDriftPercent/100 + time.Millisecond'
@@ -97,4 +97,22 @@
 m shed-order $Q ShedLosesLeast $Q/shed.go 'cmp.Compare(loss(&a.Spec), loss(&b.Spec))' '0'
 m snapshot-queue $S SnapshotRoundTrip $S/snapshot.go '	s.watchAll()' ''
 m snapshot-sums $S SnapshotRoundTrip $S/attempt.go '	t.RunningTasks--' ''
+C=internal/cell D=internal/dispatch
+m cell-capacity $C CellModel $C/attempt.go 'step.Claim().Fits(w.Free())' 'true'
+m cell-limit $C CellModel $C/attempt.go 'step.Size.Fits(s.headroom(j.Team))' 'true'
+m cell-order $C CellModel $C/attempt.go '!j.due(p.Task.StepKey)' 'false'
+m cell-one-run $C CellModel $C/attempt.go 'task.Done || task.Open ||' 'task.Done ||'
+m cell-gang-failures $C CellModel $C/attempt.go 'if e.Run != run.FailedRun {' 'if true {'
+m cell-gang-occurrence $C GangOccurrence $C/attempt.go 'step.Lasting || run.Done == len(run.Tasks)' 'step.Lasting'
+m cell-budget $C BudgetOfLowered $C/request.go '	s.endExhausted()' ''
+m cell-refusal $D NoRefusalAfterLease $D/serve.go '	r, committed := l.answer(ctx, t, c)' '	r, committed := l.answer(ctx, t, c)
+	committed = true'
+m cell-long-calls $D LongCalls $D/advice.go 'if cost >= longCall {' 'if false {'
+m cell-early-lapse $D SilentWorker $D/hold.go 'now > bound && s.t.leads()' 's.t.leads()'
+m cell-brief $D SilentWorker $D/hold.go 'lease, wait = s.t.briefLease, briefHoldWait' ''
+m cell-evidence $D FaultyWorkerIsFound $D/suspicion.go 'if e.score >= suspect {' 'if false {'
+m cell-wave-bound $D Wave $D/upkeep.go 'list[:max(0, min(room, len(list)))]' 'list'
+m cell-wave-cordon $D Wave $D/upkeep.go 'u.t.cordon(cordoned)' '_ = cordoned'
+m cell-upkeep-done $D UpkeepThatWas $D/upkeep.go '		u.settle(w.Number, id, "its upkeep has begun")' '		u.settle(w.Number, id, "its upkeep has begun")
+		u.t.sessionOf(u.machines[id].Worker).lapse("ordered")'
 exit $bad
