dispatch, platform: metrics of calls for advice, and what ready steps wait for

Callers: accepted jobs wait although workers are free, and neither logs nor metrics tell whether their steps lack advice, valid tickets, room or their team's limit, nor where a call for advice spends its time. Cause: the leader counts calls and errors only; the process that makes a call logs nothing.

--- a/cmd/lg-cell/main.go
+++ b/cmd/lg-cell/main.go
@@ -62,7 +62,7 @@
 		Bootstrap:     c.Bootstrap,
 		Clock:         port.NewBootClock(),
 		Workers:       platform.NewWorkers(),
-		Adviser:       platform.NewAdviser(c.AdviceAddress.String()),
+		Adviser:       platform.NewAdviser(c.AdviceAddress.String(), logger, telemetry.Scope),
 		Machines:      newMachines(c),
 		Bounds: dispatch.Bounds{
 			MaxLease:          c.MaxLease,
--- a/cmd/lg-gateway/main.go
+++ b/cmd/lg-gateway/main.go
@@ -48,7 +48,7 @@
 		c.PublicAddress.String():        platform.ClientHandler(g, logger, telemetry.Scope),
 		c.ReadinessAddress.String():     platform.ReadinessHandler(g.Ready),
 		c.Process.AdminAddress.String(): telemetry.Metrics,
-		c.PeerAddress.String():          cellapi.Handler(nil, platform.NewAdviser(c.AdviceAddress.String())),
+		c.PeerAddress.String():          cellapi.Handler(nil, platform.NewAdviser(c.AdviceAddress.String(), logger, telemetry.Scope)),
 	})
 	if err != nil {
 		return err
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -199,6 +199,8 @@
 	reply := b.t.leader.AdviceClient.Ask(ctx, peer, request)
 	now := b.t.leader.Clock.Now()
 	b.t.leader.metrics.advice.Inc(1)
+	b.t.leader.metrics.adviceWait.RecordDuration(now - sent)
+	b.t.leader.metrics.adviceDelay.RecordDuration(max(0, now-sent-(timeout-adviceTimeoutSlack)))
 	if reply.Error != "" {
 		b.t.leader.metrics.adviceErrors.Inc(1)
 	}
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -100,18 +100,37 @@
 // leaderMetrics holds the metrics of a leader.
 type leaderMetrics struct {
 	planned, refused, done, failed, early, unstarted, lapses, advice, adviceErrors tally.Counter
-	commit, wait                                                                   tally.Histogram
+	// adviceWait is the time until an answer, and adviceDelay what it exceeds the expected
+	// time by.
+	commit, wait, adviceWait, adviceDelay tally.Histogram
+	// waiting holds the ready steps after the last plan by what they wait for, and
+	// adviceDeferred the requests for advice that it could not give to any process.
+	waiting        [waitReasons]tally.Gauge
+	adviceDeferred tally.Gauge
+}
+
+// recordWaiting updates the numbers of ready steps by what they wait for.
+func (m *leaderMetrics) recordWaiting(waiting *[waitReasons]int) {
+	for reason, steps := range waiting {
+		m.waiting[reason].Update(float64(steps))
+	}
 }
 
 func newLeaderMetrics(scope tally.Scope) leaderMetrics {
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
-	return leaderMetrics{
+	m := leaderMetrics{
 		planned: scope.Counter("cell_placements"), refused: scope.Counter("cell_placement_refusals"),
 		done: scope.Counter("cell_ends_done"), failed: scope.Counter("cell_ends_failed"),
 		early: scope.Counter("cell_ends_early"), unstarted: scope.Counter("cell_ends_unstarted"),
 		lapses: scope.Counter("cell_lapses"), advice: scope.Counter("cell_advice_calls"), adviceErrors: scope.Counter("cell_advice_errors"),
 		commit: scope.Histogram("cell_commit", buckets), wait: scope.Histogram("cell_wait", buckets),
+		adviceWait: scope.Histogram("cell_advice_wait", buckets), adviceDelay: scope.Histogram("cell_advice_delay", buckets),
+		adviceDeferred: scope.Gauge("cell_advice_deferred"),
+	}
+	for reason := range waitReasons {
+		m.waiting[reason] = scope.Tagged(map[string]string{"reason": reason.String()}).Gauge("cell_waiting_steps")
 	}
+	return m
 }
 
 // countEnd counts the end of an attempt by its outcome.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -29,6 +29,32 @@
 	newlyBlocked []cell.StepKey
 	// reserved maps a worker to the gang for which it is reserved.
 	reserved map[string]cell.StepKey
+	// waiting counts the ready steps by what they wait for.
+	waiting [waitReasons]int
+}
+
+// waitReason is what a ready step waits for after a planning round.
+type waitReason int
+
+const (
+	// placedNow means that tasks of the step were placed.
+	placedNow waitReason = iota
+	// waitsForAdvice means that a request for advice is in flight or planned.
+	waitsForAdvice
+	// waitsForRenewal means that the step has capacity, but its tickets have expired.
+	waitsForRenewal
+	// waitsForRetry means that a request for advice has failed.
+	waitsForRetry
+	// waitsForRoom means that no allowed worker, or too few for a gang, has free capacity.
+	waitsForRoom
+	// waitsForLimit means that the team's limit is reached.
+	waitsForLimit
+	waitReasons
+)
+
+// String returns the name of the reason in metrics.
+func (r waitReason) String() string {
+	return [waitReasons]string{"placed", "advice", "renewal", "retry", "room", "limit"}[r]
 }
 
 // planner holds the inputs and the result of one planning round. It reads no clock
@@ -77,16 +103,21 @@
 		p.planSteps(readySteps)
 	})
 	t.reserved = p.reserved
+	t.leader.metrics.recordWaiting(&p.waiting)
 	t.mu.Lock()
 	for _, k := range p.newlyBlocked {
 		t.lastPreemption[k] = p.now + preemptionDelay - preemptionRetryDelay
 	}
 	t.mu.Unlock()
+	deferred := 0
 	for _, q := range p.adviceRequests {
-		if t.advice.request(q) && len(q.stops) > 0 {
+		if !t.advice.request(q) {
+			deferred++
+		} else if len(q.stops) > 0 {
 			t.preempt(q.stops, q.step)
 		}
 	}
+	t.leader.metrics.adviceDeferred.Update(float64(deferred))
 	for _, stopped := range p.stops {
 		t.preempt([]victim{stopped}, p.reserved[stopped.worker])
 	}
@@ -150,7 +181,8 @@
 	t.spawn(func() { s.start(o) })
 }
 
-// planSteps plans the ready steps in the given order.
+// planSteps plans the ready steps in the given order and counts them by what they wait
+// for.
 func (p *planner) planSteps(readySteps []*readyStep) {
 	for _, rs := range readySteps {
 		if rs.queue.Advice == nil {
@@ -163,27 +195,35 @@
 		}
 	}
 	for _, rs := range readySteps {
-		p.planStep(rs)
+		p.waiting[p.planStep(rs)]++
 	}
 }
 
-// planStep places as many tasks of a step as possible, or requests advice for it.
-func (p *planner) planStep(rs *readyStep) {
+// planStep places as many tasks of a step as possible, or requests advice for it. It
+// returns what the step waits for afterwards.
+func (p *planner) planStep(rs *readyStep) waitReason {
 	advice := rs.advice
 	if rs.queue.Advice != nil {
 		if advice == nil {
-			p.requestAdvice(rs, p.workersToQuery(rs, nil), nil)
-			return
+			workers := p.workersToQuery(rs, nil)
+			if len(workers) == 0 {
+				return waitsForRoom
+			}
+			p.requestAdvice(rs, workers, nil)
+			return waitsForAdvice
 		}
-		if advice.inFlight > 0 || p.now < advice.retryAt {
-			return
+		if advice.inFlight > 0 {
+			return waitsForAdvice
+		}
+		if p.now < advice.retryAt {
+			return waitsForRetry
 		}
 	}
 	fitting := p.fitting(rs, advice)
 	tasks := rs.startableTasks()
 	if room := p.tasksWithinLimit(rs); room < len(tasks) {
 		if rs.step.Gang {
-			return
+			return waitsForLimit
 		}
 		tasks = tasks[:room]
 	}
@@ -196,28 +236,32 @@
 		if advice != nil {
 			if more := p.workersToQuery(rs, advice); p.worthQuerying(rs, advice, more, len(tasks)-len(placed)) {
 				p.requestAdvice(rs, more, nil)
-				return
+				return waitsForAdvice
 			}
 		}
 		if !p.preempt(rs, tasks) {
 			p.reserve(rs)
 		}
-		return
+		return waitsForRoom
 	}
 	if advice != nil && len(placed) < len(tasks) {
 		if more := p.workersToQuery(rs, advice); len(more) > 0 && len(placed) == 0 {
 			p.requestAdvice(rs, more, nil)
-			return
+			return waitsForAdvice
 		}
 	}
 	if len(placed) == 0 {
-		return
+		if len(tasks) == 0 {
+			return waitsForLimit
+		}
+		return waitsForRoom
 	}
 	if advice != nil {
 		if p.hasExpiredTicket(placed, advice) {
 			p.requestAdvice(rs, p.renewals(rs, placed, fitting, advice), placed)
-			return
+			return waitsForRenewal
 		}
 	}
 	p.placements = append(p.placements, placed...)
+	return placedNow
 }
