dispatch: failing test for requests for advice that keep timing out

Cause, as the trace shows: the leader adds the stated cost of a call to the time at which it expects a caller to be idle and never corrects it by answers. Calls take a little longer than stated, the error adds up to the 0.4 s of slack in the time limit, and from then on calls end at their limit, just when the service has finished them: at the callers they had waited 1.2 to 1.3 s and been served for 0.62 s, their whole cost.

--- /dev/null
+++ b/internal/dispatch/advice_test.go
@@ -0,0 +1,106 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"laburnumgrade/internal/cell"
+	"laburnumgrade/internal/cellapi"
+	"laburnumgrade/internal/port"
+)
+
+// fakeAdvisers simulates processes that call the advice service. Each answers one
+// request at a time in the order of arrival, and finishes a request also if the caller
+// has given up.
+type fakeAdvisers struct {
+	terms cell.AdviceTerms
+	// overhead is what a call takes beyond its stated cost.
+	overhead time.Duration
+
+	mu                 sync.Mutex
+	idleAt             map[string]time.Time
+	answered, timedOut int
+}
+
+func (f *fakeAdvisers) Ask(ctx context.Context, peer string, q *cellapi.AdviceRequest) *cellapi.AdviceReply {
+	f.mu.Lock()
+	idleAt := f.idleAt[peer]
+	if idleAt.Before(time.Now()) {
+		idleAt = time.Now()
+	}
+	idleAt = idleAt.Add(f.terms.Cost(len(q.Workers)) + f.overhead)
+	f.idleAt[peer] = idleAt
+	f.mu.Unlock()
+	reply := &cellapi.AdviceReply{Tickets: map[string]string{}}
+	select {
+	case <-ctx.Done():
+		reply.Error = ctx.Err().Error()
+	case <-time.After(time.Until(idleAt)):
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if reply.Error != "" {
+		f.timedOut++
+	} else {
+		f.answered++
+	}
+	return reply
+}
+
+// takeCounts returns the numbers of answered and timed out requests and resets them.
+func (f *fakeAdvisers) takeCounts() (answered, timedOut int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	answered, timedOut = f.answered, f.timedOut
+	f.answered, f.timedOut = 0, 0
+	return answered, timedOut
+}
+
+// requestFor makes as many requests as the broker admits, for the given time.
+func requestFor(b *adviceBroker, terms cell.AdviceTerms, peers []string, duration time.Duration) {
+	var workers []*candidate
+	for i := range maxAdviceWorkers {
+		workers = append(workers, &candidate{id: fmt.Sprintf("w%02d", i)})
+	}
+	job := 0
+	for began := time.Now(); time.Since(began) < duration; time.Sleep(minPlanGap) {
+		for _, peer := range peers {
+			b.announce(peer, b.t.leader.Clock.Now())
+		}
+		for b.request(&adviceRequest{step: cell.StepKey{Job: fmt.Sprint(job)}, workers: workers, terms: terms}) {
+			job++
+		}
+	}
+}
+
+// Guards against requests for advice that keep timing out, and steps that are not
+// started, once a backlog has built up: calls that take longer than their stated cost must
+// not make the expected wait for a caller ever shorter than the actual one.
+func TestBacklogDoesNotMakeAdviceTimeOut(t *testing.T) {
+	for _, terms := range []cell.AdviceTerms{{DecideMS: 11, PerWorkerMS: 0.16}, {DecideMS: 80, PerWorkerMS: 1.1}, {DecideMS: 440, PerWorkerMS: 6.2}} {
+		t.Run(fmt.Sprint(terms.Cost(maxAdviceWorkers)), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				f := &fakeAdvisers{terms: terms, overhead: 10 * time.Millisecond, idleAt: map[string]time.Time{}}
+				l := New(Config{Log: &fakeLog{}, Clock: port.NewSystemClock(), AdviceClient: f, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope})
+				term := newTerm(ctx, l, 1, 0)
+				peers := []string{"p0", "p1", "p2"}
+				requestFor(term.advice, terms, peers, 30*time.Second)
+				f.takeCounts()
+				requestFor(term.advice, terms, peers, 30*time.Second)
+				answered, timedOut := f.takeCounts()
+				assert.Equal(t, timedOut, 0, "%d were answered", answered)
+				cancel()
+				term.wait()
+			})
+		})
+	}
+}
