dispatch: answers correct the expected wait for advice

Cause: the broker added the stated cost of each call to the time at which it expected the caller to be idle, and no answer corrected that. Calls take a little longer than stated. Under saturation the error added up to the slack of the time limit; from then on each call ended at its limit, just when the service had finished it, and was repeated: the requests themselves kept up the load that made them fail (congestion collapse). Change: a caller has a queue of its requests; each answer restarts the expected time of the next one, and a moving average of what calls take beyond their stated cost is part of the expectation. The error of an expectation is that of the calls in the queue now, and no longer of all calls before.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -33,6 +33,8 @@
 	// adviceTimeoutSlack is how much longer than its stated cost a request for
 	// advice may take.
 	adviceTimeoutSlack = 400 * time.Millisecond
+	// overheadWeight is the weight of the newest call in a caller's average overhead.
+	overheadWeight = 0.2
 )
 
 // adviceBroker caches the advice for steps and distributes the requests for it
@@ -47,15 +49,65 @@
 	steps   map[cell.StepKey]*stepAdvice
 }
 
-// caller is a process through which advice can be requested.
+// caller is a process through which advice can be requested. It makes one call to the
+// service at a time, in the order in which it gets the requests.
 type caller struct {
 	// lastSeen is when the process last announced itself.
 	lastSeen time.Duration
-	// idleAt is when all requests that the process was given should be answered.
-	idleAt time.Duration
 	// avoidUntil is the time until which the process gets no requests because one
 	// failed.
 	avoidUntil time.Duration
+	// queue holds the requests that the process was given and has not answered, in
+	// order. headSince is when it is taken to have begun the call for the first one.
+	queue     []*callerRequest
+	headSince time.Duration
+	// overhead is a moving average of what a call takes beyond its stated cost.
+	overhead time.Duration
+}
+
+// callerRequest is a request that a caller was given.
+type callerRequest struct {
+	peer string
+	// cost is the stated duration of the call to the service.
+	cost time.Duration
+}
+
+// idleAt returns when the caller should have answered all its requests.
+func (c *caller) idleAt(now time.Duration) time.Duration {
+	if len(c.queue) == 0 {
+		return now
+	}
+	idle := max(now, c.headSince+c.queue[0].cost+c.overhead)
+	for _, r := range c.queue[1:] {
+		idle += r.cost + c.overhead
+	}
+	return idle
+}
+
+// add appends a request to the caller's queue.
+func (c *caller) add(r *callerRequest, now time.Duration) {
+	if len(c.queue) == 0 {
+		c.headSince = now
+	}
+	c.queue = append(c.queue, r)
+}
+
+// finish removes a request from the caller's queue. served states whether the request was
+// answered. Every answer corrects the expected time of the following ones: an error that
+// added up would end requests at their time limit while the service still works on them.
+func (c *caller) finish(r *callerRequest, now time.Duration, served bool) {
+	i := slices.Index(c.queue, r)
+	if i < 0 {
+		return
+	}
+	if served && i == 0 {
+		excess := max(0, now-c.headSince-r.cost)
+		c.overhead += time.Duration(overheadWeight * float64(excess-c.overhead))
+	}
+	if served || i == 0 {
+		c.headSince = now
+	}
+	c.queue = slices.Delete(c.queue, i, i+1)
 }
 
 // stepAdvice is the advice for one step.
@@ -136,10 +188,9 @@
 	}
 }
 
-// chooseCaller returns the process that should answer a request of the given cost
-// first, empty if none can be used now, and adds the cost to its backlog. The
-// method's caller holds b.mu.
-func (b *adviceBroker) chooseCaller(now, cost time.Duration) string {
+// chooseCaller gives a request of the stated cost to the process that should answer it
+// first, and returns nil if none can be used now. The method's caller holds b.mu.
+func (b *adviceBroker) chooseCaller(now, cost time.Duration) *callerRequest {
 	var usable []string
 	for peer, c := range b.callers {
 		if now-c.lastSeen <= callerTTL && now >= c.avoidUntil {
@@ -153,15 +204,16 @@
 	best := ""
 	var bestAt time.Duration
 	for _, peer := range usable {
-		if at := max(b.callers[peer].idleAt, now); best == "" || at < bestAt {
+		if at := b.callers[peer].idleAt(now); best == "" || at < bestAt {
 			best, bestAt = peer, at
 		}
 	}
 	if best == "" || bestAt > now+maxCallerBacklog {
-		return ""
+		return nil
 	}
-	b.callers[best].idleAt = bestAt + cost
-	return best
+	r := &callerRequest{peer: best, cost: cost}
+	b.callers[best].add(r, now)
+	return r
 }
 
 // request starts a request for advice. It returns false if no process can be used
@@ -175,20 +227,21 @@
 		b.steps[q.step] = s
 	}
 	now := b.t.leader.Clock.Now()
-	cost := q.terms.Cost(len(q.workers))
-	peer := b.chooseCaller(now, cost)
-	if peer == "" {
+	r := b.chooseCaller(now, q.terms.Cost(len(q.workers)))
+	if r == nil {
 		return false // requested again by a later plan
 	}
-	timeout := max(0, b.callers[peer].idleAt-now) + adviceTimeoutSlack
+	expected := b.callers[r.peer].idleAt(now) - now
 	s.inFlight++
 	s.heldPlacements = q.heldPlacements
-	b.t.spawn(func() { b.queryService(peer, q, timeout) })
+	b.t.spawn(func() { b.queryService(r, q, expected) })
 	return true
 }
 
-// queryService sends a request through a process and records the answer.
-func (b *adviceBroker) queryService(peer string, q *adviceRequest, timeout time.Duration) {
+// queryService sends a request through the process that it was given to and records the
+// answer. expected is the expected time until the answer.
+func (b *adviceBroker) queryService(r *callerRequest, q *adviceRequest, expected time.Duration) {
+	timeout := expected + adviceTimeoutSlack
 	ctx, cancel := context.WithTimeout(b.t.ctx, timeout)
 	defer cancel()
 	sent := b.t.leader.Clock.Now()
@@ -196,11 +249,11 @@
 	for _, w := range q.workers {
 		request.Workers = append(request.Workers, w.id)
 	}
-	reply := b.t.leader.AdviceClient.Ask(ctx, peer, request)
+	reply := b.t.leader.AdviceClient.Ask(ctx, r.peer, request)
 	now := b.t.leader.Clock.Now()
 	b.t.leader.metrics.advice.Inc(1)
 	b.t.leader.metrics.adviceWait.RecordDuration(now - sent)
-	b.t.leader.metrics.adviceDelay.RecordDuration(max(0, now-sent-(timeout-adviceTimeoutSlack)))
+	b.t.leader.metrics.adviceDelay.RecordDuration(max(0, now-sent-expected))
 	if reply.Error != "" {
 		b.t.leader.metrics.adviceErrors.Inc(1)
 	}
@@ -208,9 +261,10 @@
 	s := b.steps[q.step]
 	s.inFlight--
 	s.heldPlacements = nil
+	b.callers[r.peer].finish(r, now, reply.Error == "")
 	if reply.Error != "" {
 		s.retryAt = now + retryDelay
-		b.callers[peer].avoidUntil = now + adviceTimeoutSlack
+		b.callers[r.peer].avoidUntil = now + adviceTimeoutSlack
 	} else {
 		validity := reply.ValidityMS
 		if validity == 0 {
@@ -226,11 +280,11 @@
 	}
 	b.mu.Unlock()
 	if reply.Error != "" && b.t.ctx.Err() == nil {
-		b.t.leader.Logger.Warn("no advice", logging.Step("advise"), logging.Peer(peer), logging.Job(q.step.Job), "error", reply.Error, "waited_ms", (now - sent).Milliseconds(), "expected_ms", (timeout - adviceTimeoutSlack).Milliseconds())
+		b.t.leader.Logger.Warn("no advice", logging.Step("advise"), logging.Peer(r.peer), logging.Job(q.step.Job), "error", reply.Error, "waited_ms", (now - sent).Milliseconds(), "expected_ms", expected.Milliseconds())
 	}
 	if reply.Error == "" {
-		b.t.leader.Logger.Info("advice obtained", logging.Step("advise"), logging.Peer(peer), logging.Job(q.step.Job), "workers", len(q.workers), "allowed", len(reply.Tickets), "renewal", len(q.heldPlacements) > 0,
-			"waited_ms", (now - sent).Milliseconds(), "expected_ms", (timeout - adviceTimeoutSlack).Milliseconds())
+		b.t.leader.Logger.Info("advice obtained", logging.Step("advise"), logging.Peer(r.peer), logging.Job(q.step.Job), "workers", len(q.workers), "allowed", len(reply.Tickets), "renewal", len(q.heldPlacements) > 0,
+			"waited_ms", (now - sent).Milliseconds(), "expected_ms", expected.Milliseconds())
 	}
 	b.t.leader.wakePlanner()
 }
--- a/internal/dispatch/plan_test.go
+++ b/internal/dispatch/plan_test.go
@@ -165,21 +165,21 @@
 	for i := range 6 {
 		b.announce(fmt.Sprintf("p%d", i), 0)
 	}
-	for b.chooseCaller(0, 600*time.Millisecond) != "" {
+	for b.chooseCaller(0, 600*time.Millisecond) != nil {
 	}
 	free := 0
 	for _, c := range b.callers {
-		if c.idleAt == 0 {
+		if len(c.queue) == 0 {
 			free++
 		}
 	}
 	assert.Equal(t, free, 2)
-	assert.Assert(t, b.chooseCaller(0, 15*time.Millisecond) != "")
+	assert.Assert(t, b.chooseCaller(0, 15*time.Millisecond) != nil)
 	for i := range 5 {
 		b.callers[fmt.Sprintf("p%d", i)].avoidUntil = time.Second
 	}
-	b.callers["p5"].idleAt = 0
-	assert.Equal(t, b.chooseCaller(0, 600*time.Millisecond), "p5", "the last caller takes all calls")
+	b.callers["p5"].queue = nil
+	assert.Equal(t, b.chooseCaller(0, 600*time.Millisecond).peer, "p5", "the last caller takes all calls")
 }
 
 // Guards against a request for advice of half a second for each worker that is new
