--- a/cmd/lg-cell/main.go
+++ b/cmd/lg-cell/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"time"
 
+	"laburnumgrade/internal/adviser"
 	"laburnumgrade/internal/cellnode"
 	"laburnumgrade/internal/config"
 	"laburnumgrade/internal/dispatch"
@@ -62,7 +63,7 @@
 		Bootstrap:     c.Bootstrap,
 		Clock:         port.NewBootClock(),
 		Workers:       platform.NewWorkers(),
-		Adviser:       platform.NewAdviser(c.AdviceAddress.String(), logger, telemetry.Scope),
+		Adviser:       adviser.NewQueue(platform.NewAdviser(c.AdviceAddress.String()), logger, telemetry.Scope),
 		Machines:      newMachines(c),
 		Bounds: dispatch.Bounds{
 			MaxLease:          c.MaxLease,
--- a/cmd/lg-gateway/main.go
+++ b/cmd/lg-gateway/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"time"
 
+	"laburnumgrade/internal/adviser"
 	"laburnumgrade/internal/cellapi"
 	"laburnumgrade/internal/config"
 	"laburnumgrade/internal/gateway"
@@ -48,7 +49,7 @@
 		c.PublicAddress.String():        platform.ClientHandler(g, logger, telemetry.Scope),
 		c.ReadinessAddress.String():     platform.ReadinessHandler(g.Ready),
 		c.Process.AdminAddress.String(): telemetry.Metrics,
-		c.PeerAddress.String():          cellapi.Handler(nil, platform.NewAdviser(c.AdviceAddress.String(), logger, telemetry.Scope)),
+		c.PeerAddress.String():          cellapi.Handler(nil, adviser.NewQueue(platform.NewAdviser(c.AdviceAddress.String()), logger, telemetry.Scope)),
 	})
 	if err != nil {
 		return err
