adviser: hopeless calls are not sent, and calls in progress are not abandoned

Cause: a process sent a call to the advice service as long as its request had any time left, and dropped it at the request's time limit. The service works on a call all the same, so the next call waited there, where neither the process nor the leader saw it. Evidence: in the trace, calls of 15.8 ms were sent with 3 to 18 ms left, one after the other, none of them answered. Change: a request states the cost of its call; it is refused at once when less time is left. A call that was sent keeps the next one back until it ends, at most for twice its cost and 0.5 s.

--- a/internal/adviser/queue.go
+++ b/internal/adviser/queue.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
 	"laburnumgrade/internal/cellapi"
@@ -28,12 +29,16 @@
 
 var _ cellapi.Adviser = (*Queue)(nil)
 
-// queueMetrics counts requests by their outcome: answered, not sent because earlier calls
-// took too long, and failed after they were sent. wait is the time before a call is sent,
-// call the time until its answer.
+// callSlack is what a call may take beyond twice its stated cost before its connection is
+// given up.
+const callSlack = 500 * time.Millisecond
+
+// queueMetrics counts calls that were answered and that failed, requests that were not
+// sent because earlier calls took too long, and requests whose time limit came during
+// their call. wait is the time before a call is sent, call the time until its answer.
 type queueMetrics struct {
-	answered, unsent, failed tally.Counter
-	wait, call               tally.Histogram
+	answered, failed, unsent, abandoned tally.Counter
+	wait, call                          tally.Histogram
 }
 
 // NewQueue returns a queue for a service.
@@ -42,45 +47,73 @@
 	return &Queue{
 		service: service, logger: logger, slot: make(chan struct{}, 1),
 		metrics: queueMetrics{
-			answered: scope.Counter("adviser_answered"), unsent: scope.Counter("adviser_unsent"), failed: scope.Counter("adviser_failed"),
+			answered: scope.Counter("adviser_answered"), failed: scope.Counter("adviser_failed"),
+			unsent: scope.Counter("adviser_unsent"), abandoned: scope.Counter("adviser_abandoned"),
 			wait: scope.Histogram("adviser_wait", buckets), call: scope.Histogram("adviser_service", buckets),
 		},
 	}
 }
 
+// errUnsent is the reason of requests whose time limit is too near for a call.
+var errUnsent = errors.New("the time limit is too near for a call")
+
 // Advise implements cellapi.Adviser. The request's timeout includes the time in which it
-// waits for earlier requests.
+// waits for earlier requests. A request that cannot be answered in time is not sent, and a
+// call that was sent keeps later ones back until it ends, even if its request has timed
+// out: the service works on it all the same.
 func (a *Queue) Advise(ctx context.Context, q *cellapi.AdviceRequest) *cellapi.AdviceReply {
 	received := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(q.TimeoutMS)*time.Millisecond)
 	defer cancel()
 	select {
 	case a.slot <- struct{}{}:
-		defer func() { <-a.slot }()
 	case <-ctx.Done():
-		a.metrics.unsent.Inc(1)
-		a.log(q, "advice request not sent", received, time.Time{}, ctx.Err())
-		return &cellapi.AdviceReply{Error: "earlier requests took too long"}
+		return a.refuse(q, received, ctx.Err())
+	}
+	cost := time.Duration(q.CostMS) * time.Millisecond
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < cost || ctx.Err() != nil {
+		<-a.slot
+		return a.refuse(q, received, errUnsent)
+	}
+	a.metrics.wait.RecordDuration(time.Since(received))
+	reply := make(chan *cellapi.AdviceReply, 1)
+	go func() { reply <- a.call(context.WithoutCancel(ctx), q, 2*cost+callSlack) }()
+	select {
+	case r := <-reply:
+		return r
+	case <-ctx.Done():
+		a.metrics.abandoned.Inc(1)
+		a.log(q, "advice request abandoned", received, ctx.Err())
+		return &cellapi.AdviceReply{Error: ctx.Err().Error()}
 	}
+}
+
+// call makes a call to the service within the time limit and frees the slot.
+func (a *Queue) call(ctx context.Context, q *cellapi.AdviceRequest, limit time.Duration) *cellapi.AdviceReply {
+	defer func() { <-a.slot }()
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	sent := time.Now()
-	a.metrics.wait.RecordDuration(sent.Sub(received))
 	answer, err := a.service.Ask(ctx, q)
 	a.metrics.call.RecordDuration(time.Since(sent))
 	if err != nil {
 		a.metrics.failed.Inc(1)
-		a.log(q, "advice request failed", received, sent, err)
+		a.log(q, "advice request failed", sent, err)
 		return &cellapi.AdviceReply{Error: err.Error()}
 	}
 	a.metrics.answered.Inc(1)
 	return answer
 }
 
-// log logs a request without an answer. sent is zero if the request was not sent.
-func (a *Queue) log(q *cellapi.AdviceRequest, message string, received, sent time.Time, err error) {
-	waited, inService := time.Since(received), time.Duration(0)
-	if !sent.IsZero() {
-		waited, inService = sent.Sub(received), time.Since(sent)
-	}
-	a.logger.Warn(message, logging.Step("advise"), logging.Job(q.Step.Job), "workers", len(q.Workers),
-		"waited_ms", waited.Milliseconds(), "in_service_ms", inService.Milliseconds(), "timeout_ms", q.TimeoutMS, logging.Error(err))
+// refuse returns the reply to a request that was not sent.
+func (a *Queue) refuse(q *cellapi.AdviceRequest, received time.Time, err error) *cellapi.AdviceReply {
+	a.metrics.unsent.Inc(1)
+	a.log(q, "advice request not sent", received, err)
+	return &cellapi.AdviceReply{Error: "earlier requests took too long"}
+}
+
+// log logs a request without an answer and the time since it was received or sent.
+func (a *Queue) log(q *cellapi.AdviceRequest, message string, since time.Time, err error) {
+	a.logger.Warn(message, logging.Step("advise"), logging.Job(q.Step.Job), "workers", len(q.Workers), "waited_ms", time.Since(since).Milliseconds(),
+		"timeout_ms", q.TimeoutMS, "cost_ms", q.CostMS, logging.Error(err))
 }
--- a/internal/cellapi/message.go
+++ b/internal/cellapi/message.go
@@ -91,8 +91,11 @@
 type AdviceRequest struct {
 	Step    cell.StepKey `cbor:"1,keyasint,omitempty"`
 	Workers []string     `cbor:"2,keyasint,omitempty"`
-	// TimeoutMS is the timeout of the call to the advice service in milliseconds.
+	// TimeoutMS is the time in milliseconds in which the request must be answered,
+	// including the time in which it waits for earlier requests.
 	TimeoutMS int64 `cbor:"3,keyasint,omitempty"`
+	// CostMS is the stated duration of the call to the advice service in milliseconds.
+	CostMS int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // AdviceReply contains the workers that may run the step.
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -245,7 +245,7 @@
 	ctx, cancel := context.WithTimeout(b.t.ctx, timeout)
 	defer cancel()
 	sent := b.t.leader.Clock.Now()
-	request := &cellapi.AdviceRequest{Step: q.step, TimeoutMS: timeout.Milliseconds()}
+	request := &cellapi.AdviceRequest{Step: q.step, TimeoutMS: timeout.Milliseconds(), CostMS: r.cost.Milliseconds()}
 	for _, w := range q.workers {
 		request.Workers = append(request.Workers, w.id)
 	}
