dispatch: a caller that has not answered gets one request for advice at a time

Callers: in the seconds after a restart of all processes, urgent jobs wait for advice that is not answered in time. Cause: a new leader knows nothing of the callers, gave each up to 0.9 s of calls at their stated cost, and learned only later that a process that is starting takes several times as long for each. Change: a caller that is new, or whose last request failed, gets one request; its answer sets the caller's overhead in full, and the following ones are averaged. TestUnprovenCallerGetsOneRequest failed before (the second request was admitted).

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -63,6 +63,9 @@
 	headSince time.Duration
 	// overhead is a moving average of what a call takes beyond its stated cost.
 	overhead time.Duration
+	// proven is set while the last request to end was answered. A process that is not
+	// proven, since it is new or a request failed, gets one request at a time.
+	proven bool
 }
 
 // callerRequest is a request that a caller was given.
@@ -100,10 +103,14 @@
 	if i < 0 {
 		return
 	}
-	if served && i == 0 {
-		excess := max(0, now-c.headSince-r.cost)
-		c.overhead += time.Duration(overheadWeight * float64(excess-c.overhead))
+	if excess := max(0, now-c.headSince-r.cost); served && i == 0 {
+		weight := overheadWeight
+		if !c.proven {
+			weight = 1
+		}
+		c.overhead += time.Duration(weight * float64(excess-c.overhead))
 	}
+	c.proven = served
 	if served || i == 0 {
 		c.headSince = now
 	}
@@ -204,7 +211,11 @@
 	best := ""
 	var bestAt time.Duration
 	for _, peer := range usable {
-		if at := b.callers[peer].idleAt(now); best == "" || at < bestAt {
+		c := b.callers[peer]
+		if !c.proven && len(c.queue) > 0 {
+			continue
+		}
+		if at := c.idleAt(now); best == "" || at < bestAt {
 			best, bestAt = peer, at
 		}
 	}
--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -104,3 +104,18 @@
 		})
 	}
 }
+
+// Guards against a backlog at a process that has just started, or does not answer: all
+// requests in it would time out.
+func TestUnprovenCallerGetsOneRequest(t *testing.T) {
+	b := newAdviceBroker(nil)
+	b.announce("new", 0)
+	first := b.chooseCaller(0, 15*time.Millisecond)
+	assert.Assert(t, first != nil && b.chooseCaller(0, 15*time.Millisecond) == nil)
+	b.callers["new"].finish(first, 45*time.Millisecond, true)
+	assert.Equal(t, b.callers["new"].overhead, 30*time.Millisecond)
+	second := b.chooseCaller(45*time.Millisecond, 15*time.Millisecond)
+	assert.Assert(t, second != nil && b.chooseCaller(45*time.Millisecond, 15*time.Millisecond) != nil)
+	b.callers["new"].finish(second, time.Second, false)
+	assert.Assert(t, b.chooseCaller(time.Second, 15*time.Millisecond) == nil)
+}
