tests: an address that refuses connections is not one that was free before

Callers saw: TestClientTellsRefusedFromUnknown fails now and then with a verdict "accepted" where a refusal is expected, if other tests run at the same time. Cause: the tests of cellapi, ctl and adapter/peer listened on a port that the kernel chose, closed it, and took its address for one that refuses connections. The kernel may give the port to the next listener, in another test process as well. The checks are as they were.

--- a/internal/adapter/peer/client_test.go
+++ b/internal/adapter/peer/client_test.go
@@ -36,12 +36,9 @@
 	return strings.TrimPrefix(s.URL, "http://")
 }
 
-func closedAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
+// closedAddress is an address that refuses connections. The kernel gives its port to no other
+// process, as it could give a port that was free a moment before.
+const closedAddress = "127.0.0.1:1"
 
 // TestGroupCall guards against calls that do not find the leader or keep
 // waiting for a process that hangs, and against calls that are reported as not
@@ -65,7 +62,6 @@
 	refusing := startFleet(t, func(context.Context) (*peerv1.RenewConfigResponse, error) {
 		return nil, twirp.NewError(twirp.InvalidArgument, "wrong")
 	})
-	closed := closedAddress(t)
 	cases := []struct {
 		name      string
 		addresses []string
@@ -74,10 +70,10 @@
 	}{
 		{"leader", []string{leader}, true, false},
 		{"through a follower", []string{follower}, true, false},
-		{"first is dead", []string{closed, leader}, true, false},
+		{"first is dead", []string{closedAddress, leader}, true, false},
 		{"first hangs", []string{hanging, leader}, true, false},
 		{"none leads", []string{alone}, false, false},
-		{"all dead", []string{closed}, false, false},
+		{"all dead", []string{closedAddress}, false, false},
 		{"all hang", []string{hanging}, false, true},
 		{"refused", []string{refusing, leader}, false, true},
 		{"no process", nil, false, false},
@@ -109,7 +105,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	client := NewHTTPClient(nil)
-	_, err := Call(ctx, NewGroupClient("g", client, []string{closedAddress(t)}), func(ctx context.Context, hc *http.Client, url string) (*peerv1.RenewConfigResponse, error) {
+	_, err := Call(ctx, NewGroupClient("g", client, []string{closedAddress}), func(ctx context.Context, hc *http.Client, url string) (*peerv1.RenewConfigResponse, error) {
 		return peerv1.NewFleetServiceProtobufClient(url, hc).RenewConfig(ctx, &peerv1.RenewConfigRequest{})
 	})
 	var call *CallError
@@ -122,7 +118,7 @@
 func TestTraceSent(t *testing.T) {
 	aborting := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
 	defer aborting.Close()
-	for url, want := range map[string]bool{"http://" + closedAddress(t): false, aborting.URL: true} {
+	for url, want := range map[string]bool{"http://" + closedAddress: false, aborting.URL: true} {
 		ctx, sent := TraceSent(context.Background())
 		r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader("x"))
 		assert.NilError(t, err)
--- a/internal/cellapi/client_test.go
+++ b/internal/cellapi/client_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
@@ -33,13 +32,9 @@
 	return strings.TrimPrefix(s.URL, "http://"), a
 }
 
-// closedAddress returns an address at which nothing listens.
-func closedAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
+// closedAddress is an address that refuses connections. The kernel gives its port to no other
+// process, as it could give a port that was free a moment before.
+const closedAddress = "127.0.0.1:1"
 
 func contextWithTimeout(t *testing.T, d time.Duration) context.Context {
 	ctx, cancel := context.WithTimeout(t.Context(), d)
@@ -56,7 +51,7 @@
 func TestClientFindsLeader(t *testing.T) {
 	leader, served := startServer(t, func(context.Context) *Reply { return &Reply{Verdict: cell.Accepted, Members: []string{"m"}} })
 	follower, asked := startServer(t, func(context.Context) *Reply { return &Reply{NotLeader: true, Leader: leader} })
-	c := NewClient([]string{closedAddress(t), follower}, discardLogger)
+	c := NewClient([]string{closedAddress, follower}, discardLogger)
 	for range 3 {
 		assert.Equal(t, c.Do(contextWithTimeout(t, 5*time.Second), statusCall).Verdict, cell.Accepted)
 	}
@@ -68,7 +63,7 @@
 // Guards against Refused for a call that may have been carried out, and against Unknown
 // for a call that was never sent.
 func TestClientTellsRefusedFromUnknown(t *testing.T) {
-	c := NewClient([]string{closedAddress(t)}, discardLogger)
+	c := NewClient([]string{closedAddress}, discardLogger)
 	r := c.Do(contextWithTimeout(t, 200*time.Millisecond), statusCall)
 	assert.Assert(t, r.Refused != "" && r.Unknown == "", "%+v", r)
 
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -180,7 +180,7 @@
 			ids := map[string]bool{}
 			for _, entry := range test.entries {
 				entry.resetIDs()
-				address := closedPort(t)
+				address := closedPort
 				if entry != nil {
 					address = entry.start(t)
 				}
--- a/internal/ctl/fake_test.go
+++ b/internal/ctl/fake_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,7 +11,6 @@
 
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
-	"gotest.tools/v3/assert"
 
 	"laburnumgrade/gen/apiv1"
 	"laburnumgrade/gen/apiv1/apiv1connect"
@@ -68,13 +66,9 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
-// closedPort returns an address that refuses connections.
-func closedPort(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	assert.NilError(t, listener.Close())
-	return listener.Addr().String()
-}
+// closedPort is an address that refuses connections. The kernel gives its port to no other
+// process, as it could give a port that was free a moment before.
+const closedPort = "127.0.0.1:1"
 
 // recordID records the id of a request.
 func (f *fakeEntry) recordID(id string) {
--- a/internal/ctl/timeline_test.go
+++ b/internal/ctl/timeline_test.go
@@ -35,7 +35,7 @@
 	first := serveTimeline(t, "entry-1", 1e12, timeline.Event{Kind: timeline.Submitted, Job: "j"},
 		timeline.Event{Kind: timeline.Refused, Job: "other", Detail: "<script>alert(1)</script>"})
 	second := serveTimeline(t, "control-1", 1e12+5, timeline.Event{Kind: timeline.Planned, Job: "j", Task: "0", Attempt: 4})
-	down := closedPort(t)
+	down := closedPort
 	page := filepath.Join(t.TempDir(), "page.html")
 
 	got := lgctl(nil, "", "timeline", "--admin", second, "--admin", down, "--admin", first, "--job", "j", "--html", page)
