cellapi: a call that ended before it had a connection is refused, not unknown

Callers saw: "unknown" for a call of which nothing was sent, if its context ended while the connection was being opened; and "refused" for a call that a process had received, if that process redirected it to one that refuses connections. Cause: Post judged by the kind of the error: a failed dial was "not received", everything else "may have been received". The end of a context during a dial is no dial error, and the dial error of a redirect says nothing about the process before it. Change: Post counts a failed request as received once it had a connection, whatever the error. This is TraceSent of adapter/peer, which moves to port so that cellapi can use it. A connection that was obtained and not written to counts as received, because a write may be in progress when the context ends. A call that picks an idle connection in the moment in which it is closed, and whose second dial is refused, was refused and is unknown now.

--- a/internal/adapter/peer/client.go
+++ b/internal/adapter/peer/client.go
@@ -4,10 +4,8 @@
 	"context"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -65,15 +63,6 @@
 	}
 }
 
-// TraceSent returns a context for one request and a function that reports
-// whether a part of the request may have been sent. It may have been once the
-// request has got a connection.
-func TraceSent(ctx context.Context) (context.Context, func() bool) {
-	sent := new(atomic.Bool)
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
-	return httptrace.WithClientTrace(ctx, trace), sent.Load
-}
-
 // NotLeader returns the twirp error by which a process that does not lead the
 // group redirects a caller to the leader's address, if that is known.
 func NotLeader(err *port.NotLeaderError) error {
@@ -155,7 +144,7 @@
 		if address == "" {
 			return zero, failure.Sent, failure
 		}
-		traced, connected := TraceSent(ctx)
+		traced, connected := port.TraceSent(ctx)
 		result, err := fn(traced, g.client, "http://"+address)
 		if err == nil {
 			g.setLeader(address)
--- a/internal/adapter/peer/client_test.go
+++ b/internal/adapter/peer/client_test.go
@@ -119,7 +119,7 @@
 	aborting := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
 	defer aborting.Close()
 	for url, want := range map[string]bool{"http://" + closedAddress: false, aborting.URL: true} {
-		ctx, sent := TraceSent(context.Background())
+		ctx, sent := port.TraceSent(context.Background())
 		r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader("x"))
 		assert.NilError(t, err)
 		client := NewInstanceClient(nil, 1)
--- a/internal/cellapi/client.go
+++ b/internal/cellapi/client.go
@@ -265,8 +265,10 @@
 }
 
 // Post sends an encoded request to a path at an address and decodes the CBOR response
-// into answer. reached is false if the process cannot have received the request.
+// into answer. reached is false if no part of the request was sent, so that the process
+// cannot have received it.
 func Post(ctx context.Context, client *http.Client, address, path string, data []byte, answer any) (reached bool, err error) {
+	ctx, sent := port.TraceSent(ctx)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(data))
 	if err != nil {
 		return false, port.AtStep("call", address, err)
@@ -274,9 +276,7 @@
 	request.Header.Set("Content-Type", "application/cbor")
 	response, err := client.Do(request)
 	if err != nil {
-		var dial *net.OpError
-		refused := errors.As(err, &dial) && dial.Op == "dial"
-		return !refused, port.AtStep("call", address, err)
+		return sent(), port.AtStep("call", address, err)
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
--- a/internal/cellapi/client_test.go
+++ b/internal/cellapi/client_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
@@ -116,3 +119,117 @@
 	assert.Equal(t, c.Do(contextWithTimeout(t, 5*time.Second), statusCall).Verdict, cell.Accepted)
 	assert.Equal(t, asked.calls.Load(), int64(1))
 }
+
+// blockedDial returns a client whose dials do not end before the test does, and a channel
+// that receives a value when a dial begins.
+func blockedDial(t *testing.T) (*http.Client, chan struct{}) {
+	began, release := make(chan struct{}, 10), make(chan struct{})
+	client := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		began <- struct{}{}
+		<-release
+		return (&net.Dialer{}).DialContext(context.WithoutCancel(ctx), network, address)
+	}}}
+	t.Cleanup(client.CloseIdleConnections)
+	t.Cleanup(func() { close(release) })
+	return client, began
+}
+
+// Guards against Unknown for a call whose context ends before it has a connection.
+func TestClientRefusesCallWithoutConnection(t *testing.T) {
+	address, served := startServer(t, func(context.Context) *Reply { return &Reply{Verdict: cell.Accepted} })
+	cancelled, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	for name, ctx := range map[string]context.Context{"cancelled": cancelled, "deadline": contextWithTimeout(t, 50*time.Millisecond)} {
+		t.Run(name, func(t *testing.T) {
+			c := NewClient([]string{address}, discardLogger)
+			var began chan struct{}
+			c.http, began = blockedDial(t)
+			go func() {
+				<-began
+				if name == "cancelled" {
+					cancel()
+				}
+			}()
+			r := c.Do(ctx, statusCall)
+			assert.Assert(t, r.Refused != "" && r.Unknown == "", "%+v", r)
+		})
+	}
+	assert.Equal(t, served.calls.Load(), int64(0))
+}
+
+// Guards against Refused for a call that got the connection of another call while its own
+// dial was in progress.
+func TestClientKeepsUnknownOnConnectionOfAnotherCall(t *testing.T) {
+	first, received := make(chan struct{}), make(chan struct{}, 2)
+	var calls atomic.Int64
+	address, _ := startServer(t, func(ctx context.Context) *Reply {
+		if calls.Add(1) == 1 {
+			received <- struct{}{}
+			<-first
+			return &Reply{Verdict: cell.Accepted}
+		}
+		received <- struct{}{}
+		<-ctx.Done()
+		return &Reply{}
+	})
+	client, began := blockedDial(t)
+	blocked := client.Transport.(*http.Transport).DialContext
+	var dials atomic.Int64
+	client.Transport.(*http.Transport).DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		if dials.Add(1) == 1 {
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		}
+		return blocked(ctx, network, address)
+	}
+	answered := make(chan error, 1)
+	go func() {
+		_, err := Post(t.Context(), client, address, callPath, emptyCall, &Reply{})
+		answered <- err
+	}()
+	<-received
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-began
+		close(first) // its connection becomes idle
+		<-received
+		cancel()
+	}()
+	reached, err := Post(ctx, client, address, callPath, emptyCall, &Reply{})
+	assert.ErrorIs(t, err, context.Canceled)
+	assert.Assert(t, reached)
+	assert.NilError(t, <-answered)
+}
+
+// Guards against a request that counts as not received although the process did receive
+// it, whatever error followed.
+func TestPostReached(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		answer func(w http.ResponseWriter, r *http.Request, leave func())
+	}{
+		{"context ends", func(_ http.ResponseWriter, r *http.Request, leave func()) { leave(); <-r.Context().Done() }},
+		{"connection closed", func(http.ResponseWriter, *http.Request, func()) { panic(http.ErrAbortHandler) }},
+		{"error status", func(w http.ResponseWriter, _ *http.Request, _ func()) {
+			http.Error(w, "x", http.StatusInternalServerError)
+		}},
+		{"malformed answer", func(w http.ResponseWriter, _ *http.Request, _ func()) { _, _ = w.Write([]byte{0xff}) }},
+		{"redirect to a dead process", func(w http.ResponseWriter, r *http.Request, _ func()) {
+			http.Redirect(w, r, "http://"+closedAddress+callPath, http.StatusTemporaryRedirect)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.ReadAll(r.Body) // the context of r ends with the connection only once the body is read
+				c.answer(w, r, cancel)
+			}))
+			defer s.Close()
+			client := NewHTTPClient(1)
+			defer client.CloseIdleConnections()
+			reached, err := Post(ctx, client, strings.TrimPrefix(s.URL, "http://"), callPath, emptyCall, &Reply{})
+			assert.Assert(t, err != nil)
+			assert.Assert(t, reached, "%v", err)
+		})
+	}
+}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -11,7 +11,6 @@
 	"laburnumgrade/gen/apiv1"
 	"laburnumgrade/gen/apiv1/apiv1connect"
 	"laburnumgrade/gen/peerv1"
-	"laburnumgrade/internal/adapter/peer"
 	"laburnumgrade/internal/port"
 	"laburnumgrade/internal/routing"
 )
@@ -101,7 +100,7 @@
 
 // invoke sends the call to the instance of a local grant.
 func (s *Server) invoke(ctx context.Context, m *apiv1.CallRequest, g routing.Grant, number int32, left time.Duration) (*apiv1.CallResponse, routing.Report) {
-	ctx, sent := peer.TraceSent(ctx)
+	ctx, sent := port.TraceSent(ctx)
 	reply, err := s.instanceClient(g.Address).Invoke(ctx, connect.NewRequest(&apiv1.InvokeRequest{
 		RequestId: m.RequestId, Attempt: number, Body: m.Body, DeadlineMs: max(left.Milliseconds(), 1),
 	}))
@@ -170,7 +169,7 @@
 
 // forward sends the call to the entry that grants the slots of the instances.
 func (s *Server) forward(ctx context.Context, m *apiv1.CallRequest, g routing.Grant, a attempt, left time.Duration) (*apiv1.CallResponse, routing.Report) {
-	ctx, sent := peer.TraceSent(ctx)
+	ctx, sent := port.TraceSent(ctx)
 	client := peerv1.NewEntryServiceProtobufClient("http://"+g.EntryAddress, s.client)
 	call := &apiv1.CallRequest{RequestId: m.RequestId, Team: m.Team, Service: m.Service, Body: m.Body, DeadlineMs: max(left.Milliseconds(), 1)}
 	reply, err := client.Forward(ctx, &peerv1.ForwardRequest{Call: call, Attempt: a.number, Tried: a.tried})
