ctl: a change that never had a connection is unreachable, not unknown

Cause: errorExit judged by the kind of the error: only a failed dial was "not sent", and the end of the timeout during a dial is none. Evidence: TestTimeoutBeforeConnection/no_connection fails on the code before with outcome_unknown. Change: a try whose request never had a connection is not sent. The case "no answer" of the test holds the other side: an entry that received the change and doesn't answer leaves the outcome unknown. Measured: go test -count=3 -run TestTimeoutBeforeConnection ./internal/ctl: ok; go test of the package, with and without -race: ok.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -1,8 +1,13 @@
 package ctl
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -14,6 +19,7 @@
 	"gotest.tools/v3/assert"
 
 	"laburnumgrade/gen/apiv1"
+	"laburnumgrade/gen/apiv1/apiv1connect"
 )
 
 const document = `[service]
@@ -203,6 +209,39 @@
 	}
 }
 
+// Guards against a change that is reported as possibly carried out although no entry
+// accepted a connection within the timeout, and against one that is reported as not sent
+// although an entry received it.
+func TestTimeoutBeforeConnection(t *testing.T) {
+	received := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body) // without this the end of the connection is not noticed
+		<-r.Context().Done()
+	}))
+	defer received.Close()
+	address := strings.TrimPrefix(received.URL, "http://")
+	for _, test := range []struct {
+		name    string
+		dial    func(ctx context.Context, network, address string) (net.Conn, error)
+		timeout time.Duration
+		exit    ExitCode
+	}{
+		{"no connection", func(context.Context, string, string) (net.Conn, error) {
+			<-t.Context().Done()
+			return nil, t.Context().Err()
+		}, 50 * time.Millisecond, ExitUnreachable},
+		{"no answer", (&net.Dialer{}).DialContext, 500 * time.Millisecond, ExitOutcomeUnknown},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			client := newHTTPClient()
+			client.Transport.(*http.Transport).DialContext = test.dial
+			defer client.CloseIdleConnections()
+			a := &app{Entry: []string{address}, Timeout: test.timeout, http: client, environment: Environment{Getenv: func(string) string { return "" }}}
+			_, report := sendToCallerService(a, teamChange("j"), apiv1connect.CallerServiceClient.SubmitJob, &apiv1.SubmitJobRequest{JobId: "j"})
+			assert.Equal(t, report.Exit, test.exit, "%+v", report)
+		})
+	}
+}
+
 // Guards against sending the wrong key or a malformed one.
 func TestKeySources(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "key")
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net"
 	"strings"
 
 	"connectrpc.com/connect"
@@ -65,12 +64,12 @@
 	prefixUnknown = "outcome unknown"
 )
 
-// errorExit returns the code for the error of one try. An error that leaves open
-// whether the request was carried out counts as an unknown outcome if the request
-// changes something, so that a change that took effect is never reported as
-// refused.
-func errorExit(err error, isChange bool) ExitCode {
-	if notSent(err) {
+// errorExit returns the code for the error of one try; sent is set if a part of the
+// request may have been sent. An error that leaves open whether the request was
+// carried out counts as an unknown outcome if the request changes something, so that
+// a change that took effect is never reported as refused.
+func errorExit(err error, sent, isChange bool) ExitCode {
+	if !sent {
 		return ExitUnreachable
 	}
 	if !connect.IsWireError(err) {
@@ -105,13 +104,6 @@
 	}
 }
 
-// notSent reports whether the connection could not be established, in which case
-// nothing was sent.
-func notSent(err error) bool {
-	var operation *net.OpError
-	return !connect.IsWireError(err) && errors.As(err, &operation) && operation.Op == "dial"
-}
-
 // either returns a if the condition is true, otherwise b.
 func either(condition bool, a, b ExitCode) ExitCode {
 	if condition {
--- a/internal/ctl/request.go
+++ b/internal/ctl/request.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 
 	"laburnumgrade/gen/apiv1/apiv1connect"
+	"laburnumgrade/internal/port"
 )
 
 const (
@@ -86,11 +87,11 @@
 			if !key.IsZero() {
 				request.Header().Set("Authorization", "Bearer "+key.Reveal())
 			}
-			answer, err := try(a, options, construct(a.http, "http://"+entry), call, request)
+			answer, sent, err := try(a, options, construct(a.http, "http://"+entry), call, request)
 			if err == nil {
 				return answer, nil
 			}
-			if failures.add(entry, err, options.isChange); !mayRetryElsewhere(err) {
+			if failures.add(entry, err, sent, options.isChange); !mayRetryElsewhere(err) {
 				return nil, failures.report(options)
 			}
 		}
@@ -98,15 +99,17 @@
 	return nil, failures.report(options)
 }
 
-// try sends the request to one entry.
-func try[C, Q, A any](a *app, options requestOptions, client C, call method[C, Q, A], request *connect.Request[Q]) (*A, error) {
+// try sends the request to one entry. With an error, sent is set if a part of the
+// request may have been sent.
+func try[C, Q, A any](a *app, options requestOptions, client C, call method[C, Q, A], request *connect.Request[Q]) (answer *A, sent bool, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), a.Timeout+options.extraTimeout)
 	defer cancel()
+	ctx, mayBeSent := port.TraceSent(ctx)
 	response, err := call(client, ctx, request)
 	if err != nil {
-		return nil, err
+		return nil, mayBeSent(), err
 	}
-	return response.Msg, nil
+	return response.Msg, true, nil
 }
 
 // mayRetryElsewhere reports whether another entry may answer with a result: this
@@ -129,8 +132,8 @@
 
 // add records a failed try. An error that an entry has answered takes precedence
 // over a connection failure in the report, because it is more specific.
-func (t *failedTries) add(entry string, err error, isChange bool) {
-	exit := errorExit(err, isChange)
+func (t *failedTries) add(entry string, err error, sent, isChange bool) {
+	exit := errorExit(err, sent, isChange)
 	t.mayHaveRun = t.mayHaveRun || exit == ExitOutcomeUnknown
 	isAnswer := connect.IsWireError(err)
 	if t.answered && !isAnswer {
