peer: the test of a group without a leader decides when its call ends

Callers saw: TestGroupCall/none_leads fails now and then with "true (call.Sent bool) != false (c.sent bool)". Cause: the test, not the code. It repeated refused calls until its second was over and took for granted that the second ends in a pause. If it ends while an attempt has a connection, the process may have received that attempt, and may lead by then; CallError.Sent must be true. An attempt that was answered "does not lead" never counted, so nothing can be made more exact. Change: the case is replaced by two tests in which the end of the context doesn't depend on time. TestGroupCallNoneLeads ends it at the fourth attempt: after the refusal (not sent), before the connection (not sent), after the process has received it (sent). TestGroupCallEndsInPause ends it in a pause after a second of refusals, by the clock of testing/synctest, and checks the number of attempts as well. The check for leaked goroutines holds for the first as it did for the case. The comment of CallError.Sent says which attempts count; the code is unchanged.

--- a/internal/adapter/peer/client.go
+++ b/internal/adapter/peer/client.go
@@ -112,7 +112,9 @@
 	Peer string
 	// Err is the error of the last attempt.
 	Err error
-	// Sent is true if a process may have received the call.
+	// Sent is true if a process may have received the call and has not answered that it
+	// does not lead. An attempt during which the context ended counts once it has got a
+	// connection.
 	Sent bool
 }
 
--- a/internal/adapter/peer/client_test.go
+++ b/internal/adapter/peer/client_test.go
@@ -5,10 +5,12 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -52,9 +54,6 @@
 	follower := startFleet(t, func(context.Context) (*peerv1.RenewConfigResponse, error) {
 		return nil, NotLeader(&port.NotLeaderError{Group: "g", Address: leader})
 	})
-	alone := startFleet(t, func(context.Context) (*peerv1.RenewConfigResponse, error) {
-		return nil, NotLeader(&port.NotLeaderError{Group: "g"})
-	})
 	hanging := startFleet(t, func(ctx context.Context) (*peerv1.RenewConfigResponse, error) {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -72,7 +71,6 @@
 		{"through a follower", []string{follower}, true, false},
 		{"first is dead", []string{closedAddress, leader}, true, false},
 		{"first hangs", []string{hanging, leader}, true, false},
-		{"none leads", []string{alone}, false, false},
 		{"all dead", []string{closedAddress}, false, false},
 		{"all hang", []string{hanging}, false, true},
 		{"refused", []string{refusing, leader}, false, true},
@@ -99,6 +97,95 @@
 	}
 }
 
+// TestGroupCallNoneLeads guards against a call that is reported as sent although every
+// process that received it answered that it does not lead, and against one that is
+// reported as not sent although its context ended while a process may have received it.
+func TestGroupCallNoneLeads(t *testing.T) {
+	ignore := goleak.IgnoreCurrent()
+	t.Cleanup(func() { goleak.VerifyNone(t, ignore) })
+	notLeader := NotLeader(&port.NotLeaderError{Group: "g"})
+	cases := []struct {
+		name string
+		// dial, receive and answered are called with the number of the attempt when it
+		// has no connection yet, has reached the process, and was answered.
+		dial, receive, answered func(attempt int64, end func())
+		attempts                int64
+		sent                    bool
+	}{
+		{name: "ends after a refusal", answered: endAt(4), attempts: 4, sent: false},
+		{name: "ends without a connection", dial: endAt(4), attempts: 4, sent: false},
+		{name: "ends with a connection", receive: endAt(4), attempts: 4, sent: true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			var attempts atomic.Int64
+			call := func(hook func(int64, func())) {
+				if hook != nil {
+					hook(attempts.Load(), cancel)
+				}
+			}
+			address := startFleet(t, func(request context.Context) (*peerv1.RenewConfigResponse, error) {
+				call(c.receive)
+				if ctx.Err() != nil {
+					<-request.Done()
+				}
+				return nil, notLeader
+			})
+			client := &http.Client{Transport: &http.Transport{
+				DisableKeepAlives: true,
+				DialContext: func(dial context.Context, network, address string) (net.Conn, error) {
+					call(c.dial)
+					if ctx.Err() != nil {
+						return nil, errors.New("no connection")
+					}
+					return (&net.Dialer{}).DialContext(dial, network, address)
+				},
+			}}
+			_, err := Call(ctx, NewGroupClient("g", client, []string{address}), WithAttemptTimeout(time.Minute, func(ctx context.Context, hc *http.Client, url string) (*peerv1.RenewConfigResponse, error) {
+				attempts.Add(1)
+				r, err := peerv1.NewFleetServiceProtobufClient(url, hc).RenewConfig(ctx, &peerv1.RenewConfigRequest{})
+				call(c.answered)
+				return r, err
+			}))
+			var failure *CallError
+			assert.Assert(t, errors.As(err, &failure), "%v", err)
+			assert.Equal(t, failure.Sent, c.sent, "%v", err)
+			assert.Equal(t, attempts.Load(), c.attempts)
+		})
+	}
+}
+
+// endAt returns a function that ends the call's context at an attempt.
+func endAt(attempt int64) func(int64, func()) {
+	return func(n int64, end func()) {
+		if n == attempt {
+			end()
+		}
+	}
+}
+
+// TestGroupCallEndsInPause guards against a call that is reported as sent, or that ends
+// early, although its context ended between attempts that were all refused.
+func TestGroupCallEndsInPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		attempts := 0
+		_, err := Call(ctx, NewGroupClient("g", nil, []string{"a"}), func(ctx context.Context, _ *http.Client, _ string) (int, error) {
+			attempts++
+			httptrace.ContextClientTrace(ctx).GotConn(httptrace.GotConnInfo{})
+			return 0, NotLeader(&port.NotLeaderError{Group: "g"})
+		})
+		var failure *CallError
+		assert.Assert(t, errors.As(err, &failure), "%v", err)
+		assert.Assert(t, !failure.Sent, "%v", err)
+		assert.ErrorIs(t, ctx.Err(), context.DeadlineExceeded)
+		assert.Equal(t, attempts, int(time.Second/retryDelay)+2) // the second attempt follows at once
+	})
+}
+
 // TestGroupCallTooLate guards against a call that is reported as sent although
 // its context ended before it had a connection.
 func TestGroupCallTooLate(t *testing.T) {
