--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -55,6 +55,9 @@
 	// Bootstrap allows a process with an empty data folder to bootstrap the group, if its own
 	// address is a seed.
 	Bootstrap bool
+	// Tolerance is the number of control processes whose simultaneous loss, disks
+	// included, the group must tolerate; 0 means 1.
+	Tolerance int
 	Clock     port.Clock
 	Workers   dispatch.Workers
 	// Machines is nil if there is no machine service.
--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
@@ -33,6 +34,7 @@
 	addresses []string
 	folders   []string
 	nodes     []*runningNode
+	tolerance int
 }
 
 // runningNode is a node with its HTTP server.
@@ -70,7 +72,7 @@
 	assert.NilError(s.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	node, err := Start(ctx, Config{
-		PeerAddress: s.addresses[i], PublicAddress: "public-" + s.addresses[i], Seeds: s.addresses[:3], Folder: s.folders[i], Bootstrap: bootstrap,
+		PeerAddress: s.addresses[i], PublicAddress: "public-" + s.addresses[i], Seeds: s.addresses[:3], Folder: s.folders[i], Bootstrap: bootstrap, Tolerance: s.tolerance,
 		Clock: port.NewBootClock(), Adviser: noAdviser{}, Bounds: dispatch.Bounds{EndedJobRetention: time.Hour, MaxLease: 6 * time.Second, RemoteFactor: 2},
 		Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 	})
@@ -226,6 +228,41 @@
 	assert.Equal(t, s.readVersion(3), byte(1))
 }
 
+// waitForGrowth waits until the group has the given number of voters, for at most the
+// time that a group under no load needs to add them.
+func (s *testCluster) waitForGrowth(voters int) {
+	s.t.Helper()
+	for deadline := time.Now().Add(4 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		if i := s.leader(); i >= 0 && len(s.nodes[i].node.replica.Status().Voters) == voters {
+			return
+		}
+	}
+}
+
+// loseDisks stops all nodes at once and starts them again; the leader and the other
+// voters that joined last, as many in all as given, start with empty disks.
+func (s *testCluster) loseDisks(lost int) {
+	s.t.Helper()
+	leader := s.leader()
+	assert.Assert(s.t, leader >= 0, "no node leads")
+	gone := []string{s.addresses[leader]}
+	voters := s.nodes[leader].node.replica.Status().Voters
+	for i := len(voters) - 1; i >= 0 && len(gone) < lost; i-- {
+		if voters[i].Address != s.addresses[leader] {
+			gone = append(gone, voters[i].Address)
+		}
+	}
+	for i := range s.nodes {
+		s.stop(i)
+	}
+	for i, address := range s.addresses {
+		if slices.Contains(gone, address) {
+			s.folders[i] = s.t.TempDir()
+		}
+		s.start(i, false)
+	}
+}
+
 // slowStorage is a storage whose appends take the given time.
 type slowStorage struct {
 	port.LogStorage
@@ -280,3 +317,47 @@
 	time.Sleep(2 * time.Second)
 	assert.Equal(t, s.leader(), -1)
 }
+
+// Guards against a group that loses acknowledged configurations, or its quorum for good,
+// when as many voters lose their disks at once as it must tolerate, while all other
+// processes restart.
+func TestGroupSurvivesTwoLostDisks(t *testing.T) {
+	s := newTestCluster(t, 5)
+	s.tolerance = 2
+	for i := range 5 {
+		s.start(i, true)
+	}
+	s.putConfiguration(0, 1)
+	s.waitForGrowth(5)
+	s.putConfiguration(3, 2)
+	s.loseDisks(2)
+	assert.Equal(t, s.readVersion(0), byte(2))
+	s.putConfiguration(4, 3)
+}
+
+// Guards against a group that a former voter with an outdated membership keeps from
+// electing a leader, after it was away for so long that it was replaced and two voters
+// have lost their disks since.
+func TestGroupWithReplacedVoterSurvivesTwoLostDisks(t *testing.T) {
+	for _, nodes := range []int{5, 6} {
+		t.Run(fmt.Sprintf("%d processes", nodes), func(t *testing.T) {
+			t.Parallel()
+			s := newTestCluster(t, nodes)
+			s.tolerance = 2
+			for i := range nodes {
+				s.start(i, true)
+			}
+			s.putConfiguration(0, 1)
+			s.waitForGrowth(5)
+			away := (s.leader() + 1) % 3
+			s.stop(away)
+			time.Sleep(voterSilenceTimeout + 2*time.Second)
+			s.start(away, false)
+			s.waitForGrowth(5)
+			s.putConfiguration(3, 2)
+			s.loseDisks(2)
+			assert.Equal(t, s.readVersion(0), byte(2))
+			s.putConfiguration(4, 3)
+		})
+	}
+}
