cellnode: the number of voters follows from the losses that must be tolerated

Cause: the group had three voters, while two lost disks are to be tolerated. Evidence: in the logs the two emptied disks were those of two of the three voters, the leader's and that of the spare that had taken a partitioned voter's place. The third could reach no majority. The former voter that came back has an outdated membership; its requests are refused, and its vote would not have counted. Change: settings tolerated_vms and tolerated_data_centres (0 to 3, default 1), filled in by the platform; 2f+1 voters, as far as processes exist, at least three. Announcements name the data centre; spares are taken from the one with the fewest voters, voters move out of crowded ones, surplus voters are removed, silent ones first. A change is given 2 s instead of 10 s at a time, so that one that hangs does not hold up the repair of a lost disk; it is continued afterwards.

--- a/cmd/lg-cell/main.go
+++ b/cmd/lg-cell/main.go
@@ -55,6 +55,8 @@
 	defer stopNode()
 	node, err := cellnode.Start(nodeCtx, cellnode.Config{
 		Name:          c.Process.Name,
+		DataCentre:    c.Process.DataCentre,
+		Tolerance:     cellnode.Tolerance{VMs: c.ToleratedVMs, DataCentres: c.ToleratedDataCentres},
 		PeerAddress:   c.PeerAddress.String(),
 		PublicAddress: c.PublicAddress.String(),
 		Seeds:         c.Seeds,
--- a/internal/cellapi/message.go
+++ b/internal/cellapi/message.go
@@ -53,6 +53,8 @@
 	// Peer and UnixMS are as in AnnounceAdviceCaller.
 	Peer   string `cbor:"2,keyasint,omitempty"`
 	UnixMS int64  `cbor:"3,keyasint,omitempty"`
+	// DataCentre is the data centre of the process.
+	DataCentre string `cbor:"4,keyasint,omitempty"`
 }
 
 // Reply is the answer to a Call. The call was carried out if Refused, Unknown and
--- a/internal/cellnode/member.go
+++ b/internal/cellnode/member.go
@@ -20,10 +20,11 @@
 	// changes.
 	repairInterval = 250 * time.Millisecond
 	// repairTimeout is the timeout of one membership change, including the transfer of a
-	// snapshot to the new replica.
-	repairTimeout = 10 * time.Second
-	// voterCount is the number of voters of the group; it tolerates the loss of one.
-	voterCount = 3
+	// snapshot to the new replica. A change that is not finished then is continued unless
+	// a more urgent one is due.
+	repairTimeout = 2 * time.Second
+	// settleTime is how long a new leader collects announcements before it adds voters.
+	settleTime = 2 * announceInterval
 	// voterSilenceTimeout is the time without an announcement after which a voter is
 	// replaced by a spare replica: longer than the restart of a process, shorter than
 	// most partitions.
@@ -38,14 +39,31 @@
 }
 
 // recordAnnouncement records the announcement of a replica with its time.
-func (n *Node) recordAnnouncement(id, address string) {
+func (n *Node) recordAnnouncement(a *cellapi.AnnounceReplica) {
 	n.announcements.mu.Lock()
 	defer n.announcements.mu.Unlock()
-	n.announcements.byName[membership.ProcessName(id)] = membership.Candidate{
-		Replica: membership.Replica{ID: id, Address: address}, LastSeen: n.config.Clock.Now(),
+	n.announcements.byName[membership.ProcessName(a.Replica)] = membership.Candidate{
+		Replica: membership.Replica{ID: a.Replica, Address: a.Peer}, DataCentre: a.DataCentre, LastSeen: n.config.Clock.Now(),
 	}
 }
 
+// voterCount returns the number of voters that the group should have: a majority of them
+// remains after the loss of as many VMs, or data centres with one voter each, as must be
+// tolerated.
+func (t Tolerance) voterCount() int { return 2*t.lostVoters() + 1 }
+
+// lostVoters returns the number of voters that may be lost at the same time.
+func (t Tolerance) lostVoters() int { return max(1, t.VMs, t.DataCentres) }
+
+// maxPerDataCentre returns the number of voters that one data centre may have, 0 if no loss
+// of a data centre need be tolerated.
+func (t Tolerance) maxPerDataCentre() int {
+	if t.DataCentres == 0 {
+		return 0
+	}
+	return t.lostVoters() / t.DataCentres
+}
+
 // liveAddresses returns the sorted addresses of the voters and of all other control
 // processes that announced a replica within voterSilenceTimeout.
 func (n *Node) liveAddresses() []string {
@@ -70,7 +88,7 @@
 func (n *Node) announceReplica(ctx context.Context) {
 	replica := n.replica.Status().ID
 	for {
-		announcement := &cellapi.AnnounceReplica{Replica: replica, Peer: n.config.PeerAddress, UnixMS: time.Now().UnixMilli()}
+		announcement := &cellapi.AnnounceReplica{Replica: replica, Peer: n.config.PeerAddress, UnixMS: time.Now().UnixMilli(), DataCentre: n.config.DataCentre}
 		callCtx, cancel := context.WithTimeout(ctx, announceInterval)
 		if r := n.Do(callCtx, &cellapi.Call{AnnounceReplica: announcement}); r.Refused != "" || r.Unknown != "" {
 			n.config.Logger.Debug("replica not announced", logging.Step("join"), "reason", r.Refused+r.Unknown)
@@ -93,7 +111,8 @@
 			continue
 		}
 		change := membership.Next(n.membershipView(since))
-		if change.Kind != membership.None {
+		settled := n.config.Clock.Now()-since >= settleTime
+		if change.Kind != membership.None && (change.Kind != membership.Add || settled) {
 			n.applyChange(ctx, change)
 		}
 	}
@@ -125,7 +144,8 @@
 func (n *Node) membershipView(since time.Duration) *membership.View {
 	s := n.replica.Status()
 	now := n.config.Clock.Now()
-	v := &membership.View{Candidates: map[string]membership.Candidate{}, Now: now, VoterTimeout: voterSilenceTimeout}
+	v := &membership.View{Candidates: map[string]membership.Candidate{}, Now: now, VoterTimeout: voterSilenceTimeout,
+		Leader: s.ID, LeaderSince: since, PreferredVoters: make([]string, n.config.Tolerance.voterCount()), MaxPerDataCentre: n.config.Tolerance.maxPerDataCentre()}
 	n.announcements.mu.Lock()
 	for name, c := range n.announcements.byName {
 		v.Candidates[name] = c
@@ -133,12 +153,7 @@
 	n.announcements.mu.Unlock()
 	for _, r := range s.Voters {
 		v.Voters = append(v.Voters, membership.Replica{ID: r.Id, Address: r.Address})
-		v.PreferredVoters = append(v.PreferredVoters, membership.ProcessName(r.Id))
-	}
-	for len(v.PreferredVoters) < voterCount {
-		v.PreferredVoters = append(v.PreferredVoters, "")
 	}
-	v.PreferredVoters = v.PreferredVoters[:voterCount]
 	for _, r := range s.Learners {
 		v.Learners = append(v.Learners, membership.Replica{ID: r.Id, Address: r.Address})
 	}
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -41,8 +41,9 @@
 
 // Config is the configuration of a node.
 type Config struct {
-	// Name is the name of the process.
-	Name string
+	// Name is the name of the process, and DataCentre the one in which it runs.
+	Name       string
+	DataCentre string
 	// PeerAddress is the address at which the process serves other processes, and
 	// PublicAddress the one at which it serves operators and workers.
 	PeerAddress   string
@@ -55,9 +56,8 @@
 	// Bootstrap allows a process with an empty data folder to bootstrap the group, if its own
 	// address is a seed.
 	Bootstrap bool
-	// Tolerance is the number of control processes whose simultaneous loss, disks
-	// included, the group must tolerate; 0 means 1.
-	Tolerance int
+	// Tolerance determines the number of voters of the group and where they are.
+	Tolerance Tolerance
 	Clock     port.Clock
 	Workers   dispatch.Workers
 	// Machines is nil if there is no machine service.
@@ -68,6 +68,14 @@
 	Scope    tally.Scope
 }
 
+// Tolerance is what may be lost at the same time, disks included, without the loss of
+// anything acknowledged, while the rest of the group goes on: as many control VMs, or all of
+// as many data centres. At least one VM is tolerated.
+type Tolerance struct {
+	VMs         int
+	DataCentres int
+}
+
 // Node is a running control process.
 type Node struct {
 	config        Config
@@ -132,7 +140,7 @@
 	}
 	close(started)
 	n.raft.Register(group, n.replica)
-	c.Logger.Info("replica started", logging.Step("start replica"), "id", id, "founder", initial != nil)
+	c.Logger.Info("replica started", logging.Step("start replica"), "id", id, "founder", initial != nil, "voters", c.Tolerance.voterCount())
 	go n.announceReplica(ctx)
 	go n.repairMembership(ctx)
 	go n.watchDisk(ctx, n.storage)
--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -34,7 +34,9 @@
 	addresses []string
 	folders   []string
 	nodes     []*runningNode
-	tolerance int
+	tolerance Tolerance
+	// dataCentres holds the data centre of each node; nil if they have none.
+	dataCentres []string
 }
 
 // runningNode is a node with its HTTP server.
@@ -71,8 +73,12 @@
 	l, err := net.Listen("tcp", s.addresses[i])
 	assert.NilError(s.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
+	dataCentre := ""
+	if s.dataCentres != nil {
+		dataCentre = s.dataCentres[i]
+	}
 	node, err := Start(ctx, Config{
-		PeerAddress: s.addresses[i], PublicAddress: "public-" + s.addresses[i], Seeds: s.addresses[:3], Folder: s.folders[i], Bootstrap: bootstrap, Tolerance: s.tolerance,
+		PeerAddress: s.addresses[i], PublicAddress: "public-" + s.addresses[i], Seeds: s.addresses[:3], Folder: s.folders[i], Bootstrap: bootstrap, Tolerance: s.tolerance, DataCentre: dataCentre,
 		Clock: port.NewBootClock(), Adviser: noAdviser{}, Bounds: dispatch.Bounds{EndedJobRetention: time.Hour, MaxLease: 6 * time.Second, RemoteFactor: 2},
 		Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 	})
@@ -323,7 +329,7 @@
 // processes restart.
 func TestGroupSurvivesTwoLostDisks(t *testing.T) {
 	s := newTestCluster(t, 5)
-	s.tolerance = 2
+	s.tolerance = Tolerance{VMs: 2}
 	for i := range 5 {
 		s.start(i, true)
 	}
@@ -343,7 +349,7 @@
 		t.Run(fmt.Sprintf("%d processes", nodes), func(t *testing.T) {
 			t.Parallel()
 			s := newTestCluster(t, nodes)
-			s.tolerance = 2
+			s.tolerance = Tolerance{VMs: 2}
 			for i := range nodes {
 				s.start(i, true)
 			}
@@ -361,3 +367,43 @@
 		})
 	}
 }
+
+// Guards against a group of which the loss of one data centre takes the majority although
+// there is a process in another.
+func TestVotersMoveOutOfCrowdedDataCentre(t *testing.T) {
+	s := newTestCluster(t, 4)
+	s.tolerance = Tolerance{VMs: 1, DataCentres: 1}
+	s.dataCentres = []string{"a", "a", "b", "c"}
+	for i := range 4 {
+		s.start(i, true)
+	}
+	s.putConfiguration(0, 1)
+	var got []string
+	for deadline := time.Now().Add(waitTimeout); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		got = nil
+		if i := s.leader(); i >= 0 {
+			for _, v := range s.nodes[i].node.replica.Status().Voters {
+				got = append(got, s.dataCentres[slices.Index(s.addresses, v.Address)])
+			}
+		}
+		slices.Sort(got)
+		if slices.Equal(got, []string{"a", "b", "c"}) {
+			return
+		}
+	}
+	t.Fatalf("the voters are in the data centres %v", got)
+}
+
+// Guards against an impossible number of voters, and against one that follows from only
+// one of the two tolerances.
+func TestVotersFollowFromTolerance(t *testing.T) {
+	for _, c := range []struct {
+		tolerance                Tolerance
+		voters, maxPerDataCentre int
+	}{
+		{Tolerance{}, 3, 0}, {Tolerance{1, 1}, 3, 1}, {Tolerance{2, 1}, 5, 2}, {Tolerance{2, 0}, 5, 0}, {Tolerance{1, 2}, 5, 1}, {Tolerance{3, 2}, 7, 1},
+	} {
+		assert.Equal(t, c.tolerance.voterCount(), c.voters)
+		assert.Equal(t, c.tolerance.maxPerDataCentre(), c.maxPerDataCentre)
+	}
+}
--- a/internal/config/cell.go
+++ b/internal/config/cell.go
@@ -12,6 +12,8 @@
 	maxLease                 = time.Minute
 	maxEndedJobRetention     = 24 * time.Hour
 	maxRemoteFactor          = 100
+	maxTolerated             = 3
+	defaultTolerated         = 1
 	defaultMaxLease          = 6 * time.Second
 	defaultEndedJobRetention = 2 * time.Minute
 	defaultCellDrain         = 5 * time.Second
@@ -69,6 +71,11 @@
 	// RemoteFactor is the ratio of the run time of a task outside the rack of its
 	// data to its run time inside.
 	RemoteFactor float64
+	// ToleratedVMs and ToleratedDataCentres are how many control VMs, or data centres,
+	// may be lost at the same time, disks included. The larger one determines the number
+	// of voters.
+	ToleratedVMs         int
+	ToleratedDataCentres int
 }
 
 // seedsKind is a list of addresses of control processes. Only their IP addresses
@@ -148,6 +155,9 @@
 		HolderLease:       optional(r, "cell", "holder_lease", durationKind(0, maxLease), defaultHolderLease),
 		MinServingTime:    optional(r, "cell", "notice", durationKind(0, maxLease), defaultMinServingTime),
 		RemoteFactor:      optional(r, "cell", "remote_factor", fractionKind(1, maxRemoteFactor), 1),
+
+		ToleratedVMs:         int(optional(r, "cell", "tolerated_vms", wholeKind(0, maxTolerated), defaultTolerated)),
+		ToleratedDataCentres: int(optional(r, "cell", "tolerated_data_centres", wholeKind(0, maxTolerated), defaultTolerated)),
 	}
 	if err := r.finish(); err != nil {
 		return nil, err
@@ -187,6 +197,8 @@
 	p.key("max_lease", c.MaxLease)
 	p.key("keep_ended", c.EndedJobRetention)
 	p.key("remote_factor", c.RemoteFactor)
+	p.key("tolerated_vms", c.ToleratedVMs)
+	p.key("tolerated_data_centres", c.ToleratedDataCentres)
 	if c.MachinesAddress.IsValid() {
 		p.key("machines", c.MachinesAddress)
 	}
--- a/internal/config/cell_test.go
+++ b/internal/config/cell_test.go
@@ -20,6 +20,7 @@
 max_lease = 6000ms
 keep_ended = 120s
 remote_factor = 3
+tolerated_vms = 2
 advice = 10.200.1.9:8182
 
 [listen]
@@ -37,6 +38,7 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, c.Seeds, []string{"10.1.0.20:7420", "10.2.0.18:7420", "10.3.0.38:7420"})
 	assert.Assert(t, c.Bootstrap && c.MaxLease == 6*time.Second && c.EndedJobRetention == 2*time.Minute && c.RemoteFactor == 3)
+	assert.Assert(t, c.ToleratedVMs == 2 && c.ToleratedDataCentres == 1)
 	again, err := ParseCell("f", []byte(c.String()))
 	assert.NilError(t, err)
 	assert.Equal(t, again.String(), c.String())
@@ -47,6 +49,7 @@
 	for _, change := range [][2]string{
 		{"seeds = ", "seeds = host:1,"}, {"bootstrap = yes", "bootstrap = perhaps"}, {"folder = /data", "folder = data"},
 		{"max_lease = 6000ms", "max_lease = 6000"}, {"[disk]", "[disc]"}, {"peer = 10.1.0.20:7420", "peer = 10.1.0.20:0"}, {"advice = ", "advise = "},
+		{"tolerated_vms = 2", "tolerated_vms = 4"}, {"tolerated_vms = 2", "tolerated_vms = -1"}, {"tolerated_vms = 2", "tolerated_vms = two"}, {"tolerated_vms = 2", "tolerated_data_centres = 4"},
 	} {
 		_, err := ParseCell("f", []byte(strings.Replace(cellSettings, change[0], change[1], 1)))
 		assert.Assert(t, err != nil, change[1])
@@ -57,7 +60,7 @@
 // against printed settings that ParseGateway rejects.
 func TestParseGateway(t *testing.T) {
 	text := strings.Replace(cellSettings, "[disk]\nfolder = /data/core\n", "", 1)
-	for _, key := range []string{"bootstrap", "max_lease", "keep_ended", "remote_factor"} {
+	for _, key := range []string{"bootstrap", "max_lease", "keep_ended", "remote_factor", "tolerated_vms"} {
 		at := strings.Index(text, key+" =")
 		text = text[:at] + text[at+strings.Index(text[at:], "\n")+1:]
 	}
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -355,7 +355,7 @@
 		b.log.apply = b.store.Apply
 		c := Config{
 			Log: b.log, Store: b.store, Clock: port.NewSystemClock(), Workers: b.fleet, PeerAddress: "self",
-			Members: func() []string { return nil }, OnJoin: func(string, string) {},
+			Members: func() []string { return nil }, OnJoin: func(*cellapi.AnnounceReplica) {},
 			Bounds: Bounds{EndedJobRetention: time.Hour, MaxLease: 6 * time.Second, RemoteFactor: 2}, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 		}
 		change(&c)
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"laburnumgrade/internal/cell"
+	"laburnumgrade/internal/cellapi"
 	"laburnumgrade/internal/logging"
 	"laburnumgrade/internal/port"
 )
@@ -44,7 +45,7 @@
 	// Members returns the peer addresses of the control processes.
 	Members func() []string
 	// OnJoin is called for each replica that announces itself.
-	OnJoin func(replica, peer string)
+	OnJoin func(*cellapi.AnnounceReplica)
 	Bounds Bounds
 	Logger *slog.Logger
 	Scope  tally.Scope
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -76,7 +76,7 @@
 		t.recordAnnouncement(c.AnnounceAdviceCaller.Peer, c.AnnounceAdviceCaller.UnixMS)
 		return &cellapi.Reply{Verdict: cell.Accepted}, false
 	case c.AnnounceReplica != nil:
-		l.OnJoin(c.AnnounceReplica.Replica, c.AnnounceReplica.Peer)
+		l.OnJoin(c.AnnounceReplica)
 		t.recordAnnouncement(c.AnnounceReplica.Peer, c.AnnounceReplica.UnixMS)
 		return &cellapi.Reply{Verdict: cell.Accepted, AdviceCallers: t.advice.availableCallers(l.Clock.Now())}, false
 	}
--- a/internal/membership/next.go
+++ b/internal/membership/next.go
@@ -32,6 +32,8 @@
 // announce themselves in the same way.
 type Candidate struct {
 	Replica
+	// DataCentre is the data centre of its process, empty if it is not known.
+	DataCentre string
 	// LastSeen is when it last announced itself.
 	LastSeen time.Duration
 }
@@ -40,7 +42,8 @@
 // themselves, as recorded by the group's leader.
 type View struct {
 	// PreferredVoters are the names of the processes that should be voters, in order of
-	// preference. Their number is the number of voters that the group should have.
+	// preference. Their number is the number of voters that the group should have. An
+	// empty name stands for any process.
 	PreferredVoters []string
 	Voters          []Replica
 	Learners        []Replica
@@ -52,6 +55,14 @@
 	Now      time.Duration
 	// VoterTimeout replaces DefaultVoterTimeout if it is not 0.
 	VoterTimeout time.Duration
+	// Leader is the id of the leader, which can't be removed, and LeaderSince is since when
+	// it leads. If Leader is empty, surplus voters stay.
+	Leader      string
+	LeaderSince time.Duration
+	// MaxPerDataCentre is the number of voters that may be in one data centre if spare
+	// replicas elsewhere allow it; 0 means that it is not limited. It has no effect if
+	// Leader is empty.
+	MaxPerDataCentre int
 }
 
 // Kind is the kind of a membership change.
@@ -79,7 +90,8 @@
 
 // Next returns the next change to make, of kind None if there is none. Restarted replicas
 // come first, since the members with their old ids no longer exist; then missing voters are
-// added, and last silent voters are replaced.
+// added and surplus ones removed, then silent voters are replaced, and last voters move
+// out of data centres with too many of them.
 func Next(v *View) Change {
 	live := v.live()
 	if c, ok := v.replaceRestarted(live); ok {
@@ -89,12 +101,18 @@
 		return c
 	}
 	if len(v.Voters) < len(v.PreferredVoters) {
-		if c, ok := v.spare(live); ok {
+		if c, ok := v.spare(live, ""); ok {
 			return Change{Kind: Add, New: c.Replica}
 		}
 		return Change{}
 	}
-	return v.replaceSilentVoter(live)
+	if c, ok := v.removeSurplusVoter(); ok {
+		return c
+	}
+	if c, ok := v.replaceSilentVoter(live); ok {
+		return c
+	}
+	return v.spreadVoters(live)
 }
 
 // live returns the candidates that announced themselves within candidateLifetime, those of
@@ -147,28 +165,128 @@
 	return Change{}, false
 }
 
-// spare returns the most preferred live candidate that is not a voter.
-func (v *View) spare(live []Candidate) (Candidate, bool) {
+// dataCentre returns the data centre of a voter, empty if it is not known.
+func (v *View) dataCentre(id string) string { return v.Candidates[ProcessName(id)].DataCentre }
+
+// votersIn returns the number of voters other than the given one in a data centre, 0 if the
+// data centre is not known.
+func (v *View) votersIn(dataCentre, except string) int {
+	count := 0
+	for _, r := range v.Voters {
+		if dataCentre != "" && r.ID != except && v.dataCentre(r.ID) == dataCentre {
+			count++
+		}
+	}
+	return count
+}
+
+// spare returns the most preferred live candidate that is not a voter; among equals the
+// one in the data centre with the fewest voters, where the voter that it replaces does not
+// count, and then one that is a learner already.
+func (v *View) spare(live []Candidate, replaced string) (Candidate, bool) {
+	var spares []Candidate
 	for _, c := range live {
-		if !slices.ContainsFunc(v.Voters, func(r Replica) bool { return r.ID == c.ID }) {
-			return c, true
+		if !contains(v.Voters, c.ID) {
+			spares = append(spares, c)
 		}
 	}
-	return Candidate{}, false
+	if len(spares) == 0 {
+		return Candidate{}, false
+	}
+	return slices.MinFunc(spares, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(v.rank(a), v.rank(b)),
+			cmp.Compare(v.votersIn(a.DataCentre, replaced), v.votersIn(b.DataCentre, replaced)),
+			-compareBool(contains(v.Learners, a.ID), contains(v.Learners, b.ID)),
+			strings.Compare(a.ID, b.ID))
+	}), true
 }
 
+func contains(list []Replica, id string) bool {
+	return slices.ContainsFunc(list, func(r Replica) bool { return r.ID == id })
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// timeout returns the silence after which a voter is replaced.
+func (v *View) timeout() time.Duration { return cmp.Or(v.VoterTimeout, DefaultVoterTimeout) }
+
 // replaceSilentVoter replaces a voter that has been silent for longer than the timeout, if there
 // is a spare replica.
-func (v *View) replaceSilentVoter(live []Candidate) Change {
-	c, ok := v.spare(live)
-	if !ok {
+func (v *View) replaceSilentVoter(live []Candidate) (Change, bool) {
+	for _, old := range v.Voters {
+		if v.Now-v.LastSeen(old.ID) <= v.timeout() {
+			continue
+		}
+		if c, ok := v.spare(live, old.ID); ok {
+			return Change{Kind: Replace, OldID: old.ID, New: c.Replica}, true
+		}
+	}
+	return Change{}, false
+}
+
+// removeSurplusVoter removes a voter if there are more than there should be, as after a
+// replacement that ended half-way: the one that was silent for longest if one is silent,
+// else one of the data centre with the most voters. The leader waits for the announcements
+// of all voters first.
+func (v *View) removeSurplusVoter() (Change, bool) {
+	if v.Leader == "" || len(v.Voters) <= len(v.PreferredVoters) || v.Now-v.LeaderSince <= v.timeout() {
+		return Change{}, false
+	}
+	var others []Replica
+	for _, r := range v.Voters {
+		if r.ID != v.Leader {
+			others = append(others, r)
+		}
+	}
+	if len(others) == 0 {
+		return Change{}, false
+	}
+	silence := func(r Replica) time.Duration {
+		if s := v.Now - v.LastSeen(r.ID); s > candidateLifetime {
+			return s
+		}
+		return 0
+	}
+	surplus := slices.MaxFunc(others, func(a, b Replica) int {
+		return cmp.Or(cmp.Compare(silence(a), silence(b)),
+			cmp.Compare(v.votersIn(v.dataCentre(a.ID), ""), v.votersIn(v.dataCentre(b.ID), "")),
+			strings.Compare(a.ID, b.ID))
+	})
+	return Change{Kind: Remove, OldID: surplus.ID}, true
+}
+
+// spreadVoters replaces a voter of the data centre with the most voters, if they are more
+// than MaxPerDataCentre and there is a spare replica in one with at least two fewer. It
+// waits until all voters have announced themselves.
+func (v *View) spreadVoters(live []Candidate) Change {
+	if v.Leader == "" || v.MaxPerDataCentre == 0 || len(v.Voters) != len(v.PreferredVoters) {
 		return Change{}
 	}
-	timeout := cmp.Or(v.VoterTimeout, DefaultVoterTimeout)
-	for _, old := range v.Voters {
-		if v.Now-v.LastSeen(old.ID) > timeout {
-			return Change{Kind: Replace, OldID: old.ID, New: c.Replica}
+	var crowded Replica
+	most := v.MaxPerDataCentre
+	for _, r := range v.Voters {
+		if !slices.ContainsFunc(live, func(c Candidate) bool { return c.ID == r.ID }) {
+			return Change{}
+		}
+		if count := v.votersIn(v.dataCentre(r.ID), ""); r.ID != v.Leader && count > most {
+			crowded, most = r, count
 		}
 	}
-	return Change{}
+	if crowded.ID == "" {
+		return Change{}
+	}
+	c, ok := v.spare(live, crowded.ID)
+	if !ok || c.DataCentre == "" || v.votersIn(c.DataCentre, "") > most-2 {
+		return Change{}
+	}
+	return Change{Kind: Replace, OldID: crowded.ID, New: c.Replica}
 }
--- a/internal/membership/next_test.go
+++ b/internal/membership/next_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -65,3 +66,54 @@
 		})
 	}
 }
+
+// TestNextSpreadsVoters guards against voters of which the loss of one data centre takes
+// the majority, against voters that move without need or before all are known, and
+// against surplus voters that stay, or the removal of a live one instead of a silent one.
+func TestNextSpreadsVoters(t *testing.T) {
+	all := "a1 a2 b1 b2 c1 c2 d1 d2"
+	tests := []struct {
+		name      string
+		voters    string
+		live      string
+		silent    string
+		learners  string
+		since     time.Duration
+		max, size int
+		want      Change
+	}{
+		{"fourth data centre first", "a1 b1 c1", all, "", "", 0, 2, 5, Change{Kind: Add, New: Replica{ID: "d1"}}},
+		{"silent voters do not count where they are replaced", "a1 b1 c1", "a1 a2 b1 b2", "c1", "", 0, 1, 3, Change{Kind: Replace, OldID: "c1", New: Replica{ID: "a2"}}},
+		{"data centre with fewest voters replaces a silent one", "a1 b1 c1 d1 a2", "a1 b1 b2 c1 d1 d2", "a2", "", 0, 2, 5, Change{Kind: Replace, OldID: "a2", New: Replica{ID: "b2"}}},
+		{"learner among equals", "a1 b1 c1 d1", all, "", "c2", 0, 2, 5, Change{Kind: Add, New: Replica{ID: "c2"}}},
+		{"two of three in one data centre", "a1 a2 b1", all, "", "", 0, 1, 3, Change{Kind: Replace, OldID: "a2", New: Replica{ID: "c1"}}},
+		{"two of five in one data centre", "a1 a2 b1 b2 c1", all, "", "", 0, 2, 5, Change{}},
+		{"no data centre with fewer", "a1 a2 b1", "a1 a2 b1 b2", "", "", 0, 1, 3, Change{}},
+		{"a voter is not yet known", "a1 a2 b1", "a1 a2 c1", "", "", 0, 1, 3, Change{}},
+		{"silent surplus voter", "a1 b1 c1 d1", "a1 b1 d1", "c1", "", 0, 1, 3, Change{Kind: Remove, OldID: "c1"}},
+		{"surplus voter in the most crowded data centre", "a1 b1 b2 c1", all, "", "", 0, 1, 3, Change{Kind: Remove, OldID: "b2"}},
+		{"surplus voter, new leader", "a1 b1 b2 c1", all, "", "", now - DefaultVoterTimeout, 1, 3, Change{}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			view := &View{
+				PreferredVoters: make([]string, test.size), Voters: replicas(strings.Fields(test.voters)...), Learners: replicas(strings.Fields(test.learners)...),
+				Candidates: candidates(now, strings.Fields(test.live)...), Now: now, Leader: "a1", LeaderSince: test.since, MaxPerDataCentre: test.max,
+				LastSeen: func(id string) time.Duration {
+					if strings.Contains(test.silent, id) && test.silent != "" {
+						return now - DefaultVoterTimeout - 1
+					}
+					return now
+				},
+			}
+			for name, c := range candidates(now-DefaultVoterTimeout-1, strings.Fields(test.silent)...) {
+				view.Candidates[name] = c
+			}
+			for name, c := range view.Candidates {
+				c.DataCentre = name[:1]
+				view.Candidates[name] = c
+			}
+			assert.DeepEqual(t, Next(view), test.want)
+		})
+	}
+}
