dispatch: a step has several requests for advice in flight

Cause: a step had one request in flight, for 30 workers. A queue that allows three workers in ten needs three such calls of 0.63 s one after the other for a gang of 35 that fits twice on a worker, and then a renewal. Renewals went the other way: one request named the workers of all placements, more than the service accepts for a gang on over 100 workers. TestWideGangRequestsAdviceAtOnce (1 request instead of 3) and TestRenewalOfManyTicketsIsDivided (one request for 120 workers) fail without the change. Change: a gang requests advice on as many workers as are expected to hold the missing tasks, by the share that answers for its queue allowed, in full requests, 8 at most; each goes to a process of its own. Renewals are divided in the same way, and the capacity is held until all are answered.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -35,6 +35,12 @@
 	adviceTimeoutSlack = 400 * time.Millisecond
 	// overheadWeight is the weight of the newest call in a caller's average overhead.
 	overheadWeight = 0.2
+	// shareWeight is the weight of the newest answer in the average share of allowed
+	// workers, defaultAllowedShare its value before any answer and minAllowedShare the
+	// least value used.
+	shareWeight         = 0.1
+	defaultAllowedShare = 0.5
+	minAllowedShare     = 0.05
 )
 
 // adviceBroker caches the advice for steps and distributes the requests for it
@@ -47,6 +53,8 @@
 	// callers holds the processes by peer address.
 	callers map[string]*caller
 	steps   map[cell.StepKey]*stepAdvice
+	// shares holds the share of workers that were allowed in the answers for each queue.
+	shares map[string]float64
 }
 
 // caller is a process through which advice can be requested. It makes one call to the
@@ -127,7 +135,7 @@
 	// inFlight is the number of requests without an answer so far.
 	inFlight int
 	// heldPlacements are placements that wait for the renewal of their tickets or
-	// for the preempted tasks on their workers to end.
+	// for the preempted tasks on their workers to end, until no request is in flight.
 	heldPlacements []cell.Placement
 	// retryAt is when the step may request advice again after a failed request.
 	retryAt time.Duration
@@ -141,7 +149,7 @@
 }
 
 func newAdviceBroker(t *term) *adviceBroker {
-	return &adviceBroker{t: t, callers: map[string]*caller{}, steps: map[cell.StepKey]*stepAdvice{}}
+	return &adviceBroker{t: t, callers: map[string]*caller{}, steps: map[cell.StepKey]*stepAdvice{}, shares: map[string]float64{}}
 }
 
 // announce records that a process can be used for advice.
@@ -271,7 +279,9 @@
 	b.mu.Lock()
 	s := b.steps[q.step]
 	s.inFlight--
-	s.heldPlacements = nil
+	if s.inFlight == 0 {
+		s.heldPlacements = nil
+	}
 	b.callers[r.peer].finish(r, now, reply.Error == "")
 	if reply.Error != "" {
 		s.retryAt = now + retryDelay
@@ -281,6 +291,9 @@
 		if validity == 0 {
 			validity = q.terms.ValidityMS
 		}
+		if len(q.heldPlacements) == 0 {
+			b.observeShare(q.queue, float64(len(reply.Tickets))/float64(len(q.workers)))
+		}
 		for _, w := range q.workers {
 			s.queried[w.id] = true
 			if value, ok := reply.Tickets[w.id]; ok {
@@ -300,6 +313,24 @@
 	b.t.leader.wakePlanner()
 }
 
+// observeShare records the share of workers that an answer allowed. The caller holds b.mu.
+func (b *adviceBroker) observeShare(queue string, share float64) {
+	if before, known := b.shares[queue]; known {
+		share = before + shareWeight*(share-before)
+	}
+	b.shares[queue] = share
+}
+
+// allowedShare returns the average share of workers that the answers for a queue allowed.
+func (b *adviceBroker) allowedShare(queue string) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if share, known := b.shares[queue]; known {
+		return max(minAllowedShare, share)
+	}
+	return defaultAllowedShare
+}
+
 // snapshot returns a copy of the advice for a step, nil if there is none.
 func (b *adviceBroker) snapshot(k cell.StepKey) *stepAdvice {
 	b.mu.Lock()
--- a/internal/dispatch/advice_plan.go
+++ b/internal/dispatch/advice_plan.go
@@ -10,17 +10,20 @@
 	// maxAdviceWorkers is the number of workers in one request for advice; each of
 	// them adds to the duration of the request.
 	maxAdviceWorkers = 30
+	// maxParallelRequests is the number of requests that one step may have in flight.
+	maxParallelRequests = 8
 	// usefulCapacityDivisor sets when a further long request for advice for a gang
 	// is sent: if it may find one in usefulCapacityDivisor of the missing
 	// capacity.
 	usefulCapacityDivisor = 4
 )
 
-// workersToQuery returns the workers for the next request for advice, those with
-// free capacity first, or none if no worker has free capacity. Workers without
-// free capacity are included because one more worker in a request costs far less
-// than one more request.
-func (p *planner) workersToQuery(rs *readyStep, advice *stepAdvice) []*candidate {
+// workersToQuery returns the workers to request advice on, those with free capacity
+// first, or none if no worker has free capacity: as many as one request may name, or
+// for a gang as many as are expected to have the capacity that it lacks. Workers
+// without free capacity are included because one more worker in a request costs far
+// less than one more request.
+func (p *planner) workersToQuery(rs *readyStep, advice *stepAdvice, missing int) []*candidate {
 	var withRoom, full []*candidate
 	for _, c := range p.candidates {
 		if c.service != rs.queue.Service || !c.worker.HasLabel(rs.step.Label) || advice.hasAnswerFor(c) {
@@ -38,7 +41,27 @@
 	p.rank(rs, withRoom)
 	p.rank(rs, full)
 	list := append(withRoom, full...)
-	return list[:min(len(list), maxAdviceWorkers)]
+	count := maxAdviceWorkers
+	if rs.step.Gang {
+		count = p.queryCount(rs, list, missing)
+	}
+	return list[:min(len(list), count)]
+}
+
+// queryCount returns how many of the listed workers a gang requests advice on at the same
+// time: full requests until the workers that are likely to be allowed hold the missing
+// tasks. Requests that follow each other would delay the gang by a whole call each.
+func (p *planner) queryCount(rs *readyStep, list []*candidate, missing int) int {
+	share, tasks := p.allowedShare(rs.queue.Name), 0
+	for i, c := range list {
+		if i%maxAdviceWorkers == 0 && (i == maxParallelRequests*maxAdviceWorkers || i > 0 && share*float64(tasks) >= float64(missing)) {
+			return i
+		}
+		if p.fits(rs, c) {
+			tasks += capPerWorker(rs.step, fitCount(rs.step.Claim(), c.free))
+		}
+	}
+	return len(list)
 }
 
 // worthQuerying reports whether a request for advice on more workers is expected
@@ -117,10 +140,21 @@
 	return list
 }
 
-// requestAdvice adds a request for advice to the plan.
+// requestAdvice adds requests for advice on the workers to the plan, of about equal size.
 func (p *planner) requestAdvice(rs *readyStep, workers []*candidate, held []cell.Placement) {
-	if len(workers) == 0 {
-		return
+	p.requestAdviceWith(rs, workers, held, nil)
+}
+
+// requestAdviceWith adds requests for advice to the plan. The stops are made with the first
+// of them.
+func (p *planner) requestAdviceWith(rs *readyStep, workers []*candidate, held []cell.Placement, stops []victim) {
+	requests := (len(workers) + maxAdviceWorkers - 1) / maxAdviceWorkers
+	for i := range requests {
+		part := workers[len(workers)*i/requests : len(workers)*(i+1)/requests]
+		q := &adviceRequest{step: rs.key, queue: rs.queue.Name, workers: part, terms: *rs.queue.Advice, heldPlacements: held}
+		if i == 0 {
+			q.stops = stops
+		}
+		p.adviceRequests = append(p.adviceRequests, q)
 	}
-	p.adviceRequests = append(p.adviceRequests, &adviceRequest{step: rs.key, workers: workers, terms: *rs.queue.Advice, heldPlacements: held})
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -12,6 +12,7 @@
 // adviceRequest is a request for advice that a plan contains.
 type adviceRequest struct {
 	step           cell.StepKey
+	queue          string
 	workers        []*candidate
 	terms          cell.AdviceTerms
 	heldPlacements []cell.Placement
@@ -66,6 +67,9 @@
 	// headroom is what each team may still use within its limit.
 	headroom map[string]structs.Resources
 	advice   func(cell.StepKey) *stepAdvice
+	// allowedShare returns the share of workers that steps of a queue may run on, as far
+	// as advice has shown.
+	allowedShare func(queue string) float64
 	// offRackFactor is the ratio of a task's run time outside the rack of its data
 	// to its run time inside. reservedGangCount counts the gangs for which this
 	// plan reserves workers.
@@ -82,7 +86,7 @@
 // planOnce makes a plan, commits its placements and sends the orders.
 func (t *term) planOnce() {
 	p := &planner{
-		now: t.leader.Clock.Now(), byID: map[string]*candidate{}, headroom: map[string]structs.Resources{}, advice: t.advice.snapshot,
+		now: t.leader.Clock.Now(), byID: map[string]*candidate{}, headroom: map[string]structs.Resources{}, advice: t.advice.snapshot, allowedShare: t.advice.allowedShare,
 		offRackFactor: t.leader.Bounds.RemoteFactor, plan: plan{reserved: map[string]cell.StepKey{}},
 	}
 	t.leader.Store.View(func(v *cell.View) {
@@ -205,7 +209,7 @@
 	advice := rs.advice
 	if rs.queue.Advice != nil {
 		if advice == nil {
-			workers := p.workersToQuery(rs, nil)
+			workers := p.workersToQuery(rs, nil, len(rs.occurrence.Tasks))
 			if len(workers) == 0 {
 				return waitsForRoom
 			}
@@ -234,7 +238,7 @@
 	if rs.step.Gang && len(placed) < len(tasks) {
 		p.undoPlacements(rs, placed)
 		if advice != nil {
-			if more := p.workersToQuery(rs, advice); p.worthQuerying(rs, advice, more, len(tasks)-len(placed)) {
+			if more := p.workersToQuery(rs, advice, len(tasks)-len(placed)); p.worthQuerying(rs, advice, more, len(tasks)-len(placed)) {
 				p.requestAdvice(rs, more, nil)
 				return waitsForAdvice
 			}
@@ -245,7 +249,7 @@
 		return waitsForRoom
 	}
 	if advice != nil && len(placed) < len(tasks) {
-		if more := p.workersToQuery(rs, advice); len(more) > 0 && len(placed) == 0 {
+		if more := p.workersToQuery(rs, advice, len(tasks)); len(more) > 0 && len(placed) == 0 {
 			p.requestAdvice(rs, more, nil)
 			return waitsForAdvice
 		}
--- a/internal/dispatch/plan_test.go
+++ b/internal/dispatch/plan_test.go
@@ -19,6 +19,7 @@
 	p := &planner{
 		now: 10 * time.Second, byID: map[string]*candidate{}, headroom: map[string]structs.Resources{},
 		advice: func(k cell.StepKey) *stepAdvice { return advice[k] }, plan: plan{reserved: map[string]cell.StepKey{}},
+		allowedShare: func(string) float64 { return 0.3 },
 	}
 	for i := range workers {
 		capacity := structs.Resources{MilliCPU: 64_000, MemoryBytes: 128 << 30}
@@ -201,3 +202,39 @@
 func attemptsOf(k cell.StepKey) map[cell.TaskKey]cell.Attempt {
 	return map[cell.TaskKey]cell.Attempt{{StepKey: k, Index: 99}: {Run: 1}}
 }
+
+// Guards against a wide gang whose requests for advice follow each other, so that it waits
+// for several calls although most workers are free.
+func TestWideGangRequestsAdviceAtOnce(t *testing.T) {
+	p := newPlanner(300, nil)
+	p.planSteps([]*readyStep{p.newReadyStep("a", 1, newGangStep(60, 18))}) // 3 on a worker, 20 of 67 allowed
+	named := map[string]int{}
+	for _, q := range p.adviceRequests {
+		assert.Assert(t, len(q.workers) <= maxAdviceWorkers)
+		for _, c := range q.workers {
+			named[c.id]++
+		}
+	}
+	assert.Equal(t, len(p.adviceRequests), 3)
+	assert.Equal(t, len(named), 90)
+}
+
+// Guards against a request that names more workers than the service accepts: a gang on many
+// workers would never get its tickets renewed.
+func TestRenewalOfManyTicketsIsDivided(t *testing.T) {
+	var workers []string
+	for i := range 120 {
+		workers = append(workers, fmt.Sprintf("w%02d", i))
+	}
+	advice := adviceAllowing(9*time.Second, workers...)
+	p := newPlanner(120, map[cell.StepKey]*stepAdvice{{Job: "a"}: advice})
+	p.planSteps([]*readyStep{p.newReadyStep("a", 1, newGangStep(120, 40))})
+	assert.Equal(t, len(p.placements), 0)
+	renewed := 0
+	for _, q := range p.adviceRequests {
+		assert.Assert(t, len(q.workers) <= maxAdviceWorkers)
+		assert.Equal(t, len(q.heldPlacements), 120)
+		renewed += len(q.workers)
+	}
+	assert.Equal(t, renewed, 120)
+}
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -143,7 +143,7 @@
 			workers = append(workers, c)
 		}
 	}
-	p.adviceRequests = append(p.adviceRequests, &adviceRequest{step: rs.key, workers: workers, terms: *rs.queue.Advice, heldPlacements: held, stops: stops})
+	p.requestAdviceWith(rs, workers, held, stops)
 }
 
 // victims returns the tasks on a worker that may be preempted by work of a
