dispatch: a repeated call waits for the commit of the first

Callers: after commits were slow for a while, submissions keep ending as "outcome unknown" (504) although the log could commit all of them. Cause: a caller gives up an attempt after 450 ms and repeats it until 1.2 s. The leader proposed the job again each time, because the state does not know it before the first command is applied, and a command in the log cannot be taken back. From 0.5 s of delay on, each job costs up to three commands, so the repetitions keep up the delay that causes them. Change: a submission, cancellation, configuration, wave or registration that is equal to one being committed waits for that one. The commit ends with the term and not with its first caller. A caller whose time ends meanwhile gets "unknown", also if the command is still in the replica's queue; before, that was "refused" there.

--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -226,6 +226,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
+	return l.proposeEncoded(ctx, data)
+}
+
+// proposeEncoded is propose for an encoded command, without a time limit of its own.
+func (l *Leader) proposeEncoded(ctx context.Context, data []byte) (any, error) {
 	began := l.Clock.Now()
 	result, err := l.Log.Propose(ctx, data)
 	l.metrics.commit.RecordDuration(l.Clock.Now() - began)
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -50,15 +50,15 @@
 func (l *Leader) answer(ctx context.Context, t *term, c *cellapi.Call) (r *cellapi.Reply, committed bool) {
 	switch {
 	case c.Submit != nil:
-		return l.submit(ctx, c.Submit)
+		return l.submit(ctx, t, c.Submit)
 	case c.Status != nil:
 		return l.status(c.Status), false
 	case c.Cancel != nil:
-		r := l.commit(ctx, &cell.Command{Cancel: c.Cancel})
+		r := l.commit(ctx, t, &cell.Command{Cancel: c.Cancel})
 		l.Logger.Info("job cancelled", logging.Step("cancel"), logging.Job(jobID(c.Cancel.Path)), "verdict", r.Verdict.String(), "configuration", l.configurationVersion(), "unknown", r.Unknown)
 		return r, true
 	case c.Configure != nil:
-		return l.configure(ctx, c.Configure)
+		return l.configure(ctx, t, c.Configure)
 	case c.ReadConfiguration != nil:
 		return l.readConfiguration(), false
 	case c.Report != nil:
@@ -66,7 +66,7 @@
 	case c.StartWave != nil:
 		order := *c.StartWave
 		order.AcceptedMS = t.wall.unixMS(l.Clock.Now())
-		r := l.commit(ctx, &cell.Command{StartWave: &order})
+		r := l.commit(ctx, t, &cell.Command{StartWave: &order})
 		l.Logger.Info("wave of upkeep", logging.Step("start wave"), "wave", c.StartWave.Number, "machines", len(c.StartWave.Machines), "bound", c.StartWave.MaxDown,
 			"duration_ms", c.StartWave.DurationMS, "verdict", r.Verdict.String(), "unknown", r.Unknown)
 		return r, true
@@ -103,8 +103,8 @@
 }
 
 // commit proposes a command whose result is a verdict.
-func (l *Leader) commit(ctx context.Context, c *cell.Command) *cellapi.Reply {
-	result, err := l.propose(ctx, c)
+func (l *Leader) commit(ctx context.Context, t *term, c *cell.Command) *cellapi.Reply {
+	result, err := t.commitOnce(ctx, c)
 	if err != nil {
 		return l.failure(err)
 	}
@@ -136,7 +136,7 @@
 
 // submit commits a new job, unless the state shows that the job is known or the
 // request is not allowed.
-func (l *Leader) submit(ctx context.Context, c *cell.Submit) (r *cellapi.Reply, committed bool) {
+func (l *Leader) submit(ctx context.Context, t *term, c *cell.Submit) (r *cellapi.Reply, committed bool) {
 	var verdict cell.Verdict
 	known := false
 	l.Store.View(func(v *cell.View) {
@@ -149,7 +149,7 @@
 		l.Logger.Info("submission answered from the state", logging.Step("submit"), logging.Job(jobID(c.Path)), "host", c.Host, "path", c.Path, "known", known, "verdict", verdict.String(), "configuration", l.configurationVersion())
 		return &cellapi.Reply{Verdict: verdict}, false
 	}
-	r = l.commit(ctx, &cell.Command{Submit: c})
+	r = l.commit(ctx, t, &cell.Command{Submit: c})
 	l.Logger.Info("job submitted", logging.Step("submit"), logging.Job(jobID(c.Path)), "path", c.Path, "steps", len(c.Job.Steps), "verdict", r.Verdict.String(), "configuration", l.configurationVersion(), "unknown", r.Unknown)
 	return r, true
 }
@@ -178,7 +178,7 @@
 
 // configure commits a configuration, unless it is invalid or not newer than the
 // one in force.
-func (l *Leader) configure(ctx context.Context, c *cell.Configuration) (r *cellapi.Reply, committed bool) {
+func (l *Leader) configure(ctx context.Context, t *term, c *cell.Configuration) (r *cellapi.Reply, committed bool) {
 	if err := c.Validate(); err != nil {
 		l.Logger.Info("configuration refused", logging.Step("configure"), "version", c.Version, logging.Error(err))
 		return &cellapi.Reply{Verdict: cell.Invalid}, true
@@ -188,7 +188,7 @@
 		l.Logger.Info("configuration is not newer than the one in force", logging.Step("configure"), "version", c.Version, "held", current)
 		return &cellapi.Reply{Verdict: cell.Accepted}, false
 	}
-	r = l.commit(ctx, &cell.Command{Configure: c})
+	r = l.commit(ctx, t, &cell.Command{Configure: c})
 	l.Logger.Info("configuration put", logging.Step("configure"), "version", c.Version, "held", current, "verdict", r.Verdict.String(), "unknown", r.Unknown)
 	return r, true
 }
@@ -240,7 +240,7 @@
 	if !changed {
 		return &cellapi.Reply{Verdict: cell.Accepted}, false
 	}
-	if _, err := t.leader.propose(ctx, &cell.Command{Register: &r.Register}); err != nil {
+	if _, err := t.commitOnce(ctx, &cell.Command{Register: &r.Register}); err != nil {
 		return t.leader.failure(err), true
 	}
 	t.leader.Logger.Info("worker registered", logging.Step("register"), logging.Peer(r.ID), "address", r.Address, "born", r.Born, "draining", r.Draining, "left", r.Deregistered)
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -58,6 +58,8 @@
 	preemptions    map[cell.TaskKey]int
 	// lastStopOrder is when a stop order was last sent for an unwanted attempt.
 	lastStopOrder map[stopKey]time.Duration
+	// commits holds the commands of callers that are being committed, by their encoding.
+	commits map[string]*pendingCommit
 }
 
 // jobTiming is the timing of an occurrence of an active job.
@@ -98,6 +100,7 @@
 		wall:           newWallClock(),
 		cordoned:       map[string]bool{},
 		lastStopOrder:  map[stopKey]time.Duration{},
+		commits:        map[string]*pendingCommit{},
 		stats:          newWorkerStats(),
 	}
 	t.advice = newAdviceBroker(t)
