dispatch: start orders are repeated with pauses if calls fail at once

Callers: none was seen; found by review for repetition without a pause. Cause: a start order whose call failed after it was sent was repeated at once until its deadline. A worker that closes each connection was called as fast as the round trips allow, by each start order in progress there. Evidence: TestStartIsRepeatedWithPauses, one order to a worker that resets each connection after 1 ms. Before, 1451 calls in the 1.5 s for which the order is valid. The number is bounded by that time, so the fault does not sustain itself. Change: a repetition is sent 100 ms after the failed call was sent at the earliest, as after calls that were not sent. A call that ends at its limit of 400 ms is still repeated at once. Result: 15 calls in 1.5 s.

--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -79,6 +79,9 @@
 		case err != nil:
 			s.callUnanswered(sent)
 			certain = false
+			if left := retryDelay - (s.t.leader.Clock.Now() - sent); left > 0 {
+				s.t.pause(left) // the call failed at once
+			}
 			continue
 		}
 		s.callAnswered(sent, r.ClockMS, s.t.leader.Clock.Now())
