dispatch: a failed list of machines is requested again after a second

Callers: none was seen; found by review for repetition without a pause. Cause: while a wave runs, machines are listed once a second. Only a list that arrived moved the time of the next one, so a machine service that answers with errors was called four times a second, more often than one that works. Evidence: TestFailedListOfMachinesIsNotRequestedMoreOften, a service that fails each list at once. Change: the interval of one second counts from the last request, also if it failed.

--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -37,9 +37,10 @@
 type upkeep struct {
 	t *term
 	// machines is the newest list of machines by ID; listedAt is when it was
-	// requested.
+	// requested, and triedAt when a list was requested last, also without success.
 	machines map[string]Machine
 	listedAt time.Duration
+	triedAt  time.Duration
 	// chosen machines are being drained.
 	chosen map[string]*drainingMachine
 	// ordered machines may be down; the value is when the order was sent.
@@ -85,7 +86,7 @@
 			continue
 		}
 		now := t.leader.Clock.Now()
-		if now-u.listedAt >= machineListInterval && !u.listMachines(now) {
+		if now-u.listedAt >= machineListInterval && (now-u.triedAt < machineListInterval || !u.listMachines(now)) {
 			continue
 		}
 		for _, w := range waves {
@@ -117,6 +118,7 @@
 // listMachines updates the list of machines and handles those that went down or
 // came up. It returns false if the list is not available.
 func (u *upkeep) listMachines(now time.Duration) bool {
+	u.triedAt = now
 	ctx, cancel := context.WithTimeout(u.t.ctx, machineCallTimeout)
 	defer cancel()
 	list, err := u.t.leader.Machines.List(ctx)
--- a/internal/dispatch/upkeep_test.go
+++ b/internal/dispatch/upkeep_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -210,3 +211,26 @@
 		assert.Equal(t, b.startCount(jobID1, 0), 1)
 	})
 }
+
+// failingMachines is a machine service that answers each list with an error at once.
+type failingMachines struct {
+	Machines
+	lists atomic.Int64
+}
+
+func (f *failingMachines) List(context.Context) ([]Machine, error) {
+	f.lists.Add(1)
+	return nil, errors.New("status 503")
+}
+
+// Guards against lists of machines that are requested more often while they fail.
+func TestFailedListOfMachinesIsNotRequestedMoreOften(t *testing.T) {
+	m := &failingMachines{}
+	runCellWith(t, 1, func(c *Config) { c.Machines, c.Bounds.HolderLease = m, holderLease }, func(b *testCell) {
+		b.do(&cellapi.Call{StartWave: &cell.StartWave{Number: 1, Machines: []string{"m0"}, MaxDown: 1, DurationMS: 60_000}})
+		const duration = 20 * time.Second
+		time.Sleep(duration)
+		t.Logf("%d lists in %v", m.lists.Load(), duration)
+		assert.Assert(t, m.lists.Load() > 1 && m.lists.Load() <= int64(duration/machineListInterval), "%d lists", m.lists.Load())
+	})
+}
