dispatch: a call does not commit again what was applied a moment ago

Callers: none noticed; a job cost two commands now and then. Cause: a call read the state before the first command of its job was applied, and looked for that commit after it had been removed. Change: without a commit in progress the state is read again under the lock that guards the removal of commits, which has no other use.

--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -54,7 +54,7 @@
 	case c.Status != nil:
 		return l.status(c.Status), false
 	case c.Cancel != nil:
-		r := l.commit(ctx, t, &cell.Command{Cancel: c.Cancel})
+		r := l.commit(ctx, t, &cell.Command{Cancel: c.Cancel}, nil)
 		l.Logger.Info("job cancelled", logging.Step("cancel"), logging.Job(jobID(c.Cancel.Path)), "verdict", r.Verdict.String(), "configuration", l.configurationVersion(), "unknown", r.Unknown)
 		return r, true
 	case c.Configure != nil:
@@ -66,7 +66,7 @@
 	case c.StartWave != nil:
 		order := *c.StartWave
 		order.AcceptedMS = t.wall.unixMS(l.Clock.Now())
-		r := l.commit(ctx, t, &cell.Command{StartWave: &order})
+		r := l.commit(ctx, t, &cell.Command{StartWave: &order}, nil)
 		l.Logger.Info("wave of upkeep", logging.Step("start wave"), "wave", c.StartWave.Number, "machines", len(c.StartWave.Machines), "bound", c.StartWave.MaxDown,
 			"duration_ms", c.StartWave.DurationMS, "verdict", r.Verdict.String(), "unknown", r.Unknown)
 		return r, true
@@ -102,9 +102,9 @@
 	return version
 }
 
-// commit proposes a command whose result is a verdict.
-func (l *Leader) commit(ctx context.Context, t *term, c *cell.Command) *cellapi.Reply {
-	result, err := t.commitOnce(ctx, c)
+// commit proposes a command whose result is a verdict. done is that of term.commitOnce.
+func (l *Leader) commit(ctx context.Context, t *term, c *cell.Command, done func() (result any, applied bool)) *cellapi.Reply {
+	result, err := t.commitOnce(ctx, c, done)
 	if err != nil {
 		return l.failure(err)
 	}
@@ -149,7 +149,11 @@
 		l.Logger.Info("submission answered from the state", logging.Step("submit"), logging.Job(jobID(c.Path)), "host", c.Host, "path", c.Path, "known", known, "verdict", verdict.String(), "configuration", l.configurationVersion())
 		return &cellapi.Reply{Verdict: verdict}, false
 	}
-	r = l.commit(ctx, t, &cell.Command{Submit: c})
+	r = l.commit(ctx, t, &cell.Command{Submit: c}, func() (any, bool) {
+		var status cell.Verdict
+		l.Store.View(func(v *cell.View) { _, status = v.Status(&c.Request) })
+		return cell.Accepted, status == cell.Accepted
+	})
 	l.Logger.Info("job submitted", logging.Step("submit"), logging.Job(jobID(c.Path)), "path", c.Path, "steps", len(c.Job.Steps), "verdict", r.Verdict.String(), "configuration", l.configurationVersion(), "unknown", r.Unknown)
 	return r, true
 }
@@ -188,7 +192,7 @@
 		l.Logger.Info("configuration is not newer than the one in force", logging.Step("configure"), "version", c.Version, "held", current)
 		return &cellapi.Reply{Verdict: cell.Accepted}, false
 	}
-	r = l.commit(ctx, t, &cell.Command{Configure: c})
+	r = l.commit(ctx, t, &cell.Command{Configure: c}, nil)
 	l.Logger.Info("configuration put", logging.Step("configure"), "version", c.Version, "held", current, "verdict", r.Verdict.String(), "unknown", r.Unknown)
 	return r, true
 }
@@ -240,7 +244,7 @@
 	if !changed {
 		return &cellapi.Reply{Verdict: cell.Accepted}, false
 	}
-	if _, err := t.commitOnce(ctx, &cell.Command{Register: &r.Register}); err != nil {
+	if _, err := t.commitOnce(ctx, &cell.Command{Register: &r.Register}, nil); err != nil {
 		return t.leader.failure(err), true
 	}
 	t.leader.Logger.Info("worker registered", logging.Step("register"), logging.Peer(r.ID), "address", r.Address, "born", r.Born, "draining", r.Draining, "left", r.Deregistered)
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -58,6 +58,9 @@
 	preemptions    map[cell.TaskKey]int
 	// lastStopOrder is when a stop order was last sent for an unwanted attempt.
 	lastStopOrder map[stopKey]time.Duration
+
+	// commitsMu is held while the state is read, so it must not be taken in a view.
+	commitsMu sync.Mutex
 	// commits holds the commands of callers that are being committed, by their encoding.
 	commits map[string]*pendingCommit
 }
