dispatch: further requests of a step go to idle processes only

Cause: under saturation the further requests of one gang made all other steps wait. TestFurtherRequestsOfStepNeedIdleCaller does not compile without the change; without its condition it fails. Change: beside its first request, a step's queries go only to processes that have none. Renewals are not restricted, since they are needed together.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -204,8 +204,9 @@
 }
 
 // chooseCaller gives a request of the stated cost to the process that should answer it
-// first, and returns nil if none can be used now. The method's caller holds b.mu.
-func (b *adviceBroker) chooseCaller(now, cost time.Duration) *callerRequest {
+// first, and returns nil if none is expected to begin with it within maxWait. The
+// method's caller holds b.mu.
+func (b *adviceBroker) chooseCaller(now, cost, maxWait time.Duration) *callerRequest {
 	var usable []string
 	for peer, c := range b.callers {
 		if now-c.lastSeen <= callerTTL && now >= c.avoidUntil {
@@ -227,7 +228,7 @@
 			best, bestAt = peer, at
 		}
 	}
-	if best == "" || bestAt > now+maxCallerBacklog {
+	if best == "" || bestAt > now+maxWait {
 		return nil
 	}
 	r := &callerRequest{peer: best, cost: cost}
@@ -246,7 +247,11 @@
 		b.steps[q.step] = s
 	}
 	now := b.t.leader.Clock.Now()
-	r := b.chooseCaller(now, q.terms.Cost(len(q.workers)))
+	maxWait := maxCallerBacklog
+	if q.onlyIfIdle {
+		maxWait = 0
+	}
+	r := b.chooseCaller(now, q.terms.Cost(len(q.workers)), maxWait)
 	if r == nil {
 		return false // requested again by a later plan
 	}
--- a/internal/dispatch/advice_plan.go
+++ b/internal/dispatch/advice_plan.go
@@ -155,6 +155,7 @@
 		if i == 0 {
 			q.stops = stops
 		}
+		q.onlyIfIdle = i > 0 && held == nil
 		p.adviceRequests = append(p.adviceRequests, q)
 	}
 }
--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -110,12 +110,37 @@
 func TestUnprovenCallerGetsOneRequest(t *testing.T) {
 	b := newAdviceBroker(nil)
 	b.announce("new", 0)
-	first := b.chooseCaller(0, 15*time.Millisecond)
-	assert.Assert(t, first != nil && b.chooseCaller(0, 15*time.Millisecond) == nil)
+	first := b.chooseCaller(0, 15*time.Millisecond, maxCallerBacklog)
+	assert.Assert(t, first != nil && b.chooseCaller(0, 15*time.Millisecond, maxCallerBacklog) == nil)
 	b.callers["new"].finish(first, 45*time.Millisecond, true)
 	assert.Equal(t, b.callers["new"].overhead, 30*time.Millisecond)
-	second := b.chooseCaller(45*time.Millisecond, 15*time.Millisecond)
-	assert.Assert(t, second != nil && b.chooseCaller(45*time.Millisecond, 15*time.Millisecond) != nil)
+	second := b.chooseCaller(45*time.Millisecond, 15*time.Millisecond, maxCallerBacklog)
+	assert.Assert(t, second != nil && b.chooseCaller(45*time.Millisecond, 15*time.Millisecond, maxCallerBacklog) != nil)
 	b.callers["new"].finish(second, time.Second, false)
-	assert.Assert(t, b.chooseCaller(time.Second, 15*time.Millisecond) == nil)
+	assert.Assert(t, b.chooseCaller(time.Second, 15*time.Millisecond, maxCallerBacklog) == nil)
+}
+
+// Guards against gangs that make all other steps wait for advice, because each has several
+// requests in flight while no process is idle.
+func TestFurtherRequestsOfStepNeedIdleCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		terms := cell.AdviceTerms{DecideMS: 440, PerWorkerMS: 6.2}
+		f := &fakeAdvisers{terms: terms, idleAt: map[string]time.Time{}}
+		l := New(Config{Log: &fakeLog{}, Clock: port.NewSystemClock(), AdviceClient: f, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope})
+		term := newTerm(ctx, l, 1, 0)
+		for _, peer := range []string{"p0", "p1"} {
+			term.advice.announce(peer, l.Clock.Now())
+			term.advice.callers[peer].proven = true
+		}
+		request := func(job string, onlyIfIdle bool) bool {
+			return term.advice.request(&adviceRequest{step: cell.StepKey{Job: job}, terms: terms, onlyIfIdle: onlyIfIdle})
+		}
+		assert.Assert(t, request("a", false) && request("a", true))
+		assert.Assert(t, !request("a", true), "no process is idle")
+		assert.Assert(t, request("b", false))
+		time.Sleep(2 * time.Second)
+		cancel()
+		term.wait()
+	})
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -18,6 +18,9 @@
 	heldPlacements []cell.Placement
 	// stops are the attempts whose preemption makes room for the held placements.
 	stops []victim
+	// onlyIfIdle is set if the request is given only to a process without others: it
+	// saves the step a wait, but must not make other steps wait.
+	onlyIfIdle bool
 }
 
 // plan is the result of one planning round.
--- a/internal/dispatch/plan_test.go
+++ b/internal/dispatch/plan_test.go
@@ -166,7 +166,7 @@
 	for i := range 6 {
 		b.announce(fmt.Sprintf("p%d", i), 0)
 	}
-	for b.chooseCaller(0, 600*time.Millisecond) != nil {
+	for b.chooseCaller(0, 600*time.Millisecond, maxCallerBacklog) != nil {
 	}
 	free := 0
 	for _, c := range b.callers {
@@ -175,12 +175,12 @@
 		}
 	}
 	assert.Equal(t, free, 2)
-	assert.Assert(t, b.chooseCaller(0, 15*time.Millisecond) != nil)
+	assert.Assert(t, b.chooseCaller(0, 15*time.Millisecond, maxCallerBacklog) != nil)
 	for i := range 5 {
 		b.callers[fmt.Sprintf("p%d", i)].avoidUntil = time.Second
 	}
 	b.callers["p5"].queue = nil
-	assert.Equal(t, b.chooseCaller(0, 600*time.Millisecond).peer, "p5", "the last caller takes all calls")
+	assert.Equal(t, b.chooseCaller(0, 600*time.Millisecond, maxCallerBacklog).peer, "p5", "the last caller takes all calls")
 }
 
 // Guards against a request for advice of half a second for each worker that is new
