dispatch: tasks with valid tickets start without waiting for those of others

Callers: jobs wait many seconds for their first start while they renew their advice. Cause: a step that is no gang started nothing if one of its placements had an expired ticket, and renewed all of them. Change: such a step starts the tasks whose tickets are valid, and renews the others with the next plan.

--- a/internal/dispatch/advice_plan.go
+++ b/internal/dispatch/advice_plan.go
@@ -123,6 +123,21 @@
 	return slices.ContainsFunc(placed, func(placement cell.Placement) bool { return !p.isTicketValid(advice, placement.Worker) })
 }
 
+// splitByTicket returns the placements whose tickets remain valid long enough for a start,
+// and the others. Tasks that need not start together start as soon as their own ticket is
+// valid; if they waited for all, room that appears on further workers would make them renew
+// again and again.
+func (p *planner) splitByTicket(placed []cell.Placement, advice *stepAdvice) (valid, expired []cell.Placement) {
+	for i := range placed {
+		if p.isTicketValid(advice, placed[i].Worker) {
+			valid = append(valid, placed[i])
+		} else {
+			expired = append(expired, placed[i])
+		}
+	}
+	return valid, expired
+}
+
 // renewals returns the workers whose tickets are renewed: those of the placements,
 // then others that fit, because one more worker in a request costs little.
 func (p *planner) renewals(rs *readyStep, placed []cell.Placement, fitting []*candidate, advice *stepAdvice) []*candidate {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -264,6 +264,11 @@
 		return waitsForRoom
 	}
 	if advice != nil {
+		if valid, expired := p.splitByTicket(placed, advice); !rs.step.Gang && len(valid) > 0 {
+			p.undoPlacements(rs, expired)
+			p.placements = append(p.placements, valid...)
+			return placedNow
+		}
 		if p.hasExpiredTicket(placed, advice) {
 			p.requestAdvice(rs, p.renewals(rs, placed, fitting, advice), placed)
 			return waitsForRenewal
--- a/internal/dispatch/plan_test.go
+++ b/internal/dispatch/plan_test.go
@@ -238,3 +238,19 @@
 	}
 	assert.Equal(t, renewed, 120)
 }
+
+// Guards against tasks that wait for the tickets of others although they need not start
+// together, and renew all of them whenever room appears on another worker.
+func TestTasksWithValidTicketsAreNotRenewed(t *testing.T) {
+	advice := adviceAllowing(12*time.Second, "w00", "w01")
+	expired := advice.tickets["w01"]
+	expired.validUntil = 9 * time.Second
+	advice.tickets["w01"] = expired
+	p := newPlanner(2, map[cell.StepKey]*stepAdvice{{Job: "a"}: advice})
+	step := newGangStep(6, 18)
+	step.Gang = false
+	p.planSteps([]*readyStep{p.newReadyStep("a", 2, step)})
+	assert.Equal(t, len(p.placements), 3)
+	assert.DeepEqual(t, placedOn(p), []string{"w00"})
+	assert.Equal(t, p.byID["w01"].free, p.byID["w01"].worker.Capacity, "room of undone placements is free")
+}
