dispatch: renewals are divided at the service's limit only, full workers add no requests

Callers: gangs on more than 30 workers wait much longer for their start when processes are busy, and a gang in a nearly full cell makes eight long requests. Workers without room counted as unknown capacity to ask for. Change: a renewal names up to 100 workers, the limit of the service. Workers without room fill up a request and never begin one. TestRenewalOfManyTicketsIsDivided bounded a request by 30 workers, which is the size of queries, not what the service accepts; it is replaced by one that also counts the requests.

--- a/internal/dispatch/advice_plan.go
+++ b/internal/dispatch/advice_plan.go
@@ -10,6 +10,9 @@
 	// maxAdviceWorkers is the number of workers in one request for advice; each of
 	// them adds to the duration of the request.
 	maxAdviceWorkers = 30
+	// maxRenewals is the number of workers in one renewal of tickets, the most that the
+	// service accepts. Parts that are renewed one after the other may expire in turn.
+	maxRenewals = 100
 	// maxParallelRequests is the number of requests that one step may have in flight.
 	maxParallelRequests = 8
 	// usefulCapacityDivisor sets when a further long request for advice for a gang
@@ -57,9 +60,11 @@
 		if i%maxAdviceWorkers == 0 && (i == maxParallelRequests*maxAdviceWorkers || i > 0 && share*float64(tasks) >= float64(missing)) {
 			return i
 		}
-		if p.fits(rs, c) {
-			tasks += capPerWorker(rs.step, fitCount(rs.step.Claim(), c.free))
+		if !p.fits(rs, c) {
+			// The rest of the list is full as well.
+			return min(len(list), (i+maxAdviceWorkers-1)/maxAdviceWorkers*maxAdviceWorkers)
 		}
+		tasks += capPerWorker(rs.step, fitCount(rs.step.Claim(), c.free))
 	}
 	return len(list)
 }
@@ -155,7 +160,8 @@
 	return list
 }
 
-// requestAdvice adds requests for advice on the workers to the plan, of about equal size.
+// requestAdvice adds requests for advice on the workers to the plan, as few as the allowed
+// size permits.
 func (p *planner) requestAdvice(rs *readyStep, workers []*candidate, held []cell.Placement) {
 	p.requestAdviceWith(rs, workers, held, nil)
 }
@@ -163,7 +169,11 @@
 // requestAdviceWith adds requests for advice to the plan. The stops are made with the first
 // of them.
 func (p *planner) requestAdviceWith(rs *readyStep, workers []*candidate, held []cell.Placement, stops []victim) {
-	requests := (len(workers) + maxAdviceWorkers - 1) / maxAdviceWorkers
+	size := maxAdviceWorkers
+	if held != nil {
+		size = maxRenewals
+	}
+	requests := (len(workers) + size - 1) / size
 	for i := range requests {
 		part := workers[len(workers)*i/requests : len(workers)*(i+1)/requests]
 		q := &adviceRequest{step: rs.key, queue: rs.queue.Name, workers: part, terms: *rs.queue.Advice, heldPlacements: held}
--- a/internal/dispatch/plan_test.go
+++ b/internal/dispatch/plan_test.go
@@ -219,24 +219,39 @@
 	assert.Equal(t, len(named), 90)
 }
 
-// Guards against a request that names more workers than the service accepts: a gang on many
-// workers would never get its tickets renewed.
-func TestRenewalOfManyTicketsIsDivided(t *testing.T) {
-	var workers []string
-	for i := range 120 {
-		workers = append(workers, fmt.Sprintf("w%02d", i))
+// Guards against a request that names more workers than the service accepts, so that a gang
+// on many workers never gets its tickets renewed, and against a renewal in parts, of which
+// some expire while others wait for a process, where one request can name all.
+func TestRenewalOfManyTicketsIsDividedAtLimit(t *testing.T) {
+	for tasks, requests := range map[int]int{30: 1, 60: 1, 100: 1, 120: 2} {
+		var workers []string
+		for i := range tasks {
+			workers = append(workers, fmt.Sprintf("w%02d", i))
+		}
+		advice := adviceAllowing(9*time.Second, workers...)
+		p := newPlanner(tasks, map[cell.StepKey]*stepAdvice{{Job: "a"}: advice})
+		p.planSteps([]*readyStep{p.newReadyStep("a", 1, newGangStep(tasks, 40))})
+		assert.Equal(t, len(p.placements), 0)
+		assert.Equal(t, len(p.adviceRequests), requests, "%d tasks", tasks)
+		renewed := 0
+		for _, q := range p.adviceRequests {
+			assert.Assert(t, len(q.workers) <= 100)
+			assert.Equal(t, len(q.heldPlacements), tasks)
+			renewed += len(q.workers)
+		}
+		assert.Equal(t, renewed, tasks)
 	}
-	advice := adviceAllowing(9*time.Second, workers...)
-	p := newPlanner(120, map[cell.StepKey]*stepAdvice{{Job: "a"}: advice})
-	p.planSteps([]*readyStep{p.newReadyStep("a", 1, newGangStep(120, 40))})
-	assert.Equal(t, len(p.placements), 0)
-	renewed := 0
-	for _, q := range p.adviceRequests {
-		assert.Assert(t, len(q.workers) <= maxAdviceWorkers)
-		assert.Equal(t, len(q.heldPlacements), 120)
-		renewed += len(q.workers)
+}
+
+// Guards against several long requests for a gang in a cell that is nearly full: most of
+// the workers in them have no room for it.
+func TestGangInFullCellMakesOneRequest(t *testing.T) {
+	p := newPlanner(300, nil)
+	for _, c := range p.candidates[5:] {
+		c.free.MilliCPU = 1000
 	}
-	assert.Equal(t, renewed, 120)
+	p.planSteps([]*readyStep{p.newReadyStep("a", 1, newGangStep(60, 18))})
+	assert.Equal(t, len(p.adviceRequests), 1)
 }
 
 // Guards against tasks that wait for the tickets of others although they need not start
