adviser: a call without a stated cost has the time of its request

Callers: while a newer gateway serves an older leader, all long calls for advice fail. Cause: the limit of a call was twice its stated cost and 0.5 s, and a leader of an earlier version states none. Evidence, found by the reviewer: TestRequestWithoutCostIsAnswered, 0 answered of 1 before. Change: without a cost the limit is the request's own. Measured: the test passes.

--- a/internal/adviser/queue.go
+++ b/internal/adviser/queue.go
@@ -75,9 +75,13 @@
 		<-a.slot
 		return a.refuse(q, received, errUnsent)
 	}
+	limit := 2*cost + callSlack
+	if cost == 0 {
+		limit = time.Duration(q.TimeoutMS) * time.Millisecond // the leader does not state costs
+	}
 	a.metrics.wait.RecordDuration(time.Since(received))
 	reply := make(chan *cellapi.AdviceReply, 1)
-	go func() { reply <- a.call(context.WithoutCancel(ctx), q, 2*cost+callSlack) }()
+	go func() { reply <- a.call(context.WithoutCancel(ctx), q, limit) }()
 	select {
 	case r := <-reply:
 		return r
--- a/internal/adviser/queue_test.go
+++ b/internal/adviser/queue_test.go
@@ -124,3 +124,12 @@
 		time.Sleep(time.Hour) // the first call ends
 	})
 }
+
+// Guards against calls that are cut off because their request, of a leader of an earlier
+// version, states no cost.
+func TestRequestWithoutCostIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newTestQueue(&fakeService{takes: 626 * time.Millisecond})
+		assert.Equal(t, ask(q, 1, cellapi.AdviceRequest{TimeoutMS: 2000}), 1)
+	})
+}
