adviser: requests with the nearest time limit are served first

Callers: urgent jobs wait for advice that times out behind a long call for another job. Cause: the leader sends its requests to a process on several connections, and the process served them in the order of arrival, which need not be the leader's. A long request that overtakes short ones makes them all late. TestOvertakenRequestsAreAnswered: 0 of 5 short requests answered before. Change: the waiting request with the nearest deadline comes next. Deadlines follow the leader's order, since each request expects to wait for those before it.

--- a/internal/adviser/queue.go
+++ b/internal/adviser/queue.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,8 +25,18 @@
 	service Service
 	logger  *slog.Logger
 	metrics queueMetrics
-	// slot has the capacity 1 and holds an element while a call is in progress.
-	slot chan struct{}
+
+	mu sync.Mutex
+	// busy is set while a call is in progress, and waiting holds the requests behind it.
+	busy    bool
+	waiting []*waiter
+}
+
+// waiter is a request that waits for its turn.
+type waiter struct {
+	deadline time.Time
+	// turn is closed when the request may make its call.
+	turn chan struct{}
 }
 
 var _ cellapi.Adviser = (*Queue)(nil)
@@ -45,7 +57,7 @@
 func NewQueue(service Service, logger *slog.Logger, scope tally.Scope) *Queue {
 	buckets := tally.MustMakeExponentialDurationBuckets(4*time.Millisecond, 2, 12)
 	return &Queue{
-		service: service, logger: logger, slot: make(chan struct{}, 1),
+		service: service, logger: logger,
 		metrics: queueMetrics{
 			answered: scope.Counter("adviser_answered"), failed: scope.Counter("adviser_failed"),
 			unsent: scope.Counter("adviser_unsent"), abandoned: scope.Counter("adviser_abandoned"),
@@ -65,14 +77,12 @@
 	received := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(q.TimeoutMS)*time.Millisecond)
 	defer cancel()
-	select {
-	case a.slot <- struct{}{}:
-	case <-ctx.Done():
-		return a.refuse(q, received, ctx.Err())
+	if err := a.acquire(ctx); err != nil {
+		return a.refuse(q, received, err)
 	}
 	cost := time.Duration(q.CostMS) * time.Millisecond
-	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < cost || ctx.Err() != nil {
-		<-a.slot
+	if deadline, _ := ctx.Deadline(); time.Until(deadline) < cost || ctx.Err() != nil {
+		a.release()
 		return a.refuse(q, received, errUnsent)
 	}
 	limit := 2*cost + callSlack
@@ -92,9 +102,53 @@
 	}
 }
 
-// call makes a call to the service within the time limit and frees the slot.
+// acquire waits for the turn of a request. Requests with the nearest deadline come first:
+// those of the leader follow the order in which it gave them to this process, which they
+// may have lost on different connections.
+func (a *Queue) acquire(ctx context.Context) error {
+	a.mu.Lock()
+	if !a.busy {
+		a.busy = true
+		a.mu.Unlock()
+		return nil
+	}
+	w := &waiter{turn: make(chan struct{})}
+	w.deadline, _ = ctx.Deadline()
+	a.waiting = append(a.waiting, w)
+	a.mu.Unlock()
+	select {
+	case <-w.turn:
+		return nil
+	case <-ctx.Done():
+	}
+	a.mu.Lock()
+	i := slices.Index(a.waiting, w)
+	if i >= 0 {
+		a.waiting = slices.Delete(a.waiting, i, i+1)
+	}
+	a.mu.Unlock()
+	if i < 0 {
+		a.release() // the turn came in the meantime
+	}
+	return ctx.Err()
+}
+
+// release gives the turn to the next request.
+func (a *Queue) release() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.waiting) == 0 {
+		a.busy = false
+		return
+	}
+	next := slices.MinFunc(a.waiting, func(x, y *waiter) int { return x.deadline.Compare(y.deadline) })
+	a.waiting = slices.DeleteFunc(a.waiting, func(w *waiter) bool { return w == next })
+	close(next.turn)
+}
+
+// call makes a call to the service within the time limit and gives the turn on.
 func (a *Queue) call(ctx context.Context, q *cellapi.AdviceRequest, limit time.Duration) *cellapi.AdviceReply {
-	defer func() { <-a.slot }()
+	defer a.release()
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	sent := time.Now()
--- a/internal/adviser/queue_test.go
+++ b/internal/adviser/queue_test.go
@@ -133,3 +133,30 @@
 		assert.Equal(t, ask(q, 1, cellapi.AdviceRequest{TimeoutMS: 2000}), 1)
 	})
 }
+
+// costService takes the stated cost of a call.
+type costService struct{}
+
+func (costService) Ask(ctx context.Context, q *cellapi.AdviceRequest) (*cellapi.AdviceReply, error) {
+	select {
+	case <-time.After(time.Duration(q.CostMS) * time.Millisecond):
+		return &cellapi.AdviceReply{}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Guards against short requests that time out behind a long one that the leader sent after
+// them and that overtook them on its connection.
+func TestOvertakenRequestsAreAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newTestQueue(costService{})
+		later := make(chan int, 2)
+		for _, timeout := range []int64{1026, 1026 + 5*16 + 626} {
+			go func() { later <- ask(q, 1, cellapi.AdviceRequest{CostMS: 626, TimeoutMS: timeout}) }()
+			time.Sleep(time.Millisecond)
+		}
+		assert.Equal(t, ask(q, 5, cellapi.AdviceRequest{CostMS: 16, TimeoutMS: 1026 + 5*16}), 5)
+		assert.Equal(t, <-later+<-later, 2)
+	})
+}
