dispatch: requests that time out make a caller's expected overhead longer and its pause too

Callers: no job of a queue starts while the advice service is more than 0.4 s slower than it states; a process that never answers delays a job in each second. Cause: the overhead of calls was learned from answers only, and a request that ends at its limit brings none. A silent process was always idle, so it was the first choice again 0.4 s later. Change: a request at the head of a caller's queue that times out raises the caller's overhead to what it took at least; the pause after failures in a row is doubled twice.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -33,6 +33,9 @@
 	// adviceTimeoutSlack is how much longer than its stated cost a request for
 	// advice may take.
 	adviceTimeoutSlack = 400 * time.Millisecond
+	// maxAvoidDoublings bounds how often the time in which a caller gets no requests is
+	// doubled while its requests fail.
+	maxAvoidDoublings = 2
 	// overheadWeight is the weight of the newest call in a caller's average overhead.
 	overheadWeight = 0.2
 	// shareWeight is the weight of the newest answer in the average share of allowed
@@ -74,6 +77,8 @@
 	// proven is set while the last request to end was answered. A process that is not
 	// proven, since it is new or a request failed, gets one request at a time.
 	proven bool
+	// failures is the number of requests that failed since the last answer.
+	failures int
 }
 
 // callerRequest is a request that a caller was given.
@@ -111,14 +116,24 @@
 	if i < 0 {
 		return
 	}
-	if excess := max(0, now-c.headSince-r.cost); served && i == 0 {
-		weight := overheadWeight
-		if !c.proven {
-			weight = 1
-		}
-		c.overhead += time.Duration(weight * float64(excess-c.overhead))
+	excess := max(0, now-c.headSince-r.cost)
+	switch {
+	case i > 0:
+	case served && c.proven:
+		c.overhead += time.Duration(overheadWeight * float64(excess-c.overhead))
+	case served:
+		c.overhead = excess
+	default:
+		// The call takes at least that long, or is lost.
+		c.overhead = max(c.overhead, min(excess, r.cost+adviceTimeoutSlack))
 	}
 	c.proven = served
+	if served {
+		c.failures = 0
+	} else {
+		c.avoidUntil = now + adviceTimeoutSlack<<min(c.failures, maxAvoidDoublings)
+		c.failures++
+	}
 	if served || i == 0 {
 		c.headSince = now
 	}
@@ -290,7 +305,6 @@
 	b.callers[r.peer].finish(r, now, reply.Error == "")
 	if reply.Error != "" {
 		s.retryAt = now + retryDelay
-		b.callers[r.peer].avoidUntil = now + adviceTimeoutSlack
 	} else {
 		validity := reply.ValidityMS
 		if validity == 0 {
--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -144,3 +144,43 @@
 		term.wait()
 	})
 }
+
+// Guards against a service that is slower than the slack in the time limit and never
+// answers in time, because only answers would show that it is slow.
+func TestSlowServiceIsGivenMoreTime(t *testing.T) {
+	terms := cell.AdviceTerms{DecideMS: 440, PerWorkerMS: 6.2}
+	for _, overhead := range []time.Duration{300 * time.Millisecond, 450 * time.Millisecond, 700 * time.Millisecond} {
+		t.Run(overhead.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				f := &fakeAdvisers{terms: terms, overhead: overhead, idleAt: map[string]time.Time{}}
+				l := New(Config{Log: &fakeLog{}, Clock: port.NewSystemClock(), AdviceClient: f, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope})
+				term := newTerm(ctx, l, 1, 0)
+				peers := []string{"p0", "p1", "p2"}
+				requestFor(term.advice, terms, peers, 30*time.Second)
+				f.takeCounts()
+				requestFor(term.advice, terms, peers, 30*time.Second)
+				answered, timedOut := f.takeCounts()
+				assert.Assert(t, timedOut == 0 && answered > 0, "%d answered, %d timed out", answered, timedOut)
+				cancel()
+				term.wait()
+			})
+		})
+	}
+}
+
+// Guards against a process that does not answer but is always idle, so that it gets a large
+// part of the requests.
+func TestSilentCallerGetsFewRequests(t *testing.T) {
+	b := newAdviceBroker(nil)
+	requests := 0
+	for now := time.Duration(0); now < time.Minute; now += 100 * time.Millisecond {
+		b.announce("silent", now)
+		if r := b.chooseCaller(now, 0, maxCallerBacklog); r != nil {
+			requests++
+			b.callers["silent"].finish(r, now, false)
+		}
+	}
+	limit := int(time.Minute/(adviceTimeoutSlack<<maxAvoidDoublings)) + maxAvoidDoublings + 1
+	assert.Assert(t, requests <= limit, "%d requests in a minute", requests)
+}
