config: a cell may be asked to tolerate up to eight losses

Callers: a site that states a tolerance of four or more would not start, since its settings would not parse. Cause: the limit of the setting was 3, for no need of the group. Change: 0 to 8; the group has as many voters as processes exist, at most 17.

--- a/internal/config/cell.go
+++ b/internal/config/cell.go
@@ -12,7 +12,7 @@
 	maxLease                 = time.Minute
 	maxEndedJobRetention     = 24 * time.Hour
 	maxRemoteFactor          = 100
-	maxTolerated             = 3
+	maxTolerated             = 8
 	defaultTolerated         = 1
 	defaultMaxLease          = 6 * time.Second
 	defaultEndedJobRetention = 2 * time.Minute
