dispatch, adviser, cellnode: plainer names, and a test that fails where it waits

Change: the state of a caller and two tests have names that say what they mean. waitForGrowth fails when the group has not grown, instead of letting the test fail later without the reason; it waits as long as the other waits of these tests. Measured: tests of the three packages pass.

--- a/internal/adviser/queue_test.go
+++ b/internal/adviser/queue_test.go
@@ -84,7 +84,7 @@
 
 // Guards against calls that cannot be answered before their time limit but take the
 // service's time, so that the requests behind them are too late as well.
-func TestHopelessCallsAreNotSent(t *testing.T) {
+func TestCallsWithoutEnoughTimeAreNotSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &fakeService{takes: 100 * time.Millisecond}
 		q := newTestQueue(s)
--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -234,15 +234,15 @@
 	assert.Equal(t, s.readVersion(3), byte(1))
 }
 
-// waitForGrowth waits until the group has the given number of voters, for at most the
-// time that a group under no load needs to add them.
+// waitForGrowth waits until the group has the given number of voters.
 func (s *testCluster) waitForGrowth(voters int) {
 	s.t.Helper()
-	for deadline := time.Now().Add(4 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+	for deadline := time.Now().Add(waitTimeout); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
 		if i := s.leader(); i >= 0 && len(s.nodes[i].node.replica.Status().Voters) == voters {
 			return
 		}
 	}
+	s.t.Fatalf("the group does not have %d voters", voters)
 }
 
 // loseDisks stops all nodes at once and starts them again; the leader and the other
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -74,9 +74,9 @@
 	headSince time.Duration
 	// overhead is a moving average of what a call takes beyond its stated cost.
 	overhead time.Duration
-	// proven is set while the last request to end was answered. A process that is not
-	// proven, since it is new or a request failed, gets one request at a time.
-	proven bool
+	// answering is set while the last request to end was answered. A process that is not
+	// answering, since it is new or a request failed, gets one request at a time.
+	answering bool
 	// failures is the number of requests that failed since the last answer.
 	failures int
 }
@@ -119,7 +119,7 @@
 	excess := max(0, now-c.headSince-r.cost)
 	switch {
 	case i > 0:
-	case served && c.proven:
+	case served && c.answering:
 		c.overhead += time.Duration(overheadWeight * float64(excess-c.overhead))
 	case served:
 		c.overhead = excess
@@ -127,7 +127,7 @@
 		// The call takes at least that long, or is lost.
 		c.overhead = max(c.overhead, min(excess, r.cost+adviceTimeoutSlack))
 	}
-	c.proven = served
+	c.answering = served
 	if served {
 		c.failures = 0
 	} else {
@@ -236,7 +236,7 @@
 	var bestAt time.Duration
 	for _, peer := range usable {
 		c := b.callers[peer]
-		if !c.proven && len(c.queue) > 0 {
+		if !c.answering && len(c.queue) > 0 {
 			continue
 		}
 		if at := c.idleAt(now); best == "" || at < bestAt {
--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -107,7 +107,7 @@
 
 // Guards against a backlog at a process that has just started, or does not answer: all
 // requests in it would time out.
-func TestUnprovenCallerGetsOneRequest(t *testing.T) {
+func TestNewCallerGetsOneRequest(t *testing.T) {
 	b := newAdviceBroker(nil)
 	b.announce("new", 0)
 	first := b.chooseCaller(0, 15*time.Millisecond, maxCallerBacklog)
@@ -131,7 +131,7 @@
 		term := newTerm(ctx, l, 1, 0)
 		for _, peer := range []string{"p0", "p1"} {
 			term.advice.announce(peer, l.Clock.Now())
-			term.advice.callers[peer].proven = true
+			term.advice.callers[peer].answering = true
 		}
 		request := func(job string, onlyIfIdle bool) bool {
 			return term.advice.request(&adviceRequest{step: cell.StepKey{Job: job}, terms: terms, onlyIfIdle: onlyIfIdle})
