cellnode, peer: log why leadership is transferred, and slow deliveries of raft messages

Callers: the log does not tell a transfer at shutdown from one for a slow disk, nor when a transfer has ended; a delivery that almost fails at its time limit leaves no trace. Change: Resign takes the reason and logs it with the term, and the duration of the transfer. A delivery that takes at least half of its time limit is logged with its size, duration and limit. Measured: TestSlowDeliveryIsLogged and the tests of cellnode pass.

--- a/cmd/lg-cell/main.go
+++ b/cmd/lg-cell/main.go
@@ -96,7 +96,7 @@
 		return node.Err()
 	}
 	logger.Info("process draining", logging.Step("drain"))
-	node.Resign()
+	node.Resign("the process is draining")
 	err = servers.Shutdown(secondSignal, shutdownTimeout)
 	node.Stop()
 	logger.Info("process stopped", logging.Step("stop"), "error", err)
--- a/internal/adapter/peer/raft.go
+++ b/internal/adapter/peer/raft.go
@@ -209,7 +209,12 @@
 	timeout := baseRequestTimeout + time.Duration(size)*time.Second/minBytesPerSecond
 	request, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	began := time.Now()
 	_, err := s.service.Deliver(request, batch)
+	if took := time.Since(began); took >= timeout/2 {
+		s.log.Warn("raft messages took long to deliver", "group", batch.Group, "messages", len(batch.Messages),
+			"bytes", size, "took_ms", took.Milliseconds(), "timeout_ms", timeout.Milliseconds(), "delivered", err == nil)
+	}
 	if err == nil {
 		if s.failing {
 			s.log.Info("raft messages are delivered again", "group", batch.Group)
--- a/internal/adapter/peer/raft_test.go
+++ b/internal/adapter/peer/raft_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
 	"net/http"
@@ -8,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -93,3 +95,27 @@
 	assert.Equal(t, len(batch.Messages), maxQueuedMessages)
 	assert.Equal(t, batch.Messages[0].Round, uint64(10))
 }
+
+// slowService is a RaftService whose deliveries take the given time.
+type slowService struct{ delay time.Duration }
+
+func (s slowService) Deliver(context.Context, *peerv1.RaftBatch) (*peerv1.RaftAck, error) {
+	time.Sleep(s.delay)
+	return &peerv1.RaftAck{}, nil
+}
+
+// TestSlowDeliveryIsLogged guards against deliveries close to their time limit that
+// leave no trace in the log.
+func TestSlowDeliveryIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, c := range []struct {
+			takes time.Duration
+			lines int
+		}{{baseRequestTimeout / 4, 0}, {baseRequestTimeout / 2, 1}} {
+			var out bytes.Buffer
+			s := &sender{service: slowService{c.takes}, log: slog.New(slog.NewJSONHandler(&out, nil))}
+			s.deliver(t.Context(), &peerv1.RaftBatch{Group: "g"}, 0)
+			assert.Equal(t, strings.Count(out.String(), "raft messages took long to deliver"), c.lines)
+		}
+	})
+}
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -220,17 +220,21 @@
 // Err returns the error with which the replica stopped.
 func (n *Node) Err() error { return n.replica.Err() }
 
-// Resign transfers leadership to another replica if this process leads. It waits for at
-// most one second.
-func (n *Node) Resign() {
+// Resign transfers leadership to another replica if this process leads, and logs the
+// reason. It waits for at most one second.
+func (n *Node) Resign(reason string) {
 	if n.replica.Status().Role != raft.Leader {
 		return
 	}
+	began := n.config.Clock.Now()
+	n.config.Logger.Warn("transferring leadership", logging.Step("resign"), "reason", reason, "term", n.replica.Status().Term)
 	ctx, cancel := context.WithTimeout(context.Background(), transferTimeout)
 	defer cancel()
 	if err := n.replica.TransferLeadership(ctx); err != nil {
 		n.config.Logger.Warn("leadership transfer failed", logging.Step("resign"), logging.Error(err))
+		return
 	}
+	n.config.Logger.Info("leadership transferred", logging.Step("resign"), "took_ms", (n.config.Clock.Now() - began).Milliseconds())
 }
 
 // Stop stops the replica.
--- a/internal/cellnode/slowdisk.go
+++ b/internal/cellnode/slowdisk.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"time"
 
 	"laburnumgrade/gen/peerv1"
 	"laburnumgrade/internal/cellapi"
-	"laburnumgrade/internal/logging"
 	"laburnumgrade/internal/port"
 	"laburnumgrade/internal/raft"
 )
@@ -52,8 +52,7 @@
 		if slow < maxSlowAppends || n.replica.Status().Role != raft.Leader {
 			continue
 		}
-		n.config.Logger.Warn("leader's disk is slow; transferring leadership", logging.Step("watch disk"), "slow_appends", slow)
 		s.consecutiveSlowAppends.Store(0)
-		n.Resign()
+		n.Resign(fmt.Sprintf("the last %d appends to the log took at least %v", slow, slowAppendThreshold))
 	}
 }
