--- a/internal/adapter/peer/raft.go
+++ b/internal/adapter/peer/raft.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,8 +33,9 @@
 	senderIdleTimeout = 30 * time.Second
 )
 
-// RaftTransport is a port.PeerTransport over twirp. Each peer address has one
-// bounded queue and one sender goroutine, so a slow peer does not delay others.
+// RaftTransport is a port.PeerTransport over twirp. Each peer address has a bounded
+// queue and a sender goroutine, so a slow peer does not delay others. Snapshots have
+// a queue and a sender of their own, so that other messages do not wait for them.
 type RaftTransport struct {
 	client  *http.Client
 	resolve func(id string) string
@@ -43,7 +45,13 @@
 	running sync.WaitGroup
 
 	mu      sync.Mutex
-	senders map[string]*sender // by address
+	senders map[destination]*sender
+}
+
+// destination identifies a sender.
+type destination struct {
+	address   string
+	snapshots bool // whether the sender sends the snapshots or the other messages
 }
 
 var _ port.PeerTransport = (*RaftTransport)(nil)
@@ -55,7 +63,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &RaftTransport{
 		client: client, resolve: resolve, log: log,
-		context: ctx, cancel: cancel, senders: map[string]*sender{},
+		context: ctx, cancel: cancel, senders: map[destination]*sender{},
 	}
 }
 
@@ -69,10 +77,11 @@
 
 // Send implements port.PeerTransport.
 func (t *RaftTransport) Send(group string, messages []*peerv1.RaftMessage) {
-	byAddress := map[string][]queuedMessage{}
+	byDestination := map[destination][]queuedMessage{}
 	for _, m := range messages {
 		if address := t.resolve(m.To); address != "" {
-			byAddress[address] = append(byAddress[address], queuedMessage{group, m})
+			to := destination{address, m.Type == peerv1.RaftMessage_SNAPSHOT}
+			byDestination[to] = append(byDestination[to], queuedMessage{group, m})
 		}
 	}
 	t.mu.Lock()
@@ -80,23 +89,23 @@
 	if t.context.Err() != nil {
 		return
 	}
-	for address, items := range byAddress {
-		s := t.senders[address]
+	for to, items := range byDestination {
+		s := t.senders[to]
 		if s == nil {
-			s = t.startSender(address)
+			s = t.startSender(to)
 		}
 		s.enqueue(items)
 	}
 }
 
-func (t *RaftTransport) startSender(address string) *sender {
+func (t *RaftTransport) startSender(to destination) *sender {
 	s := &sender{
-		address: address,
-		log:     t.log.With("peer", address),
-		service: peerv1.NewRaftServiceProtobufClient("http://"+address, t.client),
+		to:      to,
+		log:     t.log.With("peer", to.address, "snapshots", to.snapshots),
+		service: peerv1.NewRaftServiceProtobufClient("http://"+to.address, t.client),
 		wake:    make(chan struct{}, 1),
 	}
-	t.senders[address] = s
+	t.senders[to] = s
 	t.running.Add(1)
 	go func() {
 		defer t.running.Done()
@@ -113,7 +122,7 @@
 	if s.queueLength() > 0 {
 		return false
 	}
-	delete(t.senders, s.address)
+	delete(t.senders, s.to)
 	return true
 }
 
@@ -122,9 +131,15 @@
 	message *peerv1.RaftMessage
 }
 
-// sender sends the messages for one address, one request at a time.
+// replaces reports whether m makes the queued message q unnecessary.
+func (m queuedMessage) replaces(q queuedMessage) bool {
+	return q.group == m.group && q.message.To == m.message.To && q.message.Type == m.message.Type &&
+		m.message.Type == peerv1.RaftMessage_SNAPSHOT
+}
+
+// sender sends the messages for one destination, one request at a time.
 type sender struct {
-	address string
+	to      destination
 	log     *slog.Logger
 	service peerv1.RaftService
 	wake    chan struct{}
@@ -136,7 +151,9 @@
 
 func (s *sender) enqueue(items []queuedMessage) {
 	s.mu.Lock()
-	s.queue = append(s.queue, items...)
+	for _, m := range items {
+		s.queueMessage(m)
+	}
 	if over := len(s.queue) - maxQueuedMessages; over > 0 {
 		s.queue = append([]queuedMessage(nil), s.queue[over:]...)
 	}
@@ -147,6 +164,18 @@
 	}
 }
 
+// queueMessage queues a message, in the place of a snapshot that it replaces if there is
+// one. The caller holds the mutex.
+func (s *sender) queueMessage(m queuedMessage) {
+	if s.to.snapshots {
+		if i := slices.IndexFunc(s.queue, m.replaces); i >= 0 {
+			s.queue[i] = m
+			return
+		}
+	}
+	s.queue = append(s.queue, m)
+}
+
 func (s *sender) queueLength() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -180,8 +209,8 @@
 }
 
 // nextBatch removes the next batch, which holds consecutive messages of one
-// group, from the queue. It returns the batch, nil if the queue is empty, and
-// its size in bytes, which includes the next message if that did not fit.
+// group or a single snapshot, from the queue. It returns the batch, nil if the queue
+// is empty, and its size in bytes.
 func (s *sender) nextBatch() (*peerv1.RaftBatch, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -191,10 +220,11 @@
 	batch := &peerv1.RaftBatch{Group: s.queue[0].group}
 	size := 0
 	for len(s.queue) > 0 && s.queue[0].group == batch.Group {
-		size += proto.Size(s.queue[0].message)
-		if len(batch.Messages) > 0 && size > maxBatchBytes {
+		next := proto.Size(s.queue[0].message)
+		if len(batch.Messages) > 0 && (s.to.snapshots || size+next > maxBatchBytes) {
 			break
 		}
+		size += next
 		batch.Messages = append(batch.Messages, s.queue[0].message)
 		s.queue[0] = queuedMessage{}
 		s.queue = s.queue[1:]
--- a/internal/adapter/peer/raft_test.go
+++ b/internal/adapter/peer/raft_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -119,3 +121,113 @@
 		}
 	})
 }
+
+// slowLink is an http.RoundTripper that passes requests to a handler at
+// minBytesPerSecond. It fails requests of at least failFrom bytes if that is not 0.
+type slowLink struct {
+	handler  http.Handler
+	failFrom int64
+}
+
+func (l slowLink) RoundTrip(r *http.Request) (*http.Response, error) {
+	if l.failFrom > 0 && r.ContentLength >= l.failFrom {
+		return nil, errors.New("connection refused")
+	}
+	select {
+	case <-r.Context().Done():
+		return nil, r.Context().Err()
+	case <-time.After(time.Duration(r.ContentLength) * time.Second / minBytesPerSecond):
+	}
+	recorder := httptest.NewRecorder()
+	l.handler.ServeHTTP(recorder, r)
+	return recorder.Result(), nil
+}
+
+// arrivals is a RaftReceiver that records when messages of each type arrive.
+type arrivals struct {
+	mu    sync.Mutex
+	times map[peerv1.RaftMessage_Type][]time.Time
+}
+
+func (a *arrivals) Step(messages []*peerv1.RaftMessage) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, m := range messages {
+		a.times[m.Type] = append(a.times[m.Type], time.Now())
+	}
+}
+
+// longestGap returns the longest time between two heartbeats, from the start until now.
+func (a *arrivals) longestGap(start time.Time) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	gap, last := time.Duration(0), start
+	for _, t := range append(slices.Clone(a.times[peerv1.RaftMessage_HEARTBEAT]), time.Now()) {
+		gap, last = max(gap, t.Sub(last)), t
+	}
+	return gap
+}
+
+const testHeartbeatInterval = 100 * time.Millisecond
+
+// startSlowLink returns a transport to a single replica b over a slow link.
+func startSlowLink(t *testing.T, failFrom int64) (*RaftTransport, *arrivals) {
+	received := &arrivals{times: map[peerv1.RaftMessage_Type][]time.Time{}}
+	server := NewRaftServer()
+	server.Register("g", received)
+	client := &http.Client{Transport: slowLink{server.Handler(), failFrom}}
+	transport := NewRaftTransport(client, func(string) string { return "b" }, slog.New(slog.DiscardHandler))
+	t.Cleanup(transport.Close)
+	return transport, received
+}
+
+func sendHeartbeats(transport *RaftTransport, count int) {
+	for range count {
+		transport.Send("g", []*peerv1.RaftMessage{{To: "b", Type: peerv1.RaftMessage_HEARTBEAT}})
+		time.Sleep(testHeartbeatInterval)
+	}
+}
+
+func snapshotMessage(to string, index uint64, bytes int) *peerv1.RaftMessage {
+	return &peerv1.RaftMessage{To: to, Type: peerv1.RaftMessage_SNAPSHOT, Snapshot: &peerv1.RaftSnapshot{Index: index, Data: make([]byte, bytes)}}
+}
+
+// TestHeartbeatsDoNotWaitForSnapshot guards against elections while a follower
+// receives a snapshot, or while the snapshot cannot be delivered.
+func TestHeartbeatsDoNotWaitForSnapshot(t *testing.T) {
+	const size = 8 << 20
+	for name, failFrom := range map[string]int64{"slow": 0, "failing": size} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				transport, received := startSlowLink(t, failFrom)
+				start := time.Now()
+				for range 3 {
+					transport.Send("g", []*peerv1.RaftMessage{snapshotMessage("b", 1, size)})
+					sendHeartbeats(transport, 10)
+				}
+				gap := received.longestGap(start)
+				assert.Assert(t, gap < testHeartbeatInterval+failureBackoff, "no heartbeat arrived for %v", gap)
+				time.Sleep(2 * time.Second)
+				transport.Close()
+				delivered := len(received.times[peerv1.RaftMessage_SNAPSHOT]) > 0
+				assert.Equal(t, delivered, failFrom == 0)
+			})
+		})
+	}
+}
+
+// TestNewerSnapshotReplacesQueuedOne guards against outdated snapshots that queue up
+// for a slow replica.
+func TestNewerSnapshotReplacesQueuedOne(t *testing.T) {
+	s := &sender{to: destination{snapshots: true}, wake: make(chan struct{}, 1)}
+	for index := range uint64(5) {
+		s.enqueue([]queuedMessage{{"g", snapshotMessage("b", index, 0)}, {"g", snapshotMessage("c", index, 0)}, {"h", snapshotMessage("b", index, 0)}})
+	}
+	for _, group := range []string{"g", "g", "h"} {
+		batch, _ := s.nextBatch()
+		assert.Equal(t, batch.Group, group)
+		assert.Equal(t, len(batch.Messages), 1)
+		assert.Equal(t, batch.Messages[0].Snapshot.Index, uint64(4))
+	}
+	assert.Equal(t, s.queueLength(), 0)
+}
