peer: heartbeats are sent before queued appends

Callers: a follower that is behind and has a slow link starts elections while its leader sends it what it lacks. Cause: up to 64 appends of up to 512 KiB wait in one queue with the heartbeats, and a batch holds up to 4 MiB, which alone takes 1 s at the slowest rate that the time limit allows for. Change: heartbeats, votes and replies are taken from the queue before appends, and a batch holds up to 512 KiB. Appends keep their order, and so do replies among themselves, so a reply to a heartbeat still does not overtake one to an append. Appends are sent after a batch without any, so that they are not starved. While a leader probes, each answered heartbeat makes it send the same append again; with heartbeats ahead of the queue these would pile up, so a repeated append takes the place of the queued one (TestRepeatedAppendReplacesQueuedOne).

--- a/internal/adapter/peer/raft.go
+++ b/internal/adapter/peer/raft.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -16,12 +15,13 @@
 )
 
 const (
-	// maxQueuedMessages bounds the queue of one peer. Beyond it the oldest messages
+	// maxQueuedMessages bounds each queue of a sender. Beyond it the oldest messages
 	// are dropped, since raft sends again what is still needed.
 	maxQueuedMessages = 4096
 	// maxBatchBytes bounds the messages of one request, unless a single message is
-	// larger.
-	maxBatchBytes = 4 << 20
+	// larger. A heartbeat may wait for the request in progress and then for the rest
+	// of its own batch: a quarter of a second at minBytesPerSecond.
+	maxBatchBytes = 512 << 10
 	// baseRequestTimeout is extended by the time that the batch takes at
 	// minBytesPerSecond, because a snapshot may be large.
 	baseRequestTimeout = time.Second
@@ -33,9 +33,10 @@
 	senderIdleTimeout = 30 * time.Second
 )
 
-// RaftTransport is a port.PeerTransport over twirp. Each peer address has a bounded
-// queue and a sender goroutine, so a slow peer does not delay others. Snapshots have
-// a queue and a sender of their own, so that other messages do not wait for them.
+// RaftTransport is a port.PeerTransport over twirp. Each peer address has bounded
+// queues and a sender goroutine, so a slow peer does not delay others. Snapshots have
+// a sender of their own, so that other messages do not wait for them, and heartbeats,
+// votes and replies are sent before queued appends.
 type RaftTransport struct {
 	client  *http.Client
 	resolve func(id string) string
@@ -131,10 +132,22 @@
 	message *peerv1.RaftMessage
 }
 
-// replaces reports whether m makes the queued message q unnecessary.
+// bulk reports whether the message may be large.
+func (m queuedMessage) bulk() bool {
+	return m.message.Type == peerv1.RaftMessage_APPEND || m.message.Type == peerv1.RaftMessage_SNAPSHOT
+}
+
+// sameReplica reports whether both messages are for the same replica of a group.
+func (m queuedMessage) sameReplica(q queuedMessage) bool {
+	return m.group == q.group && m.message.To == q.message.To
+}
+
+// replaces reports whether m makes q, an earlier message of the same type to the same
+// replica, unnecessary: a snapshot does, and an append that holds all entries of q.
 func (m queuedMessage) replaces(q queuedMessage) bool {
-	return q.group == m.group && q.message.To == m.message.To && q.message.Type == m.message.Type &&
-		m.message.Type == peerv1.RaftMessage_SNAPSHOT
+	a, b := m.message, q.message
+	return a.Type == peerv1.RaftMessage_SNAPSHOT ||
+		a.From == b.From && a.Term == b.Term && a.LogIndex == b.LogIndex && a.LogTerm == b.LogTerm && len(a.Entries) >= len(b.Entries)
 }
 
 // sender sends the messages for one destination, one request at a time.
@@ -145,18 +158,24 @@
 	wake    chan struct{}
 	failing bool
 
-	mu    sync.Mutex
-	queue []queuedMessage
+	mu sync.Mutex
+	// bulk holds the appends or, in a sender of snapshots, these; urgent holds the
+	// other messages.
+	urgent, bulk []queuedMessage
+	// bulkNext is set if a bulk message waited during the last batch and none was sent.
+	bulkNext bool
 }
 
 func (s *sender) enqueue(items []queuedMessage) {
 	s.mu.Lock()
 	for _, m := range items {
-		s.queueMessage(m)
-	}
-	if over := len(s.queue) - maxQueuedMessages; over > 0 {
-		s.queue = append([]queuedMessage(nil), s.queue[over:]...)
+		if m.bulk() {
+			s.bulk = appendOrReplace(s.bulk, m)
+		} else {
+			s.urgent = append(s.urgent, m)
+		}
 	}
+	s.urgent, s.bulk = dropOldest(s.urgent), dropOldest(s.bulk)
 	s.mu.Unlock()
 	select {
 	case s.wake <- struct{}{}:
@@ -164,22 +183,34 @@
 	}
 }
 
-// queueMessage queues a message, in the place of a snapshot that it replaces if there is
-// one. The caller holds the mutex.
-func (s *sender) queueMessage(m queuedMessage) {
-	if s.to.snapshots {
-		if i := slices.IndexFunc(s.queue, m.replaces); i >= 0 {
-			s.queue[i] = m
-			return
+// appendOrReplace appends a message, or puts it in the place of the last message to the
+// same replica if it replaces that.
+func appendOrReplace(queue []queuedMessage, m queuedMessage) []queuedMessage {
+	for i := len(queue) - 1; i >= 0; i-- {
+		if !m.sameReplica(queue[i]) {
+			continue
+		}
+		if m.replaces(queue[i]) {
+			queue[i] = m
+			return queue
 		}
+		break
 	}
-	s.queue = append(s.queue, m)
+	return append(queue, m)
+}
+
+// dropOldest returns the newest maxQueuedMessages messages.
+func dropOldest(queue []queuedMessage) []queuedMessage {
+	if over := len(queue) - maxQueuedMessages; over > 0 {
+		return append([]queuedMessage(nil), queue[over:]...)
+	}
+	return queue
 }
 
 func (s *sender) queueLength() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.queue)
+	return len(s.urgent) + len(s.bulk)
 }
 
 func (s *sender) run(ctx context.Context, removeIdle func() bool) {
@@ -208,28 +239,48 @@
 	}
 }
 
-// nextBatch removes the next batch, which holds consecutive messages of one
-// group or a single snapshot, from the queue. It returns the batch, nil if the queue
-// is empty, and its size in bytes.
+// nextBatch removes the next batch from the queues: messages of one group, urgent ones
+// first unless the last batch held only such, or a single snapshot. It returns the batch, nil if the queues are empty, and
+// its size in bytes.
 func (s *sender) nextBatch() (*peerv1.RaftBatch, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.queue) == 0 {
+	first, second := &s.urgent, &s.bulk
+	if len(s.urgent) == 0 || s.bulkNext {
+		first, second = second, first
+	}
+	if len(*first) == 0 {
 		return nil, 0
 	}
-	batch := &peerv1.RaftBatch{Group: s.queue[0].group}
-	size := 0
-	for len(s.queue) > 0 && s.queue[0].group == batch.Group {
-		next := proto.Size(s.queue[0].message)
-		if len(batch.Messages) > 0 && (s.to.snapshots || size+next > maxBatchBytes) {
+	b := &batchBuilder{batch: &peerv1.RaftBatch{Group: (*first)[0].group}, single: s.to.snapshots}
+	waiting := len(s.bulk)
+	*first = b.take(*first)
+	*second = b.take(*second)
+	s.bulkNext = waiting > 0 && len(s.bulk) == waiting
+	return b.batch, b.size
+}
+
+// batchBuilder collects the messages of a batch.
+type batchBuilder struct {
+	batch  *peerv1.RaftBatch
+	single bool // whether the batch holds at most one message
+	size   int  // bytes
+}
+
+// take adds the first messages of the queue, as long as they are of the batch's group
+// and fit, and returns the rest.
+func (b *batchBuilder) take(queue []queuedMessage) []queuedMessage {
+	for len(queue) > 0 && queue[0].group == b.batch.Group {
+		next := proto.Size(queue[0].message)
+		if len(b.batch.Messages) > 0 && (b.single || b.size+next > maxBatchBytes) {
 			break
 		}
-		size += next
-		batch.Messages = append(batch.Messages, s.queue[0].message)
-		s.queue[0] = queuedMessage{}
-		s.queue = s.queue[1:]
+		b.size += next
+		b.batch.Messages = append(b.batch.Messages, queue[0].message)
+		queue[0] = queuedMessage{}
+		queue = queue[1:]
 	}
-	return batch, size
+	return queue
 }
 
 // deliver sends one batch. If it fails, the batch is dropped, since its
--- a/internal/adapter/peer/raft_test.go
+++ b/internal/adapter/peer/raft_test.go
@@ -147,6 +147,8 @@
 type arrivals struct {
 	mu    sync.Mutex
 	times map[peerv1.RaftMessage_Type][]time.Time
+	// appends holds the log indexes of the appends.
+	appends []uint64
 }
 
 func (a *arrivals) Step(messages []*peerv1.RaftMessage) {
@@ -154,6 +156,9 @@
 	defer a.mu.Unlock()
 	for _, m := range messages {
 		a.times[m.Type] = append(a.times[m.Type], time.Now())
+		if m.Type == peerv1.RaftMessage_APPEND {
+			a.appends = append(a.appends, m.LogIndex)
+		}
 	}
 }
 
@@ -231,3 +236,68 @@
 	}
 	assert.Equal(t, s.queueLength(), 0)
 }
+
+// minElectionTimeout is the shortest time without a heartbeat after which a follower
+// starts an election.
+const minElectionTimeout = 450 * time.Millisecond
+
+func appendMessage(index uint64, entries, bytes int) *peerv1.RaftMessage {
+	m := &peerv1.RaftMessage{To: "b", Type: peerv1.RaftMessage_APPEND, LogIndex: index}
+	for range entries {
+		m.Entries = append(m.Entries, &peerv1.RaftEntry{Data: make([]byte, bytes/entries)})
+	}
+	return m
+}
+
+// TestHeartbeatsDoNotWaitForLargeAppends guards against elections while a follower
+// with a slow link receives many large appends, and against reordered or lost ones.
+func TestHeartbeatsDoNotWaitForLargeAppends(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const appends = 64
+		transport, received := startSlowLink(t, 0)
+		start := time.Now()
+		for i := range uint64(appends) {
+			transport.Send("g", []*peerv1.RaftMessage{appendMessage(i, 1, 512<<10)})
+		}
+		sendHeartbeats(transport, 100)
+		gap := received.longestGap(start)
+		assert.Assert(t, gap < minElectionTimeout, "no heartbeat arrived for %v", gap)
+		transport.Close()
+		assert.Equal(t, len(received.appends), appends)
+		for i, index := range received.appends {
+			assert.Equal(t, index, uint64(i))
+		}
+	})
+}
+
+// TestRepeatedAppendReplacesQueuedOne guards against entries that are sent several
+// times because heartbeats overtake the append that holds them.
+func TestRepeatedAppendReplacesQueuedOne(t *testing.T) {
+	s := &sender{wake: make(chan struct{}, 1)}
+	for _, m := range []*peerv1.RaftMessage{appendMessage(7, 1, 1), appendMessage(8, 1, 1), appendMessage(8, 3, 3), appendMessage(8, 2, 2), appendMessage(11, 0, 0)} {
+		s.enqueue([]queuedMessage{{"g", m}})
+	}
+	batch, _ := s.nextBatch()
+	var got [][2]int
+	for _, m := range batch.Messages {
+		got = append(got, [2]int{int(m.LogIndex), len(m.Entries)})
+	}
+	assert.DeepEqual(t, got, [][2]int{{7, 1}, {8, 3}, {8, 2}, {11, 0}})
+}
+
+// TestAppendsAreNotStarved guards against appends that wait for as long as there are
+// heartbeats to send, of another group or with too little room beside them.
+func TestAppendsAreNotStarved(t *testing.T) {
+	for group, size := range map[string]int{"g": maxBatchBytes, "h": 1} {
+		s := &sender{wake: make(chan struct{}, 1)}
+		heartbeat := queuedMessage{group, &peerv1.RaftMessage{To: "b", Type: peerv1.RaftMessage_HEARTBEAT}}
+		s.enqueue([]queuedMessage{{"g", appendMessage(1, 1, size)}, heartbeat})
+		var sent []peerv1.RaftMessage_Type
+		for range 3 {
+			batch, _ := s.nextBatch()
+			sent = append(sent, batch.Messages[0].Type)
+			s.enqueue([]queuedMessage{heartbeat})
+		}
+		assert.DeepEqual(t, sent, []peerv1.RaftMessage_Type{peerv1.RaftMessage_HEARTBEAT, peerv1.RaftMessage_APPEND, peerv1.RaftMessage_HEARTBEAT})
+	}
+}
