--- a/internal/adapter/peer/raft.go
+++ b/internal/adapter/peer/raft.go
@@ -15,12 +15,13 @@
 )
 
 const (
-	// maxQueuedMessages bounds the queue of one peer. Beyond it the oldest messages
+	// maxQueuedMessages bounds each queue of a sender. Beyond it the oldest messages
 	// are dropped, since raft sends again what is still needed.
 	maxQueuedMessages = 4096
 	// maxBatchBytes bounds the messages of one request, unless a single message is
-	// larger.
-	maxBatchBytes = 4 << 20
+	// larger. A heartbeat may wait for the request in progress and then for the rest
+	// of its own batch: a quarter of a second at minBytesPerSecond.
+	maxBatchBytes = 512 << 10
 	// baseRequestTimeout is extended by the time that the batch takes at
 	// minBytesPerSecond, because a snapshot may be large.
 	baseRequestTimeout = time.Second
@@ -32,8 +33,10 @@
 	senderIdleTimeout = 30 * time.Second
 )
 
-// RaftTransport is a port.PeerTransport over twirp. Each peer address has one
-// bounded queue and one sender goroutine, so a slow peer does not delay others.
+// RaftTransport is a port.PeerTransport over twirp. Each peer address has bounded
+// queues and a sender goroutine, so a slow peer does not delay others. Snapshots have
+// a sender of their own, so that other messages do not wait for them, and heartbeats,
+// votes and replies are sent before queued appends.
 type RaftTransport struct {
 	client  *http.Client
 	resolve func(id string) string
@@ -43,7 +46,13 @@
 	running sync.WaitGroup
 
 	mu      sync.Mutex
-	senders map[string]*sender // by address
+	senders map[destination]*sender
+}
+
+// destination identifies a sender.
+type destination struct {
+	address   string
+	snapshots bool // whether the sender sends the snapshots or the other messages
 }
 
 var _ port.PeerTransport = (*RaftTransport)(nil)
@@ -55,7 +64,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &RaftTransport{
 		client: client, resolve: resolve, log: log,
-		context: ctx, cancel: cancel, senders: map[string]*sender{},
+		context: ctx, cancel: cancel, senders: map[destination]*sender{},
 	}
 }
 
@@ -69,10 +78,11 @@
 
 // Send implements port.PeerTransport.
 func (t *RaftTransport) Send(group string, messages []*peerv1.RaftMessage) {
-	byAddress := map[string][]queuedMessage{}
+	byDestination := map[destination][]queuedMessage{}
 	for _, m := range messages {
 		if address := t.resolve(m.To); address != "" {
-			byAddress[address] = append(byAddress[address], queuedMessage{group, m})
+			to := destination{address, m.Type == peerv1.RaftMessage_SNAPSHOT}
+			byDestination[to] = append(byDestination[to], queuedMessage{group, m})
 		}
 	}
 	t.mu.Lock()
@@ -80,23 +90,23 @@
 	if t.context.Err() != nil {
 		return
 	}
-	for address, items := range byAddress {
-		s := t.senders[address]
+	for to, items := range byDestination {
+		s := t.senders[to]
 		if s == nil {
-			s = t.startSender(address)
+			s = t.startSender(to)
 		}
 		s.enqueue(items)
 	}
 }
 
-func (t *RaftTransport) startSender(address string) *sender {
+func (t *RaftTransport) startSender(to destination) *sender {
 	s := &sender{
-		address: address,
-		log:     t.log.With("peer", address),
-		service: peerv1.NewRaftServiceProtobufClient("http://"+address, t.client),
+		to:      to,
+		log:     t.log.With("peer", to.address, "snapshots", to.snapshots),
+		service: peerv1.NewRaftServiceProtobufClient("http://"+to.address, t.client),
 		wake:    make(chan struct{}, 1),
 	}
-	t.senders[address] = s
+	t.senders[to] = s
 	t.running.Add(1)
 	go func() {
 		defer t.running.Done()
@@ -113,7 +123,7 @@
 	if s.queueLength() > 0 {
 		return false
 	}
-	delete(t.senders, s.address)
+	delete(t.senders, s.to)
 	return true
 }
 
@@ -122,24 +132,50 @@
 	message *peerv1.RaftMessage
 }
 
-// sender sends the messages for one address, one request at a time.
+// bulk reports whether the message may be large.
+func (m queuedMessage) bulk() bool {
+	return m.message.Type == peerv1.RaftMessage_APPEND || m.message.Type == peerv1.RaftMessage_SNAPSHOT
+}
+
+// sameReplica reports whether both messages are for the same replica of a group.
+func (m queuedMessage) sameReplica(q queuedMessage) bool {
+	return m.group == q.group && m.message.To == q.message.To
+}
+
+// replaces reports whether m makes q, an earlier message of the same type to the same
+// replica, unnecessary: a snapshot does, and an append that holds all entries of q.
+func (m queuedMessage) replaces(q queuedMessage) bool {
+	a, b := m.message, q.message
+	return a.Type == peerv1.RaftMessage_SNAPSHOT ||
+		a.From == b.From && a.Term == b.Term && a.LogIndex == b.LogIndex && a.LogTerm == b.LogTerm && len(a.Entries) >= len(b.Entries)
+}
+
+// sender sends the messages for one destination, one request at a time.
 type sender struct {
-	address string
+	to      destination
 	log     *slog.Logger
 	service peerv1.RaftService
 	wake    chan struct{}
 	failing bool
 
-	mu    sync.Mutex
-	queue []queuedMessage
+	mu sync.Mutex
+	// bulk holds the appends or, in a sender of snapshots, these; urgent holds the
+	// other messages.
+	urgent, bulk []queuedMessage
+	// bulkNext is set if a bulk message waited during the last batch and none was sent.
+	bulkNext bool
 }
 
 func (s *sender) enqueue(items []queuedMessage) {
 	s.mu.Lock()
-	s.queue = append(s.queue, items...)
-	if over := len(s.queue) - maxQueuedMessages; over > 0 {
-		s.queue = append([]queuedMessage(nil), s.queue[over:]...)
+	for _, m := range items {
+		if m.bulk() {
+			s.bulk = appendOrReplace(s.bulk, m)
+		} else {
+			s.urgent = append(s.urgent, m)
+		}
 	}
+	s.urgent, s.bulk = dropOldest(s.urgent), dropOldest(s.bulk)
 	s.mu.Unlock()
 	select {
 	case s.wake <- struct{}{}:
@@ -147,10 +183,34 @@
 	}
 }
 
+// appendOrReplace appends a message, or puts it in the place of the last message to the
+// same replica if it replaces that.
+func appendOrReplace(queue []queuedMessage, m queuedMessage) []queuedMessage {
+	for i := len(queue) - 1; i >= 0; i-- {
+		if !m.sameReplica(queue[i]) {
+			continue
+		}
+		if m.replaces(queue[i]) {
+			queue[i] = m
+			return queue
+		}
+		break
+	}
+	return append(queue, m)
+}
+
+// dropOldest returns the newest maxQueuedMessages messages.
+func dropOldest(queue []queuedMessage) []queuedMessage {
+	if over := len(queue) - maxQueuedMessages; over > 0 {
+		return append([]queuedMessage(nil), queue[over:]...)
+	}
+	return queue
+}
+
 func (s *sender) queueLength() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.queue)
+	return len(s.urgent) + len(s.bulk)
 }
 
 func (s *sender) run(ctx context.Context, removeIdle func() bool) {
@@ -179,27 +239,48 @@
 	}
 }
 
-// nextBatch removes the next batch, which holds consecutive messages of one
-// group, from the queue. It returns the batch, nil if the queue is empty, and
-// its size in bytes, which includes the next message if that did not fit.
+// nextBatch removes the next batch from the queues: messages of one group, urgent ones
+// first unless the last batch held only such, or a single snapshot. It returns the batch, nil if the queues are empty, and
+// its size in bytes.
 func (s *sender) nextBatch() (*peerv1.RaftBatch, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.queue) == 0 {
+	first, second := &s.urgent, &s.bulk
+	if len(s.urgent) == 0 || s.bulkNext {
+		first, second = second, first
+	}
+	if len(*first) == 0 {
 		return nil, 0
 	}
-	batch := &peerv1.RaftBatch{Group: s.queue[0].group}
-	size := 0
-	for len(s.queue) > 0 && s.queue[0].group == batch.Group {
-		size += proto.Size(s.queue[0].message)
-		if len(batch.Messages) > 0 && size > maxBatchBytes {
+	b := &batchBuilder{batch: &peerv1.RaftBatch{Group: (*first)[0].group}, single: s.to.snapshots}
+	waiting := len(s.bulk)
+	*first = b.take(*first)
+	*second = b.take(*second)
+	s.bulkNext = waiting > 0 && len(s.bulk) == waiting
+	return b.batch, b.size
+}
+
+// batchBuilder collects the messages of a batch.
+type batchBuilder struct {
+	batch  *peerv1.RaftBatch
+	single bool // whether the batch holds at most one message
+	size   int  // bytes
+}
+
+// take adds the first messages of the queue, as long as they are of the batch's group
+// and fit, and returns the rest.
+func (b *batchBuilder) take(queue []queuedMessage) []queuedMessage {
+	for len(queue) > 0 && queue[0].group == b.batch.Group {
+		next := proto.Size(queue[0].message)
+		if len(b.batch.Messages) > 0 && (b.single || b.size+next > maxBatchBytes) {
 			break
 		}
-		batch.Messages = append(batch.Messages, s.queue[0].message)
-		s.queue[0] = queuedMessage{}
-		s.queue = s.queue[1:]
+		b.size += next
+		b.batch.Messages = append(b.batch.Messages, queue[0].message)
+		queue[0] = queuedMessage{}
+		queue = queue[1:]
 	}
-	return batch, size
+	return queue
 }
 
 // deliver sends one batch. If it fails, the batch is dropped, since its
@@ -209,7 +290,12 @@
 	timeout := baseRequestTimeout + time.Duration(size)*time.Second/minBytesPerSecond
 	request, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	began := time.Now()
 	_, err := s.service.Deliver(request, batch)
+	if took := time.Since(began); took >= timeout/2 {
+		s.log.Warn("raft messages took long to deliver", "group", batch.Group, "messages", len(batch.Messages),
+			"bytes", size, "took_ms", took.Milliseconds(), "timeout_ms", timeout.Milliseconds(), "delivered", err == nil)
+	}
 	if err == nil {
 		if s.failing {
 			s.log.Info("raft messages are delivered again", "group", batch.Group)
