dispatch, cellnode: what late steps, unconfirmed attempts and slow commits wait for

Logs and metrics count the ready steps by reason only, and the log's budget drops most lines of single tasks, so no hypothesis about one job could be tested: workers withheld, tickets, processes for advice, attempts that were committed and never started, or commits that stand still. Change: every 5 s at most five lines on the steps that have waited the longest beyond their objective, with the workers that are usable, allowed, with room and withheld, the requests in flight and the processes for advice; as often five lines on attempts that their workers have not confirmed between two reports; each second one line while the oldest proposal is older than 0.5 s, with the lag of each member. Cost: the figures of five steps in 5 s; nothing for each step or turn beyond a comparison and, for each proposal, the time of its batch.

--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -144,6 +144,7 @@
 	go n.announceReplica(ctx)
 	go n.repairMembership(ctx)
 	go n.watchDisk(ctx, n.storage)
+	go n.watchCommits(ctx)
 	go n.leader.Run(ctx)
 	return n, nil
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -92,6 +92,7 @@
 		now: t.leader.Clock.Now(), byID: map[string]*candidate{}, headroom: map[string]structs.Resources{}, advice: t.advice.snapshot, allowedShare: t.advice.allowedShare,
 		offRackFactor: t.leader.Bounds.RemoteFactor, plan: plan{reserved: map[string]cell.StepKey{}},
 	}
+	var waits []*stepWait
 	t.leader.Store.View(func(v *cell.View) {
 		readySteps := t.readySteps(v, p.now)
 		if len(readySteps) == 0 {
@@ -108,7 +109,9 @@
 		p.lastPreemption = maps.Clone(t.lastPreemption)
 		t.mu.Unlock()
 		p.planSteps(readySteps)
+		waits = t.longWaits(v, p, readySteps)
 	})
+	t.logWaits(waits)
 	t.reserved = p.reserved
 	t.leader.metrics.recordWaiting(&p.waiting)
 	t.mu.Lock()
@@ -202,7 +205,8 @@
 		}
 	}
 	for _, rs := range readySteps {
-		p.waiting[p.planStep(rs)]++
+		rs.waitsFor = p.planStep(rs)
+		p.waiting[rs.waitsFor]++
 	}
 }
 
--- a/internal/dispatch/ready.go
+++ b/internal/dispatch/ready.go
@@ -36,6 +36,8 @@
 	advice *stepAdvice
 	// failedOn holds the workers on which tasks of the job have failed.
 	failedOn map[string]bool
+	// waitsFor is set by the plan.
+	waitsFor waitReason
 }
 
 // readySteps returns the ready steps in the order in which they are served, and
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -37,8 +37,14 @@
 	wall *wallClock
 	// reserved maps a worker to the gang for which the last plan reserved it. Only
 	// the planner's goroutine uses it.
-	reserved   map[string]cell.StepKey
-	goroutines sync.WaitGroup
+	reserved map[string]cell.StepKey
+	// waitReportAt and attemptReportAt are when the next reports are due, and unconfirmed
+	// holds the attempts in the last one of the latter. Only the planner's goroutine uses
+	// them.
+	waitReportAt    time.Duration
+	attemptReportAt time.Duration
+	unconfirmed     map[stopKey]bool
+	goroutines      sync.WaitGroup
 
 	mu sync.Mutex
 	// sessions holds the session of each worker's newest incarnation by worker ID.
@@ -154,6 +160,7 @@
 		}
 		t.syncSessions()
 		t.stopUnwanted()
+		t.reportUnconfirmedAttempts()
 		t.openDueOccurrences()
 		t.planOnce()
 		if !t.pause(minPlanGap) {
--- a/internal/replica/admin.go
+++ b/internal/replica/admin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"laburnumgrade/gen/peerv1"
 	"laburnumgrade/internal/raft"
@@ -50,6 +51,49 @@
 	return err
 }
 
+// CommitQueue describes the proposals that a leader has not applied.
+type CommitQueue struct {
+	// Waiting is the number of proposals that callers wait for, and OldestAge how long the
+	// first of them has been in the log.
+	Waiting   int
+	OldestAge time.Duration
+	// Uncommitted is the number of entries beyond the commit index, Unapplied the number of
+	// committed entries that are not applied.
+	Uncommitted, Unapplied uint64
+	// Lag is, by member, the number of entries that are not known to be stored there.
+	Lag map[string]uint64
+	// Transferring is set while leadership is being transferred.
+	Transferring bool
+}
+
+// CommitQueue returns the state of the commit queue; it is empty unless the replica leads.
+// The error is that of runInLoop.
+func (r *Replica) CommitQueue(ctx context.Context) (CommitQueue, error) {
+	var q CommitQueue
+	err := r.runInLoop(ctx, func() error {
+		s := r.node.Status()
+		if s.Role != raft.Leader {
+			return nil
+		}
+		now := r.cfg.Clock.Now()
+		for _, p := range r.waiters {
+			if p.proposedAt > 0 {
+				q.Waiting, q.OldestAge = q.Waiting+1, max(q.OldestAge, now-p.proposedAt)
+			}
+		}
+		q.Uncommitted, q.Unapplied, q.Transferring = s.LastIndex-s.CommitIndex, s.CommitIndex-s.AppliedIndex, s.Transferring
+		q.Lag = make(map[string]uint64, len(s.Match))
+		for id, match := range s.Match {
+			q.Lag[id] = s.LastIndex - min(match, s.LastIndex)
+		}
+		return nil
+	})
+	if err != nil {
+		return CommitQueue{}, err // the function may still run
+	}
+	return q, nil
+}
+
 // AddLearner adds a replica that receives the log but does not vote.
 func (r *Replica) AddLearner(ctx context.Context, replica *peerv1.RaftReplica) error {
 	return r.changeMembership(ctx, raft.Change{Kind: raft.AddLearner, Replica: replica})
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -17,9 +17,11 @@
 	// the caller when it stops waiting before that.
 	claimed atomic.Bool
 	term    uint64 // in which it was proposed
-	result  any
-	err     error
-	done    chan struct{} // closed when result and err are set
+	// proposedAt is when it was appended to the log.
+	proposedAt time.Duration
+	result     any
+	err        error
+	done       chan struct{} // closed when result and err are set
 }
 
 func newProposal(command []byte) *proposal {
@@ -122,12 +124,13 @@
 		return
 	}
 	first, term, err := r.node.Propose(commands)
+	now := r.cfg.Clock.Now()
 	for i, p := range batch {
 		if err != nil {
 			p.finish(nil, r.translateError(err))
 			continue
 		}
-		p.term = term
+		p.term, p.proposedAt = term, now
 		r.waiters[first+uint64(i)] = p
 	}
 }
