cellnode: failing test of a leader that no process finds after a restart of all

All 125 calls for advice after 46.7 s go through the leader itself; before, 39 processes took part. No process logs that it has found the leader, and no job is submitted and no worker registers after the restart. The three seeds are balaju-1, patan-1 and bhaktapur-1: balaju-1 had been replaced as a voter by 18.8 s and knows no leader, the other two have lost their disks. A process learns of others from the seeds and from replies of the leader only, and forgets the latter when it restarts. So gateways and spare replicas ask three processes that know no leader, and the emptied voters, which must announce themselves to be let in, find none either. Hypotheses B1 (transfer of leadership), B2 (commits stand still) and B3 (callers are avoided) do not fit: commits of ends and placements go on until 96 s. Measured: the test fails after 20 s with "does not lead; leader """; one leader holds its lease all the while.

--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -368,6 +368,36 @@
 	}
 }
 
+// Guards against a leader that no other process finds after all have restarted, because one
+// seed is no longer a voter and the others have lost their disks.
+func TestLeaderIsFoundWithoutSeedInGroup(t *testing.T) {
+	s := newTestCluster(t, 6)
+	s.tolerance = Tolerance{VMs: 2}
+	for i := range 6 {
+		s.start(i, true)
+	}
+	s.putConfiguration(0, 1)
+	s.waitForGrowth(5)
+	s.stop(0)
+	s.waitForVoters(1, 2, 3, 4, 5)
+	s.start(0, false)
+	s.putConfiguration(0, 2)
+	for i := range 6 {
+		s.stop(i)
+	}
+	for i := range 6 {
+		if i == 1 || i == 2 {
+			s.folders[i] = t.TempDir()
+		}
+		s.start(i, false)
+	}
+	for i := range 6 {
+		assert.Equal(t, s.readVersion(i), byte(2))
+	}
+	s.putConfiguration(5, 3)
+	s.waitForVoters(1, 2, 3, 4, 5)
+}
+
 // Guards against a group of which the loss of one data centre takes the majority although
 // there is a process in another.
 func TestVotersMoveOutOfCrowdedDataCentre(t *testing.T) {
