dispatch: failing tests of attempts that are committed but never started nor closed

Cause to test: a proposal that had no answer in 3 s may still be committed. The leader then sends no start order for its attempts. A worker's session that has no attempts sleeps until a start order or a registration wakes it, so it requests no listing, and the time limit for attempts without an order is never checked. The task stays in flight, a gang cannot start while one of its attempts is, and the capacity stays charged. The same holds for an attempt whose job was cancelled before its order was sent, if the commit of its end fails.

--- /dev/null
+++ b/internal/dispatch/orphan_test.go
@@ -0,0 +1,95 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"laburnumgrade/internal/cell"
+	"laburnumgrade/internal/port"
+)
+
+// hookedLog calls hook with each command before it is proposed. A command for which hook
+// returns false is refused.
+type hookedLog struct {
+	Log
+	hook func(c *cell.Command) bool
+}
+
+func (l *hookedLog) Propose(ctx context.Context, command []byte) (any, error) {
+	var c cell.Command
+	if err := cbor.Unmarshal(command, &c); err != nil {
+		return nil, err
+	}
+	if !l.hook(&c) {
+		return nil, &port.NotLeaderError{Group: "cell"}
+	}
+	return l.Log.Propose(ctx, command)
+}
+
+// Guards against jobs that never start because a plan was committed after its proposal had
+// timed out: no order is sent for its attempts, and on a worker without other attempts
+// nothing closes them.
+func TestAttemptsOfLateCommitAreClosed(t *testing.T) {
+	gang := taskStep(2, 3)
+	gang.Gang = true
+	for name, step := range map[string]cell.Step{"gang": gang, "task": taskStep(1, 3)} {
+		t.Run(name, func(t *testing.T) {
+			const delay = proposeTimeout + time.Second
+			runCellWith(t, 2, func(c *Config) {
+				log := &slowLog{fakeLog: c.Log.(*fakeLog), entryTime: time.Millisecond}
+				paused := false
+				c.Log = &hookedLog{log, func(c *cell.Command) bool {
+					if c.Start != nil && !paused {
+						paused = true
+						log.pause(delay)
+					}
+					return true
+				}}
+			}, func(b *testCell) {
+				b.submit(jobID1, step)
+				b.waitForState(jobID1, cell.Complete, delay+orphanTimeout+renewalWait+2*time.Second)
+			})
+		})
+	}
+}
+
+// Guards against capacity that is never released because the job was cancelled before its
+// start order was sent and the commit of the attempt's end failed.
+func TestAttemptOfCancelledJobIsClosed(t *testing.T) {
+	runCellWith(t, 1, func(c *Config) {
+		log := c.Log.(*fakeLog)
+		cancelled, refused := false, false
+		c.Log = &hookedLog{log, func(c *cell.Command) bool {
+			if c.RecordEnds == nil || !cancelled || refused {
+				return true
+			}
+			refused = true
+			return false
+		}}
+		apply := log.apply
+		log.apply = func(index uint64, command []byte) any {
+			result := apply(index, command)
+			var decoded cell.Command
+			if cbor.Unmarshal(command, &decoded) == nil && decoded.Start != nil && !cancelled {
+				cancelled = true
+				request := jobRequest(jobID1)
+				data, err := cell.Encode(&cell.Command{Cancel: &request})
+				assert.NilError(t, err)
+				log.index++
+				apply(log.index, data)
+			}
+			return result
+		}
+	}, func(b *testCell) {
+		b.submit(jobID1, taskStep(1, 3))
+		for range 200 {
+			b.reportAll()
+			time.Sleep(50 * time.Millisecond)
+		}
+		assert.Equal(t, b.workerWithAttempts(), "")
+	})
+}
