cellnode: the leader announces itself to the seeds outside the group

Cause: processes find the leader by asking the seeds, which know it only as members of the group, and members are remembered in memory only. When one seed is no longer a voter and the others have lost their disks, every process asks three that know nothing; the emptied voters cannot announce themselves and are never let in again. Class: discovery through fixed processes whose knowledge is lost together with that of the askers. Change: while it holds its lease, the leader announces itself every 0.5 s to those of its seeds whose replica is not known to be a member of the group. A process that knows no leader as a member names the announced one for 2 s. This only routes calls: who leads is decided by the lease as before. In steady state with all seeds in the group nothing is sent. Why it works: the voters that kept their disks know each other from their logs and the seeds from their settings, so the leader reaches the processes that everybody asks. The same cause elsewhere: a seed that is a spare replica knew the leader itself but did not name it to others; it gets the announcements too. Open: with all three seeds down for good, a process that restarts finds nobody.

--- a/internal/cellapi/client.go
+++ b/internal/cellapi/client.go
@@ -94,6 +94,13 @@
 	c.seeds = seeds
 }
 
+// Seeds returns the peer addresses from which the client starts.
+func (c *Client) Seeds() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.seeds)
+}
+
 // Members returns the peer addresses of the control processes in the leader's newest
 // reply.
 func (c *Client) Members() []string {
@@ -302,6 +309,17 @@
 	return &a
 }
 
+// AnnounceLeader informs the process at the address who leads.
+func (c *Client) AnnounceLeader(ctx context.Context, address string, a *AnnounceLeader) error {
+	data, err := cbor.Marshal(&Call{AnnounceLeader: a})
+	if err != nil {
+		return err
+	}
+	var r Reply
+	_, err = Post(ctx, c.http, address, callPath, data, &r)
+	return err
+}
+
 // Pause waits for the duration. It returns false, without waiting further, if the context
 // ends before.
 func Pause(ctx context.Context, d time.Duration) bool {
--- a/internal/cellapi/message.go
+++ b/internal/cellapi/message.go
@@ -17,6 +17,8 @@
 	AnnounceReplica      *AnnounceReplica      `cbor:"8,keyasint,omitempty"`
 	StartWave            *cell.StartWave       `cbor:"9,keyasint,omitempty"`
 	ReadWave             *ReadWave             `cbor:"10,keyasint,omitempty"`
+	// AnnounceLeader is the only call that goes to other processes than the leader.
+	AnnounceLeader *AnnounceLeader `cbor:"11,keyasint,omitempty"`
 }
 
 // ReadWave asks whether a wave of upkeep is complete.
@@ -57,6 +59,14 @@
 	DataCentre string `cbor:"4,keyasint,omitempty"`
 }
 
+// AnnounceLeader informs a process that is no member of the cell's group who leads. It is
+// repeated while the leader holds its lease.
+type AnnounceLeader struct {
+	// Leader is the peer address of the leader, and Term its term.
+	Leader string `cbor:"1,keyasint,omitempty"`
+	Term   uint64 `cbor:"2,keyasint,omitempty"`
+}
+
 // Reply is the answer to a Call. The call was carried out if Refused, Unknown and
 // NotLeader are not set; Verdict then has its result.
 type Reply struct {
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -85,6 +85,7 @@
 	client        *cellapi.Client
 	leader        *dispatch.Leader
 	announcements announcedReplicas
+	announced     announcedLeader
 	storage       *timedStorage
 }
 
@@ -117,9 +118,13 @@
 		PublicAddress: c.PublicAddress,
 		Members:       n.liveAddresses,
 		OnJoin:        n.recordAnnouncement,
-		Bounds:        c.Bounds,
-		Logger:        c.Logger,
-		Scope:         c.Scope,
+		OnLeader:      func(a *cellapi.AnnounceLeader) { n.announced.record(a, c.Clock.Now()) },
+		AnnouncedLeader: func() string {
+			return n.announced.address(c.Clock.Now())
+		},
+		Bounds: c.Bounds,
+		Logger: c.Logger,
+		Scope:  c.Scope,
 	})
 	n.replica, err = replica.Start(replica.Config{
 		Group:             group,
@@ -142,6 +147,7 @@
 	n.raft.Register(group, n.replica)
 	c.Logger.Info("replica started", logging.Step("start replica"), "id", id, "founder", initial != nil, "voters", c.Tolerance.voterCount())
 	go n.announceReplica(ctx)
+	go n.announceLeader(ctx)
 	go n.repairMembership(ctx)
 	go n.watchDisk(ctx, n.storage)
 	go n.watchCommits(ctx)
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -46,9 +46,13 @@
 	Members func() []string
 	// OnJoin is called for each replica that announces itself.
 	OnJoin func(*cellapi.AnnounceReplica)
-	Bounds Bounds
-	Logger *slog.Logger
-	Scope  tally.Scope
+	// OnLeader is called for each announcement of a leader, and AnnouncedLeader returns the
+	// peer address of the leader that announced itself last, empty if none did recently.
+	OnLeader        func(*cellapi.AnnounceLeader)
+	AnnouncedLeader func() string
+	Bounds          Bounds
+	Logger          *slog.Logger
+	Scope           tally.Scope
 }
 
 // Bounds are the time limits and factors from the settings of the site.
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -19,6 +19,10 @@
 
 // Do implements cellapi.Service.
 func (l *Leader) Do(ctx context.Context, c *cellapi.Call) *cellapi.Reply {
+	if c.AnnounceLeader != nil {
+		l.OnLeader(c.AnnounceLeader)
+		return &cellapi.Reply{Verdict: cell.Accepted}
+	}
 	t := l.currentTerm()
 	since, leads := l.Log.Lease()
 	if t == nil || !leads {
@@ -38,6 +42,9 @@
 // the leader if another process is known to lead.
 func (l *Leader) notLeader() *cellapi.Reply {
 	_, address := l.Log.Leader()
+	if address == "" {
+		address = l.AnnouncedLeader() // the process may be no member of the group
+	}
 	if address == l.PeerAddress {
 		address = ""
 	}
