dispatch: sessions that wait for attempts are woken when the state has some

Callers: an accepted job could stay without a running task for good, with room free and one leader, after a commit that took over 3 s (found by a test; that it is the cause of the users' record is not shown). Cause: the only events that wake a worker's session are a start order and a registration. An attempt that is committed after its proposal had timed out, or whose job is cancelled before the order, gets neither, and on a worker without other attempts nothing lists it, so neither the time limit of attempts without an order nor the retry of a failed commit is reached. Class: a wakeup tied to one path instead of the state that it is about. Change: the term's loop, which goes through all workers before each plan, wakes each session that waits although the state has attempts for its worker. Why it works: whatever committed the attempts, the session requests listings from then on until the attempts are closed, by the existing rules. No additional call is sent for an ordinary start, whose order wakes the session as well. The same cause elsewhere: ends whose commit fails, stops and expired leases are repeated by a session that has attempts; they depended on the same wakeup and are covered by it. Tests of dispatch pass with the race detector.

--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"laburnumgrade/internal/cell"
@@ -51,6 +52,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	wake   chan struct{}
+	// idle is set while run waits for attempts.
+	idle atomic.Bool
 
 	mu    sync.Mutex
 	clock workerClock
@@ -206,6 +209,8 @@
 	if unknown && !failing {
 		return true // no attempt can be started before the worker's clock is known
 	}
+	s.idle.Store(true)
+	defer s.idle.Store(false)
 	var probe <-chan time.Time
 	if failing {
 		timer := time.NewTimer(probeInterval)
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -194,7 +194,8 @@
 }
 
 // syncSessions starts a session for each new incarnation and for each incarnation
-// whose address has changed.
+// whose address has changed. It wakes sessions that wait for attempts although the
+// state has some: their order may never have been sent.
 func (t *term) syncSessions() {
 	var newSessions []*session
 	t.leader.Store.View(func(v *cell.View) {
@@ -203,6 +204,9 @@
 		for id, w := range v.Workers() {
 			s := t.sessions[id]
 			if s != nil && s.born == w.Born && s.target.Address == w.Address {
+				if len(w.Attempts) > 0 && s.idle.Load() {
+					s.wakeUp()
+				}
 				continue
 			}
 			if w.Gone && len(w.Attempts) == 0 {
