dispatch: a worker's new address does not leave its attempts without an end

Cause: the session for the new address copied the mark of a call in progress, which only the call of the earlier session would have removed. While it is set, an attempt that the worker does not list counts as about to start. Change: the copy does not have the mark. The deadline of the order is copied, so that the attempt is closed only once the worker's clock has passed it.

--- a/internal/dispatch/orphan_test.go
+++ b/internal/dispatch/orphan_test.go
@@ -93,3 +93,19 @@
 		assert.Equal(t, b.workerWithAttempts(), "")
 	})
 }
+
+// Guards against an attempt that is never closed because its worker got another address
+// while the start order was being sent.
+func TestAttemptIsClosedAfterChangeOfAddress(t *testing.T) {
+	runCell(t, 1, func(b *testCell) {
+		b.fleet.change("w0", func(w *fakeWorker) { w.startDelay = time.Hour })
+		b.submit(jobID1, taskStep(1, 3))
+		time.Sleep(callTimeout / 2)
+		assert.Equal(t, b.workerWithAttempts(), "w0")
+		moved := firstReport("w0", 1, 9)
+		moved.Report.Sequence = 2
+		b.do(moved)
+		b.fleet.change("w0", func(w *fakeWorker) { w.startDelay = 0 })
+		b.waitForState(jobID1, cell.Complete, startValidity+failedStartAvoidance+renewalWait+2*time.Second)
+	})
+}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -116,6 +116,7 @@
 	defer earlier.mu.Unlock()
 	for k, info := range earlier.attempts {
 		clone := *info
+		clone.startInFlight = false // the call ends with the earlier session; its deadline remains
 		s.attempts[k] = &clone
 	}
 	s.clock, s.latestLeaseEnd = earlier.clock, earlier.latestLeaseEnd
