--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"laburnumgrade/internal/cell"
@@ -51,6 +52,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	wake   chan struct{}
+	// idle is set while run waits for attempts.
+	idle atomic.Bool
 
 	mu    sync.Mutex
 	clock workerClock
@@ -113,6 +116,7 @@
 	defer earlier.mu.Unlock()
 	for k, info := range earlier.attempts {
 		clone := *info
+		clone.startInFlight = false // the call ends with the earlier session; its deadline remains
 		s.attempts[k] = &clone
 	}
 	s.clock, s.latestLeaseEnd = earlier.clock, earlier.latestLeaseEnd
@@ -206,6 +210,8 @@
 	if unknown && !failing {
 		return true // no attempt can be started before the worker's clock is known
 	}
+	s.idle.Store(true)
+	defer s.idle.Store(false)
 	var probe <-chan time.Time
 	if failing {
 		timer := time.NewTimer(probeInterval)
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -37,8 +37,14 @@
 	wall *wallClock
 	// reserved maps a worker to the gang for which the last plan reserved it. Only
 	// the planner's goroutine uses it.
-	reserved   map[string]cell.StepKey
-	goroutines sync.WaitGroup
+	reserved map[string]cell.StepKey
+	// waitReportAt and attemptReportAt are when the next reports are due, and unconfirmed
+	// holds the attempts in the last one of the latter. Only the planner's goroutine uses
+	// them.
+	waitReportAt    time.Duration
+	attemptReportAt time.Duration
+	unconfirmed     map[stopKey]bool
+	goroutines      sync.WaitGroup
 
 	mu sync.Mutex
 	// sessions holds the session of each worker's newest incarnation by worker ID.
@@ -154,6 +160,7 @@
 		}
 		t.syncSessions()
 		t.stopUnwanted()
+		t.reportUnconfirmedAttempts()
 		t.openDueOccurrences()
 		t.planOnce()
 		if !t.pause(minPlanGap) {
@@ -187,7 +194,8 @@
 }
 
 // syncSessions starts a session for each new incarnation and for each incarnation
-// whose address has changed.
+// whose address has changed. It wakes sessions that wait for attempts although the
+// state has some: their order may never have been sent.
 func (t *term) syncSessions() {
 	var newSessions []*session
 	t.leader.Store.View(func(v *cell.View) {
@@ -196,6 +204,9 @@
 		for id, w := range v.Workers() {
 			s := t.sessions[id]
 			if s != nil && s.born == w.Born && s.target.Address == w.Address {
+				if len(w.Attempts) > 0 && s.idle.Load() {
+					s.wakeUp()
+				}
 				continue
 			}
 			if w.Gone && len(w.Attempts) == 0 {
