dispatch: failing test of commits that wait for a long plan

A plan is made with the store's read lock held, so applying the replicated log waits for the whole plan. With 6,000 ready steps and 350 workers a commit was delayed by 377 and 521 ms (1.9 s under the race detector), while the leader has to apply between two heartbeats, 100 ms.

--- /dev/null
+++ b/internal/dispatch/plan_load_test.go
@@ -0,0 +1,144 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"laburnumgrade/internal/cell"
+	"laburnumgrade/internal/cellapi"
+	"laburnumgrade/internal/port"
+	"laburnumgrade/internal/raft"
+	"laburnumgrade/internal/structs"
+)
+
+// silentAdvisers never answer before the time limit of a request.
+type silentAdvisers struct{}
+
+func (silentAdvisers) Ask(ctx context.Context, _ string, _ *cellapi.AdviceRequest) *cellapi.AdviceReply {
+	<-ctx.Done()
+	return &cellapi.AdviceReply{Error: ctx.Err().Error()}
+}
+
+// obedientWorkers carry out each order at once.
+type obedientWorkers struct{ Workers }
+
+func (obedientWorkers) Start(context.Context, Target, *StartOrder) (OrderReply, error) {
+	return OrderReply{Answer: Done, ClockMS: 1}, nil
+}
+
+// newLoadedTerm returns a term, in real time, of a cell with many ready steps: one in
+// twenty can be placed, seven in ten wait for advice and the others are gangs that do
+// not fit.
+func newLoadedTerm(tb testing.TB, readySteps, workers int) *term {
+	ctx, cancel := context.WithCancel(tb.Context())
+	store := cell.NewStore(nil)
+	l := New(Config{
+		Log: &fakeLog{term: 1, apply: store.Apply}, Store: store, Clock: port.NewSystemClock(), Workers: obedientWorkers{}, AdviceClient: silentAdvisers{},
+		PeerAddress: "self", Bounds: Bounds{MaxLease: 6 * time.Second, RemoteFactor: 2}, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+	})
+	index := uint64(0)
+	apply := func(c *cell.Command) {
+		index++
+		data, err := cell.Encode(c)
+		assert.NilError(tb, err)
+		if verdict, ok := store.Apply(index, data).(cell.Verdict); ok {
+			assert.Equal(tb, verdict, cell.Accepted)
+		}
+	}
+	terms := &cell.AdviceTerms{DecideMS: 80, PerWorkerMS: 1.1, ValidityMS: 2000}
+	apply(&cell.Command{Configure: &cell.Configuration{
+		Version: 1, Services: []cell.Service{{Name: service}},
+		Queues: []cell.Queue{
+			{Name: "q", Host: "h", Prefix: "/q/", Service: service, TimeoutMS: 1000, ObjectiveMS: 60_000, Priority: 2, Public: true},
+			{Name: "a", Host: "h", Prefix: "/a/", Service: service, TimeoutMS: 1000, ObjectiveMS: 60_000, Priority: 1, Advice: terms, Public: true},
+			{Name: "g", Host: "h", Prefix: "/g/", Service: service, TimeoutMS: 1000, ObjectiveMS: 60_000, Priority: 1, Public: true},
+		},
+	}})
+	t := newTerm(ctx, l, 1, l.Clock.Now())
+	for i := range workers {
+		apply(&cell.Command{Register: registration(i)})
+	}
+	for i := range readySteps {
+		path, step := "/a/", cell.Step{Count: 4, Size: structs.Resources{MilliCPU: 2000, MemoryBytes: 1 << 30}, EstimateMS: 2000}
+		switch {
+		case i%20 == 0:
+			path = "/q/"
+		case i%4 == 1:
+			path, step = "/g/", newGangStep(workers, 18)
+			step.Label = "wide"
+		}
+		id := fmt.Sprintf("%016x", i)
+		apply(&cell.Command{Submit: &cell.Submit{Request: cell.Request{Host: "h", Path: path + id}, Job: cell.Submission{ID: id, Steps: []cell.Step{step}}}})
+	}
+	store.View(func(v *cell.View) {
+		for id, w := range v.Workers() {
+			t.sessions[id] = newSession(t, w, false)
+			t.sessions[id].clock.observe(1, t.began)
+		}
+	})
+	for i := range 10 {
+		t.advice.announce(fmt.Sprintf("p%d", i), l.Clock.Now())
+	}
+	tb.Cleanup(func() {
+		cancel()
+		t.wait()
+	})
+	return t
+}
+
+func registration(i int) *cell.Register {
+	r := &cell.Register{
+		ID: fmt.Sprintf("w%03d", i), Born: 1, Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), Service: service, Rack: fmt.Sprint("r", i/20),
+		Capacity: structs.Resources{MilliCPU: 64_000, MemoryBytes: 128 << 30},
+	}
+	if i%10 == 0 {
+		r.Labels = []string{"wide"}
+	}
+	return r
+}
+
+// Guards against a leader that cannot apply commits between two heartbeats, and loses its
+// leadership, because it plans many ready steps.
+func TestCommitsAreNotDelayedByLongPlans(t *testing.T) {
+	const heartbeatInterval = 2 * raft.TickInterval
+	const workers = 350
+	term := newLoadedTerm(t, 6000, workers)
+	planned := make(chan struct{})
+	go func() {
+		defer close(planned)
+		for began := time.Now(); time.Since(began) < time.Second; time.Sleep(minPlanGap) {
+			term.planOnce()
+		}
+	}()
+	var longest time.Duration
+	for i := 0; ; i++ {
+		select {
+		case <-planned:
+			assert.Assert(t, longest < heartbeatInterval, "a commit was delayed by %v", longest)
+			return
+		case <-time.After(time.Millisecond):
+		}
+		data, err := cell.Encode(&cell.Command{Register: registration(i % workers)})
+		assert.NilError(t, err)
+		began := time.Now()
+		term.leader.Store.Apply(1, data)
+		longest = max(longest, time.Since(began))
+	}
+}
+
+func benchmarkPlan(b *testing.B, readySteps int) {
+	term := newLoadedTerm(b, readySteps, 350)
+	term.planOnce() // starts what can start at once
+	for b.Loop() {
+		term.planOnce()
+	}
+}
+
+func BenchmarkPlan600(b *testing.B)  { benchmarkPlan(b, 600) }
+func BenchmarkPlan6000(b *testing.B) { benchmarkPlan(b, 6000) }
