dispatch: a plan holds the state's lock only while its inputs are copied

Callers: on a cell with 350 workers and 300 to 600 ready steps leaders followed each other within seconds, and requests were not served. Cause: planOnce made the whole plan with the store's read lock held, and applying a commit waits for it on the goroutine that also sends and answers heartbeats. Change: ready steps, workers and headroom are copied under the lock; planning works on the copies. The state checks each placement again when it applies it, so a plan that is out of date does no harm. Tasks that may be preempted are collected on the first use in a plan. The data of ended jobs is dropped once a second instead of in each plan. Histograms show the duration of planning and of the lock.

--- a/internal/cell/store.go
+++ b/internal/cell/store.go
@@ -163,7 +163,8 @@
 }
 
 // View gives read access to the state while the read lock is held. Values that its
-// methods return must not be modified, nor used after the lock is released.
+// methods return must not be modified, nor used after the lock is released. Queues, the
+// steps of jobs and the labels of workers never change, so these may be kept.
 type View struct{ s *Store }
 
 // Configuration returns the configuration in force, or nil if none was accepted yet.
--- a/internal/dispatch/candidate.go
+++ b/internal/dispatch/candidate.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -14,8 +15,9 @@
 	id      string
 	born    int64
 	service string
-	worker  *cell.Worker
-	free    structs.Resources
+	// worker is a copy of the worker's record.
+	worker *cell.Worker
+	free   structs.Resources
 	// runTimeFactor is the ratio of the worker's run times to the expected ones; above 1
 	// it is slower.
 	runTimeFactor float64
@@ -38,12 +40,26 @@
 	reservedFor cell.StepKey
 }
 
-// addCandidates adds the usable workers to a plan, sorted by ID.
-func (t *term) addCandidates(v *cell.View, p *planner) {
-	for id, w := range v.Workers() {
+// copyWorkers returns copies of the records of the usable workers in no order.
+func copyWorkers(v *cell.View) []*cell.Worker {
+	copies := make([]cell.Worker, 0, len(v.Workers()))
+	list := make([]*cell.Worker, 0, len(v.Workers()))
+	for _, w := range v.Workers() {
 		if !w.Usable() {
 			continue
 		}
+		copies = append(copies, *w)
+		c := &copies[len(copies)-1]
+		c.Attempts = maps.Clone(w.Attempts)
+		list = append(list, c)
+	}
+	return list
+}
+
+// addCandidates adds the workers that can be used now to a plan, sorted by ID.
+func (t *term) addCandidates(workers []*cell.Worker, p *planner) {
+	for _, w := range workers {
+		id := w.ID
 		s := t.session(id, w.Born)
 		if s == nil || !s.usable(p.now) || t.isCordoned(id) {
 			continue
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -104,6 +104,9 @@
 	// adviceWait is the time until an answer, and adviceDelay what it exceeds the expected
 	// time by.
 	commit, wait, adviceWait, adviceDelay tally.Histogram
+	// plan is the duration of planning, without the commit of the plan, and planLock the
+	// time for which it holds the read lock of the state.
+	plan, planLock tally.Histogram
 	// waiting holds the ready steps after the last plan by what they wait for, and
 	// adviceDeferred the requests for advice that it could not give to any process.
 	waiting        [waitReasons]tally.Gauge
@@ -126,6 +129,7 @@
 		lapses: scope.Counter("cell_lapses"), advice: scope.Counter("cell_advice_calls"), adviceErrors: scope.Counter("cell_advice_errors"),
 		commit: scope.Histogram("cell_commit", buckets), wait: scope.Histogram("cell_wait", buckets),
 		adviceWait: scope.Histogram("cell_advice_wait", buckets), adviceDelay: scope.Histogram("cell_advice_delay", buckets),
+		plan: scope.Histogram("cell_plan", buckets), planLock: scope.Histogram("cell_plan_lock", buckets),
 		adviceDeferred: scope.Gauge("cell_advice_deferred"),
 	}
 	for reason := range waitReasons {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -36,9 +36,9 @@
 				break
 			}
 			i := tasks[len(placed)]
-			run := rs.occurrence.Tasks[i].Run + 1
-			if rs.step.Gang {
-				run = rs.occurrence.Run + 1
+			run := rs.occurrence.Run + 1
+			if !rs.step.Gang {
+				run = rs.occurrence.Tasks[i].Run + 1
 			}
 			placed = append(placed, cell.Placement{Task: cell.TaskKey{StepKey: rs.key, Index: i}, Run: run, Worker: c.id, Born: c.born})
 			c.free = c.free.Sub(claim)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -92,23 +92,18 @@
 		now: t.leader.Clock.Now(), byID: map[string]*candidate{}, headroom: map[string]structs.Resources{}, advice: t.advice.snapshot, allowedShare: t.advice.allowedShare,
 		offRackFactor: t.leader.Bounds.RemoteFactor, plan: plan{reserved: map[string]cell.StepKey{}},
 	}
-	t.leader.Store.View(func(v *cell.View) {
-		readySteps := t.readySteps(v, p.now)
-		if len(readySteps) == 0 {
-			return
-		}
-		t.addCandidates(v, p)
-		for _, rs := range readySteps {
-			if _, known := p.headroom[rs.job.Team]; !known {
-				p.headroom[rs.job.Team] = v.Headroom(rs.job.Team)
-			}
-		}
-		p.victims = func(c *candidate, priority int) []victim { return t.victims(v, c, priority, p.now) }
+	t.forgetEndedData(p.now)
+	readySteps, workers := t.copyInputs(p)
+	if len(readySteps) > 0 {
+		t.completeReadySteps(readySteps, p.now)
+		t.addCandidates(workers, p)
+		p.victims = t.newVictimFinder(p)
 		t.mu.Lock()
 		p.lastPreemption = maps.Clone(t.lastPreemption)
 		t.mu.Unlock()
 		p.planSteps(readySteps)
-	})
+	}
+	t.leader.metrics.plan.RecordDuration(t.leader.Clock.Now() - p.now)
 	t.reserved = p.reserved
 	t.leader.metrics.recordWaiting(&p.waiting)
 	t.mu.Lock()
@@ -149,6 +144,29 @@
 	}
 }
 
+// copyInputs copies the ready steps, the usable workers and the headroom of the teams from
+// the replicated state. Commits are applied while a plan is made; the state refuses
+// placements that no longer suit it.
+func (t *term) copyInputs(p *planner) (readySteps []*readyStep, workers []*cell.Worker) {
+	t.leader.Store.View(func(v *cell.View) {
+		began := t.leader.Clock.Now()
+		readySteps = copyReadySteps(v)
+		// A task that starts again later requests new advice, since by then other
+		// workers have free capacity.
+		t.advice.retainSteps(v.Ready())
+		if len(readySteps) > 0 {
+			workers = copyWorkers(v)
+		}
+		for _, rs := range readySteps {
+			if _, known := p.headroom[rs.job.Team]; !known {
+				p.headroom[rs.job.Team] = v.Headroom(rs.job.Team)
+			}
+		}
+		t.leader.metrics.planLock.RecordDuration(t.leader.Clock.Now() - began)
+	})
+	return readySteps, workers
+}
+
 // startAttempt sends the start order of a committed placement.
 func (t *term) startAttempt(p *cell.Placement) {
 	s := t.session(p.Worker, p.Born)
--- a/internal/dispatch/plan_load_test.go
+++ b/internal/dispatch/plan_load_test.go
@@ -142,3 +142,12 @@
 
 func BenchmarkPlan600(b *testing.B)  { benchmarkPlan(b, 600) }
 func BenchmarkPlan6000(b *testing.B) { benchmarkPlan(b, 6000) }
+
+// BenchmarkPlanInputs6000 measures for how long a plan holds the read lock.
+func BenchmarkPlanInputs6000(b *testing.B) {
+	term := newLoadedTerm(b, 6000, 350)
+	term.planOnce()
+	for b.Loop() {
+		term.copyInputs(&planner{headroom: map[string]structs.Resources{}})
+	}
+}
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -146,29 +146,72 @@
 	p.requestAdviceWith(rs, workers, held, stops)
 }
 
-// victims returns the tasks on a worker that may be preempted by work of a
-// priority.
-func (t *term) victims(v *cell.View, c *candidate, priority int, now time.Duration) []victim {
-	var list []victim
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for k, a := range c.worker.Attempts {
-		j := v.Job(k.Job)
-		if j == nil || j.State != cell.Active || t.preemptions[k] >= maxPreemptions {
-			continue
+// preemptibleTask is a task that may be preempted, with its job and queue.
+type preemptibleTask struct {
+	victim
+	job   *cell.Job
+	queue *cell.Queue
+}
+
+// newVictimFinder returns the function that finds the tasks on a worker that may be
+// preempted by work of a priority. The tasks on all workers are collected on its first
+// call, since few plans preempt.
+func (t *term) newVictimFinder(p *planner) func(c *candidate, priority int) []victim {
+	var byWorker map[string][]preemptibleTask
+	return func(c *candidate, priority int) []victim {
+		if byWorker == nil {
+			byWorker = t.preemptibleTasks(p)
 		}
-		q, step := v.Queue(j.Queue), &j.Steps[k.Step]
-		if q == nil || q.Priority <= priority || !step.Checkpointable || step.Gang || step.Daemon || step.Filler {
-			continue
+		var list []victim
+		for i := range byWorker[c.id] {
+			if task := &byWorker[c.id][i]; task.queue.Priority > priority {
+				list = append(list, task.victim)
+			}
 		}
-		rest := t.remainingDurations(j, q)
-		times := t.timesOf(k.StepKey, j, q, rest, now)
-		slack := times.firstSeen + times.objective - now - time.Duration(slowMargin*float64(rest[k.Step]))
-		if slack >= minPreemptionSlack {
-			list = append(list, victim{worker: c.id, task: k, run: a.Run, size: a.Size, slack: slack})
+		return list
+	}
+}
+
+// preemptibleTasks returns the tasks that may be preempted by worker.
+func (t *term) preemptibleTasks(p *planner) map[string][]preemptibleTask {
+	byWorker := map[string][]preemptibleTask{}
+	t.leader.Store.View(func(v *cell.View) {
+		for _, c := range p.candidates {
+			for k, a := range c.worker.Attempts {
+				j := v.Job(k.Job)
+				if j == nil || j.State != cell.Active {
+					continue
+				}
+				q, step := v.Queue(j.Queue), &j.Steps[k.Step]
+				if q == nil || !step.Checkpointable || step.Gang || step.Daemon || step.Filler {
+					continue
+				}
+				byWorker[c.id] = append(byWorker[c.id], preemptibleTask{victim: victim{worker: c.id, task: k, run: a.Run, size: a.Size}, job: j, queue: q})
+			}
 		}
+	})
+	ratios := t.stats.queueRatios()
+	for id, list := range byWorker {
+		byWorker[id] = t.withSlack(list, ratios, p.now)
 	}
-	return list
+	return byWorker
+}
+
+// withSlack adds the slack to tasks and drops those that have too little, or that were
+// preempted too often.
+func (t *term) withSlack(list []preemptibleTask, ratios queueRatios, now time.Duration) []preemptibleTask {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	kept := list[:0]
+	for _, task := range list {
+		rest := remainingDurations(task.job, ratios.of(task.queue.Name))
+		times := t.timesOf(task.task.StepKey, task.job, task.queue, rest, now)
+		task.slack = times.firstSeen + times.objective - now - time.Duration(slowMargin*float64(rest[task.task.Step]))
+		if task.slack >= minPreemptionSlack && t.preemptions[task.task] < maxPreemptions {
+			kept = append(kept, task)
+		}
+	}
+	return kept
 }
 
 // preempt sends the stop orders for victims.
--- a/internal/dispatch/ready.go
+++ b/internal/dispatch/ready.go
@@ -13,11 +13,22 @@
 // overdue and is served last.
 const overdueFactor = 3
 
+// endedDataInterval is how often the data of jobs that have ended is dropped.
+const endedDataInterval = time.Second
+
+// timingBatch is the number of steps that are timed while t.mu is held: readers of the
+// state wait for it, and commits wait for them.
+const timingBatch = 128
+
 // readyStep is a step that has tasks to start.
 type readyStep struct {
-	key        cell.StepKey
-	job        *cell.Job
-	step       *cell.Step
+	key cell.StepKey
+	// job is shared with the state; only its identity and its submission, which do not
+	// change, may be read.
+	job  *cell.Job
+	step *cell.Step
+	// occurrence is a copy, but a gang's tasks, which start together, are shared with the
+	// state; only their number may be read.
 	occurrence *cell.StepOccurrence
 	queue      *cell.Queue
 	// remaining is the expected duration of this step and the longest chain of
@@ -38,52 +49,78 @@
 	failedOn map[string]bool
 }
 
-// readySteps returns the ready steps in the order in which they are served, and
-// drops the data of jobs that have ended.
-func (t *term) readySteps(v *cell.View, now time.Duration) []*readyStep {
-	var readySteps []*readyStep
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for key, occurrence := range v.Ready() {
+// copyReadySteps returns the ready steps, with copies of their occurrences, in no order.
+func copyReadySteps(v *cell.View) []*readyStep {
+	ready := v.Ready()
+	tasks := 0
+	for key, occurrence := range ready {
+		if !v.Job(key.Job).Steps[key.Step].Gang {
+			tasks += len(occurrence.Tasks)
+		}
+	}
+	steps, occurrences, taskCopies := make([]readyStep, len(ready)), make([]cell.StepOccurrence, len(ready)), make([]cell.Task, 0, tasks)
+	list := make([]*readyStep, 0, len(ready))
+	for key, occurrence := range ready {
 		j := v.Job(key.Job)
 		q := v.Queue(j.Queue)
 		if q == nil {
 			continue // the queue is not in the configuration now; a later one may have it
 		}
-		rs := &readyStep{
-			key:        key,
-			job:        j,
-			step:       &j.Steps[key.Step],
-			occurrence: occurrence,
-			queue:      q,
-			failedOn:   t.stats.failedOn(key.Job),
+		rs, occurrenceCopy, first := &steps[len(list)], &occurrences[len(list)], len(taskCopies)
+		*occurrenceCopy = *occurrence
+		if !j.Steps[key.Step].Gang {
+			taskCopies = append(taskCopies, occurrence.Tasks...)
+			occurrenceCopy.Tasks = taskCopies[first:len(taskCopies):len(taskCopies)]
 		}
-		rest := t.remainingDurations(j, q)
-		times := t.timesOf(key, j, q, rest, now)
-		rs.remaining = rest[key.Step]
-		rs.shortLease = times.needsShortLease()
-		rs.deadline = times.firstSeen + times.objective
-		rs.late = now+rs.remaining > rs.deadline
-		rs.overdue = now > times.firstSeen+overdueFactor*times.objective && !rs.step.Daemon
-		readySteps = append(readySteps, rs)
+		*rs = readyStep{key: key, job: j, step: &j.Steps[key.Step], occurrence: occurrenceCopy, queue: q}
+		list = append(list, rs)
 	}
-	ended := func(id string) bool {
-		j := v.Job(id)
-		return j == nil || j.State != cell.Active
+	return list
+}
+
+// completeReadySteps adds the timing and the failures of the jobs to ready steps, and sorts
+// the steps in the order in which they are served.
+func (t *term) completeReadySteps(readySteps []*readyStep, now time.Duration) {
+	t.stats.addFailures(readySteps)
+	ratios := t.stats.queueRatios()
+	for batch := range slices.Chunk(readySteps, timingBatch) {
+		t.mu.Lock()
+		for _, rs := range batch {
+			rest := remainingDurations(rs.job, ratios.of(rs.queue.Name))
+			times := t.timesOf(rs.key, rs.job, rs.queue, rest, now)
+			rs.remaining = rest[rs.key.Step]
+			rs.shortLease = times.needsShortLease()
+			rs.deadline = times.firstSeen + times.objective
+			rs.late = now+rs.remaining > rs.deadline
+			rs.overdue = now > times.firstSeen+overdueFactor*times.objective && !rs.step.Daemon
+		}
+		t.mu.Unlock()
 	}
-	maps.DeleteFunc(t.times, func(o cell.OccurrenceKey, _ jobTiming) bool { return ended(o.Job) })
-	maps.DeleteFunc(t.lastPreemption, func(k cell.StepKey, _ time.Duration) bool { return ended(k.Job) })
-	maps.DeleteFunc(t.preemptions, func(k cell.TaskKey, _ int) bool { return ended(k.Job) })
-	t.stats.forget(ended)
-	// A task that starts again later requests new advice, since by then other
-	// workers have free capacity.
-	t.advice.retainSteps(v.Ready())
 	slices.SortFunc(readySteps, func(a, b *readyStep) int {
 		// Daemon steps come first, since their service is down while they wait.
 		return cmp.Or(trueFirst(a.step.Daemon, b.step.Daemon), trueFirst(!a.overdue, !b.overdue), cmp.Compare(a.queue.Priority, b.queue.Priority),
 			trueFirst(!a.step.Gang || !a.late, !b.step.Gang || !b.late), cmp.Compare(a.job.Accepted, b.job.Accepted), cmp.Compare(a.key.Step, b.key.Step))
 	})
-	return readySteps
+}
+
+// forgetEndedData drops the data of jobs that have ended, once every endedDataInterval.
+func (t *term) forgetEndedData(now time.Duration) {
+	if now-t.endedDataForgotten < endedDataInterval {
+		return
+	}
+	t.endedDataForgotten = now
+	t.leader.Store.View(func(v *cell.View) {
+		ended := func(id string) bool {
+			j := v.Job(id)
+			return j == nil || j.State != cell.Active
+		}
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		maps.DeleteFunc(t.times, func(o cell.OccurrenceKey, _ jobTiming) bool { return ended(o.Job) })
+		maps.DeleteFunc(t.lastPreemption, func(k cell.StepKey, _ time.Duration) bool { return ended(k.Job) })
+		maps.DeleteFunc(t.preemptions, func(k cell.TaskKey, _ int) bool { return ended(k.Job) })
+		t.stats.forget(ended)
+	})
 }
 
 // timesOf returns and records the timing of an occurrence of an active job, with
@@ -113,9 +150,15 @@
 // remainingDurations returns, for each step of a job, the expected duration of the
 // longest chain of steps that starts with it.
 func (t *term) remainingDurations(j *cell.Job, q *cell.Queue) []time.Duration {
+	return remainingDurations(j, t.stats.queueRatioOf(q.Name))
+}
+
+// remainingDurations is the method of term for a known ratio of real to estimated run
+// times.
+func remainingDurations(j *cell.Job, ratio float64) []time.Duration {
 	rest := make([]time.Duration, len(j.Steps))
 	for i := len(j.Steps) - 1; i >= 0; i-- {
-		rest[i] += t.stats.expected(q.Name, j.Steps[i].EstimateMS)
+		rest[i] += expectedDuration(j.Steps[i].EstimateMS, ratio)
 		for _, dependency := range j.Steps[i].DependsOn {
 			rest[dependency] = max(rest[dependency], rest[i])
 		}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -37,8 +37,11 @@
 	wall *wallClock
 	// reserved maps a worker to the gang for which the last plan reserved it. Only
 	// the planner's goroutine uses it.
-	reserved   map[string]cell.StepKey
-	goroutines sync.WaitGroup
+	reserved map[string]cell.StepKey
+	// endedDataForgotten is when the data of ended jobs was last dropped. Only the
+	// planner's goroutine uses it.
+	endedDataForgotten time.Duration
+	goroutines         sync.WaitGroup
 
 	mu sync.Mutex
 	// sessions holds the session of each worker's newest incarnation by worker ID.
--- a/internal/dispatch/worker_stats.go
+++ b/internal/dispatch/worker_stats.go
@@ -154,11 +154,13 @@
 	s.faults.forget(ended)
 }
 
-// failedOn returns the workers on which tasks of a job have failed.
-func (s *workerStats) failedOn(job string) map[string]bool {
+// addFailures adds to ready steps the workers on which tasks of their jobs have failed.
+func (s *workerStats) addFailures(readySteps []*readyStep) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return maps.Clone(s.faults.failedOn[job])
+	for _, rs := range readySteps {
+		rs.failedOn = maps.Clone(s.faults.failedOn[rs.key.Job])
+	}
 }
 
 // assess fills in the estimates for the candidates and removes those on probation.
@@ -183,14 +185,42 @@
 	return s.workerFactor[worker].ratio()
 }
 
-// expected returns the expected run time of a task of a queue on a worker with
-// factor 1. An estimate of 0 is replaced by defaultTaskEstimate.
-func (s *workerStats) expected(queue string, estimateMS int64) time.Duration {
+// queueRatios are ratios of real to estimated run times by queue.
+type queueRatios map[string]float64
+
+// of returns the ratio of a queue, 1 if there are no samples.
+func (r queueRatios) of(queue string) float64 {
+	if ratio, known := r[queue]; known {
+		return ratio
+	}
+	return 1
+}
+
+// queueRatios returns the ratios of all queues that have samples.
+func (s *workerStats) queueRatios() queueRatios {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ratios := make(queueRatios, len(s.queueRatio))
+	for queue, a := range s.queueRatio {
+		ratios[queue] = a.ratio()
+	}
+	return ratios
+}
+
+// queueRatioOf returns the ratio of real to estimated run times of a queue, 1 if there are
+// no samples.
+func (s *workerStats) queueRatioOf(queue string) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.queueRatio[queue].ratio()
+}
+
+// expectedDuration returns the expected run time of a task of a queue with the given ratio
+// on a worker with factor 1. An estimate of 0 is replaced by defaultTaskEstimate.
+func expectedDuration(estimateMS int64, ratio float64) time.Duration {
 	estimate := time.Duration(estimateMS) * time.Millisecond
 	if estimate <= 0 {
 		estimate = defaultTaskEstimate
 	}
-	return time.Duration(float64(estimate) * s.queueRatio[queue].ratio())
+	return time.Duration(float64(estimate) * ratio)
 }
