dispatch: a plan does no work for steps that cannot be served by it

Cause: for each step that waits for advice all workers were ranked twice, by a sort with a map, before the broker said that no process was free. Gangs without room were placed and undone in each plan, and searched all running tasks for preemption as long as that failed. The advice of each step was copied for each plan. Change: requests are made in the order of the plan, while it is made, and once one is refused no workers are ranked for others of that length. Kinds of tasks for which no worker has room are remembered for the rest of the plan, gangs are placed only if their room suffices in sum, and a failed preemption is paced like a successful one. Advice is replaced instead of changed, so plans share it. Attempts on a worker are counted once a plan, and workers are ranked without a map.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -55,7 +56,9 @@
 	mu sync.Mutex
 	// callers holds the processes by peer address.
 	callers map[string]*caller
-	steps   map[cell.StepKey]*stepAdvice
+	// steps holds the advice for steps. Plans share the values, so each change replaces
+	// the value.
+	steps map[cell.StepKey]*stepAdvice
 	// shares holds the share of workers that were allowed in the answers for each queue.
 	shares map[string]float64
 }
@@ -140,7 +143,7 @@
 	c.queue = slices.Delete(c.queue, i, i+1)
 }
 
-// stepAdvice is the advice for one step.
+// stepAdvice is the advice for one step. It does not change.
 type stepAdvice struct {
 	// queried holds the workers for which the service has answered.
 	queried map[string]bool
@@ -198,11 +201,16 @@
 func (b *adviceBroker) expireTicket(step cell.StepKey, worker string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s := b.steps[step]; s != nil {
-		if expired, ok := s.tickets[worker]; ok {
-			expired.validUntil = 0
-			s.tickets[worker] = expired
-		}
+	s := b.steps[step]
+	if s == nil {
+		return
+	}
+	if expired, ok := s.tickets[worker]; ok {
+		expired.validUntil = 0
+		changed := *s
+		changed.tickets = maps.Clone(s.tickets)
+		changed.tickets[worker] = expired
+		b.steps[step] = &changed
 	}
 }
 
@@ -256,11 +264,6 @@
 func (b *adviceBroker) request(q *adviceRequest) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.steps[q.step]
-	if s == nil {
-		s = &stepAdvice{queried: map[string]bool{}, tickets: map[string]ticket{}}
-		b.steps[q.step] = s
-	}
 	now := b.t.leader.Clock.Now()
 	maxWait := maxCallerBacklog
 	if q.onlyIfIdle {
@@ -271,8 +274,13 @@
 		return false // requested again by a later plan
 	}
 	expected := b.callers[r.peer].idleAt(now) - now
-	s.inFlight++
-	s.heldPlacements = q.heldPlacements
+	var changed stepAdvice
+	if s := b.steps[q.step]; s != nil {
+		changed = *s
+	}
+	changed.inFlight++
+	changed.heldPlacements = q.heldPlacements
+	b.steps[q.step] = &changed
 	b.t.spawn(func() { b.queryService(r, q, expected) })
 	return true
 }
@@ -297,14 +305,14 @@
 		b.t.leader.metrics.adviceErrors.Inc(1)
 	}
 	b.mu.Lock()
-	s := b.steps[q.step]
-	s.inFlight--
-	if s.inFlight == 0 {
-		s.heldPlacements = nil
+	changed := *b.steps[q.step]
+	changed.inFlight--
+	if changed.inFlight == 0 {
+		changed.heldPlacements = nil
 	}
 	b.callers[r.peer].finish(r, now, reply.Error == "")
 	if reply.Error != "" {
-		s.retryAt = now + retryDelay
+		changed.retryAt = now + retryDelay
 	} else {
 		validity := reply.ValidityMS
 		if validity == 0 {
@@ -313,14 +321,16 @@
 		if len(q.heldPlacements) == 0 {
 			b.observeShare(q.queue, float64(len(reply.Tickets))/float64(len(q.workers)))
 		}
+		changed.queried, changed.tickets = cloneOrMake(changed.queried), cloneOrMake(changed.tickets)
 		for _, w := range q.workers {
-			s.queried[w.id] = true
+			changed.queried[w.id] = true
 			if value, ok := reply.Tickets[w.id]; ok {
 				// The service issued the ticket some time between the request and now.
-				s.tickets[w.id] = ticket{value: value, validUntil: now + time.Duration(validity)*time.Millisecond, born: w.born}
+				changed.tickets[w.id] = ticket{value: value, validUntil: now + time.Duration(validity)*time.Millisecond, born: w.born}
 			}
 		}
 	}
+	b.steps[q.step] = &changed
 	b.mu.Unlock()
 	if reply.Error != "" && b.t.ctx.Err() == nil {
 		b.t.leader.Logger.Warn("no advice", logging.Step("advise"), logging.Peer(r.peer), logging.Job(q.step.Job), "error", reply.Error, "waited_ms", (now - sent).Milliseconds(), "expected_ms", expected.Milliseconds())
@@ -350,7 +360,15 @@
 	return defaultAllowedShare
 }
 
-// snapshot returns a copy of the advice for a step, nil if there is none.
+// cloneOrMake returns a copy of a map that can be written to.
+func cloneOrMake[V any](m map[string]V) map[string]V {
+	if m == nil {
+		return map[string]V{}
+	}
+	return maps.Clone(m)
+}
+
+// snapshot returns the advice for a step, nil if there is none.
 func (b *adviceBroker) snapshot(k cell.StepKey) *stepAdvice {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -358,20 +376,7 @@
 	if s == nil || s.inFlight == 0 && len(s.queried) == 0 && s.retryAt == 0 {
 		return nil
 	}
-	c := &stepAdvice{
-		queried:        make(map[string]bool, len(s.queried)),
-		tickets:        make(map[string]ticket, len(s.tickets)),
-		inFlight:       s.inFlight,
-		heldPlacements: s.heldPlacements,
-		retryAt:        s.retryAt,
-	}
-	for w := range s.queried {
-		c.queried[w] = true
-	}
-	for w, issued := range s.tickets {
-		c.tickets[w] = issued
-	}
-	return c
+	return s
 }
 
 // ticket returns the ticket of a worker for a step, empty if there is none.
--- a/internal/dispatch/advice_plan.go
+++ b/internal/dispatch/advice_plan.go
@@ -27,46 +27,97 @@
 // without free capacity are included because one more worker in a request costs far
 // less than one more request.
 func (p *planner) workersToQuery(rs *readyStep, advice *stepAdvice, missing int) []*candidate {
-	var withRoom, full []*candidate
-	for _, c := range p.candidates {
-		if c.service != rs.queue.Service || !c.worker.HasLabel(rs.step.Label) || advice.hasAnswerFor(c) {
-			continue
-		}
-		if p.fits(rs, c) {
+	withRoom, full := p.unanswered(rs, advice)
+	if len(withRoom) == 0 {
+		return nil
+	}
+	p.rank(rs, withRoom)
+	count := min(maxAdviceWorkers, len(withRoom)+len(full))
+	if rs.step.Gang {
+		count = p.queryCount(rs, withRoom, len(withRoom)+len(full), missing)
+	}
+	if count > len(withRoom) {
+		p.rank(rs, full)
+		withRoom = append(withRoom, full...)
+	}
+	return withRoom[:count]
+}
+
+// unanswered returns the workers for which the service has not answered, those that can
+// take a task of the step apart from the others. It returns none if none can take one.
+func (p *planner) unanswered(rs *readyStep, advice *stepAdvice) (withRoom, full []*candidate) {
+	group, kind := p.group(rs), kindOf(rs)
+	if p.full[kind] {
+		return nil, nil
+	}
+	roomElsewhere := false
+	for _, c := range group {
+		switch room := hasRoom(rs, c); {
+		case advice.hasAnswerFor(c):
+			roomElsewhere = roomElsewhere || room
+		case room:
 			withRoom = append(withRoom, c)
-		} else {
+		default:
 			full = append(full, c)
 		}
 	}
 	if len(withRoom) == 0 {
-		return nil
+		p.full[kind] = !roomElsewhere
+		return nil, nil
 	}
-	p.rank(rs, withRoom)
-	p.rank(rs, full)
-	list := append(withRoom, full...)
-	count := maxAdviceWorkers
-	if rs.step.Gang {
-		count = p.queryCount(rs, list, missing)
+	return withRoom, full
+}
+
+// mayRequest reports whether a process may be free for a request for advice on a step, as
+// far as earlier requests of this plan have shown.
+func (p *planner) mayRequest(rs *readyStep, advice *stepAdvice) bool {
+	if !p.noCaller.long && !p.noCaller.short {
+		return true
+	}
+	fewest := 1
+	if advice == nil {
+		fewest = min(maxAdviceWorkers, len(p.group(rs)))
+		if rs.step.Gang && len(p.group(rs)) > maxAdviceWorkers {
+			fewest = maxAdviceWorkers / 2 // requests of equal size
+		}
+	}
+	return !p.noCaller.short && (!p.noCaller.long || rs.queue.Advice.Cost(fewest) < longCallCost)
+}
+
+// queryMore requests advice on further workers for a step that lacks room for a number of
+// tasks. It returns false if there are none, or none that are worth a request; if only no
+// process is free for the request, it returns true, and a later plan requests it.
+func (p *planner) queryMore(rs *readyStep, missing int) bool {
+	if !p.mayRequest(rs, rs.advice) {
+		withRoom, _ := p.unanswered(rs, rs.advice)
+		if len(withRoom) == 0 || rs.step.Gang && !p.worthQuerying(rs, rs.advice, withRoom, missing) {
+			return false
+		}
+		p.deferred++
+		return true
+	}
+	more := p.workersToQuery(rs, rs.advice, missing)
+	if len(more) == 0 || rs.step.Gang && !p.worthQuerying(rs, rs.advice, more, missing) {
+		return false
 	}
-	return list[:min(len(list), count)]
+	p.requestAdvice(rs, more, nil)
+	return true
 }
 
-// queryCount returns how many of the listed workers a gang requests advice on at the same
-// time: full requests until the workers that are likely to be allowed hold the missing
-// tasks. Requests that follow each other would delay the gang by a whole call each.
-func (p *planner) queryCount(rs *readyStep, list []*candidate, missing int) int {
+// queryCount returns how many of a number of workers a gang requests advice on at the same
+// time, those with room first: full requests until the workers that are likely to be allowed
+// hold the missing tasks. Requests that follow each other would delay the gang by a whole
+// call each.
+func (p *planner) queryCount(rs *readyStep, withRoom []*candidate, workers, missing int) int {
 	share, tasks := p.allowedShare(rs.queue.Name), 0
-	for i, c := range list {
+	for i, c := range withRoom {
 		if i%maxAdviceWorkers == 0 && (i == maxParallelRequests*maxAdviceWorkers || i > 0 && share*float64(tasks) >= float64(missing)) {
 			return i
 		}
-		if !p.fits(rs, c) {
-			// The rest of the list is full as well.
-			return min(len(list), (i+maxAdviceWorkers-1)/maxAdviceWorkers*maxAdviceWorkers)
-		}
 		tasks += capPerWorker(rs.step, fitCount(rs.step.Claim(), c.free))
 	}
-	return len(list)
+	// The others have no room.
+	return min(workers, (len(withRoom)+maxAdviceWorkers-1)/maxAdviceWorkers*maxAdviceWorkers)
 }
 
 // worthQuerying reports whether a request for advice on more workers is expected
@@ -79,7 +130,7 @@
 	}
 	tasks := 0
 	for _, c := range more {
-		if p.fits(rs, c) {
+		if hasRoom(rs, c) {
 			tasks += fitCount(rs.step.Claim(), c.free)
 		}
 	}
@@ -160,14 +211,14 @@
 	return list
 }
 
-// requestAdvice adds requests for advice on the workers to the plan, as few as the allowed
-// size permits.
+// requestAdvice makes requests for advice on the workers, as few as the allowed size
+// permits.
 func (p *planner) requestAdvice(rs *readyStep, workers []*candidate, held []cell.Placement) {
 	p.requestAdviceWith(rs, workers, held, nil)
 }
 
-// requestAdviceWith adds requests for advice to the plan. The stops are made with the first
-// of them.
+// requestAdviceWith makes requests for advice as far as processes can take them. The stops
+// are made with the first of them.
 func (p *planner) requestAdviceWith(rs *readyStep, workers []*candidate, held []cell.Placement, stops []victim) {
 	size := maxAdviceWorkers
 	if held != nil {
@@ -181,6 +232,18 @@
 			q.stops = stops
 		}
 		q.onlyIfIdle = i > 0 && held == nil
-		p.adviceRequests = append(p.adviceRequests, q)
+		if p.request(q) {
+			p.adviceRequests = append(p.adviceRequests, q)
+			continue
+		}
+		p.deferred++
+		if q.onlyIfIdle {
+			continue
+		}
+		if q.terms.Cost(len(part)) >= longCallCost {
+			p.noCaller.long = true
+		} else {
+			p.noCaller.long, p.noCaller.short = true, true
+		}
 	}
 }
--- a/internal/dispatch/candidate.go
+++ b/internal/dispatch/candidate.go
@@ -32,6 +32,10 @@
 	// fillerLoad is the size of the fillers that this plan has placed on it.
 	serves     bool
 	fillerLoad structs.Resources
+	// fillerCPU is the CPU of the filler attempts on the worker; it is known if
+	// fillerCPUKnown is set.
+	fillerCPU      int64
+	fillerCPUKnown bool
 	// placed counts the tasks that this plan has placed on the worker by step.
 	placed map[cell.StepKey]int
 	// withheld is set if this plan reserves the worker for a gang of higher rank.
@@ -91,13 +95,16 @@
 // fillerCost is the ranking cost of sharing the worker's processors with other
 // fillers and with serving tasks.
 func (c *candidate) fillerCost(rs *readyStep) float64 {
-	unused := c.free.Sub(c.fillerLoad).Sub(rs.step.Size)
-	for _, a := range c.worker.Attempts {
-		if a.Filler {
-			unused = unused.Sub(a.Size)
+	if !c.fillerCPUKnown {
+		for _, a := range c.worker.Attempts {
+			if a.Filler {
+				c.fillerCPU += a.Size.MilliCPU
+			}
 		}
+		c.fillerCPUKnown = true
 	}
-	cost := -float64(unused.MilliCPU) / float64(max(1, c.worker.Capacity.MilliCPU))
+	unused := c.free.MilliCPU - c.fillerLoad.MilliCPU - rs.step.Size.MilliCPU - c.fillerCPU
+	cost := -float64(unused) / float64(max(1, c.worker.Capacity.MilliCPU))
 	if c.serves {
 		cost += besideServingCost
 	}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -29,7 +29,7 @@
 	for _, c := range list {
 		onWorker, placedHere := 0, 0
 		if rs.step.MaxPerWorker > 0 {
-			onWorker = c.worker.CountTasks(rs.key) + c.placed[rs.key]
+			onWorker = p.countTasks(rs.key, c) + c.placed[rs.key]
 		}
 		for len(placed) < len(tasks) && placedHere < maxInRound && claim.Fits(c.free) {
 			if rs.step.MaxPerWorker > 0 && onWorker >= rs.step.MaxPerWorker {
@@ -56,6 +56,9 @@
 
 // undoPlacements releases the capacity that place has used.
 func (p *planner) undoPlacements(rs *readyStep, placed []cell.Placement) {
+	if len(placed) > 0 {
+		clear(p.full)
+	}
 	for i := range placed {
 		c := p.byID[placed[i].Worker]
 		c.placed[rs.key]--
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -33,8 +33,13 @@
 	newlyBlocked []cell.StepKey
 	// reserved maps a worker to the gang for which it is reserved.
 	reserved map[string]cell.StepKey
+	// preemptionsFailed are the gangs for which tasks were to be preempted, but not enough
+	// of them may be.
+	preemptionsFailed []cell.StepKey
 	// waiting counts the ready steps by what they wait for.
 	waiting [waitReasons]int
+	// deferred counts the requests for advice that no process could take.
+	deferred int
 }
 
 // waitReason is what a ready step waits for after a planning round.
@@ -70,6 +75,19 @@
 	// headroom is what each team may still use within its limit.
 	headroom map[string]structs.Resources
 	advice   func(cell.StepKey) *stepAdvice
+	// request makes a request for advice. It returns false if no process can take it now.
+	request func(*adviceRequest) bool
+	// noCaller is set once no process could take a request: in noCaller.long one of at
+	// least longCallCost, in noCaller.short a shorter one.
+	noCaller struct{ long, short bool }
+	// groups holds the candidates by service and label, and full the kinds of tasks for
+	// which no worker has room; both are filled as needed.
+	groups map[groupKey][]*candidate
+	full   map[taskKind]bool
+	// running holds what runs on the candidates, nil until it is needed.
+	running *runningTasks
+	ranked  []rankedCandidate
+	indices []int
 	// allowedShare returns the share of workers that steps of a queue may run on, as far
 	// as advice has shown.
 	allowedShare func(queue string) float64
@@ -89,7 +107,7 @@
 // planOnce makes a plan, commits its placements and sends the orders.
 func (t *term) planOnce() {
 	p := &planner{
-		now: t.leader.Clock.Now(), byID: map[string]*candidate{}, headroom: map[string]structs.Resources{}, advice: t.advice.snapshot, allowedShare: t.advice.allowedShare,
+		now: t.leader.Clock.Now(), byID: map[string]*candidate{}, headroom: map[string]structs.Resources{}, advice: t.advice.snapshot, request: t.advice.request, allowedShare: t.advice.allowedShare,
 		offRackFactor: t.leader.Bounds.RemoteFactor, plan: plan{reserved: map[string]cell.StepKey{}},
 	}
 	t.forgetEndedData(p.now)
@@ -110,16 +128,16 @@
 	for _, k := range p.newlyBlocked {
 		t.lastPreemption[k] = p.now + preemptionDelay - preemptionRetryDelay
 	}
+	for _, k := range p.preemptionsFailed {
+		t.lastPreemption[k] = p.now
+	}
 	t.mu.Unlock()
-	deferred := 0
 	for _, q := range p.adviceRequests {
-		if !t.advice.request(q) {
-			deferred++
-		} else if len(q.stops) > 0 {
+		if len(q.stops) > 0 {
 			t.preempt(q.stops, q.step)
 		}
 	}
-	t.leader.metrics.adviceDeferred.Update(float64(deferred))
+	t.leader.metrics.adviceDeferred.Update(float64(p.deferred))
 	for _, stopped := range p.stops {
 		t.preempt([]victim{stopped}, p.reserved[stopped.worker])
 	}
@@ -230,6 +248,13 @@
 	advice := rs.advice
 	if rs.queue.Advice != nil {
 		if advice == nil {
+			if !p.mayRequest(rs, nil) {
+				if p.full[kindOf(rs)] {
+					return waitsForRoom
+				}
+				p.deferred++
+				return waitsForAdvice
+			}
 			workers := p.workersToQuery(rs, nil, len(rs.occurrence.Tasks))
 			if len(workers) == 0 {
 				return waitsForRoom
@@ -244,36 +269,30 @@
 			return waitsForRetry
 		}
 	}
-	fitting := p.fitting(rs, advice)
-	tasks := rs.startableTasks()
+	tasks := p.startableTasks(rs)
 	if room := p.tasksWithinLimit(rs); room < len(tasks) {
 		if rs.step.Gang {
 			return waitsForLimit
 		}
 		tasks = tasks[:room]
 	}
+	fitting := p.fitting(rs, advice)
+	if rs.step.Gang && !rs.step.SameRack {
+		if room := p.totalRoom(rs, fitting); room < len(tasks) {
+			return p.planBlockedGang(rs, tasks, room)
+		}
+	}
+	p.rank(rs, fitting)
 	if rs.step.SameRack {
 		fitting = p.restrictToRack(rs, fitting, len(tasks))
 	}
 	placed := p.place(rs, tasks, fitting)
 	if rs.step.Gang && len(placed) < len(tasks) {
 		p.undoPlacements(rs, placed)
-		if advice != nil {
-			if more := p.workersToQuery(rs, advice, len(tasks)-len(placed)); p.worthQuerying(rs, advice, more, len(tasks)-len(placed)) {
-				p.requestAdvice(rs, more, nil)
-				return waitsForAdvice
-			}
-		}
-		if !p.preempt(rs, tasks) {
-			p.reserve(rs)
-		}
-		return waitsForRoom
+		return p.planBlockedGang(rs, tasks, len(placed))
 	}
-	if advice != nil && len(placed) < len(tasks) {
-		if more := p.workersToQuery(rs, advice, len(tasks)); len(more) > 0 && len(placed) == 0 {
-			p.requestAdvice(rs, more, nil)
-			return waitsForAdvice
-		}
+	if advice != nil && len(placed) == 0 && len(tasks) > 0 && p.queryMore(rs, len(tasks)) {
+		return waitsForAdvice
 	}
 	if len(placed) == 0 {
 		if len(tasks) == 0 {
@@ -295,3 +314,15 @@
 	p.placements = append(p.placements, placed...)
 	return placedNow
 }
+
+// planBlockedGang requests advice on more workers for a gang that does not fit, or
+// preempts tasks or reserves workers for it. room is the number of its tasks that fit.
+func (p *planner) planBlockedGang(rs *readyStep, tasks []int, room int) waitReason {
+	if rs.advice != nil && p.queryMore(rs, len(tasks)-room) {
+		return waitsForAdvice
+	}
+	if !p.preempt(rs, tasks) {
+		p.reserve(rs)
+	}
+	return waitsForRoom
+}
--- a/internal/dispatch/plan_test.go
+++ b/internal/dispatch/plan_test.go
@@ -20,6 +20,7 @@
 		now: 10 * time.Second, byID: map[string]*candidate{}, headroom: map[string]structs.Resources{},
 		advice: func(k cell.StepKey) *stepAdvice { return advice[k] }, plan: plan{reserved: map[string]cell.StepKey{}},
 		allowedShare: func(string) float64 { return 0.3 },
+		request:      func(*adviceRequest) bool { return true },
 	}
 	for i := range workers {
 		capacity := structs.Resources{MilliCPU: 64_000, MemoryBytes: 128 << 30}
@@ -269,3 +270,26 @@
 	assert.DeepEqual(t, placedOn(p), []string{"w00"})
 	assert.Equal(t, p.byID["w01"].free, p.byID["w01"].worker.Capacity, "room of undone placements is free")
 }
+
+// Guards against plans that rank all workers for requests that no process can take, and
+// against requests that pass those of steps before them.
+func TestNoFurtherRequestsWithoutFreeCaller(t *testing.T) {
+	p := newPlanner(40, nil)
+	var requested []string
+	p.request = func(q *adviceRequest) bool {
+		requested = append(requested, q.step.Job)
+		return len(requested) <= 2
+	}
+	var steps []*readyStep
+	for i := range 50 {
+		steps = append(steps, p.newReadyStep(fmt.Sprintf("j%02d", i), 1, newGangStep(2, 18)))
+	}
+	p.planSteps(steps)
+	assert.DeepEqual(t, requested, []string{"j00", "j01", "j02"})
+	assert.Equal(t, p.waiting[waitsForAdvice], 50)
+	assert.Equal(t, p.deferred, 48)
+	short := p.newReadyStep("short", 1, newGangStep(2, 18))
+	short.queue.Advice = &cell.AdviceTerms{DecideMS: 11}
+	p.planSteps([]*readyStep{short})
+	assert.Equal(t, requested[len(requested)-1], "short", "reserved callers may still take it")
+}
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -48,7 +48,7 @@
 	if !known {
 		p.newlyBlocked = append(p.newlyBlocked, rs.key)
 	}
-	if !known || p.now < last+preemptionRetryDelay {
+	if !known || p.now < last+preemptionRetryDelay || rs.advice != nil && !p.mayRequest(rs, rs.advice) {
 		return false
 	}
 	var held []cell.Placement
@@ -61,6 +61,7 @@
 			return true
 		}
 	}
+	p.preemptionsFailed = append(p.preemptionsFailed, rs.key)
 	return false
 }
 
@@ -69,8 +70,8 @@
 // preempted.
 func (p *planner) allowedFor(rs *readyStep) []*candidate {
 	var list []*candidate
-	for _, c := range p.candidates {
-		if c.service != rs.queue.Service || c.withheld || !c.worker.HasLabel(rs.step.Label) {
+	for _, c := range p.group(rs) {
+		if c.withheld {
 			continue
 		}
 		if issued, ok := rs.advice.ticketFor(c.id); rs.advice != nil && (!ok || issued.born != c.born) {
@@ -102,7 +103,10 @@
 	slices.SortFunc(victims, func(a, b victim) int {
 		return cmp.Or(cmp.Compare(b.slack, a.slack), cmp.Compare(a.task.Job, b.task.Job), cmp.Compare(a.task.Index, b.task.Index))
 	})
-	onWorker := c.worker.CountTasks(rs.key) + c.placed[rs.key]
+	onWorker := c.placed[rs.key]
+	if rs.step.MaxPerWorker > 0 {
+		onWorker += p.countTasks(rs.key, c)
+	}
 	for _, i := range tasks {
 		if rs.step.MaxPerWorker > 0 && onWorker+len(result.placements) >= rs.step.MaxPerWorker {
 			break
--- a/internal/dispatch/preempt_test.go
+++ b/internal/dispatch/preempt_test.go
@@ -90,6 +90,18 @@
 	}
 }
 
+// Guards against a search of all running tasks in each plan for a gang that cannot get
+// enough of them preempted.
+func TestFailedPreemptionIsNotRetriedAtOnce(t *testing.T) {
+	p := newFullPlanner(4, nil)
+	rs := p.newReadyStep("a", 1, newGangStep(40, 18))
+	rs.queue.Advice = nil
+	p.lastPreemption[rs.key] = p.now - preemptionRetryDelay
+	p.planSteps([]*readyStep{rs})
+	assert.DeepEqual(t, p.preemptionsFailed, []cell.StepKey{rs.key})
+	assert.Equal(t, len(p.stops), 0)
+}
+
 // Guards against preempted work that is lost or done twice, and against a gang
 // that does not get the capacity that was freed for it.
 func TestPreemptedWorkContinues(t *testing.T) {
--- a/internal/dispatch/rack.go
+++ b/internal/dispatch/rack.go
@@ -43,12 +43,45 @@
 // currentRack returns the rack on which tasks of the step already run, empty if
 // none run.
 func (p *planner) currentRack(rs *readyStep) string {
+	if c := p.runningTasks().first[rs.key]; c != nil {
+		return c.worker.Rack
+	}
+	return ""
+}
+
+// runningTasks counts the attempts on the candidates by the occurrence of their step.
+// first holds the first candidate with an attempt of each occurrence.
+type runningTasks struct {
+	counts map[stepOnWorker]int
+	first  map[cell.StepKey]*candidate
+}
+
+// stepOnWorker identifies the attempts of an occurrence of a step on a worker.
+type stepOnWorker struct {
+	step   cell.StepKey
+	worker *candidate
+}
+
+// runningTasks returns what runs on the candidates.
+func (p *planner) runningTasks() *runningTasks {
+	if p.running != nil {
+		return p.running
+	}
+	p.running = &runningTasks{counts: map[stepOnWorker]int{}, first: map[cell.StepKey]*candidate{}}
 	for _, c := range p.candidates {
-		if c.busy && c.worker.CountTasks(rs.key) > 0 {
-			return c.worker.Rack
+		for k := range c.worker.Attempts {
+			p.running.counts[stepOnWorker{k.StepKey, c}]++
+			if p.running.first[k.StepKey] == nil {
+				p.running.first[k.StepKey] = c
+			}
 		}
 	}
-	return ""
+	return p.running
+}
+
+// countTasks returns how many attempts of an occurrence of a step run on a worker.
+func (p *planner) countTasks(k cell.StepKey, c *candidate) int {
+	return p.runningTasks().counts[stepOnWorker{k, c}]
 }
 
 // tasksThatFit returns how many tasks of the step fit on a worker now.
@@ -68,8 +101,8 @@
 // Workers that are known not to be allowed do not count.
 func (p *planner) fitsOnEmptyRack(rs *readyStep, tasks int) bool {
 	tasksByRack := map[string]int{}
-	for _, c := range p.candidates {
-		if c.service != rs.queue.Service || !c.worker.HasLabel(rs.step.Label) || rs.advice.isDenied(c) {
+	for _, c := range p.group(rs) {
+		if rs.advice.isDenied(c) {
 			continue
 		}
 		tasksByRack[c.worker.Rack] += capPerWorker(rs.step, fitCount(rs.step.Claim(), c.worker.Capacity))
--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -41,11 +41,19 @@
 	maxReservedGangs = 4
 )
 
-// startableTasks returns the indices of the tasks that may be started.
-func (rs *readyStep) startableTasks() []int {
+// startableTasks returns the indices of the tasks that may be started. The caller does
+// not modify them.
+func (p *planner) startableTasks(rs *readyStep) []int {
+	count := len(rs.occurrence.Tasks)
+	if rs.step.Gang {
+		for len(p.indices) < count {
+			p.indices = append(p.indices, len(p.indices))
+		}
+		return p.indices[:count:count]
+	}
 	var tasks []int
 	for i := range rs.occurrence.Tasks {
-		if t := &rs.occurrence.Tasks[i]; rs.step.Gang || !t.Done && !t.InFlight {
+		if t := &rs.occurrence.Tasks[i]; !t.Done && !t.InFlight {
 			tasks = append(tasks, i)
 		}
 	}
@@ -68,18 +76,65 @@
 	return n
 }
 
-// fits reports whether a worker can take one task of the step now.
-func (p *planner) fits(rs *readyStep, c *candidate) bool {
-	return c.service == rs.queue.Service && c.worker.HasLabel(rs.step.Label) && rs.step.Claim().Fits(c.free) && !c.withheld
+// groupKey identifies the workers of a service that have a label.
+type groupKey struct{ service, label string }
+
+// taskKind identifies tasks that fit on the same workers.
+type taskKind struct {
+	groupKey
+	claim structs.Resources
+}
+
+func kindOf(rs *readyStep) taskKind {
+	return taskKind{groupKey{rs.queue.Service, rs.step.Label}, rs.step.Claim()}
 }
 
-// fitting returns the workers that can take a task of the step, best first.
+// group returns the candidates with the service and the label that a step needs, in the
+// order of their IDs.
+func (p *planner) group(rs *readyStep) []*candidate {
+	key := groupKey{rs.queue.Service, rs.step.Label}
+	list, known := p.groups[key]
+	if !known {
+		for _, c := range p.candidates {
+			if c.service == key.service && c.worker.HasLabel(key.label) {
+				list = append(list, c)
+			}
+		}
+		if p.groups == nil {
+			p.groups, p.full = map[groupKey][]*candidate{}, map[taskKind]bool{}
+		}
+		p.groups[key] = list
+	}
+	return list
+}
+
+// hasRoom reports whether a worker of the step's group can take one task of it now.
+func hasRoom(rs *readyStep, c *candidate) bool {
+	return rs.step.Claim().Fits(c.free) && !c.withheld
+}
+
+// fitting returns the workers that can take a task of the step, in the order of their IDs.
 func (p *planner) fitting(rs *readyStep, advice *stepAdvice) []*candidate {
+	group, kind := p.group(rs), kindOf(rs)
+	if p.full[kind] {
+		return nil
+	}
 	var list []*candidate
-	for _, c := range p.candidates {
-		if !p.fits(rs, c) {
+	if advice != nil && len(advice.tickets) < len(group) {
+		for id, issued := range advice.tickets {
+			if c := p.byID[id]; c != nil && issued.born == c.born && c.service == kind.service && c.worker.HasLabel(kind.label) && hasRoom(rs, c) {
+				list = append(list, c)
+			}
+		}
+		slices.SortFunc(list, func(a, b *candidate) int { return cmp.Compare(a.id, b.id) })
+		return list
+	}
+	full := true
+	for _, c := range group {
+		if !hasRoom(rs, c) {
 			continue
 		}
+		full = false
 		if advice != nil {
 			if issued, ok := advice.tickets[c.id]; !ok || issued.born != c.born {
 				continue
@@ -87,49 +142,76 @@
 		}
 		list = append(list, c)
 	}
-	p.rank(rs, list)
+	if full {
+		p.full[kind] = true
+	}
 	return list
 }
 
-// rank sorts workers by their cost for a step. Urgent work prefers fast workers;
-// work that would be in time on a slow worker leaves the fast ones to others.
-// Among equals, workers with the least spare capacity come first.
+// totalRoom returns how many tasks of a gang fit on workers that can take at least one, or
+// a greater number if the gang needs accelerators.
+func (p *planner) totalRoom(rs *readyStep, fitting []*candidate) int {
+	room := 0
+	for _, c := range fitting {
+		room += p.tasksThatFit(rs, c)
+	}
+	return room
+}
+
+// rankedCandidate is a worker with its cost for a step and its place before the ranking.
+type rankedCandidate struct {
+	cost  float64
+	place int
+	c     *candidate
+}
+
+// rank sorts workers by their cost for a step. Workers with the same cost keep their
+// order.
 func (p *planner) rank(rs *readyStep, list []*candidate) {
-	cost := func(c *candidate) float64 {
-		factor := c.runTimeFactor
-		if rs.step.DataRack != "" && !c.worker.HasLabel(rs.step.DataRack) {
-			factor *= p.offRackFactor
-		}
-		freeAfter := c.free.Sub(rs.step.Claim())
-		spare := float64(freeAfter.MilliCPU) / float64(max(1, c.worker.Capacity.MilliCPU))
-		value := factor + spareCapacityCost*spare
-		if rs.step.Filler {
-			value = factor + c.fillerCost(rs)
-		}
-		if !rs.step.Filler && rs.queue.Priority > 0 && p.now+time.Duration(slowMargin*factor*float64(rs.remaining)) < rs.deadline {
-			// The work is in time even here: prefer the slowest such worker.
-			value = 2 - factor + spareCapacityCost*spare - 2
-		}
-		value += faultyWorkerCost * c.faultProbability
-		if c.mixesLeaseLengths(rs) {
-			value += mixedLeaseCost
-		}
-		if rs.failedOn[c.id] {
-			value += failedBeforeCost
-		}
-		if rs.advice != nil && !p.isTicketValid(rs.advice, c.id) {
-			value += expiredTicketCost
-		}
-		if c.reservedFor.Job != "" && c.reservedFor != rs.key {
-			value += reservedCost
-		}
-		return value
+	p.ranked = p.ranked[:0]
+	for i, c := range list {
+		p.ranked = append(p.ranked, rankedCandidate{p.cost(rs, c), i, c})
 	}
-	costs := make(map[string]float64, len(list))
-	for _, c := range list {
-		costs[c.id] = cost(c)
+	slices.SortFunc(p.ranked, func(a, b rankedCandidate) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.place, b.place))
+	})
+	for i := range p.ranked {
+		list[i] = p.ranked[i].c
+	}
+}
+
+// cost returns the cost of a worker for a step. Urgent work prefers fast workers; work that
+// would be in time on a slow worker leaves the fast ones to others. Among equals, workers
+// with the least spare capacity come first.
+func (p *planner) cost(rs *readyStep, c *candidate) float64 {
+	factor := c.runTimeFactor
+	if rs.step.DataRack != "" && !c.worker.HasLabel(rs.step.DataRack) {
+		factor *= p.offRackFactor
+	}
+	freeAfter := c.free.Sub(rs.step.Claim())
+	spare := float64(freeAfter.MilliCPU) / float64(max(1, c.worker.Capacity.MilliCPU))
+	value := factor + spareCapacityCost*spare
+	if rs.step.Filler {
+		value = factor + c.fillerCost(rs)
+	}
+	if !rs.step.Filler && rs.queue.Priority > 0 && p.now+time.Duration(slowMargin*factor*float64(rs.remaining)) < rs.deadline {
+		// The work is in time even here: prefer the slowest such worker.
+		value = 2 - factor + spareCapacityCost*spare - 2
+	}
+	value += faultyWorkerCost * c.faultProbability
+	if c.mixesLeaseLengths(rs) {
+		value += mixedLeaseCost
+	}
+	if rs.failedOn[c.id] {
+		value += failedBeforeCost
+	}
+	if rs.advice != nil && !p.isTicketValid(rs.advice, c.id) {
+		value += expiredTicketCost
+	}
+	if c.reservedFor.Job != "" && c.reservedFor != rs.key {
+		value += reservedCost
 	}
-	slices.SortStableFunc(list, func(a, b *candidate) int { return cmp.Compare(costs[a.id], costs[b.id]) })
+	return value
 }
 
 // reserve withholds the allowed workers with the most free capacity for a gang
@@ -142,8 +224,8 @@
 	p.reservedGangCount++
 	advice := rs.advice
 	var list []*candidate
-	for _, c := range p.candidates {
-		if c.service != rs.queue.Service || c.withheld || !c.worker.HasLabel(rs.step.Label) {
+	for _, c := range p.group(rs) {
+		if c.withheld {
 			continue
 		}
 		if advice != nil {
--- a/internal/dispatch/ready.go
+++ b/internal/dispatch/ready.go
@@ -52,28 +52,30 @@
 // copyReadySteps returns the ready steps, with copies of their occurrences, in no order.
 func copyReadySteps(v *cell.View) []*readyStep {
 	ready := v.Ready()
-	tasks := 0
-	for key, occurrence := range ready {
-		if !v.Job(key.Job).Steps[key.Step].Gang {
-			tasks += len(occurrence.Tasks)
-		}
-	}
-	steps, occurrences, taskCopies := make([]readyStep, len(ready)), make([]cell.StepOccurrence, len(ready)), make([]cell.Task, 0, tasks)
+	steps, occurrences := make([]readyStep, len(ready)), make([]cell.StepOccurrence, len(ready))
 	list := make([]*readyStep, 0, len(ready))
+	taskCount := 0
 	for key, occurrence := range ready {
 		j := v.Job(key.Job)
 		q := v.Queue(j.Queue)
 		if q == nil {
 			continue // the queue is not in the configuration now; a later one may have it
 		}
-		rs, occurrenceCopy, first := &steps[len(list)], &occurrences[len(list)], len(taskCopies)
+		rs, occurrenceCopy := &steps[len(list)], &occurrences[len(list)]
 		*occurrenceCopy = *occurrence
-		if !j.Steps[key.Step].Gang {
-			taskCopies = append(taskCopies, occurrence.Tasks...)
-			occurrenceCopy.Tasks = taskCopies[first:len(taskCopies):len(taskCopies)]
-		}
 		*rs = readyStep{key: key, job: j, step: &j.Steps[key.Step], occurrence: occurrenceCopy, queue: q}
 		list = append(list, rs)
+		if !rs.step.Gang {
+			taskCount += len(occurrence.Tasks)
+		}
+	}
+	tasks := make([]cell.Task, 0, taskCount)
+	for _, rs := range list {
+		if !rs.step.Gang {
+			first := len(tasks)
+			tasks = append(tasks, rs.occurrence.Tasks...)
+			rs.occurrence.Tasks = tasks[first:len(tasks):len(tasks)]
+		}
 	}
 	return list
 }
