dispatch: planning takes a bounded share of the processor

Commits wake the planner 8 ms after each plan, so plans followed each other without a pause for the other work of the process, on machines of less than one core. Cause: neither the length of a plan nor the pause after it depended on its cost. Change: after 20 ms of computing a plan commits what it has, pauses and continues with the steps after that, on the same copy of the state; a lower step cannot take what a higher one waits or has reserved workers for. The pause is twice the time that was used, so planning takes at most a third of a core. The planner yields every millisecond. Waits for commits do not count.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -104,26 +104,51 @@
 	plan
 }
 
-// planOnce makes a plan, commits its placements and sends the orders.
-func (t *term) planOnce() {
+// planOnce makes a plan, commits its placements and sends the orders. A long plan is made
+// and carried out in slices with pauses between them; all slices work on the same copy of
+// the state, so that steps of lower rank do not take what has become free for others in the
+// meantime. It returns the processor time that the last slice has used.
+func (t *term) planOnce() time.Duration {
+	use := newProcessorUse(t.leader.Clock)
 	p := &planner{
 		now: t.leader.Clock.Now(), byID: map[string]*candidate{}, headroom: map[string]structs.Resources{}, advice: t.advice.snapshot, request: t.advice.request, allowedShare: t.advice.allowedShare,
 		offRackFactor: t.leader.Bounds.RemoteFactor, plan: plan{reserved: map[string]cell.StepKey{}},
 	}
 	t.forgetEndedData(p.now)
-	readySteps, workers := t.copyInputs(p)
-	if len(readySteps) > 0 {
-		t.completeReadySteps(readySteps, p.now)
+	steps, workers := t.copyInputs(p)
+	if len(steps) > 0 {
+		t.completeReadySteps(steps, p.now, use)
 		t.addCandidates(workers, p)
 		p.victims = t.newVictimFinder(p)
 		t.mu.Lock()
 		p.lastPreemption = maps.Clone(t.lastPreemption)
 		t.mu.Unlock()
-		p.planSteps(readySteps)
+		p.holdRenewals(steps)
 	}
-	t.leader.metrics.plan.RecordDuration(t.leader.Clock.Now() - p.now)
-	t.reserved = p.reserved
+	var total time.Duration
+	for {
+		steps = p.planNext(steps, use.below(maxPlanSlice))
+		t.reserved = p.reserved
+		t.carryOut(p, use)
+		total += use.spent()
+		if len(steps) == 0 {
+			break
+		}
+		if !t.pause(planPause(use.spent())) || !t.leads() {
+			return 0
+		}
+		use = newProcessorUse(t.leader.Clock)
+		p.beginSlice(t.leader.Clock.Now())
+	}
+	t.leader.metrics.plan.RecordDuration(total)
 	t.leader.metrics.recordWaiting(&p.waiting)
+	t.leader.metrics.adviceDeferred.Update(float64(p.deferred))
+	return use.spent()
+}
+
+// carryOut preempts tasks, commits the placements and sends the orders of a slice of a
+// plan.
+func (t *term) carryOut(p *planner, use *processorUse) {
 	t.mu.Lock()
 	for _, k := range p.newlyBlocked {
 		t.lastPreemption[k] = p.now + preemptionDelay - preemptionRetryDelay
@@ -137,14 +162,15 @@
 			t.preempt(q.stops, q.step)
 		}
 	}
-	t.leader.metrics.adviceDeferred.Update(float64(p.deferred))
 	for _, stopped := range p.stops {
 		t.preempt([]victim{stopped}, p.reserved[stopped.worker])
 	}
 	if len(p.placements) == 0 || !t.leads() {
 		return
 	}
+	use.stop()
 	result, err := t.leader.propose(t.ctx, &cell.Command{Start: &cell.Start{Placements: p.placements}})
+	use.resume()
 	if err != nil {
 		t.leader.Logger.Warn("failed to commit the plan", logging.Step("plan"), "placements", len(p.placements), logging.Error(err))
 		return
@@ -154,6 +180,7 @@
 		if ok {
 			t.leader.metrics.planned.Inc(1)
 			t.startAttempt(&p.placements[i])
+			use.yield()
 			continue
 		}
 		t.leader.metrics.refused.Inc(1)
@@ -227,19 +254,40 @@
 // planSteps plans the ready steps in the given order and counts them by what they wait
 // for.
 func (p *planner) planSteps(readySteps []*readyStep) {
+	p.holdRenewals(readySteps)
+	p.planNext(readySteps, func() bool { return true })
+}
+
+// holdRenewals holds the capacity of steps whose tickets are being renewed. If it were
+// given to others, the renewal would have to be repeated again and again.
+func (p *planner) holdRenewals(readySteps []*readyStep) {
 	for _, rs := range readySteps {
 		if rs.queue.Advice == nil {
 			continue
 		}
-		// Do not give capacity to others while its tickets are being renewed, since
-		// the renewal would then have to be repeated again and again.
 		if rs.advice = p.advice(rs.key); rs.advice != nil && rs.advice.inFlight > 0 {
 			p.holdCapacity(rs.advice.heldPlacements, rs)
 		}
 	}
-	for _, rs := range readySteps {
+}
+
+// planNext plans ready steps in the given order, at least one, as long as mayContinue
+// returns true. It returns the steps that remain.
+func (p *planner) planNext(readySteps []*readyStep, mayContinue func() bool) []*readyStep {
+	for i, rs := range readySteps {
 		p.waiting[p.planStep(rs)]++
+		if !mayContinue() {
+			return readySteps[i+1:]
+		}
 	}
+	return nil
+}
+
+// beginSlice continues a plan whose previous slice is carried out. Requests for advice that
+// were refused are left to the next plan, which makes them in the order of rank.
+func (p *planner) beginSlice(now time.Duration) {
+	p.now = now
+	p.placements, p.adviceRequests, p.stops, p.newlyBlocked, p.preemptionsFailed = nil, nil, nil, nil, nil
 }
 
 // planStep places as many tasks of a step as possible, or requests advice for it. It
--- /dev/null
+++ b/internal/dispatch/processor_use.go
@@ -0,0 +1,62 @@
+package dispatch
+
+import (
+	"runtime"
+	"time"
+
+	"laburnumgrade/internal/port"
+)
+
+const (
+	// maxPlanSlice is the processor time after which a plan is interrupted. It is a part of
+	// the interval of heartbeats, which may share one core with the planner.
+	maxPlanSlice = 20 * time.Millisecond
+	// yieldInterval is how long the planner computes before it lets other goroutines run.
+	yieldInterval = time.Millisecond
+	// planPauseFactor is the ratio of the pause after planning to the processor time that it
+	// used, so that planning takes at most one third of a core.
+	planPauseFactor = 2
+)
+
+// planPause returns the pause that follows planning for a time.
+func planPause(used time.Duration) time.Duration { return max(minPlanGap, planPauseFactor*used) }
+
+// processorUse measures the time for which the planner computes. The time for which other
+// goroutines run, or the planner waits, does not count.
+type processorUse struct {
+	clock port.Clock
+	// used is the time until the last call of stop or yield; resumed is when the
+	// computation began or continued after it.
+	used, resumed time.Duration
+}
+
+// newProcessorUse starts a measurement.
+func newProcessorUse(clock port.Clock) *processorUse {
+	return &processorUse{clock: clock, resumed: clock.Now()}
+}
+
+// stop interrupts the measurement until resume is called.
+func (u *processorUse) stop() { u.used = u.spent() }
+
+// resume continues the measurement.
+func (u *processorUse) resume() { u.resumed = u.clock.Now() }
+
+// yield lets other goroutines run once every yieldInterval.
+func (u *processorUse) yield() {
+	if now := u.clock.Now(); now-u.resumed >= yieldInterval {
+		u.used += now - u.resumed
+		runtime.Gosched()
+		u.resume()
+	}
+}
+
+// spent returns the time used so far.
+func (u *processorUse) spent() time.Duration { return u.used + u.clock.Now() - u.resumed }
+
+// below returns a function that yields and reports whether less than a limit was used.
+func (u *processorUse) below(limit time.Duration) func() bool {
+	return func() bool {
+		u.yield()
+		return u.used < limit
+	}
+}
--- a/internal/dispatch/ready.go
+++ b/internal/dispatch/ready.go
@@ -82,7 +82,7 @@
 
 // completeReadySteps adds the timing and the failures of the jobs to ready steps, and sorts
 // the steps in the order in which they are served.
-func (t *term) completeReadySteps(readySteps []*readyStep, now time.Duration) {
+func (t *term) completeReadySteps(readySteps []*readyStep, now time.Duration, use *processorUse) {
 	t.stats.addFailures(readySteps)
 	ratios := t.stats.queueRatios()
 	for batch := range slices.Chunk(readySteps, timingBatch) {
@@ -97,6 +97,7 @@
 			rs.overdue = now > times.firstSeen+overdueFactor*times.objective && !rs.step.Daemon
 		}
 		t.mu.Unlock()
+		use.yield()
 	}
 	slices.SortFunc(readySteps, func(a, b *readyStep) int {
 		// Daemon steps come first, since their service is down while they wait.
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -155,11 +155,12 @@
 			t.pause(leadershipPollInterval) // the lease may be regained before another process leads
 			continue
 		}
+		use := newProcessorUse(t.leader.Clock)
 		t.syncSessions()
 		t.stopUnwanted()
+		use.stop()
 		t.openDueOccurrences()
-		t.planOnce()
-		if !t.pause(minPlanGap) {
+		if !t.pause(planPause(use.used + t.planOnce())) {
 			return
 		}
 		select {
