--- a/internal/dispatch/candidate.go
+++ b/internal/dispatch/candidate.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -14,8 +15,9 @@
 	id      string
 	born    int64
 	service string
-	worker  *cell.Worker
-	free    structs.Resources
+	// worker is a copy of the worker's record.
+	worker *cell.Worker
+	free   structs.Resources
 	// runTimeFactor is the ratio of the worker's run times to the expected ones; above 1
 	// it is slower.
 	runTimeFactor float64
@@ -30,6 +32,10 @@
 	// fillerLoad is the size of the fillers that this plan has placed on it.
 	serves     bool
 	fillerLoad structs.Resources
+	// fillerCPU is the CPU of the filler attempts on the worker; it is known if
+	// fillerCPUKnown is set.
+	fillerCPU      int64
+	fillerCPUKnown bool
 	// placed counts the tasks that this plan has placed on the worker by step.
 	placed map[cell.StepKey]int
 	// withheld is set if this plan reserves the worker for a gang of higher rank.
@@ -38,12 +44,26 @@
 	reservedFor cell.StepKey
 }
 
-// addCandidates adds the usable workers to a plan, sorted by ID.
-func (t *term) addCandidates(v *cell.View, p *planner) {
-	for id, w := range v.Workers() {
+// copyWorkers returns copies of the records of the usable workers in no order.
+func copyWorkers(v *cell.View) []*cell.Worker {
+	copies := make([]cell.Worker, 0, len(v.Workers()))
+	list := make([]*cell.Worker, 0, len(v.Workers()))
+	for _, w := range v.Workers() {
 		if !w.Usable() {
 			continue
 		}
+		copies = append(copies, *w)
+		c := &copies[len(copies)-1]
+		c.Attempts = maps.Clone(w.Attempts)
+		list = append(list, c)
+	}
+	return list
+}
+
+// addCandidates adds the workers that can be used now to a plan, sorted by ID.
+func (t *term) addCandidates(workers []*cell.Worker, p *planner) {
+	for _, w := range workers {
+		id := w.ID
 		s := t.session(id, w.Born)
 		if s == nil || !s.usable(p.now) || t.isCordoned(id) {
 			continue
@@ -75,13 +95,16 @@
 // fillerCost is the ranking cost of sharing the worker's processors with other
 // fillers and with serving tasks.
 func (c *candidate) fillerCost(rs *readyStep) float64 {
-	unused := c.free.Sub(c.fillerLoad).Sub(rs.step.Size)
-	for _, a := range c.worker.Attempts {
-		if a.Filler {
-			unused = unused.Sub(a.Size)
+	if !c.fillerCPUKnown {
+		for _, a := range c.worker.Attempts {
+			if a.Filler {
+				c.fillerCPU += a.Size.MilliCPU
+			}
 		}
+		c.fillerCPUKnown = true
 	}
-	cost := -float64(unused.MilliCPU) / float64(max(1, c.worker.Capacity.MilliCPU))
+	unused := c.free.MilliCPU - c.fillerLoad.MilliCPU - rs.step.Size.MilliCPU - c.fillerCPU
+	cost := -float64(unused) / float64(max(1, c.worker.Capacity.MilliCPU))
 	if c.serves {
 		cost += besideServingCost
 	}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -33,8 +33,13 @@
 	newlyBlocked []cell.StepKey
 	// reserved maps a worker to the gang for which it is reserved.
 	reserved map[string]cell.StepKey
+	// preemptionsFailed are the gangs for which tasks were to be preempted, but not enough
+	// of them may be.
+	preemptionsFailed []cell.StepKey
 	// waiting counts the ready steps by what they wait for.
 	waiting [waitReasons]int
+	// deferred counts the requests for advice that no process could take.
+	deferred int
 }
 
 // waitReason is what a ready step waits for after a planning round.
@@ -70,6 +75,19 @@
 	// headroom is what each team may still use within its limit.
 	headroom map[string]structs.Resources
 	advice   func(cell.StepKey) *stepAdvice
+	// request makes a request for advice. It returns false if no process can take it now.
+	request func(*adviceRequest) bool
+	// noCaller is set once no process could take a request: in noCaller.long one of at
+	// least longCallCost, in noCaller.short a shorter one.
+	noCaller struct{ long, short bool }
+	// groups holds the candidates by service and label, and full the kinds of tasks for
+	// which no worker has room; both are filled as needed.
+	groups map[groupKey][]*candidate
+	full   map[taskKind]bool
+	// running holds what runs on the candidates, nil until it is needed.
+	running *runningTasks
+	ranked  []rankedCandidate
+	indices []int
 	// allowedShare returns the share of workers that steps of a queue may run on, as far
 	// as advice has shown.
 	allowedShare func(queue string) float64
@@ -86,55 +104,75 @@
 	plan
 }
 
-// planOnce makes a plan, commits its placements and sends the orders.
-func (t *term) planOnce() {
+// planOnce makes a plan, commits its placements and sends the orders. A long plan is made
+// and carried out in slices with pauses between them; all slices work on the same copy of
+// the state, so that steps of lower rank do not take what has become free for others in the
+// meantime. It returns the processor time that the last slice has used.
+func (t *term) planOnce() time.Duration {
+	use := newProcessorUse(t.leader.Clock)
 	p := &planner{
-		now: t.leader.Clock.Now(), byID: map[string]*candidate{}, headroom: map[string]structs.Resources{}, advice: t.advice.snapshot, allowedShare: t.advice.allowedShare,
+		now: t.leader.Clock.Now(), byID: map[string]*candidate{}, headroom: map[string]structs.Resources{}, advice: t.advice.snapshot, request: t.advice.request, allowedShare: t.advice.allowedShare,
 		offRackFactor: t.leader.Bounds.RemoteFactor, plan: plan{reserved: map[string]cell.StepKey{}},
 	}
-	var waits []*stepWait
-	t.leader.Store.View(func(v *cell.View) {
-		readySteps := t.readySteps(v, p.now)
-		if len(readySteps) == 0 {
-			return
-		}
-		t.addCandidates(v, p)
-		for _, rs := range readySteps {
-			if _, known := p.headroom[rs.job.Team]; !known {
-				p.headroom[rs.job.Team] = v.Headroom(rs.job.Team)
-			}
-		}
-		p.victims = func(c *candidate, priority int) []victim { return t.victims(v, c, priority, p.now) }
+	t.forgetEndedData(p.now)
+	steps, workers := t.copyInputs(p)
+	readySteps := steps
+	if len(steps) > 0 {
+		t.completeReadySteps(steps, p.now, use)
+		t.addCandidates(workers, p)
+		p.victims = t.newVictimFinder(p)
 		t.mu.Lock()
 		p.lastPreemption = maps.Clone(t.lastPreemption)
 		t.mu.Unlock()
-		p.planSteps(readySteps)
-		waits = t.longWaits(v, p, readySteps)
-	})
-	t.logWaits(waits)
-	t.reserved = p.reserved
+		p.holdRenewals(steps)
+	}
+	var total time.Duration
+	for {
+		steps = p.planNext(steps, use.below(maxPlanSlice))
+		t.reserved = p.reserved
+		t.carryOut(p, use)
+		total += use.spent()
+		if len(steps) == 0 {
+			break
+		}
+		if !t.pause(planPause(use.spent())) || !t.leads() {
+			return 0
+		}
+		use = newProcessorUse(t.leader.Clock)
+		p.beginSlice(t.leader.Clock.Now())
+	}
+	t.leader.metrics.plan.RecordDuration(total)
+	t.logWaits(t.longWaits(p, readySteps))
 	t.leader.metrics.recordWaiting(&p.waiting)
+	t.leader.metrics.adviceDeferred.Update(float64(p.deferred))
+	return use.spent()
+}
+
+// carryOut preempts tasks, commits the placements and sends the orders of a slice of a
+// plan.
+func (t *term) carryOut(p *planner, use *processorUse) {
 	t.mu.Lock()
 	for _, k := range p.newlyBlocked {
 		t.lastPreemption[k] = p.now + preemptionDelay - preemptionRetryDelay
 	}
+	for _, k := range p.preemptionsFailed {
+		t.lastPreemption[k] = p.now
+	}
 	t.mu.Unlock()
-	deferred := 0
 	for _, q := range p.adviceRequests {
-		if !t.advice.request(q) {
-			deferred++
-		} else if len(q.stops) > 0 {
+		if len(q.stops) > 0 {
 			t.preempt(q.stops, q.step)
 		}
 	}
-	t.leader.metrics.adviceDeferred.Update(float64(deferred))
 	for _, stopped := range p.stops {
 		t.preempt([]victim{stopped}, p.reserved[stopped.worker])
 	}
 	if len(p.placements) == 0 || !t.leads() {
 		return
 	}
+	use.stop()
 	result, err := t.leader.propose(t.ctx, &cell.Command{Start: &cell.Start{Placements: p.placements}})
+	use.resume()
 	if err != nil {
 		t.leader.Logger.Warn("failed to commit the plan", logging.Step("plan"), "placements", len(p.placements), logging.Error(err))
 		return
@@ -144,6 +182,7 @@
 		if ok {
 			t.leader.metrics.planned.Inc(1)
 			t.startAttempt(&p.placements[i])
+			use.yield()
 			continue
 		}
 		t.leader.metrics.refused.Inc(1)
@@ -152,6 +191,29 @@
 	}
 }
 
+// copyInputs copies the ready steps, the usable workers and the headroom of the teams from
+// the replicated state. Commits are applied while a plan is made; the state refuses
+// placements that no longer suit it.
+func (t *term) copyInputs(p *planner) (readySteps []*readyStep, workers []*cell.Worker) {
+	t.leader.Store.View(func(v *cell.View) {
+		began := t.leader.Clock.Now()
+		readySteps = copyReadySteps(v)
+		// A task that starts again later requests new advice, since by then other
+		// workers have free capacity.
+		t.advice.retainSteps(v.Ready())
+		if len(readySteps) > 0 {
+			workers = copyWorkers(v)
+		}
+		for _, rs := range readySteps {
+			if _, known := p.headroom[rs.job.Team]; !known {
+				p.headroom[rs.job.Team] = v.Headroom(rs.job.Team)
+			}
+		}
+		t.leader.metrics.planLock.RecordDuration(t.leader.Clock.Now() - began)
+	})
+	return readySteps, workers
+}
+
 // startAttempt sends the start order of a committed placement.
 func (t *term) startAttempt(p *cell.Placement) {
 	s := t.session(p.Worker, p.Born)
@@ -194,20 +256,41 @@
 // planSteps plans the ready steps in the given order and counts them by what they wait
 // for.
 func (p *planner) planSteps(readySteps []*readyStep) {
+	p.holdRenewals(readySteps)
+	p.planNext(readySteps, func() bool { return true })
+}
+
+// holdRenewals holds the capacity of steps whose tickets are being renewed. If it were
+// given to others, the renewal would have to be repeated again and again.
+func (p *planner) holdRenewals(readySteps []*readyStep) {
 	for _, rs := range readySteps {
 		if rs.queue.Advice == nil {
 			continue
 		}
-		// Do not give capacity to others while its tickets are being renewed, since
-		// the renewal would then have to be repeated again and again.
 		if rs.advice = p.advice(rs.key); rs.advice != nil && rs.advice.inFlight > 0 {
 			p.holdCapacity(rs.advice.heldPlacements, rs)
 		}
 	}
-	for _, rs := range readySteps {
+}
+
+// planNext plans ready steps in the given order, at least one, as long as mayContinue
+// returns true. It returns the steps that remain.
+func (p *planner) planNext(readySteps []*readyStep, mayContinue func() bool) []*readyStep {
+	for i, rs := range readySteps {
 		rs.waitsFor = p.planStep(rs)
 		p.waiting[rs.waitsFor]++
+		if !mayContinue() {
+			return readySteps[i+1:]
+		}
 	}
+	return nil
+}
+
+// beginSlice continues a plan whose previous slice is carried out. Requests for advice that
+// were refused are left to the next plan, which makes them in the order of rank.
+func (p *planner) beginSlice(now time.Duration) {
+	p.now = now
+	p.placements, p.adviceRequests, p.stops, p.newlyBlocked, p.preemptionsFailed = nil, nil, nil, nil, nil
 }
 
 // planStep places as many tasks of a step as possible, or requests advice for it. It
@@ -216,6 +299,13 @@
 	advice := rs.advice
 	if rs.queue.Advice != nil {
 		if advice == nil {
+			if !p.mayRequest(rs, nil) {
+				if p.full[kindOf(rs)] {
+					return waitsForRoom
+				}
+				p.deferred++
+				return waitsForAdvice
+			}
 			workers := p.workersToQuery(rs, nil, len(rs.occurrence.Tasks))
 			if len(workers) == 0 {
 				return waitsForRoom
@@ -230,36 +320,30 @@
 			return waitsForRetry
 		}
 	}
-	fitting := p.fitting(rs, advice)
-	tasks := rs.startableTasks()
+	tasks := p.startableTasks(rs)
 	if room := p.tasksWithinLimit(rs); room < len(tasks) {
 		if rs.step.Gang {
 			return waitsForLimit
 		}
 		tasks = tasks[:room]
 	}
+	fitting := p.fitting(rs, advice)
+	if rs.step.Gang && !rs.step.SameRack {
+		if room := p.totalRoom(rs, fitting); room < len(tasks) {
+			return p.planBlockedGang(rs, tasks, room)
+		}
+	}
+	p.rank(rs, fitting)
 	if rs.step.SameRack {
 		fitting = p.restrictToRack(rs, fitting, len(tasks))
 	}
 	placed := p.place(rs, tasks, fitting)
 	if rs.step.Gang && len(placed) < len(tasks) {
 		p.undoPlacements(rs, placed)
-		if advice != nil {
-			if more := p.workersToQuery(rs, advice, len(tasks)-len(placed)); p.worthQuerying(rs, advice, more, len(tasks)-len(placed)) {
-				p.requestAdvice(rs, more, nil)
-				return waitsForAdvice
-			}
-		}
-		if !p.preempt(rs, tasks) {
-			p.reserve(rs)
-		}
-		return waitsForRoom
+		return p.planBlockedGang(rs, tasks, len(placed))
 	}
-	if advice != nil && len(placed) < len(tasks) {
-		if more := p.workersToQuery(rs, advice, len(tasks)); len(more) > 0 && len(placed) == 0 {
-			p.requestAdvice(rs, more, nil)
-			return waitsForAdvice
-		}
+	if advice != nil && len(placed) == 0 && len(tasks) > 0 && p.queryMore(rs, len(tasks)) {
+		return waitsForAdvice
 	}
 	if len(placed) == 0 {
 		if len(tasks) == 0 {
@@ -281,3 +365,15 @@
 	p.placements = append(p.placements, placed...)
 	return placedNow
 }
+
+// planBlockedGang requests advice on more workers for a gang that does not fit, or
+// preempts tasks or reserves workers for it. room is the number of its tasks that fit.
+func (p *planner) planBlockedGang(rs *readyStep, tasks []int, room int) waitReason {
+	if rs.advice != nil && p.queryMore(rs, len(tasks)-room) {
+		return waitsForAdvice
+	}
+	if !p.preempt(rs, tasks) {
+		p.reserve(rs)
+	}
+	return waitsForRoom
+}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -44,7 +44,10 @@
 	waitReportAt    time.Duration
 	attemptReportAt time.Duration
 	unconfirmed     map[stopKey]bool
-	goroutines      sync.WaitGroup
+	// endedDataForgotten is when the data of ended jobs was last dropped. Only the
+	// planner's goroutine uses it.
+	endedDataForgotten time.Duration
+	goroutines         sync.WaitGroup
 
 	mu sync.Mutex
 	// sessions holds the session of each worker's newest incarnation by worker ID.
@@ -158,12 +161,13 @@
 			t.pause(leadershipPollInterval) // the lease may be regained before another process leads
 			continue
 		}
+		use := newProcessorUse(t.leader.Clock)
 		t.syncSessions()
 		t.stopUnwanted()
 		t.reportUnconfirmedAttempts()
+		use.stop()
 		t.openDueOccurrences()
-		t.planOnce()
-		if !t.pause(minPlanGap) {
+		if !t.pause(planPause(use.used + t.planOnce())) {
 			return
 		}
 		select {
--- a/internal/dispatch/wait_report.go
+++ b/internal/dispatch/wait_report.go
@@ -35,7 +35,7 @@
 
 // longWaits describes the ready steps that have waited the longest beyond their
 // objective. It returns none if the last report is recent.
-func (t *term) longWaits(v *cell.View, p *planner, readySteps []*readyStep) []*stepWait {
+func (t *term) longWaits(p *planner, readySteps []*readyStep) []*stepWait {
 	if p.now < t.waitReportAt {
 		return nil
 	}
@@ -55,22 +55,24 @@
 		t.mu.Lock()
 		times := t.times[rs.key.OccurrenceKey()]
 		t.mu.Unlock()
-		waits = append(waits, p.describeWait(v, rs, times))
+		waits = append(waits, t.describeWait(p, rs, times))
 	}
 	return waits
 }
 
 // describeWait returns what a step waits for after the plan.
-func (p *planner) describeWait(v *cell.View, rs *readyStep, times jobTiming) *stepWait {
+func (t *term) describeWait(p *planner, rs *readyStep, times jobTiming) *stepWait {
 	w := &stepWait{
 		key: rs.key, reason: rs.waitsFor, waited: p.now - times.firstSeen, objective: times.objective,
-		gang: rs.step.Gang, tasks: len(rs.startableTasks()), tasksWithinLimit: p.tasksWithinLimit(rs),
+		gang: rs.step.Gang, tasks: len(p.startableTasks(rs)), tasksWithinLimit: p.tasksWithinLimit(rs),
 	}
-	for _, worker := range v.Workers() {
-		if worker.Usable() && worker.Service == rs.queue.Service && worker.HasLabel(rs.step.Label) {
-			w.registered++
+	t.leader.Store.View(func(v *cell.View) {
+		for _, worker := range v.Workers() {
+			if worker.Usable() && worker.Service == rs.queue.Service && worker.HasLabel(rs.step.Label) {
+				w.registered++
+			}
 		}
-	}
+	})
 	for _, c := range p.candidates {
 		if c.service == rs.queue.Service && c.worker.HasLabel(rs.step.Label) {
 			w.addCandidate(p, rs, c)
