logging: each write holds whole lines and fits into a pipe at once

Callers: lines in the log of a busy process end within a word, and others are missing without being counted as dropped. Whoever takes a write only in part, such as a reader that bounds what it takes at once, loses the end of it. Cause: lines were written in blocks of up to 64 KiB, which end anywhere in a line. A write to a pipe is atomic up to 4,096 bytes only. TestWritesHoldWholeLines on the code before: "a write ends within a line". Change: a write holds whole lines and has at most 4,096 bytes, unless a single line is longer. Measured: the tests of the package pass, also under the race detector.

--- a/internal/logging/bounded_writer.go
+++ b/internal/logging/bounded_writer.go
@@ -15,6 +15,9 @@
 	// flushInterval is how long lines are collected before they are written in
 	// one batch.
 	flushInterval = 50 * time.Millisecond
+	// maxWriteBytes bounds one write to the output, unless a single line is longer. A
+	// write to a pipe is atomic up to PIPE_BUF, 4096 bytes.
+	maxWriteBytes = 4096
 	// The first lines of each message in a second are taken from a reserve of
 	// 1/reserveDivisor of the rate limit, which suffices for reservedMessages
 	// messages.
@@ -140,11 +143,11 @@
 // run writes the queued lines in batches until Close is called.
 func (b *BoundedWriter) run() {
 	defer close(b.done)
-	w := bufio.NewWriterSize(b.out, 64<<10)
+	w := bufio.NewWriterSize(b.out, maxWriteBytes)
 	for {
 		select {
 		case line := <-b.lines:
-			_, _ = w.Write(line) // lines that cannot be written are lost
+			writeLine(w, line)
 			b.writeBatch(w)
 		case <-b.closed:
 			b.writeQueued(w)
@@ -153,6 +156,15 @@
 	}
 }
 
+// writeLine buffers a line, so that no write to the output holds a part of it. Lines that
+// cannot be written are lost.
+func writeLine(w *bufio.Writer, line []byte) {
+	if w.Available() < len(line) {
+		_ = w.Flush()
+	}
+	_, _ = w.Write(line)
+}
+
 // writeBatch collects lines for flushInterval and then writes them.
 func (b *BoundedWriter) writeBatch(w *bufio.Writer) {
 	timer := time.NewTimer(flushInterval)
@@ -160,7 +172,7 @@
 	for {
 		select {
 		case line := <-b.lines:
-			_, _ = w.Write(line) // as above
+			writeLine(w, line)
 		case <-timer.C:
 			_ = w.Flush()
 			return
@@ -175,7 +187,7 @@
 	for {
 		select {
 		case line := <-b.lines:
-			_, _ = w.Write(line) // as above
+			writeLine(w, line)
 		default:
 			_ = w.Flush()
 			return
--- a/internal/logging/bounded_writer_test.go
+++ b/internal/logging/bounded_writer_test.go
@@ -61,3 +61,31 @@
 		assert.Assert(t, lines >= maxQueuedLines && lines < 3*maxQueuedLines, "%d lines", lines)
 	})
 }
+
+// writeRecorder is an output that records each write.
+type writeRecorder struct{ writes []string }
+
+func (r *writeRecorder) Write(p []byte) (int, error) {
+	r.writes = append(r.writes, string(p))
+	return len(p), nil
+}
+
+// Guards against lines that are cut because the reader of the output takes a write only
+// in part.
+func TestWritesHoldWholeLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out writeRecorder
+		b := NewBoundedWriter(&out, 1_000_000)
+		const lines = 1000
+		for i := range lines {
+			fmt.Fprintf(b, "%s\n", strings.Repeat("x", 200+i%100))
+		}
+		fmt.Fprintf(b, "%s\n", strings.Repeat("x", 2*maxWriteBytes))
+		assert.NilError(t, b.Close())
+		assert.Equal(t, strings.Count(strings.Join(out.writes, ""), "\n"), lines+1)
+		for _, text := range out.writes {
+			assert.Assert(t, strings.HasSuffix(text, "\n"), "a write ends within a line")
+			assert.Assert(t, len(text) <= maxWriteBytes || strings.Count(text, "\n") == 1, "%d bytes in a write", len(text))
+		}
+	})
+}
