--- a/cmd/lg-cell/main.go
+++ b/cmd/lg-cell/main.go
@@ -24,7 +24,7 @@
 const shutdownTimeout = time.Second
 
 // maxLogLinesPerSecond bounds the log. It leaves room for three lines for each of
-// 300 task starts a second.
+// 250 task starts a second beside the reserve for other lines.
 const maxLogLinesPerSecond = 1000
 
 func main() {
@@ -96,7 +96,7 @@
 		return node.Err()
 	}
 	logger.Info("process draining", logging.Step("drain"))
-	node.Resign()
+	node.Resign("the process is draining")
 	err = servers.Shutdown(secondSignal, shutdownTimeout)
 	node.Stop()
 	logger.Info("process stopped", logging.Step("stop"), "error", err)
--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -296,6 +297,55 @@
 	})
 }
 
+// pausedClock is a clock of which the process has missed the given time.
+type pausedClock struct {
+	port.Clock
+	missed atomic.Int64 // nanoseconds
+}
+
+func (c *pausedClock) Now() time.Duration { return c.Clock.Now() + time.Duration(c.missed.Load()) }
+
+// pausedStorage is a storage on a disk that takes the given time for an append, of a
+// process that in turn runs and is paused for the given times.
+type pausedStorage struct {
+	port.LogStorage
+	clock            *pausedClock
+	disk, run, pause time.Duration
+}
+
+func (s pausedStorage) Append(*peerv1.RaftHardState, []*peerv1.RaftEntry) error {
+	for began := s.clock.Now(); s.clock.Now()-began < s.disk; {
+		time.Sleep(s.run)
+		s.clock.missed.Add(int64(s.pause))
+	}
+	return nil
+}
+
+// Guards against a leader on a healthy disk that transfers leadership because its process
+// waits for the processor, and against a slow disk that is overlooked because of that.
+func TestBusyProcessorIsNotSlowDisk(t *testing.T) {
+	const ms = time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		clock := &pausedClock{Clock: port.NewSystemClock()}
+		s := &timedStorage{clock: clock}
+		for _, c := range []struct {
+			disk, run, pause time.Duration
+			want             int64
+		}{
+			{disk: 4 * ms, run: 4 * ms, pause: 211 * ms, want: 0},
+			{disk: 6 * ms, run: 4 * ms, pause: 60 * ms, want: 0},
+			{disk: 120 * ms, run: 120 * ms, pause: 100 * ms, want: 1},
+			{disk: 120 * ms, run: 9 * ms, pause: 27 * ms, want: 2},
+			{disk: 120 * ms, run: 60 * ms, pause: 36 * ms, want: 3},
+			{disk: 4 * ms, run: 4 * ms, pause: 100 * ms, want: 0},
+		} {
+			s.LogStorage = pausedStorage{clock: clock, disk: c.disk, run: c.run, pause: c.pause}
+			assert.NilError(t, s.Append(nil, nil))
+			assert.Equal(t, s.consecutiveSlowAppends.Load(), c.want, "%+v", c)
+		}
+	})
+}
+
 // Guards against a leader that keeps leadership although its slow disk delays all commits.
 func TestLeaderOnSlowDiskTransfersLeadership(t *testing.T) {
 	s := newTestCluster(t, 3)
@@ -368,6 +418,36 @@
 	}
 }
 
+// Guards against a leader that no other process finds after all have restarted, because one
+// seed is no longer a voter and the others have lost their disks.
+func TestLeaderIsFoundWithoutSeedInGroup(t *testing.T) {
+	s := newTestCluster(t, 6)
+	s.tolerance = Tolerance{VMs: 2}
+	for i := range 6 {
+		s.start(i, true)
+	}
+	s.putConfiguration(0, 1)
+	s.waitForGrowth(5)
+	s.stop(0)
+	s.waitForVoters(1, 2, 3, 4, 5)
+	s.start(0, false)
+	s.putConfiguration(0, 2)
+	for i := range 6 {
+		s.stop(i)
+	}
+	for i := range 6 {
+		if i == 1 || i == 2 {
+			s.folders[i] = t.TempDir()
+		}
+		s.start(i, false)
+	}
+	for i := range 6 {
+		assert.Equal(t, s.readVersion(i), byte(2))
+	}
+	s.putConfiguration(5, 3)
+	s.waitForVoters(1, 2, 3, 4, 5)
+}
+
 // Guards against a group of which the loss of one data centre takes the majority although
 // there is a process in another.
 func TestVotersMoveOutOfCrowdedDataCentre(t *testing.T) {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -116,6 +116,7 @@
 	}
 	t.forgetEndedData(p.now)
 	steps, workers := t.copyInputs(p)
+	readySteps := steps
 	if len(steps) > 0 {
 		t.completeReadySteps(steps, p.now, use)
 		t.addCandidates(workers, p)
@@ -141,6 +142,7 @@
 		p.beginSlice(t.leader.Clock.Now())
 	}
 	t.leader.metrics.plan.RecordDuration(total)
+	t.logWaits(t.longWaits(p, readySteps))
 	t.leader.metrics.recordWaiting(&p.waiting)
 	t.leader.metrics.adviceDeferred.Update(float64(p.deferred))
 	return use.spent()
@@ -275,7 +277,8 @@
 // returns true. It returns the steps that remain.
 func (p *planner) planNext(readySteps []*readyStep, mayContinue func() bool) []*readyStep {
 	for i, rs := range readySteps {
-		p.waiting[p.planStep(rs)]++
+		rs.waitsFor = p.planStep(rs)
+		p.waiting[rs.waitsFor]++
 		if !mayContinue() {
 			return readySteps[i+1:]
 		}
--- a/internal/dispatch/ready.go
+++ b/internal/dispatch/ready.go
@@ -47,6 +47,8 @@
 	advice *stepAdvice
 	// failedOn holds the workers on which tasks of the job have failed.
 	failedOn map[string]bool
+	// waitsFor is set by the plan.
+	waitsFor waitReason
 }
 
 // copyReadySteps returns the ready steps, with copies of their occurrences, in no order.
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -38,6 +38,12 @@
 	// reserved maps a worker to the gang for which the last plan reserved it. Only
 	// the planner's goroutine uses it.
 	reserved map[string]cell.StepKey
+	// waitReportAt and attemptReportAt are when the next reports are due, and unconfirmed
+	// holds the attempts in the last one of the latter. Only the planner's goroutine uses
+	// them.
+	waitReportAt    time.Duration
+	attemptReportAt time.Duration
+	unconfirmed     map[stopKey]bool
 	// endedDataForgotten is when the data of ended jobs was last dropped. Only the
 	// planner's goroutine uses it.
 	endedDataForgotten time.Duration
@@ -158,6 +164,7 @@
 		use := newProcessorUse(t.leader.Clock)
 		t.syncSessions()
 		t.stopUnwanted()
+		t.reportUnconfirmedAttempts()
 		use.stop()
 		t.openDueOccurrences()
 		if !t.pause(planPause(use.used + t.planOnce())) {
@@ -191,7 +198,8 @@
 }
 
 // syncSessions starts a session for each new incarnation and for each incarnation
-// whose address has changed.
+// whose address has changed. It wakes sessions that wait for attempts although the
+// state has some: their order may never have been sent.
 func (t *term) syncSessions() {
 	var newSessions []*session
 	t.leader.Store.View(func(v *cell.View) {
@@ -200,6 +208,9 @@
 		for id, w := range v.Workers() {
 			s := t.sessions[id]
 			if s != nil && s.born == w.Born && s.target.Address == w.Address {
+				if len(w.Attempts) > 0 && s.idle.Load() {
+					s.wakeUp()
+				}
 				continue
 			}
 			if w.Gone && len(w.Attempts) == 0 {
