raft, replica: apply on a goroutine of its own

Callers: on a grown deployment a majority of the group runs, but no replica stays leader; 12 terms in 32 s, and requests are refused.

Change: Advance confirms that a Ready is stored and handed out; Applied confirms what the state machine has applied.

Stored is as before, on the first goroutine. A proposal that was handed out is committed, and is no longer reported as unknown when leadership is lost.

--- a/internal/raft/config.go
+++ b/internal/raft/config.go
@@ -96,8 +96,11 @@
 
 // Ready lists what the caller must do, in this order: send ImmediateMessages; store
 // HardState and Entries with one sync (if there is a Snapshot: HardState, then
-// Snapshot, then Entries); send Messages; install Snapshot in the state machine;
-// apply CommittedEntries; call Advance.
+// Snapshot, then Entries); send Messages; pass Snapshot and then CommittedEntries to
+// the state machine; call Advance.
+//
+// The state machine may restore and apply them later, in the order of the Readys. The
+// caller confirms this with Applied.
 //
 // HardState comes before Snapshot because it holds the generation that a joining
 // replica has adopted.
--- a/internal/raft/doc.go
+++ b/internal/raft/doc.go
@@ -6,7 +6,8 @@
 // A Node has no I/O, clock or goroutine of its own. Time enters by Tick and by the
 // monotonic timestamps that the methods take, messages enter by Step, and
 // everything to store, send or apply leaves by Ready. The caller handles a Ready
-// completely and calls Advance before it calls any other method.
+// completely and calls Advance before it calls any other method. Only applying may
+// take longer: it is confirmed by Applied.
 //
 // The lease relies on two timers. A voter that answers a heartbeat grants no vote
 // for PromiseDuration, except to a candidate to which the leader itself transfers
--- a/internal/raft/lease_test.go
+++ b/internal/raft/lease_test.go
@@ -18,8 +18,16 @@
 	return m
 }
 
-// drainMessages handles Readys until there is none, and returns their messages.
+// drainMessages handles Readys until there is none, applies their entries and returns
+// their messages.
 func drainMessages(n *Node) []*peerv1.RaftMessage {
+	sent := drainWithoutApplying(n)
+	n.Applied(n.log.handedOut)
+	return sent
+}
+
+// drainWithoutApplying handles Readys until there is none, and returns their messages.
+func drainWithoutApplying(n *Node) []*peerv1.RaftMessage {
 	var sent []*peerv1.RaftMessage
 	for {
 		r := n.Ready()
@@ -129,7 +137,13 @@
 	n.Step(elected+answered, ack)
 	_, _, valid = n.Lease()
 	assert.Assert(t, !valid, "lease before the own entry is applied")
-	drainMessages(n)
+	drainWithoutApplying(n)
+	_, _, valid = n.Lease()
+	assert.Assert(t, !valid, "lease before the own entry is confirmed as applied")
+	n.Applied(1)
+	_, _, valid = n.Lease()
+	assert.Assert(t, !valid, "lease after an entry of an earlier term")
+	n.Applied(2)
 	until, since, valid := n.Lease()
 	assert.Assert(t, valid)
 	assert.Equal(t, since, elected)
--- a/internal/raft/log.go
+++ b/internal/raft/log.go
@@ -17,7 +17,10 @@
 	snapshot *peerv1.RaftSnapshot
 	stable   uint64 // highest index that is stored
 	commit   uint64
-	applied  uint64
+	// handedOut is the highest index that a Ready has passed on to the state machine,
+	// and applied the highest one that the state machine is known to have applied.
+	handedOut uint64
+	applied   uint64
 }
 
 func newEntryLog(snapshot *peerv1.RaftSnapshot, entries []*peerv1.RaftEntry) *entryLog {
@@ -27,6 +30,7 @@
 		entries:   entries,
 		snapshot:  snapshot,
 		commit:    snapshot.GetIndex(),
+		handedOut: snapshot.GetIndex(),
 		applied:   snapshot.GetIndex(),
 	}
 	l.stable = l.last()
@@ -108,9 +112,12 @@
 	return index
 }
 
-// install replaces the whole log by a snapshot.
+// install replaces the whole log by a snapshot, which the state machine has yet to
+// restore.
 func (l *entryLog) install(s *peerv1.RaftSnapshot) {
+	applied := l.applied
 	*l = *newEntryLog(s, nil)
+	l.applied = applied
 }
 
 // compact records a new snapshot and drops the entries before it, except for the
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -187,12 +187,13 @@
 		r.Messages = append(r.ImmediateMessages, r.Messages...)
 		r.ImmediateMessages = nil
 	}
-	r.CommittedEntries = n.log.slice(n.log.applied+1, n.log.commit, maxInt)
+	r.CommittedEntries = n.log.slice(n.log.handedOut+1, n.log.commit, maxInt)
 	n.currentReady = r
 	return r
 }
 
-// Advance must be called when the last Ready has been handled completely.
+// Advance must be called when the last Ready has been handled completely, apart from
+// the work of the state machine.
 func (n *Node) Advance() {
 	r := n.currentReady
 	n.currentReady = Ready{}
@@ -203,21 +204,39 @@
 		n.log.stable = r.Entries[len(r.Entries)-1].Index
 	}
 	if len(r.CommittedEntries) > 0 {
-		n.log.applied = r.CommittedEntries[len(r.CommittedEntries)-1].Index
+		n.log.handedOut = r.CommittedEntries[len(r.CommittedEntries)-1].Index
 	}
 	if n.role == Leader {
 		n.maybeCommit()
 	}
 }
 
-// Snapshot returns a snapshot at the applied index; data is the encoded state of the
-// state machine at that index. The caller stores it and then passes it to Compact.
-func (n *Node) Snapshot(data []byte) *peerv1.RaftSnapshot {
-	term, _ := n.log.term(n.log.applied)
+// Applied confirms that the state machine has applied the log up to index, from the
+// snapshots and entries of handled Readys. It may be called with a lower index than
+// before, which has no effect.
+func (n *Node) Applied(index uint64) {
+	if index > n.log.handedOut {
+		panic("raft: applied an entry that was not handed out")
+	}
+	n.log.applied = max(n.log.applied, index)
+}
+
+// Snapshot returns a snapshot at an applied index; data is the encoded state of the
+// state machine at that index. The caller stores it and then passes it to Compact. The
+// snapshot is nil if there is one of that index or a later one already, which may have
+// been received while the state was being encoded.
+func (n *Node) Snapshot(index uint64, data []byte) *peerv1.RaftSnapshot {
+	if index > n.log.applied {
+		panic("raft: snapshot of an entry that is not applied")
+	}
+	if index <= n.log.snapshot.GetIndex() {
+		return nil
+	}
+	term, _ := n.log.term(index)
 	return &peerv1.RaftSnapshot{
-		Index:      n.log.applied,
+		Index:      index,
 		Term:       term,
-		Membership: cloneMembership(n.membershipAtIndex(n.log.applied)),
+		Membership: cloneMembership(n.membershipAtIndex(index)),
 		Data:       data,
 	}
 }
--- a/internal/raft/node_test.go
+++ b/internal/raft/node_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"laburnumgrade/gen/peerv1"
@@ -73,6 +74,9 @@
 			c.lossRate = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "loss")
 			c.maxDelay = time.Duration(rapid.SampledFrom([]int{5, 40, 400}).Draw(t, "delay")) * time.Millisecond
 		},
+		"apply": func(t *rapid.T) {
+			c.maxApply = time.Duration(rapid.SampledFrom([]int{0, 50, 1500}).Draw(t, "lag")) * time.Millisecond
+		},
 		"pause": func(t *rapid.T) {
 			anyNode(t).pausedUntil = c.now + time.Duration(rapid.IntRange(50, 1500).Draw(t, "ms"))*time.Millisecond
 		},
@@ -175,7 +179,7 @@
 // a leader with a lease commits a new command and every running member applies it.
 func (c *simCluster) healAndCheckLiveness() {
 	c.partitioned, c.cutLinks = map[string]bool{}, map[[2]string]bool{}
-	c.lossRate, c.maxDelay = 0, 5*time.Millisecond
+	c.lossRate, c.maxDelay, c.maxApply = 0, 5*time.Millisecond, 0
 	for _, id := range c.ids() {
 		s := c.nodes[id]
 		s.pausedUntil = 0
@@ -216,3 +220,33 @@
 	}
 	return true
 }
+
+// TestSnapshotInstalledIsNotApplied guards against a snapshot that counts as applied
+// before the state machine has restored it, and against a state that was encoded before
+// it and replaces it.
+func TestSnapshotInstalledIsNotApplied(t *testing.T) {
+	n := New(Config{ID: "a.1", Membership: votersOf("a.1", "b.1", "c.1")})
+	entries := message(peerv1.RaftMessage_APPEND, 3)
+	entries.Entries = []*peerv1.RaftEntry{{Index: 1, Term: 3}, {Index: 2, Term: 3}}
+	entries.Commit = 2
+	n.Step(0, entries)
+	drainMessages(n)
+	install := message(peerv1.RaftMessage_SNAPSHOT, 4)
+	install.Snapshot = &peerv1.RaftSnapshot{Index: 9, Term: 4, Membership: votersOf("a.1", "b.1", "c.1")}
+	n.Step(0, install)
+	drainWithoutApplying(n)
+	assert.Equal(t, n.Status().CommitIndex, uint64(9))
+	assert.Equal(t, n.Status().AppliedIndex, uint64(2))
+	assert.Assert(t, n.Snapshot(2, nil) == nil, "an older snapshot")
+	n.Applied(9)
+	assert.Equal(t, n.Status().AppliedIndex, uint64(9))
+	more := message(peerv1.RaftMessage_APPEND, 4)
+	more.LogIndex, more.LogTerm, more.Commit = 9, 4, 11
+	more.Entries = []*peerv1.RaftEntry{{Index: 10, Term: 4}, {Index: 11, Term: 4}}
+	n.Step(0, more)
+	drainWithoutApplying(n)
+	n.Applied(10)
+	s := n.Snapshot(10, []byte("x"))
+	assert.Equal(t, s.Index, uint64(10))
+	assert.Equal(t, s.Term, uint64(4))
+}
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -28,9 +28,23 @@
 	hard     *peerv1.RaftHardState
 	snapshot *peerv1.RaftSnapshot
 	entries  []*peerv1.RaftEntry
-	applied  uint64
 	commit   uint64
 	inbox    []*peerv1.RaftMessage // received while paused
+
+	handedOut uint64
+	applied   uint64      // by the state machine
+	applying  []applyTask // not yet done, in order
+	confirmed uint64      // highest index passed to Node.Applied
+	encoded   []uint64    // indexes of snapshots not yet passed to Node.Snapshot
+}
+
+// applyTask is work that a Ready has handed out to the state machine: a snapshot, or
+// the entries up to the index.
+type applyTask struct {
+	due      time.Duration
+	first    uint64 // index of the first entry
+	index    uint64
+	snapshot bool
 }
 
 // crashPoint is the point of handling a Ready at which a node crashes.
@@ -64,6 +78,7 @@
 	initial     *peerv1.RaftMembership
 	lossRate    float64 // probability that a message is lost or duplicated
 	maxDelay    time.Duration
+	maxApply    time.Duration      // longest time for which the state machines lag behind
 	partitioned map[string]bool    // nodes on the second side of the partition
 	cutLinks    map[[2]string]bool // cut links between two replicas
 	lostState   map[string]bool    // ids of replicas that have lost their state
@@ -71,6 +86,7 @@
 	leaders           map[uint64]string         // by term
 	committed         map[uint64]committedEntry // by index
 	maxCommit         uint64
+	commitInTerm      map[uint64]uint64 // highest commit index of each term's leader
 	entryContents     map[entryKey]string
 	commands          int // number of proposed commands
 	elections         int
@@ -83,7 +99,8 @@
 		t: t, rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
 		nodes: map[string]*simNode{}, partitioned: map[string]bool{}, lostState: map[string]bool{},
 		leaders: map[uint64]string{}, committed: map[uint64]committedEntry{}, entryContents: map[entryKey]string{},
-		maxDelay: 5 * time.Millisecond, cutLinks: map[[2]string]bool{},
+		commitInTerm: map[uint64]uint64{},
+		maxDelay:     5 * time.Millisecond, cutLinks: map[[2]string]bool{},
 	}
 	c.initial = &peerv1.RaftMembership{}
 	for i := range voters {
@@ -108,6 +125,8 @@
 	c.load(s, m)
 	s.up, s.crashAt, s.commit = true, crashNever, 0
 	s.applied = s.snapshot.GetIndex()
+	s.handedOut, s.confirmed = s.applied, s.applied
+	s.applying, s.encoded = nil, nil
 	s.nextTick = c.local(s) + time.Duration(c.rng.Int64N(int64(TickInterval)))
 }
 
@@ -156,6 +175,7 @@
 				c.step(s, m)
 			}
 			s.inbox = nil
+			c.runStateMachine(s)
 			if s.up && c.local(s) >= s.nextTick {
 				s.nextTick = c.local(s) + TickInterval
 				s.node.Tick(c.local(s))
@@ -217,12 +237,10 @@
 			return
 		}
 		c.transmit(r.Messages)
-		if r.Snapshot != nil {
-			s.applied = r.Snapshot.Index
-		}
-		c.apply(s, r.CommittedEntries)
+		c.handOut(s, r)
 		s.node.Advance()
 		c.checkNode(s)
+		c.runStateMachine(s)
 	}
 }
 
@@ -253,12 +271,25 @@
 	c.entryContents[key] = content
 }
 
-func (c *simCluster) apply(s *simNode, entries []*peerv1.RaftEntry) {
-	for _, e := range entries {
-		if e.Index != s.applied+1 {
-			c.t.Fatalf("%s applies %d after %d", s.id, e.Index, s.applied)
+// handOut queues the snapshot and the committed entries of a Ready for the state
+// machine, and checks that each entry is handed out once and is committed with one term.
+func (c *simCluster) handOut(s *simNode, r Ready) {
+	due := c.now
+	if c.maxApply > 0 {
+		due += time.Duration(c.rng.Int64N(int64(c.maxApply)))
+	}
+	if r.Snapshot != nil {
+		s.handedOut = r.Snapshot.Index
+		s.applying = append(s.applying, applyTask{due: due, index: r.Snapshot.Index, snapshot: true})
+	}
+	if last := len(r.CommittedEntries) - 1; last >= 0 {
+		s.applying = append(s.applying, applyTask{due: due, first: r.CommittedEntries[0].Index, index: r.CommittedEntries[last].Index})
+	}
+	for _, e := range r.CommittedEntries {
+		if e.Index != s.handedOut+1 {
+			c.t.Fatalf("%s hands out %d after %d", s.id, e.Index, s.handedOut)
 		}
-		s.applied = e.Index
+		s.handedOut = e.Index
 		old, ok := c.committed[e.Index]
 		if ok && old.term != e.Term {
 			c.t.Fatalf("%s commits index %d of term %d, which was committed with term %d", s.id, e.Index, e.Term, old.term)
@@ -269,6 +300,33 @@
 	}
 }
 
+// runStateMachine does the work of the state machine that is due, and confirms it
+// unless the confirmation is delayed.
+func (c *simCluster) runStateMachine(s *simNode) {
+	if !s.up {
+		return
+	}
+	for len(s.applying) > 0 && s.applying[0].due <= c.now {
+		task := s.applying[0]
+		s.applying = s.applying[1:]
+		if !task.snapshot && task.first != s.applied+1 {
+			c.t.Fatalf("%s applies %d after %d", s.id, task.first, s.applied)
+		}
+		s.applied = task.index
+	}
+	if c.maxApply > 0 && c.rng.IntN(4) > 0 {
+		return
+	}
+	if s.confirmed < s.applied {
+		s.confirmed = s.applied
+		s.node.Applied(s.applied)
+	}
+	for _, index := range s.encoded {
+		c.storeSnapshot(s, index)
+	}
+	s.encoded = nil
+}
+
 func (c *simCluster) transmit(messages []*peerv1.RaftMessage) {
 	for _, m := range messages {
 		copies := 1
@@ -359,11 +417,13 @@
 		}
 	}
 	c.leaders[n.term] = s.id
+	c.commitInTerm[n.term] = max(c.commitInTerm[n.term], n.log.commit)
 	c.maxCommit = max(c.maxCommit, n.log.commit)
 }
 
 // checkLeases checks that at the current true time at most one replica, running or
-// paused, holds a valid lease, and that its commit index is the highest one.
+// paused, holds a valid lease, that its commit index is the highest one, and that its
+// state machine has applied everything that was committed in earlier terms.
 func (c *simCluster) checkLeases() {
 	holder := ""
 	for _, s := range c.running() {
@@ -378,6 +438,11 @@
 		if s.node.log.commit < c.maxCommit {
 			c.t.Fatalf("lease holder %s has commit %d, another leader committed %d", s.id, s.node.log.commit, c.maxCommit)
 		}
+		for term, commit := range c.commitInTerm {
+			if term < s.node.term && s.applied < commit {
+				c.t.Fatalf("lease holder %s has applied %d, the leader of term %d committed %d", s.id, s.applied, term, commit)
+			}
+		}
 	}
 }
 
@@ -391,12 +456,46 @@
 	return found
 }
 
+// takeSnapshot encodes the state machine at its applied index. The node gets to know the
+// snapshot with the next confirmation.
 func (c *simCluster) takeSnapshot(s *simNode) {
-	snapshot := s.node.Snapshot(nil)
-	if snapshot.Index <= s.snapshot.GetIndex() {
+	s.encoded = append(s.encoded, s.applied)
+	c.runStateMachine(s)
+}
+
+func (c *simCluster) storeSnapshot(s *simNode, index uint64) {
+	snapshot := s.node.Snapshot(index, nil)
+	if snapshot == nil {
 		return
 	}
+	if snapshot.Index != index {
+		c.t.Fatalf("%s: snapshot of %d has index %d", s.id, index, snapshot.Index)
+	}
+	if e, ok := c.committed[index]; ok && snapshot.Term != e.term {
+		c.t.Fatalf("%s: snapshot of %d has term %d, the entry %d", s.id, index, snapshot.Term, e.term)
+	}
+	if want := s.membershipAt(index); want != nil && !proto.Equal(snapshot.Membership, want) {
+		c.t.Fatalf("%s: snapshot of %d has membership %v, the log %v", s.id, index, snapshot.Membership, want)
+	}
 	s.entries = slices.Clone(s.entries[snapshot.Index-s.snapshot.GetIndex():])
 	s.snapshot = proto.Clone(snapshot).(*peerv1.RaftSnapshot)
 	s.node.Compact(snapshot)
 }
+
+// membershipAt returns the membership that the stored snapshot and entries hold for the
+// index, nil if they hold none.
+func (s *simNode) membershipAt(index uint64) *peerv1.RaftMembership {
+	n := &Node{}
+	if s.snapshot != nil {
+		n.memberships = []membershipAt{{index: s.snapshot.Index, members: s.snapshot.Membership}}
+	}
+	for _, e := range s.entries {
+		if e.Index <= index {
+			n.addMembershipOf(e)
+		}
+	}
+	if len(n.memberships) == 0 {
+		return nil
+	}
+	return n.membership()
+}
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -26,8 +26,9 @@
 // ErrStopped is returned by calls on a replica that has stopped.
 var ErrStopped = errors.New("the replica is stopped")
 
-// ErrOverloaded means that the proposal queue is full. The command was not proposed.
-var ErrOverloaded = errors.New("the proposal queue is full")
+// ErrOverloaded means that the proposal queue is full or that the state machine lags too
+// far behind. The command was not proposed.
+var ErrOverloaded = errors.New("too many commands are queued or not yet applied")
 
 // ErrTransferFailed means that the transfer of leadership has ended and this replica
 // still leads.
--- a/internal/replica/doc.go
+++ b/internal/replica/doc.go
@@ -2,8 +2,9 @@
 // core (package raft) with the clock, the storage, the network and the state
 // machine.
 //
-// One goroutine per replica owns the core and the state machine. In each turn it
-// takes everything that is queued (proposals, messages, calls), stores the resulting
-// state with one sync (group commit), sends messages and applies the committed
-// entries. Other goroutines read a view of the core that is published in each turn.
+// One goroutine per replica owns the core. In each turn it takes everything that is
+// queued (proposals, messages, calls), stores the resulting state with one sync (group
+// commit), sends messages and hands the committed entries to a second goroutine, which
+// owns the state machine. A slow state machine therefore delays no heartbeats. Other
+// goroutines read a view of the core that is published in each turn.
 package replica
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -10,7 +10,7 @@
 	"laburnumgrade/internal/raft"
 )
 
-// proposal is a command, or a membership change, that is not yet committed.
+// proposal is a command, or a membership change, that is not yet applied.
 type proposal struct {
 	command []byte
 	// claimed is set by the replica's goroutine when it proposes the command, or by
@@ -64,8 +64,9 @@
 
 // enqueue queues a proposal for the next turn.
 func (r *Replica) enqueue(p *proposal) error {
+	lagging := r.view.Load().unapplied >= maxUnappliedEntries
 	r.mu.Lock()
-	full := len(r.queue.proposals) >= maxQueuedProposals
+	full := lagging || len(r.queue.proposals) >= maxQueuedProposals
 	first := len(r.queue.proposals) == 0
 	if !full {
 		r.queue.proposals = append(r.queue.proposals, p)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -28,8 +28,10 @@
 
 	// The following fields are used only by the goroutine of run.
 	node          *raft.Node
+	applier       *applier
 	snapshotIndex uint64               // index of the newest snapshot
-	waiters       map[uint64]*proposal // proposals in the log, by index
+	encoding      bool                 // the applier was asked for a snapshot
+	waiters       map[uint64]*proposal // proposals in the log that are not handed out, by index
 	role          raft.Role            // as last seen by recordRole
 }
 
@@ -38,6 +40,7 @@
 	proposals []*proposal
 	messages  []*peerv1.RaftMessage
 	calls     []func()
+	applied   applyReport
 }
 
 // view is the state of the core that is published to other goroutines.
@@ -46,6 +49,7 @@
 	leaseUntil  time.Duration
 	leaderSince time.Duration
 	hasLease    bool
+	unapplied   uint64 // number of committed entries that the state machine lacks
 }
 
 var _ port.ReplicatedLog = (*Replica)(nil)
@@ -89,12 +93,13 @@
 		}),
 	}
 	r.publish()
+	r.applier = startApplier(r, snapshot.GetIndex())
 	go r.run()
 	return r, nil
 }
 
 // Stop stops the replica without a transfer of leadership, closes its storage and
-// waits until this is done. Proposals that are not yet applied fail with an
+// waits until this is done, including a call of the state machine in progress. Proposals that are not yet applied fail with an
 // OutcomeUnknownError.
 func (r *Replica) Stop() {
 	r.stopOnce.Do(func() { close(r.stopRequested) })
@@ -152,8 +157,9 @@
 	r.shutDown(err)
 }
 
-// shutDown stops the replica. It publishes a state without a lease, closes the storage
-// and fails the proposals that wait for their commit.
+// shutDown stops the replica. It publishes a state without a lease, closes the storage,
+// stops the applier and fails the proposals that wait for their commit. Those that were
+// handed out and are not applied fail when done is closed.
 func (r *Replica) shutDown(err error) {
 	if err != nil {
 		r.log.Error("replica stopped by an error", "err", err)
@@ -169,6 +175,7 @@
 	if closeErr := r.cfg.Storage.Close(); closeErr != nil {
 		r.log.Warn("closing the storage failed", "err", closeErr)
 	}
+	r.applier.stop()
 	r.failWaiters(ErrStopped)
 	close(r.done)
 }
@@ -183,10 +190,19 @@
 	// The clock is read after the messages were taken from the queue, so that a
 	// promise counted from this time starts after the leader sent its heartbeat.
 	now := r.cfg.Clock.Now()
+	if q.applied.err != nil {
+		return q.applied.err
+	}
+	r.node.Applied(q.applied.index)
 	if tick {
 		r.node.Tick(now)
 	}
+	lagging := r.view.Load().unapplied >= maxUnappliedEntries
 	for _, m := range q.messages {
+		// The leader sends lost appends again, and heartbeats are still answered.
+		if lagging && m.Type == peerv1.RaftMessage_APPEND {
+			continue
+		}
 		r.node.Step(now, m)
 	}
 	for _, call := range q.calls {
@@ -196,7 +212,11 @@
 	if err := r.handleReadys(); err != nil {
 		return err
 	}
-	return r.maybeTakeSnapshot()
+	if err := r.storeEncoded(q.applied); err != nil {
+		return err
+	}
+	r.maybeRequestSnapshot()
+	return nil
 }
 
 // handleReadys handles Readys until the core has nothing left to do.
@@ -217,7 +237,7 @@
 	}
 }
 
-// handleReady sends, stores and applies the contents of a Ready in the order that
+// handleReady sends, stores and hands out the contents of a Ready in the order that
 // raft.Ready requires.
 func (r *Replica) handleReady(ready *raft.Ready) error {
 	r.send(ready.ImmediateMessages)
@@ -227,14 +247,8 @@
 	r.send(ready.Messages)
 	if ready.Snapshot != nil {
 		r.snapshotIndex = ready.Snapshot.Index
-		if err := r.cfg.StateMachine.Restore(ready.Snapshot.Index, ready.Snapshot.Data); err != nil {
-			return port.AtStep("restore snapshot", "", err)
-		}
-		r.log.Info("installed snapshot", "index", ready.Snapshot.Index)
-	}
-	for _, e := range ready.CommittedEntries {
-		r.apply(e)
 	}
+	r.handOut(ready.Snapshot, ready.CommittedEntries)
 	return nil
 }
 
@@ -264,51 +278,11 @@
 	}
 }
 
-// apply applies a committed entry and completes the proposal that waits for it. If the
-// entry has another term than the proposal, another leader has written that index.
-func (r *Replica) apply(e *peerv1.RaftEntry) {
-	var result any
-	switch e.Kind {
-	case peerv1.RaftEntry_COMMAND:
-		result = r.cfg.StateMachine.Apply(e.Index, e.Data)
-	case peerv1.RaftEntry_MEMBERSHIP:
-		r.log.Info("membership changed", "index", e.Index, "term", e.Term)
-	}
-	w := r.waiters[e.Index]
-	if w == nil {
-		return
-	}
-	delete(r.waiters, e.Index)
-	if w.term != e.Term {
-		w.finish(nil, &OutcomeUnknownError{r.cfg.Group, errLeadershipLost})
-		return
-	}
-	w.finish(result, nil)
-}
-
-// maybeTakeSnapshot takes a snapshot if Config.SnapshotThreshold entries were applied
-// since the last one.
-func (r *Replica) maybeTakeSnapshot() error {
-	if r.node.Status().AppliedIndex < r.snapshotIndex+r.cfg.SnapshotThreshold {
-		return nil
-	}
-	data, err := r.cfg.StateMachine.Snapshot()
-	if err != nil {
-		return port.AtStep("take snapshot", "", err)
-	}
-	s := r.node.Snapshot(data)
-	if err := r.cfg.Storage.SaveSnapshot(s); err != nil {
-		return port.AtStep("store snapshot", "", err)
-	}
-	r.node.Compact(s)
-	r.snapshotIndex = s.Index
-	return nil
-}
-
 // publish makes the core's state visible to other goroutines.
 func (r *Replica) publish() {
 	v := &view{status: r.node.Status()}
 	v.leaseUntil, v.leaderSince, v.hasLease = r.node.Lease()
+	v.unapplied = v.status.CommitIndex - max(v.status.AppliedIndex, r.snapshotIndex)
 	r.view.Store(v)
 }
 
@@ -326,7 +300,8 @@
 	r.role = s.Role
 }
 
-// failWaiters fails all proposals in the log with an OutcomeUnknownError.
+// failWaiters fails all proposals in the log that are not handed out with an
+// OutcomeUnknownError.
 func (r *Replica) failWaiters(cause error) {
 	for index, w := range r.waiters {
 		delete(r.waiters, index)
