cellnode: ports of test nodes are not taken by other tests

Seen once: TestGroupWithReplacedVoterSurvivesTwoLostDisks/5_processes failed with "bind: address already in use" at the first start of a node, beside other tests. Cause: the test closes its listeners to learn free ports and opens them again later, and connections of other tests on the same address may take a port in between. Change: nodes listen on a loopback address of the test process, and a port stays open until its node is started. No check has changed. The comments of CommitQueue and Stop follow what they do since the state machine has a goroutine of its own.

--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -34,6 +35,8 @@
 	t         *testing.T
 	addresses []string
 	folders   []string
+	// listeners holds the listeners of nodes that have not been started yet.
+	listeners []net.Listener
 	nodes     []*runningNode
 	tolerance Tolerance
 	// dataCentres holds the data centre of each node; nil if they have none.
@@ -53,26 +56,47 @@
 
 func newTestCluster(t *testing.T, nodes int) *testCluster {
 	s := &testCluster{t: t, nodes: make([]*runningNode, nodes)}
+	// Connections of other tests come from 127.0.0.1, so none of them takes the port of a
+	// node that is not running.
+	pid := os.Getpid()
+	address := fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&0x7f, pid>>8&0xff, pid&0xff)
 	for range nodes {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", address)
 		assert.NilError(t, err)
 		s.addresses = append(s.addresses, l.Addr().String())
 		s.folders = append(s.folders, t.TempDir())
-		assert.NilError(t, l.Close())
+		s.listeners = append(s.listeners, l)
 	}
 	t.Cleanup(func() {
 		for i := range s.nodes {
 			s.stop(i)
 		}
+		for _, l := range s.listeners {
+			if l != nil {
+				l.Close()
+			}
+		}
 	})
 	return s
 }
 
-// start starts a node. The first three addresses are the seeds.
-func (s *testCluster) start(i int, bootstrap bool) {
+// listen returns a listener at the address of a node. The port is reserved until the first
+// call.
+func (s *testCluster) listen(i int) net.Listener {
 	s.t.Helper()
+	if l := s.listeners[i]; l != nil {
+		s.listeners[i] = nil
+		return l
+	}
 	l, err := net.Listen("tcp", s.addresses[i])
 	assert.NilError(s.t, err)
+	return l
+}
+
+// start starts a node. The first three addresses are the seeds.
+func (s *testCluster) start(i int, bootstrap bool) {
+	s.t.Helper()
+	l := s.listen(i)
 	ctx, cancel := context.WithCancel(context.Background())
 	dataCentre := ""
 	if s.dataCentres != nil {
--- a/internal/replica/admin.go
+++ b/internal/replica/admin.go
@@ -51,10 +51,11 @@
 	return err
 }
 
-// CommitQueue describes the proposals that a leader has not applied.
+// CommitQueue describes the proposals that are not committed and the entries that the
+// state machine of a leader has not applied.
 type CommitQueue struct {
-	// Waiting is the number of proposals that callers wait for, and OldestAge how long the
-	// first of them has been in the log.
+	// Waiting is the number of proposals that wait for their commit, and OldestAge how long
+	// the first of them has been in the log.
 	Waiting   int
 	OldestAge time.Duration
 	// Uncommitted is the number of entries beyond the commit index, Unapplied the number of
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -99,8 +99,8 @@
 }
 
 // Stop stops the replica without a transfer of leadership, closes its storage and
-// waits until this is done, including a call of the state machine in progress. Proposals that are not yet applied fail with an
-// OutcomeUnknownError.
+// waits until this is done, including a call of the state machine in progress. Proposals
+// that are not yet applied fail with an OutcomeUnknownError.
 func (r *Replica) Stop() {
 	r.stopOnce.Do(func() { close(r.stopRequested) })
 	<-r.done
