dispatch: failing test of gangs that never start while advice is short

Trace: a model of 350 workers, 6 processes for advice of 0.62 s a call and 12 gangs a second for 25 s. From 46 s to 58 s 7 calls a second are answered, none fails, and hardly a gang starts: 204 wait, 1 runs, under 1 % of the processors is in use. The log of the calls shows each gang with one or two calls in turn, in the order of submission, 36 s after it was submitted: just when it has missed three times its objective. From then on it is served last and its tickets expire. Cause: late gangs are served in the order of submission, so under overload those that get advice are the ones that are about to be overdue, and an overdue step loses its place while its advice is collected, which takes several calls. All calls are wasted, and that keeps up the backlog. A gang that becomes late is overtaken in the same way.

--- /dev/null
+++ b/internal/dispatch/overload_test.go
@@ -0,0 +1,110 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumgrade/internal/cell"
+	"laburnumgrade/internal/cellapi"
+	"laburnumgrade/internal/structs"
+)
+
+// ticketAdvisers simulates processes that each make one call to the advice service at a
+// time. A step may run on a share of the workers, in percent.
+type ticketAdvisers struct {
+	share uint32
+
+	mu     sync.Mutex
+	idleAt map[string]time.Time
+	calls  int
+}
+
+func (f *ticketAdvisers) Ask(ctx context.Context, peer string, q *cellapi.AdviceRequest) *cellapi.AdviceReply {
+	f.mu.Lock()
+	idleAt := f.idleAt[peer]
+	if idleAt.Before(time.Now()) {
+		idleAt = time.Now()
+	}
+	idleAt = idleAt.Add(time.Duration(q.CostMS) * time.Millisecond)
+	f.idleAt[peer] = idleAt
+	f.calls++
+	f.mu.Unlock()
+	reply := &cellapi.AdviceReply{Tickets: map[string]string{}}
+	select {
+	case <-ctx.Done():
+		reply.Error = ctx.Err().Error()
+	case <-time.After(time.Until(idleAt)):
+		for _, w := range q.Workers {
+			h := fnv.New32a()
+			fmt.Fprint(h, q.Step, w)
+			if h.Sum32()%100 < f.share {
+				reply.Tickets[w] = "t"
+			}
+		}
+	}
+	return reply
+}
+
+// Guards against gangs that never start under overload although room is free, because each
+// gets advice just before it is overdue and is then served last.
+func TestOverloadedAdviceStartsGangs(t *testing.T) {
+	const (
+		workers, callers = 90, 3
+		tasks            = 16
+		gangsPerSecond   = 2
+		warmUp, measured = 30 * time.Second, 30 * time.Second
+	)
+	f := &ticketAdvisers{share: 40, idleAt: map[string]time.Time{}}
+	terms := cell.AdviceTerms{DecideMS: 430, PerWorkerMS: 6.2, ValidityMS: 2000}
+	runCellWith(t, 0, func(c *Config) { c.AdviceClient = f }, func(b *testCell) {
+		b.do(&cellapi.Call{Configure: &cell.Configuration{
+			Version: 2, Services: []cell.Service{{Name: service}},
+			Queues: []cell.Queue{{Name: "q", Host: "h", Prefix: queuePath, Service: service, TimeoutMS: 1000, MaxFailures: 3, ObjectiveMS: 3000, Stretch: 1, Public: true, Advice: &terms}},
+		}})
+		for i := range workers {
+			id := fmt.Sprintf("w%02d", i)
+			b.fleet.add(id, 1)
+			c := firstReport(id, 1, i)
+			c.Report.Capacity = structs.Resources{MilliCPU: 4000, MemoryBytes: 4 << 30}
+			b.do(c)
+		}
+		gang := taskStep(tasks, 3)
+		gang.Gang = true
+		done := 0
+		n := 0
+		countDone := func() (complete int) {
+			b.store.View(func(v *cell.View) {
+				for _, j := range v.Jobs() {
+					if j.State == cell.Complete {
+						complete++
+					}
+				}
+			})
+			return complete
+		}
+		for began := time.Now(); time.Since(began) < warmUp+measured; time.Sleep(time.Second / gangsPerSecond) {
+			if time.Since(began) < warmUp {
+				done = countDone()
+			}
+			for i := range callers {
+				b.leader.currentTerm().advice.announce(fmt.Sprintf("p%d", i), b.leader.Clock.Now())
+			}
+			b.submit(fmt.Sprintf("%016x", n), gang)
+			n++
+			b.reportAll()
+		}
+		// A gang needs two queries, and a renewal of the tickets of the first one.
+		longCallers := callers - callers/reservedCallerDivisor
+		possible := int(measured*time.Duration(longCallers)/terms.Cost(maxAdviceWorkers)) / 3
+		started := countDone() - done
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		assert.Assert(t, started >= possible/2, "%d of about %d gangs ended in %v, %d calls in all", started, possible, measured, f.calls)
+	})
+}
