dispatch: a step keeps its place while its advice is collected

The model behind the failing test shows the cause as far as it can be shown without the users' record: calls for advice went to gangs just before these were served last, so all calls were wasted. Cause: the order of steps depended on the time alone. Advice takes several calls, its tickets are valid for 2 s, and a step that is demoted between two calls starts from the beginning. Class: metastable overload; service is given up just before it is complete, and the lost service keeps up the load (as with requests that are served in the order of arrival and dropped at their time limit). Change: a step with a request in flight or an answer whose tickets are valid counts neither as overdue nor as a late gang in the order. When it waits for room instead of advice, its tickets expire and it is served last as before. Why it works: of the gangs that compete for calls those that have begun end first, so the number that start follows from the calls that the processes can make.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -154,6 +154,8 @@
 	heldPlacements []cell.Placement
 	// retryAt is when the step may request advice again after a failed request.
 	retryAt time.Duration
+	// validUntil is when the tickets of the newest answer expire.
+	validUntil time.Duration
 }
 
 // ticket is the service's permission to run a step on an incarnation of a worker.
@@ -313,11 +315,12 @@
 		if len(q.heldPlacements) == 0 {
 			b.observeShare(q.queue, float64(len(reply.Tickets))/float64(len(q.workers)))
 		}
+		s.validUntil = now + time.Duration(validity)*time.Millisecond
 		for _, w := range q.workers {
 			s.queried[w.id] = true
 			if value, ok := reply.Tickets[w.id]; ok {
 				// The service issued the ticket some time between the request and now.
-				s.tickets[w.id] = ticket{value: value, validUntil: now + time.Duration(validity)*time.Millisecond, born: w.born}
+				s.tickets[w.id] = ticket{value: value, validUntil: s.validUntil, born: w.born}
 			}
 		}
 	}
@@ -374,6 +377,19 @@
 	return c
 }
 
+// stepsInService returns the steps with a request in flight or an answer that is valid.
+func (b *adviceBroker) stepsInService(now time.Duration) map[cell.StepKey]bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	steps := map[cell.StepKey]bool{}
+	for k, s := range b.steps {
+		if s.inFlight > 0 || now < s.validUntil {
+			steps[k] = true
+		}
+	}
+	return steps
+}
+
 // ticket returns the ticket of a worker for a step, empty if there is none.
 func (b *adviceBroker) ticket(k cell.StepKey, worker string) string {
 	b.mu.Lock()
--- a/internal/dispatch/ready.go
+++ b/internal/dispatch/ready.go
@@ -32,6 +32,9 @@
 	// it by so much that it is served last.
 	late    bool
 	overdue bool
+	// inService is set while advice for the step is requested or has just arrived. The step
+	// keeps its place in the order then: if the others overtook it, its tickets would expire.
+	inService bool
 	// advice is the advice for the step, nil if there is none.
 	advice *stepAdvice
 	// failedOn holds the workers on which tasks of the job have failed.
@@ -44,6 +47,7 @@
 // drops the data of jobs that have ended.
 func (t *term) readySteps(v *cell.View, now time.Duration) []*readyStep {
 	var readySteps []*readyStep
+	inService := t.advice.stepsInService(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for key, occurrence := range v.Ready() {
@@ -66,7 +70,8 @@
 		rs.shortLease = times.needsShortLease()
 		rs.deadline = times.firstSeen + times.objective
 		rs.late = now+rs.remaining > rs.deadline
-		rs.overdue = now > times.firstSeen+overdueFactor*times.objective && !rs.step.Daemon
+		rs.inService = inService[key]
+		rs.overdue = now > times.firstSeen+overdueFactor*times.objective && !rs.step.Daemon && !rs.inService
 		readySteps = append(readySteps, rs)
 	}
 	ended := func(id string) bool {
@@ -83,7 +88,7 @@
 	slices.SortFunc(readySteps, func(a, b *readyStep) int {
 		// Daemon steps come first, since their service is down while they wait.
 		return cmp.Or(trueFirst(a.step.Daemon, b.step.Daemon), trueFirst(!a.overdue, !b.overdue), cmp.Compare(a.queue.Priority, b.queue.Priority),
-			trueFirst(!a.step.Gang || !a.late, !b.step.Gang || !b.late), cmp.Compare(a.job.Accepted, b.job.Accepted), cmp.Compare(a.key.Step, b.key.Step))
+			trueFirst(!a.step.Gang || !a.late || a.inService, !b.step.Gang || !b.late || b.inService), cmp.Compare(a.job.Accepted, b.job.Accepted), cmp.Compare(a.key.Step, b.key.Step))
 	})
 	return readySteps
 }
