--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -157,6 +157,8 @@
 	heldPlacements []cell.Placement
 	// retryAt is when the step may request advice again after a failed request.
 	retryAt time.Duration
+	// validUntil is when the tickets of the newest answer expire.
+	validUntil time.Duration
 }
 
 // ticket is the service's permission to run a step on an incarnation of a worker.
@@ -322,11 +324,12 @@
 			b.observeShare(q.queue, float64(len(reply.Tickets))/float64(len(q.workers)))
 		}
 		changed.queried, changed.tickets = cloneOrMake(changed.queried), cloneOrMake(changed.tickets)
+		changed.validUntil = now + time.Duration(validity)*time.Millisecond
 		for _, w := range q.workers {
 			changed.queried[w.id] = true
 			if value, ok := reply.Tickets[w.id]; ok {
 				// The service issued the ticket some time between the request and now.
-				changed.tickets[w.id] = ticket{value: value, validUntil: now + time.Duration(validity)*time.Millisecond, born: w.born}
+				changed.tickets[w.id] = ticket{value: value, validUntil: changed.validUntil, born: w.born}
 			}
 		}
 	}
@@ -379,6 +382,19 @@
 	return s
 }
 
+// stepsInService returns the steps with a request in flight or an answer that is valid.
+func (b *adviceBroker) stepsInService(now time.Duration) map[cell.StepKey]bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	steps := map[cell.StepKey]bool{}
+	for k, s := range b.steps {
+		if s.inFlight > 0 || now < s.validUntil {
+			steps[k] = true
+		}
+	}
+	return steps
+}
+
 // ticket returns the ticket of a worker for a step, empty if there is none.
 func (b *adviceBroker) ticket(k cell.StepKey, worker string) string {
 	b.mu.Lock()
--- a/internal/dispatch/ready.go
+++ b/internal/dispatch/ready.go
@@ -43,6 +43,9 @@
 	// it by so much that it is served last.
 	late    bool
 	overdue bool
+	// inService is set while advice for the step is requested or has just arrived. The step
+	// keeps its place in the order then: if the others overtook it, its tickets would expire.
+	inService bool
 	// advice is the advice for the step, nil if there is none.
 	advice *stepAdvice
 	// failedOn holds the workers on which tasks of the job have failed.
@@ -86,6 +89,7 @@
 // the steps in the order in which they are served.
 func (t *term) completeReadySteps(readySteps []*readyStep, now time.Duration, use *processorUse) {
 	t.stats.addFailures(readySteps)
+	inService := t.advice.stepsInService(now)
 	ratios := t.stats.queueRatios()
 	for batch := range slices.Chunk(readySteps, timingBatch) {
 		t.mu.Lock()
@@ -96,7 +100,8 @@
 			rs.shortLease = times.needsShortLease()
 			rs.deadline = times.firstSeen + times.objective
 			rs.late = now+rs.remaining > rs.deadline
-			rs.overdue = now > times.firstSeen+overdueFactor*times.objective && !rs.step.Daemon
+			rs.inService = inService[rs.key]
+			rs.overdue = now > times.firstSeen+overdueFactor*times.objective && !rs.step.Daemon && !rs.inService
 		}
 		t.mu.Unlock()
 		use.yield()
@@ -104,7 +109,7 @@
 	slices.SortFunc(readySteps, func(a, b *readyStep) int {
 		// Daemon steps come first, since their service is down while they wait.
 		return cmp.Or(trueFirst(a.step.Daemon, b.step.Daemon), trueFirst(!a.overdue, !b.overdue), cmp.Compare(a.queue.Priority, b.queue.Priority),
-			trueFirst(!a.step.Gang || !a.late, !b.step.Gang || !b.late), cmp.Compare(a.job.Accepted, b.job.Accepted), cmp.Compare(a.key.Step, b.key.Step))
+			trueFirst(!a.step.Gang || !a.late || a.inService, !b.step.Gang || !b.late || b.inService), cmp.Compare(a.job.Accepted, b.job.Accepted), cmp.Compare(a.key.Step, b.key.Step))
 	})
 }
 
