--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -85,6 +85,10 @@
 	workers map[string]*fakeWorker
 	// starts counts how often each task was started.
 	starts map[string]int
+	// crashes, if not nil, states whether starting a task crashes its worker; onCrash is
+	// then called with the worker's id.
+	crashes func(task cell.TaskKey) bool
+	onCrash func(id string)
 }
 
 type fakeWorker struct {
@@ -195,18 +199,25 @@
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			w.endFinished()
-			f.startRun(w, &order)
+			f.startRun(t.ID, w, &order)
 		})
 		f.mu.Unlock()
 		<-ctx.Done()
 		f.mu.Lock()
 		return OrderReply{}, errNoAnswer
 	}
-	return OrderReply{Answer: f.startRun(w, o), ClockMS: w.clock()}, nil
+	answer := f.startRun(t.ID, w, o)
+	if w.unreachable {
+		f.mu.Unlock()
+		<-ctx.Done()
+		f.mu.Lock()
+		return OrderReply{}, errNoAnswer
+	}
+	return OrderReply{Answer: answer, ClockMS: w.clock()}, nil
 }
 
 // startRun carries out a start order.
-func (f *fakeFleet) startRun(w *fakeWorker, o *StartOrder) OrderAnswer {
+func (f *fakeFleet) startRun(id string, w *fakeWorker, o *StartOrder) OrderAnswer {
 	k := attemptKey{o.Task, o.Run}
 	switch {
 	case o.Fence < w.fence:
@@ -223,6 +234,11 @@
 	w.running[k] = &fakeRun{began: time.Now(), endsAt: time.Now().Add(w.taskDuration)}
 	f.starts[fmt.Sprint(o.Task)]++
 	f.checkSingleRun(o.Task)
+	if f.crashes != nil && f.crashes(o.Task) {
+		w.unreachable = true
+		clear(w.running)
+		f.onCrash(id)
+	}
 	return Done
 }
 
@@ -366,6 +382,12 @@
 			b.leader.Run(ctx)
 			close(stopped)
 		}()
+		// Goroutines must end with the test, also with one that fails.
+		defer func() {
+			cancel()
+			<-stopped
+			time.Sleep(time.Minute) // delayed orders are carried out by then
+		}()
 		b.changeLeader(1)
 		b.do(&cellapi.Call{Configure: &cell.Configuration{
 			Version: 1, Services: []cell.Service{{Name: service}},
@@ -378,9 +400,6 @@
 			b.register(fmt.Sprintf("w%d", i), 1, i)
 		}
 		test(b)
-		cancel()
-		<-stopped
-		time.Sleep(time.Minute) // delayed orders are carried out by then
 	})
 }
 
