dispatch: tasks under which two workers may have crashed run alone

Callers: jobs beside a task that crashes its workers were given up with it, or never came to an end (TestTasksBesideCrashingTaskComplete). Cause: a crash is charged to all tasks on the worker, and the planner packs tasks that have lost their worker together again, so the next crash says no more than the one before. Change: a task with two crashes, proven or possible, is a suspect. It is placed only on a worker without tasks of other jobs, and none are placed beside it until it has run for 10 s or has ended. Up to four workers at a time are kept free for suspects that find none. A suspect that found none for 15 s, or for 2 s where most of the capacity is free, starts beside others: some workers never become free, and jobs must not wait with room at hand. One crash costs nothing but a mild preference for workers without other such tasks, so ordinary crashes cost no capacity. Gangs with a suspect do not preempt.

--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -114,9 +114,10 @@
 // commitPlacement charges an attempt to its worker and its team.
 func (s *Store) commitPlacement(j *Job, step *Step, occurrence *StepOccurrence, p *Placement) {
 	w := s.Workers[p.Worker]
-	a := Attempt{Run: p.Run, Team: j.Team, Size: step.Size, Filler: step.Filler}
+	crashes := min(math.MaxUint8, occurrence.Tasks[p.Task.Index].PossibleCrashes())
+	a := Attempt{Run: p.Run, Team: j.Team, Size: step.Size, Filler: step.Filler, Crashes: uint8(crashes)}
 	w.Attempts[p.Task] = a
-	w.committed = w.committed.Add(a.claim())
+	w.addCommitted(&a)
 	s.teamUsage[j.Team] = s.teamUsage[j.Team].Add(a.Size)
 	occurrence.Tasks[p.Task.Index].InFlight = true
 	occurrence.InFlight++
@@ -130,7 +131,7 @@
 		return a, false
 	}
 	delete(w.Attempts, key)
-	w.committed = w.committed.Sub(a.claim())
+	w.removeCommitted(&a)
 	s.teamUsage[a.Team] = s.teamUsage[a.Team].Sub(a.Size)
 	if j := s.Jobs[key.Job]; j != nil {
 		if occurrence := j.stepOccurrence(key.StepKey); occurrence != nil {
--- a/internal/cell/store.go
+++ b/internal/cell/store.go
@@ -74,12 +74,12 @@
 	s.scheduledJobs = map[string]*Job{}
 	s.workersWithLosses = map[string]*Worker{}
 	for _, w := range s.Workers {
-		w.committed = structs.Resources{}
+		w.committed, w.suspects = structs.Resources{}, 0
 		if w.Attempts == nil {
 			w.Attempts = map[TaskKey]Attempt{}
 		}
 		for _, a := range w.Attempts {
-			w.committed = w.committed.Add(a.claim())
+			w.addCommitted(&a)
 			s.teamUsage[a.Team] = s.teamUsage[a.Team].Add(a.Size)
 		}
 		for key := range w.Lost {
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -29,8 +29,10 @@
 	// TakenDown is set once the scheduler is about to end the incarnation.
 	TakenDown bool `cbor:",omitempty"`
 
-	// committed is the sum of the claims of Attempts.
+	// committed is the sum of the claims of Attempts, and suspects the number of those
+	// whose tasks are suspects.
 	committed structs.Resources
+	suspects  int
 }
 
 // Attempt is one attempt to execute a task on one incarnation of a worker.
@@ -41,6 +43,30 @@
 	Size structs.Resources
 	// Filler attempts do not count against the CPU capacity of the worker.
 	Filler bool
+	// Crashes is the number of possible crashes under the task before the attempt.
+	Crashes uint8 `cbor:",omitempty"`
+}
+
+// Suspect reports whether the task of the attempt was a suspect when it was committed.
+func (a *Attempt) Suspect() bool { return a.Crashes >= suspectCrashes }
+
+// HasSuspects reports whether attempts of suspects are committed to the worker.
+func (w *Worker) HasSuspects() bool { return w.suspects > 0 }
+
+// addCommitted adds an attempt to the sums of the worker.
+func (w *Worker) addCommitted(a *Attempt) {
+	w.committed = w.committed.Add(a.claim())
+	if a.Suspect() {
+		w.suspects++
+	}
+}
+
+// removeCommitted removes an attempt from the sums of the worker.
+func (w *Worker) removeCommitted(a *Attempt) {
+	w.committed = w.committed.Sub(a.claim())
+	if a.Suspect() {
+		w.suspects--
+	}
 }
 
 // claim returns the part of a worker's capacity that the attempt occupies.
--- a/internal/dispatch/candidate.go
+++ b/internal/dispatch/candidate.go
@@ -36,6 +36,12 @@
 	// reservedFor is the gang for which the last plan reserved it.
 	withheld    bool
 	reservedFor cell.StepKey
+	// isolatedFor is the job whose suspects run on the worker, or for which it is kept
+	// free of others. plannedSuspects counts the suspects, all of the job plannedFor, that
+	// this plan has placed on it.
+	isolatedFor     string
+	plannedSuspects int
+	plannedFor      string
 }
 
 // addCandidates adds the usable workers to a plan, sorted by ID.
@@ -50,7 +56,7 @@
 		}
 		p.candidates = append(p.candidates, &candidate{
 			id: id, born: w.Born, service: w.Service, worker: w, free: w.Free(), reservedFor: t.reserved[id],
-			leaseRemaining: s.leaseRemaining(p.now), busy: len(w.Attempts) > 0, serves: s.serving(),
+			leaseRemaining: s.leaseRemaining(p.now), busy: len(w.Attempts) > 0, serves: s.serving(), isolatedFor: s.unsettledSuspect(w, p.now),
 		})
 	}
 	p.candidates = t.stats.assess(p.candidates, p.now)
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -250,3 +250,128 @@
 		assert.Equal(t, b.startCount(jobID2, 0), 1, "after it has grown again")
 	})
 }
+
+// newSuspectStep returns a ready step without advice whose only task is a suspect.
+func (p *planner) newSuspectStep(job string, priority int) *readyStep {
+	rs := p.newReadyStep(job, priority, taskStep(1, 8))
+	rs.queue.Advice = nil
+	rs.crashed = map[int]bool{0: true}
+	return rs
+}
+
+// newPlainStep returns a ready step of one task without advice.
+func (p *planner) newPlainStep(job string, priority int) *readyStep {
+	rs := p.newReadyStep(job, priority, taskStep(1, 8))
+	rs.queue.Advice = nil
+	return rs
+}
+
+// runOn commits a task of a job to a worker.
+func (p *planner) runOn(worker int, job string, cores int64) {
+	c := p.candidates[worker]
+	c.worker.Attempts = map[cell.TaskKey]cell.Attempt{{StepKey: cell.StepKey{Job: job}}: {Run: 1}}
+	c.free.MilliCPU -= cores * 1000
+}
+
+// Guards against suspects that are placed beside other jobs, or other jobs beside them.
+func TestSuspectsArePlacedAlone(t *testing.T) {
+	p := newPlanner(3, nil)
+	p.runOn(0, "other", 56)
+	p.runOn(1, "other", 60)
+	p.planSteps([]*readyStep{p.newSuspectStep("s", 0), p.newSuspectStep("u", 0), p.newPlainStep("a", 0), p.newPlainStep("b", 0)})
+	where := map[string]string{}
+	for i := range p.placements {
+		where[p.placements[i].Task.Job] = p.placements[i].Worker
+	}
+	assert.Equal(t, where["s"], "w02")
+	assert.Equal(t, len(where), 1, "the second suspect waits, and for it a worker is kept free: %v", where)
+}
+
+// Guards against suspects that wait for ever while urgent work takes each worker that
+// becomes free, and against starts beside others before the timeout.
+func TestSuspectsDoNotStarve(t *testing.T) {
+	var kept isolation
+	for round := range 3 {
+		p := newPlanner(2, nil)
+		p.isolation = kept
+		p.now += time.Duration(round) * time.Second
+		p.runOn(0, "other", 60)
+		if round < 2 {
+			p.runOn(1, "another", 40)
+		}
+		p.planSteps([]*readyStep{p.newPlainStep("urgent", 0), p.newSuspectStep("s", 1)})
+		kept = p.isolation
+		suspectOn := ""
+		for i := range p.placements {
+			if p.placements[i].Task.Job == "s" {
+				suspectOn = p.placements[i].Worker
+			}
+		}
+		assert.Equal(t, len(kept.emptied), 1)
+		if round == 0 {
+			kept.emptied = map[string]cell.StepKey{"w01": {Job: "s"}}
+			continue
+		}
+		for i := range p.placements {
+			assert.Assert(t, p.placements[i].Task.Job == "s" || p.placements[i].Worker == "w00", "round %d", round)
+		}
+		assert.Equal(t, suspectOn, map[int]string{1: "", 2: "w01"}[round])
+	}
+}
+
+// Guards against suspects that never start since no worker becomes free of other jobs.
+func TestSuspectsStartBesideOthersAfterTimeout(t *testing.T) {
+	for _, cores := range []int64{40, 10} {
+		timeout := map[int64]time.Duration{40: isolationTimeout, 10: idleIsolationTimeout}[cores]
+		var kept isolation
+		for _, now := range []time.Duration{0, timeout - 1, timeout} {
+			p := newPlanner(1, nil)
+			p.isolation = kept
+			p.now += now
+			p.runOn(0, "other", cores)
+			p.planSteps([]*readyStep{p.newSuspectStep("s", 0)})
+			kept = p.isolation
+			assert.Equal(t, len(p.placements) == 1, now == timeout, "%d cores, after %v", cores, now)
+		}
+	}
+}
+
+// Guards against tasks under which one worker has crashed that are placed beside each other
+// although other workers are as good: another crash would not show which is the cause.
+func TestTasksWithCrashesAreSpread(t *testing.T) {
+	p := newPlanner(2, nil)
+	a, b := p.newPlainStep("a", 0), p.newPlainStep("b", 0)
+	a.crashed, b.crashed = map[int]bool{0: false}, map[int]bool{0: false}
+	p.planSteps([]*readyStep{a, b})
+	assert.Equal(t, len(placedOn(p)), 2)
+}
+
+// Guards against other jobs beside a suspect before it has run for settleTime, and against
+// workers that are lost to other jobs afterwards.
+func TestSuspectIsIsolatedUntilItHasSettled(t *testing.T) {
+	runCell(t, 1, func(b *testCell) {
+		crashes := 0
+		b.crashOnStart(jobID1, time.Second, false)
+		b.fleet.crashes = func(task cell.TaskKey) bool {
+			if task.Job == jobID1 {
+				crashes++
+			}
+			return task.Job == jobID1 && crashes <= 2
+		}
+		b.fleet.change("w0", func(w *fakeWorker) { w.taskDuration = 30 * time.Second })
+		// A task beside the first one in both crashes, so that the job is not given up.
+		b.submit("00000000000000b3", taskStep(1, 1))
+		b.submit(jobID1, taskStep(1, 1))
+		b.runFor(8 * time.Second)
+		b.do(&cellapi.Call{Cancel: &cell.Request{Host: "h", Path: queuePath + "00000000000000b3"}})
+		b.runFor(2 * time.Second)
+		if b.startCount(jobID1, 0) != 3 {
+			t.Fatalf("%d starts", b.startCount(jobID1, 0))
+		}
+		b.submit(jobID2, taskStep(1, 1))
+		b.runFor(settleTime / 2)
+		assert.Equal(t, b.startCount(jobID2, 0), 0)
+		b.runFor(settleTime)
+		assert.Equal(t, b.startCount(jobID2, 0), 1)
+	})
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -7,16 +7,17 @@
 // place assigns tasks to the workers in their order, as many to each as fit.
 // Fillers share the capacity that others use, so they are spread one at a time.
 func (p *planner) place(rs *readyStep, tasks []int, list []*candidate) []cell.Placement {
+	suspects, tasks := rs.splitSuspects(tasks)
+	placed := p.placeSuspects(rs, suspects, list)
 	if !rs.step.Filler {
-		return p.placeRound(rs, tasks, list, len(tasks))
+		return append(placed, p.placeRound(rs, tasks, list, len(tasks))...)
 	}
-	var placed []cell.Placement
-	for len(placed) < len(tasks) {
-		more := p.placeRound(rs, tasks[len(placed):], list, 1)
+	for len(tasks) > 0 {
+		more := p.placeRound(rs, tasks, list, 1)
 		if len(more) == 0 {
 			break
 		}
-		placed = append(placed, more...)
+		placed, tasks = append(placed, more...), tasks[len(more):]
 	}
 	return placed
 }
@@ -59,6 +60,9 @@
 	for i := range placed {
 		c := p.byID[placed[i].Worker]
 		c.placed[rs.key]--
+		if rs.crashed[placed[i].Task.Index] {
+			c.addSuspects(rs.job.ID, -1)
+		}
 		c.free = c.free.Add(rs.step.Claim())
 		if rs.step.Filler {
 			c.fillerLoad = c.fillerLoad.Sub(rs.step.Size)
@@ -72,6 +76,10 @@
 	for i := range held {
 		if c := p.byID[held[i].Worker]; c != nil {
 			c.free = c.free.Sub(rs.step.Claim())
+			c.addPlaced(rs.key, 1)
+			if rs.crashed[held[i].Task.Index] {
+				c.addSuspects(rs.job.ID, 1)
+			}
 		}
 	}
 	p.headroom[rs.job.Team] = p.headroom[rs.job.Team].Sub(rs.step.Size.Scale(int64(len(held))))
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -83,6 +83,10 @@
 	// preempted for a gang.
 	victims        func(c *candidate, priority int) []victim
 	lastPreemption map[cell.StepKey]time.Duration
+	// isolation is updated by the plan. crashedSteps are the ready steps with tasks under
+	// which workers may have crashed.
+	isolation    isolation
+	crashedSteps map[cell.StepKey]bool
 	plan
 }
 
@@ -90,7 +94,7 @@
 func (t *term) planOnce() {
 	p := &planner{
 		now: t.leader.Clock.Now(), byID: map[string]*candidate{}, headroom: map[string]structs.Resources{}, advice: t.advice.snapshot, allowedShare: t.advice.allowedShare,
-		offRackFactor: t.leader.Bounds.RemoteFactor, plan: plan{reserved: map[string]cell.StepKey{}},
+		offRackFactor: t.leader.Bounds.RemoteFactor, plan: plan{reserved: map[string]cell.StepKey{}}, isolation: t.isolation,
 	}
 	t.leader.Store.View(func(v *cell.View) {
 		readySteps := t.readySteps(v, p.now)
@@ -109,7 +113,7 @@
 		t.mu.Unlock()
 		p.planSteps(readySteps)
 	})
-	t.reserved = p.reserved
+	t.reserved, t.isolation = p.reserved, p.isolation
 	t.leader.metrics.recordWaiting(&p.waiting)
 	t.mu.Lock()
 	for _, k := range p.newlyBlocked {
@@ -191,6 +195,7 @@
 // planSteps plans the ready steps in the given order and counts them by what they wait
 // for.
 func (p *planner) planSteps(readySteps []*readyStep) {
+	p.renewIsolation(readySteps)
 	for _, rs := range readySteps {
 		if rs.queue.Advice == nil {
 			continue
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -41,7 +41,8 @@
 // that does not fit, and holds the capacity for it. It returns false if this would
 // not free enough capacity.
 func (p *planner) preempt(rs *readyStep, tasks []int) bool {
-	if rs.late || rs.step.SameRack || p.victims == nil {
+	suspects, _ := rs.splitSuspects(tasks)
+	if rs.late || rs.step.SameRack || p.victims == nil || len(suspects) > 0 {
 		return false
 	}
 	last, known := p.lastPreemption[rs.key]
@@ -70,7 +71,7 @@
 func (p *planner) allowedFor(rs *readyStep) []*candidate {
 	var list []*candidate
 	for _, c := range p.candidates {
-		if c.service != rs.queue.Service || c.withheld || !c.worker.HasLabel(rs.step.Label) {
+		if c.service != rs.queue.Service || c.withheld || !c.admits(rs.job.ID) || !c.worker.HasLabel(rs.step.Label) {
 			continue
 		}
 		if issued, ok := rs.advice.ticketFor(c.id); rs.advice != nil && (!ok || issued.born != c.born) {
--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -31,6 +31,9 @@
 	// failedBeforeCost keeps a task off the workers on which tasks of its job have
 	// failed.
 	failedBeforeCost = 3
+	// besideCrashedCost spreads tasks under which a worker has crashed over several
+	// workers, so that a further crash shows which of them is the cause.
+	besideCrashedCost = 0.25
 	// reservedCost makes urgent work use workers that are reserved for a gang only
 	// after all others.
 	reservedCost = 5
@@ -70,7 +73,7 @@
 
 // fits reports whether a worker can take one task of the step now.
 func (p *planner) fits(rs *readyStep, c *candidate) bool {
-	return c.service == rs.queue.Service && c.worker.HasLabel(rs.step.Label) && rs.step.Claim().Fits(c.free) && !c.withheld
+	return c.service == rs.queue.Service && c.worker.HasLabel(rs.step.Label) && rs.step.Claim().Fits(c.free) && !c.withheld && c.admits(rs.job.ID)
 }
 
 // fitting returns the workers that can take a task of the step, best first.
@@ -117,6 +120,9 @@
 		if rs.failedOn[c.id] {
 			value += failedBeforeCost
 		}
+		if len(rs.crashed) > 0 && p.runsCrashed(c, rs.job.ID) {
+			value += besideCrashedCost
+		}
 		if rs.advice != nil && !p.isTicketValid(rs.advice, c.id) {
 			value += expiredTicketCost
 		}
@@ -143,7 +149,7 @@
 	advice := rs.advice
 	var list []*candidate
 	for _, c := range p.candidates {
-		if c.service != rs.queue.Service || c.withheld || !c.worker.HasLabel(rs.step.Label) {
+		if c.service != rs.queue.Service || c.withheld || !c.admits(rs.job.ID) || !c.worker.HasLabel(rs.step.Label) {
 			continue
 		}
 		if advice != nil {
--- a/internal/dispatch/ready.go
+++ b/internal/dispatch/ready.go
@@ -36,6 +36,8 @@
 	advice *stepAdvice
 	// failedOn holds the workers on which tasks of the job have failed.
 	failedOn map[string]bool
+	// crashed is the result of crashedTasks for the step.
+	crashed map[int]bool
 }
 
 // readySteps returns the ready steps in the order in which they are served, and
@@ -57,6 +59,7 @@
 			occurrence: occurrence,
 			queue:      q,
 			failedOn:   t.stats.failedOn(key.Job),
+			crashed:    crashedTasks(occurrence),
 		}
 		rest := t.remainingDurations(j, q)
 		times := t.timesOf(key, j, q, rest, now)
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -37,7 +37,9 @@
 	wall *wallClock
 	// reserved maps a worker to the gang for which the last plan reserved it. Only
 	// the planner's goroutine uses it.
-	reserved   map[string]cell.StepKey
+	reserved map[string]cell.StepKey
+	// isolation is that of the last plan. Only the planner's goroutine uses it.
+	isolation  isolation
 	goroutines sync.WaitGroup
 
 	mu sync.Mutex
