--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -1,7 +1,9 @@
 package cell
 
 import (
+	"cmp"
 	"math"
+	"slices"
 
 	"laburnumgrade/internal/structs"
 )
@@ -112,9 +114,10 @@
 // commitPlacement charges an attempt to its worker and its team.
 func (s *Store) commitPlacement(j *Job, step *Step, occurrence *StepOccurrence, p *Placement) {
 	w := s.Workers[p.Worker]
-	a := Attempt{Run: p.Run, Team: j.Team, Size: step.Size, Filler: step.Filler}
+	crashes := min(math.MaxUint8, occurrence.Tasks[p.Task.Index].PossibleCrashes())
+	a := Attempt{Run: p.Run, Team: j.Team, Size: step.Size, Filler: step.Filler, Crashes: uint8(crashes)}
 	w.Attempts[p.Task] = a
-	w.committed = w.committed.Add(a.claim())
+	w.addCommitted(&a)
 	s.teamUsage[j.Team] = s.teamUsage[j.Team].Add(a.Size)
 	occurrence.Tasks[p.Task.Index].InFlight = true
 	occurrence.InFlight++
@@ -128,7 +131,7 @@
 		return a, false
 	}
 	delete(w.Attempts, key)
-	w.committed = w.committed.Sub(a.claim())
+	w.removeCommitted(&a)
 	s.teamUsage[a.Team] = s.teamUsage[a.Team].Sub(a.Size)
 	if j := s.Jobs[key.Job]; j != nil {
 		if occurrence := j.stepOccurrence(key.StepKey); occurrence != nil {
@@ -149,6 +152,9 @@
 		s.recordEnd(w, &c.Ends[i])
 	}
 	w.LastEnd = max(w.LastEnd, c.LastEnd)
+	if c.Alive {
+		s.forgetLosses(w)
+	}
 	return nil
 }
 
@@ -295,10 +301,11 @@
 	return false
 }
 
-// expireLease ends all attempts on an incarnation whose lease has expired.
+// expireLease ends all attempts on an incarnation whose lease has expired. The worker may
+// have crashed or only be cut off.
 func (s *Store) expireLease(c *ExpireLease) any {
 	if w := s.Workers[c.Worker]; w != nil && w.Born == c.Born {
-		s.endAllAttempts(w)
+		s.loseAttempts(w)
 	}
 	return nil
 }
@@ -315,7 +322,7 @@
 // one is ignored.
 func (s *Store) register(c *Register) any {
 	w := s.Workers[c.ID]
-	if w != nil && c.Born < w.Born || w != nil && w.Gone && c.Born == w.Born {
+	if w != nil && (c.Born < w.Born || w.Gone && c.Born == w.Born || w.IsLate(c)) {
 		return nil
 	}
 	if !s.claimAddress(c) {
@@ -326,11 +333,12 @@
 		s.Workers[c.ID] = w
 	}
 	if w.Born != c.Born {
-		s.endAllAttempts(w)
-		w.LastEnd, w.Gone, w.Draining = 0, false, false
+		s.endIncarnation(w)
+		w.LastEnd, w.LastReport, w.Gone, w.Draining, w.TakenDown = 0, 0, false, false, false
 	}
 	w.Born, w.Address, w.DataCentre, w.Service = c.Born, c.Address, c.DataCentre, c.Service
 	w.Capacity, w.Labels, w.Rack = c.Capacity, c.Labels, c.Rack
+	w.LastReport = max(w.LastReport, c.Number)
 	w.Draining = w.Draining || c.Draining
 	if c.Deregistered {
 		s.retire(w)
@@ -352,7 +360,11 @@
 		}
 		older = append(older, other)
 	}
+	slices.SortFunc(older, func(a, b *Worker) int { return cmp.Or(cmp.Compare(a.Born, b.Born), cmp.Compare(a.ID, b.ID)) })
 	for _, other := range older {
+		if other.Born < c.Born {
+			s.endIncarnation(other)
+		}
 		s.retire(other)
 	}
 	return true
@@ -361,5 +373,6 @@
 // retire ends all attempts on a worker and excludes it from further use.
 func (s *Store) retire(w *Worker) {
 	s.endAllAttempts(w)
+	s.forgetLosses(w)
 	w.Gone = true
 }
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -23,9 +23,18 @@
 	LastEnd uint64 `cbor:"Noted"`
 	// Attempts are the attempts that may be in flight on the worker.
 	Attempts map[TaskKey]Attempt
+	// Lost are the attempts that ended because the worker could not be reached. They are
+	// kept until a successor shows that it has crashed, or an answer that it has not.
+	Lost map[TaskKey]LostAttempt `cbor:",omitempty"`
+	// LastReport is the number of the newest report that changed the record.
+	LastReport uint64 `cbor:",omitempty"`
+	// TakenDown is set once the scheduler is about to end the incarnation.
+	TakenDown bool `cbor:",omitempty"`
 
-	// committed is the sum of the claims of Attempts.
+	// committed is the sum of the claims of Attempts, and suspects the number of those
+	// whose tasks are suspects.
 	committed structs.Resources
+	suspects  int
 }
 
 // Attempt is one attempt to execute a task on one incarnation of a worker.
@@ -36,6 +45,30 @@
 	Size structs.Resources
 	// Filler attempts do not count against the CPU capacity of the worker.
 	Filler bool
+	// Crashes is the number of possible crashes under the task before the attempt.
+	Crashes uint8 `cbor:",omitempty"`
+}
+
+// Suspect reports whether the task of the attempt was a suspect when it was committed.
+func (a *Attempt) Suspect() bool { return a.Crashes >= suspectCrashes }
+
+// HasSuspects reports whether attempts of suspects are committed to the worker.
+func (w *Worker) HasSuspects() bool { return w.suspects > 0 }
+
+// addCommitted adds an attempt to the sums of the worker.
+func (w *Worker) addCommitted(a *Attempt) {
+	w.committed = w.committed.Add(a.claim())
+	if a.Suspect() {
+		w.suspects++
+	}
+}
+
+// removeCommitted removes an attempt from the sums of the worker.
+func (w *Worker) removeCommitted(a *Attempt) {
+	w.committed = w.committed.Sub(a.claim())
+	if a.Suspect() {
+		w.suspects--
+	}
 }
 
 // claim returns the part of a worker's capacity that the attempt occupies.
@@ -69,6 +102,12 @@
 // worker lowered its capacity below what is committed.
 func (w *Worker) Free() structs.Resources { return w.Capacity.Sub(w.committed) }
 
+// IsLate reports whether a report is older than one that has changed the record of the
+// same incarnation.
+func (w *Worker) IsLate(r *Register) bool {
+	return r.Born == w.Born && r.Number < w.LastReport && !r.Deregistered
+}
+
 // Usable reports whether new attempts may be committed to the worker.
 func (w *Worker) Usable() bool { return !w.Draining && !w.Gone }
 
--- a/internal/dispatch/advice_plan.go
+++ b/internal/dispatch/advice_plan.go
@@ -52,14 +52,15 @@
 	}
 	roomElsewhere := false
 	for _, c := range group {
-		switch room := hasRoom(rs, c); {
-		case advice.hasAnswerFor(c):
-			roomElsewhere = roomElsewhere || room
-		case room:
+		answered, room := advice.hasAnswerFor(c), hasRoom(rs, c)
+		switch {
+		case !answered && room && c.admits(rs.job.ID):
 			withRoom = append(withRoom, c)
-		default:
+			continue
+		case !answered:
 			full = append(full, c)
 		}
+		roomElsewhere = roomElsewhere || room
 	}
 	if len(withRoom) == 0 {
 		p.full[kind] = !roomElsewhere
@@ -130,7 +131,7 @@
 	}
 	tasks := 0
 	for _, c := range more {
-		if hasRoom(rs, c) {
+		if fits(rs, c) {
 			tasks += fitCount(rs.step.Claim(), c.free)
 		}
 	}
--- a/internal/dispatch/candidate.go
+++ b/internal/dispatch/candidate.go
@@ -42,6 +42,12 @@
 	// reservedFor is the gang for which the last plan reserved it.
 	withheld    bool
 	reservedFor cell.StepKey
+	// isolatedFor is the job whose suspects run on the worker, or for which it is kept
+	// free of others. plannedSuspects counts the suspects, all of the job plannedFor, that
+	// this plan has placed on it.
+	isolatedFor     string
+	plannedSuspects int
+	plannedFor      string
 }
 
 // copyWorkers returns copies of the records of the usable workers in no order.
@@ -70,7 +76,7 @@
 		}
 		p.candidates = append(p.candidates, &candidate{
 			id: id, born: w.Born, service: w.Service, worker: w, free: w.Free(), reservedFor: t.reserved[id],
-			leaseRemaining: s.leaseRemaining(p.now), busy: len(w.Attempts) > 0, serves: s.serving(),
+			leaseRemaining: s.leaseRemaining(p.now), busy: len(w.Attempts) > 0, serves: s.serving(), isolatedFor: s.unsettledSuspect(w, p.now),
 		})
 	}
 	p.candidates = t.stats.assess(p.candidates, p.now)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -58,12 +58,15 @@
 	waitsForRoom
 	// waitsForLimit means that the team's limit is reached.
 	waitsForLimit
+	// waitsForCrashes means that it is not known yet whether workers have crashed under
+	// tasks of the step.
+	waitsForCrashes
 	waitReasons
 )
 
 // String returns the name of the reason in metrics.
 func (r waitReason) String() string {
-	return [waitReasons]string{"placed", "advice", "renewal", "retry", "room", "limit"}[r]
+	return [waitReasons]string{"placed", "advice", "renewal", "retry", "room", "limit", "crashes"}[r]
 }
 
 // planner holds the inputs and the result of one planning round. It reads no clock
@@ -101,6 +104,10 @@
 	// preempted for a gang.
 	victims        func(c *candidate, priority int) []victim
 	lastPreemption map[cell.StepKey]time.Duration
+	// isolation is updated by the plan. crashedSteps are the ready steps with tasks under
+	// which workers may have crashed.
+	isolation    isolation
+	crashedSteps map[cell.StepKey]bool
 	plan
 }
 
@@ -112,7 +119,7 @@
 	use := newProcessorUse(t.leader.Clock)
 	p := &planner{
 		now: t.leader.Clock.Now(), byID: map[string]*candidate{}, headroom: map[string]structs.Resources{}, advice: t.advice.snapshot, request: t.advice.request, allowedShare: t.advice.allowedShare,
-		offRackFactor: t.leader.Bounds.RemoteFactor, plan: plan{reserved: map[string]cell.StepKey{}},
+		offRackFactor: t.leader.Bounds.RemoteFactor, isolation: t.isolation, plan: plan{reserved: map[string]cell.StepKey{}},
 	}
 	t.forgetEndedData(p.now)
 	steps, workers := t.copyInputs(p)
@@ -124,12 +131,13 @@
 		t.mu.Lock()
 		p.lastPreemption = maps.Clone(t.lastPreemption)
 		t.mu.Unlock()
+		p.holdSuspects(steps)
 		p.holdRenewals(steps)
 	}
 	var total time.Duration
 	for {
 		steps = p.planNext(steps, use.below(maxPlanSlice))
-		t.reserved = p.reserved
+		t.reserved, t.isolation = p.reserved, p.isolation
 		t.carryOut(p, use)
 		total += use.spent()
 		if len(steps) == 0 {
@@ -241,7 +249,7 @@
 		// The job was cancelled between the commit and the order, so the attempt
 		// never starts.
 		t.spawn(func() {
-			if err := t.commitEnds(p.Worker, p.Born, 0, []cell.AttemptEnd{{Task: p.Task, Run: p.Run, Outcome: cell.EndedUnstarted}}); err != nil {
+			if err := t.commitUnstarted(p.Worker, p.Born, p.Task, p.Run); err != nil {
 				t.leader.Logger.Warn("failed to commit the end of an attempt that did not start", logging.Step("note ends"), logging.Peer(p.Worker), logging.Error(err))
 			}
 		})
@@ -256,6 +264,7 @@
 // planSteps plans the ready steps in the given order and counts them by what they wait
 // for.
 func (p *planner) planSteps(readySteps []*readyStep) {
+	p.holdSuspects(readySteps)
 	p.holdRenewals(readySteps)
 	p.planNext(readySteps, func() bool { return true })
 }
@@ -296,6 +305,9 @@
 // planStep places as many tasks of a step as possible, or requests advice for it. It
 // returns what the step waits for afterwards.
 func (p *planner) planStep(rs *readyStep) waitReason {
+	if len(rs.held) > 0 && len(p.startableTasks(rs)) == 0 {
+		return waitsForCrashes
+	}
 	advice := rs.advice
 	if rs.queue.Advice != nil {
 		if advice == nil {
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -41,7 +41,8 @@
 // that does not fit, and holds the capacity for it. It returns false if this would
 // not free enough capacity.
 func (p *planner) preempt(rs *readyStep, tasks []int) bool {
-	if rs.late || rs.step.SameRack || p.victims == nil {
+	suspects, _ := rs.splitSuspects(tasks)
+	if rs.late || rs.step.SameRack || p.victims == nil || len(suspects) > 0 {
 		return false
 	}
 	last, known := p.lastPreemption[rs.key]
@@ -71,7 +72,7 @@
 func (p *planner) allowedFor(rs *readyStep) []*candidate {
 	var list []*candidate
 	for _, c := range p.group(rs) {
-		if c.withheld {
+		if c.withheld || !c.admits(rs.job.ID) {
 			continue
 		}
 		if issued, ok := rs.advice.ticketFor(c.id); rs.advice != nil && (!ok || issued.born != c.born) {
--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -31,6 +31,9 @@
 	// failedBeforeCost keeps a task off the workers on which tasks of its job have
 	// failed.
 	failedBeforeCost = 3
+	// besideCrashedCost spreads tasks under which a worker has crashed over several
+	// workers, so that a further crash shows which of them is the cause.
+	besideCrashedCost = 0.25
 	// reservedCost makes urgent work use workers that are reserved for a gang only
 	// after all others.
 	reservedCost = 5
@@ -45,6 +48,9 @@
 // not modify them.
 func (p *planner) startableTasks(rs *readyStep) []int {
 	count := len(rs.occurrence.Tasks)
+	if rs.step.Gang && len(rs.held) > 0 {
+		return nil
+	}
 	if rs.step.Gang {
 		for len(p.indices) < count {
 			p.indices = append(p.indices, len(p.indices))
@@ -53,7 +59,7 @@
 	}
 	var tasks []int
 	for i := range rs.occurrence.Tasks {
-		if t := &rs.occurrence.Tasks[i]; !t.Done && !t.InFlight {
+		if t := &rs.occurrence.Tasks[i]; !t.Done && !t.InFlight && !rs.held[i] {
 			tasks = append(tasks, i)
 		}
 	}
@@ -108,11 +114,14 @@
 	return list
 }
 
-// hasRoom reports whether a worker of the step's group can take one task of it now.
+// hasRoom reports whether a worker of the step's group has room for one task of it now.
 func hasRoom(rs *readyStep, c *candidate) bool {
 	return rs.step.Claim().Fits(c.free) && !c.withheld
 }
 
+// fits reports whether a worker of the step's group can take one task of it now.
+func fits(rs *readyStep, c *candidate) bool { return hasRoom(rs, c) && c.admits(rs.job.ID) }
+
 // fitting returns the workers that can take a task of the step, in the order of their IDs.
 func (p *planner) fitting(rs *readyStep, advice *stepAdvice) []*candidate {
 	group, kind := p.group(rs), kindOf(rs)
@@ -122,7 +131,7 @@
 	var list []*candidate
 	if advice != nil && len(advice.tickets) < len(group) {
 		for id, issued := range advice.tickets {
-			if c := p.byID[id]; c != nil && issued.born == c.born && c.service == kind.service && c.worker.HasLabel(kind.label) && hasRoom(rs, c) {
+			if c := p.byID[id]; c != nil && issued.born == c.born && c.service == kind.service && c.worker.HasLabel(kind.label) && fits(rs, c) {
 				list = append(list, c)
 			}
 		}
@@ -135,6 +144,9 @@
 			continue
 		}
 		full = false
+		if !c.admits(rs.job.ID) {
+			continue
+		}
 		if advice != nil {
 			if issued, ok := advice.tickets[c.id]; !ok || issued.born != c.born {
 				continue
@@ -205,6 +217,9 @@
 	if rs.failedOn[c.id] {
 		value += failedBeforeCost
 	}
+	if len(rs.crashed) > 0 && p.runsCrashed(c, rs.job.ID) {
+		value += besideCrashedCost
+	}
 	if rs.advice != nil && !p.isTicketValid(rs.advice, c.id) {
 		value += expiredTicketCost
 	}
@@ -225,7 +240,7 @@
 	advice := rs.advice
 	var list []*candidate
 	for _, c := range p.group(rs) {
-		if c.withheld {
+		if c.withheld || !c.admits(rs.job.ID) {
 			continue
 		}
 		if advice != nil {
--- a/internal/dispatch/ready.go
+++ b/internal/dispatch/ready.go
@@ -50,6 +50,10 @@
 	advice *stepAdvice
 	// failedOn holds the workers on which tasks of the job have failed.
 	failedOn map[string]bool
+	// crashed is the result of crashedTasks for the step. held contains those of them that
+	// do not start now.
+	crashed map[int]crashedTask
+	held    map[int]bool
 	// waitsFor is set by the plan.
 	waitsFor waitReason
 }
@@ -68,7 +72,7 @@
 		}
 		rs, occurrenceCopy := &steps[len(list)], &occurrences[len(list)]
 		*occurrenceCopy = *occurrence
-		*rs = readyStep{key: key, job: j, step: &j.Steps[key.Step], occurrence: occurrenceCopy, queue: q}
+		*rs = readyStep{key: key, job: j, step: &j.Steps[key.Step], occurrence: occurrenceCopy, queue: q, crashed: crashedTasks(occurrence)}
 		list = append(list, rs)
 		if !rs.step.Gang {
 			taskCount += len(occurrence.Tasks)
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -119,20 +119,21 @@
 		clone.startInFlight = false // the call ends with the earlier session; its deadline remains
 		s.attempts[k] = &clone
 	}
-	s.clock, s.latestLeaseEnd = earlier.clock, earlier.latestLeaseEnd
+	s.clock, s.latestLeaseEnd, s.sequence = earlier.clock, earlier.latestLeaseEnd, earlier.sequence
 }
 
-// observeReport records a report of the worker; reports that arrive out of order
-// are ignored.
-func (s *session) observeReport(r *cellapi.Report, now time.Duration) {
+// observeReport records a report of the worker. It returns false if a later one has
+// arrived before; such a report, and a repeated one, has no effect.
+func (s *session) observeReport(r *cellapi.Report, now time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r.Sequence <= s.sequence && s.sequence != 0 {
-		return
+		return r.Sequence == s.sequence
 	}
 	s.sequence = r.Sequence
 	s.lastContact = now
 	s.clock.observe(r.ClockMS, now)
+	return true
 }
 
 // usable reports whether the worker may get new attempts.
@@ -193,7 +194,7 @@
 		if state.gone {
 			return
 		}
-		if len(state.attempts) == 0 && !s.waitForWork() {
+		if len(state.attempts) == 0 && !s.waitForWork(state.hasLosses) {
 			continue
 		}
 		s.renewLease(&state)
@@ -201,11 +202,11 @@
 }
 
 // waitForWork waits until the worker may have attempts. It returns true if the
-// worker should be called even without attempts, because its clock is unknown or
-// it failed a call.
-func (s *session) waitForWork() bool {
+// worker should be called even without attempts, because its clock is unknown,
+// it failed a call, or it has to show that it has not crashed.
+func (s *session) waitForWork(hasLosses bool) bool {
 	s.mu.Lock()
-	failing, unknown := s.failing || s.lastUnanswered > s.lastAnswered, !s.clock.known
+	failing, unknown := hasLosses || s.failing || s.lastUnanswered > s.lastAnswered, !s.clock.known
 	s.mu.Unlock()
 	if unknown && !failing {
 		return true // no attempt can be started before the worker's clock is known
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -38,6 +38,8 @@
 	// reserved maps a worker to the gang for which the last plan reserved it. Only
 	// the planner's goroutine uses it.
 	reserved map[string]cell.StepKey
+	// isolation is that of the last plan. Only the planner's goroutine uses it.
+	isolation isolation
 	// waitReportAt and attemptReportAt are when the next reports are due, and unconfirmed
 	// holds the attempts in the last one of the latter. Only the planner's goroutine uses
 	// them.
@@ -233,11 +235,11 @@
 	}
 }
 
-// observeReport passes a report to the worker's session.
-func (t *term) observeReport(r *cellapi.Report) {
-	if s := t.session(r.ID, r.Born); s != nil {
-		s.observeReport(r, t.leader.Clock.Now())
-	}
+// observeReport passes a report to the worker's session. It returns false if the session
+// has seen a later report.
+func (t *term) observeReport(r *cellapi.Report) bool {
+	s := t.session(r.ID, r.Born)
+	return s == nil || s.observeReport(r, t.leader.Clock.Now())
 }
 
 // stopUnwanted sends stop orders for attempts whose job has ended or whose gang is
@@ -318,13 +320,17 @@
 	}
 }
 
-// commitEnds commits ends of attempts on a worker and acknowledges its ends up to
-// the number lastEnd.
-func (t *term) commitEnds(worker string, born int64, lastEnd uint64, ends []cell.AttemptEnd) error {
-	_, err := t.leader.propose(t.ctx, &cell.Command{RecordEnds: &cell.RecordEnds{Worker: worker, Born: born, LastEnd: lastEnd, Ends: ends}})
+// commitEnds commits ends of attempts on a worker.
+func (t *term) commitEnds(c *cell.RecordEnds) error {
+	_, err := t.leader.propose(t.ctx, &cell.Command{RecordEnds: c})
 	return err
 }
 
+// commitUnstarted commits that an attempt was never started.
+func (t *term) commitUnstarted(worker string, born int64, task cell.TaskKey, run uint32) error {
+	return t.commitEnds(&cell.RecordEnds{Worker: worker, Born: born, Ends: []cell.AttemptEnd{{Task: task, Run: run, Outcome: cell.EndedUnstarted}}})
+}
+
 // logEndedJobs logs the jobs that ended together with the given attempts.
 func (t *term) logEndedJobs(ends []cell.AttemptEnd) {
 	for i := range ends {
