dispatch: no starts on a worker whose machine was ordered down

Trace: the machine of an idle worker is taken down. Its session stays usable for 4.5 s after the last contact and is no longer cordoned once the order is answered. The machine comes up with a worker that has the same ID; before that has registered, a start order that was planned for the earlier incarnation reaches it and is carried out, since calls name the ID only. Its registration ends the attempts of the earlier incarnation, and the task starts elsewhere while it still runs. Class: an order is addressed to a name that outlives what it named. Change: once an upkeep order may have been carried out, the worker gets no new attempts for the time after which it counts as out of contact anyway. Open: a worker that crashes and starts again under its ID within seconds, without upkeep, can still be sent a start that was planned for the earlier incarnation.

--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -237,10 +237,16 @@
 	}
 	// From here on the machine may be down, whatever the answer is.
 	u.ordered[id] = u.t.leader.Clock.Now()
-	if s := u.t.sessionOf(u.machines[id].Worker); s != nil && u.sessionsAtOrder[id] == nil {
+	s := u.t.sessionOf(u.machines[id].Worker)
+	if s != nil && u.sessionsAtOrder[id] == nil {
 		u.sessionsAtOrder[id] = s
 	}
 	answer, err := u.t.leader.Machines.Upkeep(ctx, &UpkeepOrder{Machine: id, Wave: w.Number, Holder: u.t.leader.Name, Fence: u.t.number})
+	if s != nil && (err != nil || answer == UpkeepBegun) {
+		// A start would reach the successor, which may have the same ID. After this time the
+		// session is out of contact.
+		s.avoid(u.t.leader.Clock.Now(), maxReportSilence)
+	}
 	u.t.leader.Logger.Info("upkeep ordered", logging.Step("upkeep"), logging.Peer(id), "wave", w.Number, "answer", answer.String(), "error", err)
 	switch {
 	case err != nil:
--- a/internal/dispatch/upkeep_test.go
+++ b/internal/dispatch/upkeep_test.go
@@ -34,6 +34,8 @@
 	// alreadyDone machines had their upkeep earlier: an order is answered but has
 	// no effect.
 	alreadyDone bool
+	// registerDelay is how long after it has come up a worker takes to register.
+	registerDelay time.Duration
 }
 
 const upkeepTime = 2 * time.Second
@@ -73,7 +75,7 @@
 			w.unreachable = true
 			clear(w.running)
 		})
-		time.AfterFunc(upkeepTime, func() { f.b.restartWorker(id, 1000, number) })
+		time.AfterFunc(upkeepTime, func() { f.b.restartWorkerLate(id, 1000, number, f.registerDelay) })
 	}
 	if f.unansweredOrders > 0 {
 		f.unansweredOrders--
@@ -234,3 +236,28 @@
 		assert.Assert(t, m.lists.Load() > 1 && m.lists.Load() <= int64(duration/machineListInterval), "%d lists", m.lists.Load())
 	})
 }
+
+// Guards against a start order for the worker that went down for upkeep that reaches its
+// successor with the same ID before that has registered: the task would run twice.
+func TestNoStartOnUnregisteredSuccessor(t *testing.T) {
+	runCellWithMachines(t, 2, 0, func(b *testCell, f *fakeMachines) {
+		f.mu.Lock()
+		f.registerDelay = time.Second
+		f.mu.Unlock()
+		for range 40 {
+			b.reportAll()
+			time.Sleep(100 * time.Millisecond)
+		}
+		b.startWave(1, 2, 60*time.Second)
+		for successor := false; !successor; time.Sleep(20 * time.Millisecond) {
+			b.fleet.change("w0", func(w *fakeWorker) { successor = w.born == 1000 })
+		}
+		b.submit(jobID1, taskStep(1, 2))
+		for range 100 {
+			b.reportAll()
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Equal(t, b.state(queuePath, jobID1), cell.Complete)
+		assert.Equal(t, b.startCount(jobID1, 0), 1)
+	})
+}
