dispatch: workers are used again after the last upkeep of a wave

Callers: none seen. A worker whose machine was the last of a wave to be taken down got no attempts until the next wave or another leader, if it came back with the same ID. Cause: the set of cordoned workers was cleared only if machines were still being drained when no wave ran any more; the last one leaves the drained machines with its order, after the set was computed. Change: the set is cleared whenever no wave runs. Evidence: TestWorkerIsUsedAfterLastUpkeepOfWave failed before (job active after 10 s) and passes.

--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -108,9 +108,6 @@
 
 // release makes the workers of chosen machines available again when no wave runs.
 func (u *upkeep) release() {
-	if len(u.chosen) == 0 {
-		return
-	}
 	clear(u.chosen)
 	u.t.cordon(nil)
 }
--- a/internal/dispatch/upkeep_test.go
+++ b/internal/dispatch/upkeep_test.go
@@ -261,3 +261,19 @@
 		assert.Equal(t, b.startCount(jobID1, 0), 1)
 	})
 }
+
+// Guards against workers that get no attempts after their upkeep, because the wave ended
+// with it.
+func TestWorkerIsUsedAfterLastUpkeepOfWave(t *testing.T) {
+	runCellWithMachines(t, 1, 0, func(b *testCell, _ *fakeMachines) {
+		time.Sleep(holderLease)
+		b.reportAll()
+		b.startWave(1, 1, 10*time.Second)
+		for range 100 {
+			b.reportAll()
+			time.Sleep(100 * time.Millisecond)
+		}
+		b.submit(jobID1, taskStep(1, 2))
+		b.waitForState(jobID1, cell.Complete, 10*time.Second)
+	})
+}
