cell, dispatch: a crash counts fully only for attempts that have certainly started

Large tasks fill a worker, so that running alone there was no sign either. Change: the leader states which attempts have started (the worker answered the start, or listed them) when it commits a registration or an expiry, and commits it at once for tasks with a crash, so that it outlives the leader. A job fails after three crashes under one task, two of them under attempts that had started; or after five in any case, which is what BUDGET allows. Crashes and the jobs given up for them are logged, and counted in cell_crashes.

--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -148,6 +148,12 @@
 	if w == nil || w.Born != c.Born {
 		return nil
 	}
+	for _, started := range c.Started {
+		if a, ok := w.Attempts[started.Task]; ok && a.Run == started.Run {
+			a.Started = true
+			w.Attempts[started.Task] = a
+		}
+	}
 	for i := range c.Ends {
 		s.recordEnd(w, &c.Ends[i])
 	}
@@ -305,7 +311,7 @@
 // have crashed or only be cut off.
 func (s *Store) expireLease(c *ExpireLease) any {
 	if w := s.Workers[c.Worker]; w != nil && w.Born == c.Born {
-		s.loseAttempts(w)
+		s.loseAttempts(w, c.Started)
 	}
 	return nil
 }
@@ -319,13 +325,14 @@
 
 // register records a worker's report about itself. Only the newest incarnation with an
 // id, and the newest worker at an address, is kept in use; a delayed report of an older
-// one is ignored.
+// one is ignored. It returns the crashes that the report has proven.
 func (s *Store) register(c *Register) any {
 	w := s.Workers[c.ID]
 	if w != nil && (c.Born < w.Born || w.Gone && c.Born == w.Born || w.IsLate(c)) {
 		return nil
 	}
-	if !s.claimAddress(c) {
+	crashes, newest := s.claimAddress(c)
+	if !newest {
 		return nil
 	}
 	if w == nil {
@@ -333,7 +340,9 @@
 		s.Workers[c.ID] = w
 	}
 	if w.Born != c.Born {
-		s.endIncarnation(w)
+		if crash := s.endIncarnation(w, c.Started); crash != nil {
+			crashes = append(crashes, crash)
+		}
 		w.LastEnd, w.LastReport, w.Gone, w.Draining, w.TakenDown = 0, 0, false, false, false
 	}
 	w.Born, w.Address, w.DataCentre, w.Service = c.Born, c.Address, c.DataCentre, c.Service
@@ -343,31 +352,33 @@
 	if c.Deregistered {
 		s.retire(w)
 	}
-	return nil
+	return crashes
 }
 
-// claimAddress retires the workers at the address that started earlier. It returns
-// false, and changes nothing, if a worker that started later has the address: the report
-// was delayed.
-func (s *Store) claimAddress(c *Register) bool {
+// claimAddress retires the workers at the address that started earlier and returns their
+// crashes. newest is false, and nothing has changed, if a worker that started later has the
+// address: the report was delayed.
+func (s *Store) claimAddress(c *Register) (crashes []*Crash, newest bool) {
 	var older []*Worker
 	for _, other := range s.Workers {
 		if other.ID == c.ID || other.Address != c.Address || other.Gone {
 			continue
 		}
 		if other.Born > c.Born {
-			return false
+			return nil, false
 		}
 		older = append(older, other)
 	}
 	slices.SortFunc(older, func(a, b *Worker) int { return cmp.Or(cmp.Compare(a.Born, b.Born), cmp.Compare(a.ID, b.ID)) })
 	for _, other := range older {
 		if other.Born < c.Born {
-			s.endIncarnation(other)
+			if crash := s.endIncarnation(other, c.Started); crash != nil {
+				crashes = append(crashes, crash)
+			}
 		}
 		s.retire(other)
 	}
-	return true
+	return crashes, true
 }
 
 // retire ends all attempts on a worker and excludes it from further use.
--- a/internal/cell/command.go
+++ b/internal/cell/command.go
@@ -55,6 +55,9 @@
 	// Number increases with each report of an incarnation; it is 0 for an announcement of
 	// shutting down.
 	Number uint64 `cbor:"11,keyasint,omitempty"`
+	// Started lists the attempts that had certainly started on the incarnations that this
+	// one replaces.
+	Started []StartedAttempt `cbor:"12,keyasint,omitempty"`
 }
 
 // Start commits attempts to workers. Consecutive placements of the same step are
@@ -78,6 +81,8 @@
 	Ends    []AttemptEnd `cbor:"4,keyasint,omitempty"`
 	// Alive is set if the incarnation itself has answered, so that it has not crashed.
 	Alive bool `cbor:"5,keyasint,omitempty"`
+	// Started lists attempts that have started, as far as this has to outlive the leader.
+	Started []StartedAttempt `cbor:"6,keyasint,omitempty"`
 }
 
 // AttemptEnd states how an attempt ended.
@@ -125,6 +130,14 @@
 type ExpireLease struct {
 	Worker string `cbor:"1,keyasint,omitempty"`
 	Born   int64  `cbor:"2,keyasint,omitempty"`
+	// Started lists the attempts that had certainly started.
+	Started []StartedAttempt `cbor:"3,keyasint,omitempty"`
+}
+
+// StartedAttempt identifies an attempt that a worker has confirmed.
+type StartedAttempt struct {
+	Task TaskKey `cbor:"1,keyasint,omitempty"`
+	Run  uint32  `cbor:"2,keyasint,omitempty"`
 }
 
 // OpenOccurrences opens the occurrences of scheduled jobs that have become due.
--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -1,6 +1,6 @@
 package cell
 
-import "math"
+import "slices"
 
 const (
 	// suspectCrashes is the number of crashes, proven or possible, from which a task is a
@@ -8,14 +8,28 @@
 	suspectCrashes = 2
 )
 
-// MaxCrashes is the number of crashes under a task at which its job fails.
-const MaxCrashes = 3
+const (
+	// MaxCrashes is the number of crashes under a task at which its job fails, if at least
+	// suspectCrashes of its attempts had certainly started.
+	MaxCrashes = 3
+	// maxUnconfirmedCrashes is the number of crashes under a task at which its job fails in
+	// any case.
+	maxUnconfirmedCrashes = 5
+)
 
 // LostAttempt is an attempt that ended because its worker could not be reached, so that
 // the worker may have crashed under it.
 type LostAttempt struct {
-	// Beside is set if attempts of other jobs were in flight on the worker.
-	Beside bool `cbor:",omitempty"`
+	// Started is set if the attempt had certainly started.
+	Started bool `cbor:",omitempty"`
+}
+
+// Crash is a crash of a worker that was counted, as Register returns it.
+type Crash struct {
+	Worker string
+	// Tasks are the tasks that it was counted for, and GivenUp the jobs that failed.
+	Tasks   []TaskKey
+	GivenUp []string
 }
 
 // TakeDown announces that an incarnation of a worker is about to be ended on purpose.
@@ -44,19 +58,18 @@
 }
 
 // loseAttempts ends all attempts on a worker and remembers them until it is known whether
-// the worker has crashed.
-func (s *Store) loseAttempts(w *Worker) {
-	beside := w.hasSeveralJobs()
+// the worker has crashed. started lists those that had certainly started.
+func (s *Store) loseAttempts(w *Worker, started []StartedAttempt) {
 	for key, a := range w.Attempts {
 		s.recordEnd(w, &AttemptEnd{Task: key, Run: a.Run, Outcome: EndedEarly})
-		if w.TakenDown {
+		if w.TakenDown || s.activeTask(key) == nil {
 			continue
 		}
 		earlier, known := w.Lost[key]
 		if w.Lost == nil {
 			w.Lost = map[TaskKey]LostAttempt{}
 		}
-		w.Lost[key] = LostAttempt{Beside: earlier.Beside || beside}
+		w.Lost[key] = LostAttempt{Started: earlier.Started || a.Started || slices.Contains(started, StartedAttempt{key, a.Run})}
 		if !known {
 			s.addUnresolvedLoss(key, 1)
 		}
@@ -67,34 +80,43 @@
 }
 
 // endIncarnation ends all attempts on an incarnation that a later one has replaced. Unless
-// its end was planned it has crashed, which counts for each task that ran there.
-func (s *Store) endIncarnation(w *Worker) {
-	s.loseAttempts(w)
+// its end was planned it has crashed, which counts for each task that ran there. It returns
+// the crash, or nil if there was none or no task ran there.
+func (s *Store) endIncarnation(w *Worker, started []StartedAttempt) *Crash {
+	s.loseAttempts(w, started)
 	lost := w.Lost
 	s.forgetLosses(w)
-	if w.Draining || w.Gone || w.TakenDown {
-		return
+	if len(lost) == 0 || w.Draining || w.Gone || w.TakenDown {
+		return nil
 	}
+	crash := &Crash{Worker: w.ID}
 	for key, l := range lost {
-		s.countCrash(key, l.Beside)
+		crash.Tasks = append(crash.Tasks, key)
+		if s.countCrash(key, l) {
+			crash.GivenUp = append(crash.GivenUp, key.Job)
+		}
 	}
+	return crash
 }
 
-// countCrash counts a crash under a task. It fails the task's job if the task ran there
-// without other jobs and another worker has crashed under it before, or if it has reached
-// MaxCrashes. An attempt that has been started since gets the chance to disprove the
-// former.
-func (s *Store) countCrash(key TaskKey, beside bool) {
+// countCrash counts a crash under a task and reports whether it has failed the task's job.
+// A worker may have been down before an attempt was to start there, so MaxCrashes crashes
+// suffice only if attempts of the task had certainly started in suspectCrashes of them.
+func (s *Store) countCrash(key TaskKey, l LostAttempt) bool {
 	task := s.activeTask(key)
 	if task == nil || task.Done {
-		return
+		return false
 	}
-	if task.Crashes < math.MaxUint8 {
-		task.Crashes++
+	task.Crashes++
+	if l.Started {
+		task.ConfirmedCrashes++
 	}
-	if task.Crashes >= MaxCrashes || task.Crashes >= suspectCrashes && !beside && !task.InFlight {
-		s.endJob(s.Jobs[key.Job], Failed)
+	certain := task.Crashes >= MaxCrashes && task.ConfirmedCrashes >= suspectCrashes
+	if !certain && task.Crashes < maxUnconfirmedCrashes {
+		return false
 	}
+	s.endJob(s.Jobs[key.Job], Failed)
+	return true
 }
 
 // forgetLosses drops the lost attempts of a worker.
@@ -140,16 +162,3 @@
 	}
 	return &occurrence.Tasks[key.Index]
 }
-
-// hasSeveralJobs reports whether attempts of more than one job are committed to the
-// worker.
-func (w *Worker) hasSeveralJobs() bool {
-	first := ""
-	for key := range w.Attempts {
-		if first != "" && key.Job != first {
-			return true
-		}
-		first = key.Job
-	}
-	return false
-}
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -98,6 +98,8 @@
 	Checkpoint string `cbor:"5,keyasint,omitempty"`
 	// Crashes counts the workers that have crashed under attempts of the task.
 	Crashes uint8 `cbor:"6,keyasint,omitempty"`
+	// ConfirmedCrashes counts those of Crashes where the attempt had certainly started.
+	ConfirmedCrashes uint8 `cbor:"7,keyasint,omitempty"`
 
 	// unresolvedLosses counts the workers whose Lost contains the task.
 	unresolvedLosses int
--- a/internal/cell/store.go
+++ b/internal/cell/store.go
@@ -94,8 +94,8 @@
 }
 
 // Apply implements port.StateMachine. index is the log index of the command. The
-// result is a Verdict for requests of clients and operators, a []bool for Start, an
-// error for data that is not a command, and nil otherwise.
+// result is a Verdict for requests of clients and operators, a []bool for Start, a
+// []*Crash for Register, an error for data that is not a command, and nil otherwise.
 func (s *Store) Apply(index uint64, data []byte) any {
 	var c Command
 	if err := cbor.Unmarshal(data, &c); err != nil {
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -47,6 +47,8 @@
 	Filler bool
 	// Crashes is the number of possible crashes under the task before the attempt.
 	Crashes uint8 `cbor:",omitempty"`
+	// Started is set if it was committed that the attempt has started.
+	Started bool `cbor:",omitempty"`
 }
 
 // Suspect reports whether the task of the attempt was a suspect when it was committed.
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -86,9 +86,11 @@
 	// starts counts how often each task was started.
 	starts map[string]int
 	// crashes, if not nil, states whether starting a task crashes its worker; onCrash is
-	// then called with the worker's id.
-	crashes func(task cell.TaskKey) bool
-	onCrash func(id string)
+	// then called with the worker's id. crashDelay is how long after the start it crashes;
+	// with 0 it does not answer the order.
+	crashes    func(task cell.TaskKey) bool
+	onCrash    func(id string)
+	crashDelay time.Duration
 }
 
 type fakeWorker struct {
@@ -235,13 +237,26 @@
 	f.starts[fmt.Sprint(o.Task)]++
 	f.checkSingleRun(o.Task)
 	if f.crashes != nil && f.crashes(o.Task) {
-		w.unreachable = true
-		clear(w.running)
-		f.onCrash(id)
+		if f.crashDelay == 0 {
+			f.crash(id, w)
+		} else {
+			time.AfterFunc(f.crashDelay, func() {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				f.crash(id, w)
+			})
+		}
 	}
 	return Done
 }
 
+// crash makes a worker vanish with all that runs on it.
+func (f *fakeFleet) crash(id string, w *fakeWorker) {
+	w.unreachable = true
+	clear(w.running)
+	f.onCrash(id)
+}
+
 // checkSingleRun fails the test if a task runs twice at the same time.
 func (f *fakeFleet) checkSingleRun(task cell.TaskKey) {
 	n := 0
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -100,7 +100,7 @@
 
 // leaderMetrics holds the metrics of a leader.
 type leaderMetrics struct {
-	planned, refused, done, failed, early, unstarted, lapses, advice, adviceErrors tally.Counter
+	planned, refused, done, failed, early, unstarted, lapses, crashes, advice, adviceErrors tally.Counter
 	// adviceWait is the time until an answer, and adviceDelay what it exceeds the expected
 	// time by.
 	commit, wait, adviceWait, adviceDelay tally.Histogram
@@ -123,7 +123,7 @@
 		planned: scope.Counter("cell_placements"), refused: scope.Counter("cell_placement_refusals"),
 		done: scope.Counter("cell_ends_done"), failed: scope.Counter("cell_ends_failed"),
 		early: scope.Counter("cell_ends_early"), unstarted: scope.Counter("cell_ends_unstarted"),
-		lapses: scope.Counter("cell_lapses"), advice: scope.Counter("cell_advice_calls"), adviceErrors: scope.Counter("cell_advice_errors"),
+		lapses: scope.Counter("cell_lapses"), crashes: scope.Counter("cell_crashes"), advice: scope.Counter("cell_advice_calls"), adviceErrors: scope.Counter("cell_advice_errors"),
 		commit: scope.Histogram("cell_commit", buckets), wait: scope.Histogram("cell_wait", buckets),
 		adviceWait: scope.Histogram("cell_advice_wait", buckets), adviceDelay: scope.Histogram("cell_advice_delay", buckets),
 		adviceDeferred: scope.Gauge("cell_advice_deferred"),
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -37,6 +37,7 @@
 	}
 	s.mu.Unlock()
 	if answer == Done {
+		s.commitStarted(key)
 		return
 	}
 	s.t.leader.Logger.Warn("start failed", logging.Step("start"), logging.Peer(s.target.ID), logging.Job(o.Task.Job), "task", position(o.Task), "run", o.Run, "answer", answer.String(), "certain", certain)
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -244,9 +244,12 @@
 	if inOrder := t.observeReport(r); !changed || !inOrder && !r.Deregistered {
 		return &cellapi.Reply{Verdict: cell.Accepted}, false
 	}
-	if _, err := t.commitOnce(ctx, &cell.Command{Register: &r.Register}, nil); err != nil {
+	r.Started = t.startedBefore(&r.Register)
+	result, err := t.commitOnce(ctx, &cell.Command{Register: &r.Register}, nil)
+	if err != nil {
 		return t.leader.failure(err), true
 	}
+	t.logCrashes(result)
 	t.leader.Logger.Info("worker registered", logging.Step("register"), logging.Peer(r.ID), "address", r.Address, "born", r.Born, "draining", r.Draining, "left", r.Deregistered)
 	return &cellapi.Reply{Verdict: cell.Accepted}, true
 }
