cellnode: tests wait for a leader instead of taking none for a node

Seen once beside other plays: TestLeaderOnSlowDiskTransfersLeadership failed at the use of its leader's index. Cause: leader returns -1 while no node holds a lease, which may happen for a moment when the processors are busy (a lease lasts 400 ms); five tests used the result as an index. Change: they wait for a leader, up to the limit of all waits. What the tests check has not changed. Measured: tests of cellnode pass.

--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -168,6 +168,19 @@
 	return -1
 }
 
+// waitForLeader waits until a node leads and returns its index. Beside other work a leader
+// may be without a lease for a moment.
+func (s *testCluster) waitForLeader() int {
+	s.t.Helper()
+	for deadline := time.Now().Add(waitTimeout); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if i := s.leader(); i >= 0 {
+			return i
+		}
+	}
+	s.t.Fatal("no node leads")
+	return -1
+}
+
 // waitForVoters waits until the voters of the group are exactly the current replicas of
 // the wanted nodes.
 func (s *testCluster) waitForVoters(want ...int) {
@@ -228,7 +241,7 @@
 		s.start(i, true)
 	}
 	s.putConfiguration(0, 1)
-	lost := s.leader()
+	lost := s.waitForLeader()
 	s.stop(lost)
 	s.folders[lost] = t.TempDir()
 	s.start(lost, false)
@@ -247,7 +260,7 @@
 		s.start(i, true)
 	}
 	s.putConfiguration(0, 1)
-	gone := s.leader()
+	gone := s.waitForLeader()
 	s.stop(gone)
 	var rest []int
 	for i := range 4 {
@@ -274,7 +287,7 @@
 // voters that joined last, as many in all as given, start with empty disks.
 func (s *testCluster) loseDisks(lost int) {
 	s.t.Helper()
-	leader := s.leader()
+	leader := s.waitForLeader()
 	assert.Assert(s.t, leader >= 0, "no node leads")
 	gone := []string{s.addresses[leader]}
 	voters := s.nodes[leader].node.replica.Status().Voters
@@ -377,7 +390,7 @@
 		s.start(i, true)
 	}
 	s.putConfiguration(0, 1)
-	slow := s.leader()
+	slow := s.waitForLeader()
 	s.nodes[slow].node.storage.consecutiveSlowAppends.Store(maxSlowAppends)
 	for deadline := time.Now().Add(waitTimeout); ; time.Sleep(20 * time.Millisecond) {
 		if now := s.leader(); now >= 0 && now != slow {
@@ -429,7 +442,7 @@
 			}
 			s.putConfiguration(0, 1)
 			s.waitForGrowth(5)
-			away := (s.leader() + 1) % 3
+			away := (s.waitForLeader() + 1) % 3
 			s.stop(away)
 			time.Sleep(voterSilenceTimeout + 2*time.Second)
 			s.start(away, false)
