dispatch: an overdue step is not served first again whenever it gets advice

Cause: took any step with valid tickets out of the overdue ones. After a restart the short jobs of the most urgent queue are overdue by the hundred, are given a call each time a process is idle, and then came before all work that can still be in time. Change: a step keeps its place only if its advice has been requested without a break since before it was late or overdue. Tests of dispatch, cellnode and cellapi pass with the race detector.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -154,8 +154,11 @@
 	heldPlacements []cell.Placement
 	// retryAt is when the step may request advice again after a failed request.
 	retryAt time.Duration
-	// validUntil is when the tickets of the newest answer expire.
-	validUntil time.Duration
+	// validUntil is when the tickets of the newest answer expire. inServiceSince is when
+	// the first of the requests was made that followed each other without a break in which
+	// none was in flight and no answer was valid.
+	validUntil     time.Duration
+	inServiceSince time.Duration
 }
 
 // ticket is the service's permission to run a step on an incarnation of a worker.
@@ -273,6 +276,9 @@
 		return false // requested again by a later plan
 	}
 	expected := b.callers[r.peer].idleAt(now) - now
+	if !s.inService(now) {
+		s.inServiceSince = now
+	}
 	s.inFlight++
 	s.heldPlacements = q.heldPlacements
 	b.t.spawn(func() { b.queryService(r, q, expected) })
@@ -377,14 +383,17 @@
 	return c
 }
 
-// stepsInService returns the steps with a request in flight or an answer that is valid.
-func (b *adviceBroker) stepsInService(now time.Duration) map[cell.StepKey]bool {
+// inService reports whether a request is in flight or an answer is valid.
+func (s *stepAdvice) inService(now time.Duration) bool { return s.inFlight > 0 || now < s.validUntil }
+
+// stepsInService returns the steps that are in service, with the time since when.
+func (b *adviceBroker) stepsInService(now time.Duration) map[cell.StepKey]time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	steps := map[cell.StepKey]bool{}
+	steps := map[cell.StepKey]time.Duration{}
 	for k, s := range b.steps {
-		if s.inFlight > 0 || now < s.validUntil {
-			steps[k] = true
+		if s.inService(now) {
+			steps[k] = s.inServiceSince
 		}
 	}
 	return steps
--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"laburnumgrade/internal/cell"
@@ -108,3 +109,44 @@
 		assert.Assert(t, started >= possible/2, "%d of about %d gangs ended in %v, %d calls in all", started, possible, measured, f.calls)
 	})
 }
+
+// Guards against overdue steps that come before others again whenever they get advice, and
+// against those that lose their place while their advice is collected.
+func TestOverdueStepKeepsItsPlaceOnlyInService(t *testing.T) {
+	store := cell.NewStore(nil)
+	apply := func(index uint64, c *cell.Command) {
+		data, err := cell.Encode(c)
+		assert.NilError(t, err)
+		store.Apply(index, data)
+	}
+	apply(1, &cell.Command{Configure: &cell.Configuration{
+		Version: 1, Services: []cell.Service{{Name: service}},
+		Queues: []cell.Queue{{Name: "q", Host: "h", Prefix: queuePath, Service: service, TimeoutMS: 1000, ObjectiveMS: 1000, Stretch: 1, Public: true, Advice: &cell.AdviceTerms{}}},
+	}})
+	const old, young = "00000000000000b1", "00000000000000b2"
+	for i, id := range []string{old, young} {
+		apply(uint64(2+i), &cell.Command{Submit: &cell.Submit{Request: jobRequest(id), Job: cell.Submission{Spec: "s", Steps: []cell.Step{taskStep(1, 2)}}}})
+	}
+	// The objective is 2 s.
+	now, seen := time.Minute, map[string]time.Duration{old: 50 * time.Second, young: time.Minute}
+	overdueAt := seen[old] + overdueFactor*2*time.Second
+	for _, c := range []struct {
+		name      string
+		since     time.Duration
+		inFlight  int
+		wantFirst string
+	}{
+		{"not in service", overdueAt - time.Second, 0, young},
+		{"in service since before it was overdue", overdueAt - time.Second, 1, old},
+		{"in service since later", overdueAt + time.Second, 1, young},
+	} {
+		term := newTerm(t.Context(), New(Config{Log: &fakeLog{}, Store: store, Scope: tally.NoopScope}), 1, 0)
+		for id, at := range seen {
+			term.times[cell.OccurrenceKey{Job: id}] = jobTiming{firstSeen: at}
+		}
+		term.advice.steps[cell.StepKey{Job: old}] = &stepAdvice{inFlight: c.inFlight, inServiceSince: c.since}
+		store.View(func(v *cell.View) {
+			assert.Equal(t, term.readySteps(v, now)[0].key.Job, c.wantFirst, c.name)
+		})
+	}
+}
--- a/internal/dispatch/ready.go
+++ b/internal/dispatch/ready.go
@@ -32,9 +32,10 @@
 	// it by so much that it is served last.
 	late    bool
 	overdue bool
-	// inService is set while advice for the step is requested or has just arrived. The step
-	// keeps its place in the order then: if the others overtook it, its tickets would expire.
-	inService bool
+	// overtaken is set for a gang that is late, so that others come first. A step whose
+	// advice has been requested without a break since before it was late or overdue keeps
+	// its place: if others overtook it, its tickets would expire.
+	overtaken bool
 	// advice is the advice for the step, nil if there is none.
 	advice *stepAdvice
 	// failedOn holds the workers on which tasks of the job have failed.
@@ -70,8 +71,12 @@
 		rs.shortLease = times.needsShortLease()
 		rs.deadline = times.firstSeen + times.objective
 		rs.late = now+rs.remaining > rs.deadline
-		rs.inService = inService[key]
-		rs.overdue = now > times.firstSeen+overdueFactor*times.objective && !rs.step.Daemon && !rs.inService
+		since, served := inService[key]
+		if !served {
+			since = now
+		}
+		rs.overtaken = rs.step.Gang && since+rs.remaining > rs.deadline
+		rs.overdue = since > times.firstSeen+overdueFactor*times.objective && !rs.step.Daemon
 		readySteps = append(readySteps, rs)
 	}
 	ended := func(id string) bool {
@@ -88,7 +93,7 @@
 	slices.SortFunc(readySteps, func(a, b *readyStep) int {
 		// Daemon steps come first, since their service is down while they wait.
 		return cmp.Or(trueFirst(a.step.Daemon, b.step.Daemon), trueFirst(!a.overdue, !b.overdue), cmp.Compare(a.queue.Priority, b.queue.Priority),
-			trueFirst(!a.step.Gang || !a.late || a.inService, !b.step.Gang || !b.late || b.inService), cmp.Compare(a.job.Accepted, b.job.Accepted), cmp.Compare(a.key.Step, b.key.Step))
+			trueFirst(!a.overtaken, !b.overtaken), cmp.Compare(a.job.Accepted, b.job.Accepted), cmp.Compare(a.key.Step, b.key.Step))
 	})
 	return readySteps
 }
