--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -398,14 +398,9 @@
 	b.do(firstReport(id, born, number))
 }
 
-// restartWorker starts a new incarnation of a worker. The leader may have stopped
-// already.
-func (b *testCell) restartWorker(id string, born int64, number int) {
-	b.restartWorkerLate(id, born, number, 0)
-}
-
-// restartWorkerLate is restartWorker with a delay until the first report.
-func (b *testCell) restartWorkerLate(id string, born int64, number int, delay time.Duration) {
+// restartWorker starts a new incarnation of a worker, which registers after a delay. The
+// leader may have stopped already.
+func (b *testCell) restartWorker(id string, born int64, number int, delay time.Duration) {
 	b.fleet.change(id, func(w *fakeWorker) { *w = *newFakeWorker(born, w) })
 	time.Sleep(delay)
 	b.leader.Do(context.Background(), firstReport(id, born, number))
--- a/internal/dispatch/upkeep_test.go
+++ b/internal/dispatch/upkeep_test.go
@@ -75,7 +75,7 @@
 			w.unreachable = true
 			clear(w.running)
 		})
-		time.AfterFunc(upkeepTime, func() { f.b.restartWorkerLate(id, 1000, number, f.registerDelay) })
+		time.AfterFunc(upkeepTime, func() { f.b.restartWorker(id, 1000, number, f.registerDelay) })
 	}
 	if f.unansweredOrders > 0 {
 		f.unansweredOrders--
