--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -157,8 +157,11 @@
 	heldPlacements []cell.Placement
 	// retryAt is when the step may request advice again after a failed request.
 	retryAt time.Duration
-	// validUntil is when the tickets of the newest answer expire.
-	validUntil time.Duration
+	// validUntil is when the tickets of the newest answer expire. inServiceSince is when
+	// the first of the requests was made that followed each other without a break in which
+	// none was in flight and no answer was valid.
+	validUntil     time.Duration
+	inServiceSince time.Duration
 }
 
 // ticket is the service's permission to run a step on an incarnation of a worker.
@@ -280,6 +283,9 @@
 	if s := b.steps[q.step]; s != nil {
 		changed = *s
 	}
+	if !changed.inService(now) {
+		changed.inServiceSince = now
+	}
 	changed.inFlight++
 	changed.heldPlacements = q.heldPlacements
 	b.steps[q.step] = &changed
@@ -382,14 +388,17 @@
 	return s
 }
 
-// stepsInService returns the steps with a request in flight or an answer that is valid.
-func (b *adviceBroker) stepsInService(now time.Duration) map[cell.StepKey]bool {
+// inService reports whether a request is in flight or an answer is valid.
+func (s *stepAdvice) inService(now time.Duration) bool { return s.inFlight > 0 || now < s.validUntil }
+
+// stepsInService returns the steps that are in service, with the time since when.
+func (b *adviceBroker) stepsInService(now time.Duration) map[cell.StepKey]time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	steps := map[cell.StepKey]bool{}
+	steps := map[cell.StepKey]time.Duration{}
 	for k, s := range b.steps {
-		if s.inFlight > 0 || now < s.validUntil {
-			steps[k] = true
+		if s.inService(now) {
+			steps[k] = s.inServiceSince
 		}
 	}
 	return steps
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -187,7 +187,7 @@
 			if i%2 == 0 {
 				b.do(&cellapi.Call{Report: &cellapi.Report{Register: cell.Register{ID: id, Deregistered: true}}})
 			}
-			b.restartWorker(id, born+1, int(id[1]-'0'))
+			b.restartWorker(id, born+1, int(id[1]-'0'), 0)
 		}
 		b.waitForState(jobID1, cell.Complete, time.Minute)
 	})
@@ -427,11 +427,11 @@
 		for _, id := range []string{first, second} {
 			b.fleet.change(id, func(w *fakeWorker) { w.unreachable = true })
 		}
-		b.restartWorker(first, 2, int(first[1]-'0'))
+		b.restartWorker(first, 2, int(first[1]-'0'), 0)
 		time.Sleep(50 * time.Millisecond)
 		assert.Equal(t, b.workerWithAttempts(), second)
 		time.Sleep(2 * time.Second)
-		b.restartWorker(second, 2, int(second[1]-'0'))
+		b.restartWorker(second, 2, int(second[1]-'0'), 0)
 		b.waitForState(jobID1, cell.Complete, 30*time.Second)
 	})
 }
