dispatch: no start order goes to a worker that has shrunk since the commit

A start that was committed just before its worker reported a smaller capacity brings the worker over it. Cause: the order was sent after the commit whatever the state said by then. Change: an attempt on a worker with less capacity than is committed to it ends as not started, and is planned again. Evidence: TestStartIsNotSentToShrunkWorker fails without the check (1 start) and passes.

--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -104,6 +104,9 @@
 // worker lowered its capacity below what is committed.
 func (w *Worker) Free() structs.Resources { return w.Capacity.Sub(w.committed) }
 
+// Overcommitted reports whether the worker lowered its capacity below what is committed.
+func (w *Worker) Overcommitted() bool { return !structs.Resources{}.Fits(w.Free()) }
+
 // IsLate reports whether a report is older than one that has changed the record of the
 // same incarnation.
 func (w *Worker) IsLate(r *Register) bool {
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -435,3 +435,27 @@
 		b.waitForState(jobID1, cell.Complete, 30*time.Second)
 	})
 }
+
+// Guards against a start order for an attempt that was committed before its worker shrank.
+func TestStartIsNotSentToShrunkWorker(t *testing.T) {
+	runCell(t, 1, func(b *testCell) {
+		b.fleet.change("w0", func(w *fakeWorker) { w.taskDuration = 20 * time.Second })
+		b.submit(jobID1, taskStep(1, 3))
+		b.runFor(time.Second)
+		b.submit(jobID2, taskStep(1, 2)) // does not fit
+		p := cell.Placement{Task: cell.TaskKey{StepKey: cell.StepKey{Job: jobID2}}, Run: 1, Worker: "w0", Born: 1}
+		b.do(capacityReport(5, 1<<62))
+		data, err := cell.Encode(&cell.Command{Start: &cell.Start{Placements: []cell.Placement{p}}})
+		assert.NilError(t, err)
+		// Before the planner runs: the leader had planned it and commits it just now.
+		accepted := b.store.Apply(0, data).([]bool)
+		b.do(capacityReport(4, 1<<62+1))
+		if accepted[0] {
+			b.leader.currentTerm().startAttempt(&p)
+		}
+		b.runFor(3 * time.Second)
+		assert.Equal(t, b.startCount(jobID2, 0), 0)
+		assert.Equal(t, b.startCount(jobID1, 0), 1)
+		b.store.View(func(v *cell.View) { assert.Equal(t, len(v.Worker("w0").Attempts), 1) })
+	})
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -168,8 +168,8 @@
 	t.mu.Unlock()
 	found := false
 	t.leader.Store.View(func(v *cell.View) {
-		j := v.Job(p.Task.Job)
-		if j == nil || j.State != cell.Active {
+		j, w := v.Job(p.Task.Job), v.Worker(p.Worker)
+		if j == nil || j.State != cell.Active || w == nil || w.Overcommitted() {
 			return
 		}
 		found = true
@@ -180,8 +180,8 @@
 		}
 	})
 	if !found {
-		// The job was cancelled between the commit and the order, so the attempt
-		// never starts.
+		// The job was cancelled, or the worker has shrunk, between the commit and the
+		// order, so the attempt never starts.
 		t.spawn(func() {
 			if err := t.commitUnstarted(p.Worker, p.Born, p.Task, p.Run); err != nil {
 				t.leader.Logger.Warn("failed to commit the end of an attempt that did not start", logging.Step("note ends"), logging.Peer(p.Worker), logging.Error(err))
