dispatch: the tasks that fit on a worker are counted by accelerators too

Callers: a gang that needs accelerators can have workers without any reserved for it, and advice requested on them, while those that have some are given to others. Cause: fitCount compared processors and memory only. Change: it compares accelerators too. Evidence: TestWorkersWithoutAcceleratorsAreNotCounted fails without the change and passes. Deployments without accelerators are not affected.

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -459,3 +459,10 @@
 		b.store.View(func(v *cell.View) { assert.Equal(t, len(v.Worker("w0").Attempts), 1) })
 	})
 }
+
+// Guards against workers without accelerators that are reserved for a gang that needs them.
+func TestWorkersWithoutAcceleratorsAreNotCounted(t *testing.T) {
+	size := structs.Resources{MilliCPU: 1000, Accelerators: 2}
+	assert.Equal(t, fitCount(size, structs.Resources{MilliCPU: 8000}), 0)
+	assert.Equal(t, fitCount(size, structs.Resources{MilliCPU: 8000, Accelerators: 5}), 2)
+}
--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -186,5 +186,8 @@
 	if size.MemoryBytes > 0 {
 		n = min(n, int(capacity.MemoryBytes/size.MemoryBytes))
 	}
+	if size.Accelerators > 0 {
+		n = min(n, int(capacity.Accelerators/size.Accelerators))
+	}
 	return n
 }
