cellnode: a spare replica names the leader that answers it

Cause: the leader announces itself to its own seeds only. A spare that is no seed of the leader knows it from its own announcements, but names to others only a leader that it knows as a member of the group or from an announcement. This adds no traffic and only routes calls.

--- a/internal/cellapi/client.go
+++ b/internal/cellapi/client.go
@@ -117,6 +117,17 @@
 	return c.lastReply
 }
 
+// AnsweringLeader returns the address of the leader that answered last, empty if a call to it
+// has failed since or its answer is older than maxAge.
+func (c *Client) AnsweringLeader(maxAge time.Duration) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Since(c.lastReply) > maxAge {
+		return ""
+	}
+	return c.answeringLeader
+}
+
 // addresses returns the addresses of all known control processes. The caller holds the
 // lock.
 func (c *Client) addresses() []string {
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -1,6 +1,7 @@
 package cellnode
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -120,7 +121,9 @@
 		OnJoin:        n.recordAnnouncement,
 		OnLeader:      func(a *cellapi.AnnounceLeader) { n.announced.record(a, c.Clock.Now()) },
 		AnnouncedLeader: func() string {
-			return n.announced.address(c.Clock.Now())
+			// The leader announces itself only to its own seeds, and others may have
+			// different ones.
+			return cmp.Or(n.announced.address(c.Clock.Now()), n.client.AnsweringLeader(announcedLeaderTTL))
 		},
 		Bounds: c.Bounds,
 		Logger: c.Logger,
--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -39,6 +39,8 @@
 	listeners []net.Listener
 	nodes     []*runningNode
 	tolerance Tolerance
+	// seeds holds the nodes that are the seeds of a node; the first three if it has none here.
+	seeds map[int][]int
 	// dataCentres holds the data centre of each node; nil if they have none.
 	dataCentres []string
 }
@@ -93,7 +95,7 @@
 	return l
 }
 
-// start starts a node. The first three addresses are the seeds.
+// start starts a node.
 func (s *testCluster) start(i int, bootstrap bool) {
 	s.t.Helper()
 	l := s.listen(i)
@@ -102,8 +104,15 @@
 	if s.dataCentres != nil {
 		dataCentre = s.dataCentres[i]
 	}
+	seeds := s.addresses[:3]
+	if list := s.seeds[i]; list != nil {
+		seeds = nil
+		for _, seed := range list {
+			seeds = append(seeds, s.addresses[seed])
+		}
+	}
 	node, err := Start(ctx, Config{
-		PeerAddress: s.addresses[i], PublicAddress: "public-" + s.addresses[i], Seeds: s.addresses[:3], Folder: s.folders[i], Bootstrap: bootstrap, Tolerance: s.tolerance, DataCentre: dataCentre,
+		PeerAddress: s.addresses[i], PublicAddress: "public-" + s.addresses[i], Seeds: seeds, Folder: s.folders[i], Bootstrap: bootstrap, Tolerance: s.tolerance, DataCentre: dataCentre,
 		Clock: port.NewBootClock(), Adviser: noAdviser{}, Bounds: dispatch.Bounds{EndedJobRetention: time.Hour, MaxLease: 6 * time.Second, RemoteFactor: 2},
 		Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 	})
@@ -472,6 +481,20 @@
 	s.waitForVoters(1, 2, 3, 4, 5)
 }
 
+// Guards against a process that does not find the leader because its seeds, which it was given
+// later than the leader, are spare replicas: these know the leader, but do not name it.
+func TestLeaderIsFoundThroughSpareReplicas(t *testing.T) {
+	s := newTestCluster(t, 6)
+	s.seeds = map[int][]int{5: {3, 4}}
+	for i := range 5 {
+		s.start(i, i < 3)
+	}
+	s.putConfiguration(3, 1)
+	s.putConfiguration(4, 2)
+	s.start(5, false)
+	assert.Equal(t, s.readVersion(5), byte(2))
+}
+
 // Guards against a group of which the loss of one data centre takes the majority although
 // there is a process in another.
 func TestVotersMoveOutOfCrowdedDataCentre(t *testing.T) {
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -47,7 +47,8 @@
 	// OnJoin is called for each replica that announces itself.
 	OnJoin func(*cellapi.AnnounceReplica)
 	// OnLeader is called for each announcement of a leader, and AnnouncedLeader returns the
-	// peer address of the leader that announced itself last, empty if none did recently.
+	// peer address of the leader that announced itself or answered this process last, empty if
+	// none did recently.
 	OnLeader        func(*cellapi.AnnounceLeader)
 	AnnouncedLeader func() string
 	Bounds          Bounds
