dispatch: later slices of a plan skip workers that became unusable

A task is started on a machine that was ordered down after a long plan began (the case of: the order may reach the successor with the same ID, and the task runs twice), is being drained, or does not answer. Cause: since plans are made in slices, the workers that may get attempts are chosen once, and the slices follow over pauses and commits. The state does not know which workers are avoided or cordoned, so it does not refuse such placements. Class: a decision on a copy that is older than what it depends on. Change: before each further slice the workers that may no longer get attempts are withheld from the rest of the plan.

--- a/internal/dispatch/candidate.go
+++ b/internal/dispatch/candidate.go
@@ -38,7 +38,8 @@
 	fillerCPUKnown bool
 	// placed counts the tasks that this plan has placed on the worker by step.
 	placed map[cell.StepKey]int
-	// withheld is set if this plan reserves the worker for a gang of higher rank.
+	// withheld is set if this plan reserves the worker for a gang of higher rank, or if the
+	// worker has become unusable since the plan began.
 	// reservedFor is the gang for which the last plan reserved it.
 	withheld    bool
 	reservedFor cell.StepKey
@@ -64,8 +65,8 @@
 func (t *term) addCandidates(workers []*cell.Worker, p *planner) {
 	for _, w := range workers {
 		id := w.ID
-		s := t.session(id, w.Born)
-		if s == nil || !s.usable(p.now) || t.isCordoned(id) {
+		s := t.usableSession(id, w.Born, p.now)
+		if s == nil {
 			continue
 		}
 		p.candidates = append(p.candidates, &candidate{
@@ -80,6 +81,25 @@
 	slices.SortFunc(p.candidates, func(a, b *candidate) int { return cmp.Compare(a.id, b.id) })
 }
 
+// usableSession returns the session of an incarnation of a worker that may get new attempts,
+// nil if it may not.
+func (t *term) usableSession(worker string, born int64, now time.Duration) *session {
+	if s := t.session(worker, born); s != nil && s.usable(now) && !t.isCordoned(worker) {
+		return s
+	}
+	return nil
+}
+
+// withholdUnusable excludes the workers that may no longer get new attempts from the rest of
+// a plan.
+func (t *term) withholdUnusable(p *planner) {
+	for _, c := range p.candidates {
+		if t.usableSession(c.id, c.born, p.now) == nil {
+			c.withheld = true
+		}
+	}
+}
+
 // addPlaced adds to the number of tasks of a step that this plan has placed on
 // the worker.
 func (c *candidate) addPlaced(k cell.StepKey, n int) {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -140,6 +140,7 @@
 		}
 		use = newProcessorUse(t.leader.Clock)
 		p.beginSlice(t.leader.Clock.Now())
+		t.withholdUnusable(p)
 	}
 	t.leader.metrics.plan.RecordDuration(total)
 	t.logWaits(t.longWaits(p, readySteps))
--- a/internal/dispatch/plan_load_test.go
+++ b/internal/dispatch/plan_load_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -132,6 +135,69 @@
 	}
 }
 
+// costlyClock advances by tick whenever it is read, as if the caller had computed since.
+type costlyClock struct {
+	port.Clock
+	tick  time.Duration
+	reads atomic.Int64
+}
+
+func (c *costlyClock) Now() time.Duration {
+	return c.Clock.Now() + time.Duration(c.reads.Add(1))*c.tick
+}
+
+// watchedWorkers carry out each order at once. onFirstStart is called with the first start.
+type watchedWorkers struct {
+	obedientWorkers
+	first        sync.Once
+	onFirstStart func()
+}
+
+func (w *watchedWorkers) Start(ctx context.Context, t Target, o *StartOrder) (OrderReply, error) {
+	w.first.Do(w.onFirstStart)
+	return w.obedientWorkers.Start(ctx, t, o)
+}
+
+// Guards against a start on a machine that was ordered down, or on a worker that does not
+// answer, because a long plan uses the workers that were usable when it began.
+func TestLaterSlicesSkipWorkersThatBecameUnusable(t *testing.T) {
+	// A slice has at most 20 steps, since the clock advances with each.
+	const readySteps, placeable, tick = 600, 30 * 4, time.Millisecond
+	for name, change := range map[string]func(t *term, s *session){
+		"avoided": func(t *term, s *session) { s.avoid(t.leader.Clock.Now(), time.Hour) },
+		"cordoned": func(t *term, s *session) {
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			t.cordoned[s.target.ID] = true
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				term := newLoadedTerm(t, readySteps, 40)
+				var unusable atomic.Bool
+				term.leader.Workers = &watchedWorkers{onFirstStart: func() {
+					for _, s := range term.sessions {
+						change(term, s)
+					}
+					unusable.Store(true)
+				}}
+				term.leader.Clock = &costlyClock{Clock: term.leader.Clock, tick: tick}
+				placed, late := 0, 0
+				term.leader.Log = &hookedLog{term.leader.Log, func(c *cell.Command) bool {
+					placed += len(c.Start.Placements)
+					if unusable.Load() {
+						late += len(c.Start.Placements)
+					}
+					return true
+				}}
+				term.planOnce()
+				assert.Equal(t, late, 0, "placements on unusable workers")
+				assert.Assert(t, placed > 0 && placed < placeable, "%d tasks were placed", placed)
+			})
+		})
+	}
+}
+
 func benchmarkPlan(b *testing.B, readySteps int) {
 	term := newLoadedTerm(b, readySteps, 350)
 	term.planOnce() // starts what can start at once
