dispatch: no workers are reserved for a gang that they could never hold

Found by a test of the hypothesis. Cause: a gang that does not fit has its allowed workers reserved in each plan, also if they could not hold it when empty. All steps that are served after it wait for them for as long as the job exists. Class: head-of-line blocking by work that cannot be done. Change: workers are reserved only if those that are not denied could hold the whole gang. Evidence: TestImpossibleGangReservesNoWorkers failed before (none of three tasks placed) and passes. Changed tests: TestGangIsPlacedWholeOrNotAtAll and TestNoAdviceRequestForTooFewWorkers had gangs that their workers could never hold (7 tasks for room for 6, 4 for 3). They have possible ones now, on workers that are in use, with the same expectations. The first fails if nothing is reserved, the second if usefulCapacityDivisor is 8 instead of 4.

--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -233,7 +233,7 @@
 // that does not fit. Otherwise smaller tasks would take the capacity as it becomes
 // free.
 func (p *planner) reserve(rs *readyStep) {
-	if p.reservedGangCount >= maxReservedGangs {
+	if p.reservedGangCount >= maxReservedGangs || !p.fitsOnEmptyWorkers(rs) {
 		return
 	}
 	p.reservedGangCount++
@@ -265,6 +265,22 @@
 	}
 }
 
+// fitsOnEmptyWorkers reports whether the workers could hold the whole step if they were
+// empty. Workers that are known not to be allowed do not count.
+func (p *planner) fitsOnEmptyWorkers(rs *readyStep) bool {
+	tasks := 0
+	for _, c := range p.group(rs) {
+		if rs.advice.isDenied(c) {
+			continue
+		}
+		tasks += capPerWorker(rs.step, fitCount(rs.step.Claim(), c.worker.Capacity))
+		if tasks >= rs.step.Count {
+			return true
+		}
+	}
+	return false
+}
+
 // fitCount returns how many times a size fits into a capacity.
 func fitCount(size, capacity structs.Resources) int {
 	n := 1 << 20
