dispatch: a plan ends with its first failed commit

While commits are not answered, a plan of several slices waits for the time limit of 3 s once for each slice with placements. New workers and changed addresses get no session, unwanted attempts are not stopped and due occurrences are not opened until the plan ends; and the later slices plan on a copy that counts what was not committed as placed. Cause: a failed commit ended the slice, not the plan. Class: work of one goroutine whose duration is a time limit times a number that grows with the backlog. Change: the rest of a plan whose commit failed is dropped; the next plan starts from the state. Evidence: TestPlanEndsWithFailedCommit failed before (3 commits) and passes 50 times; tests of dispatch pass, those of plans, overload and attempts also with the race detector.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -138,7 +138,9 @@
 	for {
 		steps = p.planNext(steps, use.below(maxPlanSlice))
 		t.reserved, t.isolation = p.reserved, p.isolation
-		t.carryOut(p, use)
+		if !t.carryOut(p, use) {
+			return use.spent()
+		}
 		total += use.spent()
 		if len(steps) == 0 {
 			break
@@ -158,8 +160,9 @@
 }
 
 // carryOut preempts tasks, commits the placements and sends the orders of a slice of a
-// plan.
-func (t *term) carryOut(p *planner, use *processorUse) {
+// plan. It returns false if the placements may not be committed, so that the rest of the
+// plan is out of date.
+func (t *term) carryOut(p *planner, use *processorUse) bool {
 	t.mu.Lock()
 	for _, k := range p.newlyBlocked {
 		t.lastPreemption[k] = p.now + preemptionDelay - preemptionRetryDelay
@@ -176,15 +179,18 @@
 	for _, stopped := range p.stops {
 		t.preempt([]victim{stopped}, p.reserved[stopped.worker])
 	}
-	if len(p.placements) == 0 || !t.leads() {
-		return
+	if len(p.placements) == 0 {
+		return true
+	}
+	if !t.leads() {
+		return false
 	}
 	use.stop()
 	result, err := t.leader.propose(t.ctx, &cell.Command{Start: &cell.Start{Placements: p.placements}})
 	use.resume()
 	if err != nil {
 		t.leader.Logger.Warn("failed to commit the plan", logging.Step("plan"), "placements", len(p.placements), logging.Error(err))
-		return
+		return false
 	}
 	accepted, _ := result.([]bool)
 	for i, ok := range accepted {
@@ -198,6 +204,7 @@
 		placement := &p.placements[i]
 		t.leader.Logger.Info("placement refused by the state", logging.Step("plan"), logging.Job(placement.Task.Job), "task", position(placement.Task), "run", placement.Run, logging.Peer(placement.Worker))
 	}
+	return true
 }
 
 // copyInputs copies the ready steps, the usable workers and the headroom of the teams from
--- a/internal/dispatch/plan_load_test.go
+++ b/internal/dispatch/plan_load_test.go
@@ -198,6 +198,22 @@
 	}
 }
 
+// Guards against a plan that waits for the time limit of a commit once for each of its
+// slices, while new workers, cancelled jobs and due occurrences wait for its end.
+func TestPlanEndsWithFailedCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		term := newLoadedTerm(t, 600, 40)
+		commits := 0
+		term.leader.Log = &hookedLog{term.leader.Log, func(*cell.Command) bool {
+			commits++
+			return false
+		}}
+		term.leader.Clock = &costlyClock{Clock: term.leader.Clock, tick: time.Millisecond}
+		term.planOnce()
+		assert.Equal(t, commits, 1)
+	})
+}
+
 func benchmarkPlan(b *testing.B, readySteps int) {
 	term := newLoadedTerm(b, readySteps, 350)
 	term.planOnce() // starts what can start at once
