raft: a learner forgets a leader from which it hears nothing

A process whose replica is a learner that is cut off from the group, or whose leader has failed, names that leader for as long as it runs, and not the one that announced itself to it. A caller that asks it is sent to a process that does not lead. Cause: only voters forget their leader, when they ask for votes. Change: a replica without a vote forgets its leader after an election timeout of silence. Evidence: TestLearnerForgetsSilentLeader failed before and passes; tests of raft pass, random faults included.

--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -93,7 +93,14 @@
 		n.tickLeader()
 		return
 	}
-	if n.ticksElapsed >= n.electionTimeoutTicks && n.isVoter(n.id) && n.promiseExpired() {
+	if n.ticksElapsed < n.electionTimeoutTicks {
+		return
+	}
+	if !n.isVoter(n.id) {
+		n.leader = "" // it may have failed, or this replica may have been removed
+		return
+	}
+	if n.promiseExpired() {
 		n.startPreVote()
 	}
 }
--- a/internal/raft/node_test.go
+++ b/internal/raft/node_test.go
@@ -250,3 +250,22 @@
 	assert.Equal(t, s.Index, uint64(10))
 	assert.Equal(t, s.Term, uint64(4))
 }
+
+// Guards against a learner that names a leader from which it has heard nothing since: it may
+// have been removed from the group while it was cut off, and learns of no later leader.
+func TestLearnerForgetsSilentLeader(t *testing.T) {
+	const start = time.Second
+	n := New(Config{ID: "b", Now: start, Membership: &peerv1.RaftMembership{
+		Voters: []*peerv1.RaftReplica{{Id: "a"}}, Learners: []*peerv1.RaftReplica{{Id: "b"}},
+	}})
+	n.Step(start, &peerv1.RaftMessage{Type: peerv1.RaftMessage_HEARTBEAT, From: "a", To: "b", Term: 1, Generation: 1})
+	assert.Equal(t, n.Status().Leader, "a")
+	for i := 1; i <= electionTicksMax; i++ {
+		if i == electionTicksMin {
+			assert.Equal(t, n.Status().Leader, "a")
+		}
+		n.Tick(start + time.Duration(i)*TickInterval)
+	}
+	assert.Equal(t, n.Status().Leader, "")
+	assert.Equal(t, n.Status().Role, Follower)
+}
