dispatch: the renewal of a lease does not wait for the commit of ends

While the commit of one end takes longer than the lease, the other attempts on the worker are ended by the worker and start again. Cause: the goroutine that renews a worker's lease waited for each commit of ends that the worker had listed, up to 3 s; a short lease is 1.8 s. Class: urgent work behind work without a bound, as with the heartbeats of the group. Change: it waits for a third of the lease, then renews and waits again. Ends are not processed again while their commit is in progress. Evidence: TestLeaseIsRenewedWhileEndIsCommitted failed before with two starts of a task and passes; tests of dispatch pass, also with the race detector.

--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -54,6 +54,10 @@
 // the order was never sent.
 const orphanTimeout = proposeTimeout + time.Second
 
+// commitWaitDivisor is the part of the lease for which its renewal waits for the commit of
+// listed ends: a renewal that fails must leave time for others.
+const commitWaitDivisor = 3
+
 // processListing compares a listing with the attempts that are committed to the
 // worker: it stops unwanted and stalled attempts and commits the ends of others.
 // sent is when the call was sent.
@@ -75,6 +79,9 @@
 		}
 	}
 	s.pace(listing, &state)
+	if !s.awaitCommit(state.shortLease) {
+		return // these ends are listed again
+	}
 	lastEnd := state.acknowledgedEnd
 	var ends []cell.AttemptEnd
 	for i := range listing.Ended {
@@ -102,21 +109,55 @@
 	if len(ends) == 0 && lastEnd == state.acknowledgedEnd && !alive {
 		return
 	}
-	if err := s.t.commitEnds(&cell.RecordEnds{Worker: s.target.ID, Born: s.born, LastEnd: lastEnd, Ends: ends, Alive: alive}); err != nil {
+	committed := make(chan struct{})
+	s.commitInProgress = committed
+	s.t.spawn(func() {
+		defer close(committed)
+		s.commitListed(&cell.RecordEnds{Worker: s.target.ID, Born: s.born, LastEnd: lastEnd, Ends: ends, Alive: alive}, now)
+	})
+	s.awaitCommit(state.shortLease)
+}
+
+// awaitCommit waits for the commit of listed ends that is in progress, but not for so long
+// that the lease of the worker's other attempts could expire. It reports whether none is in
+// progress any more.
+func (s *session) awaitCommit(shortLease bool) bool {
+	if s.commitInProgress == nil {
+		return true
+	}
+	lease := s.t.lease
+	if shortLease {
+		lease = s.t.shortLease
+	}
+	timer := time.NewTimer(lease / commitWaitDivisor)
+	defer timer.Stop()
+	select {
+	case <-s.commitInProgress:
+		s.commitInProgress = nil
+		return true
+	case <-timer.C:
+	case <-s.ctx.Done():
+	}
+	return false
+}
+
+// commitListed commits ends of attempts that were listed at the time now.
+func (s *session) commitListed(c *cell.RecordEnds, now time.Duration) {
+	if err := s.t.commitEnds(c); err != nil {
 		s.t.leader.Logger.Warn("failed to commit ends of attempts", logging.Step("note ends"), logging.Peer(s.target.ID), logging.Error(err))
 		s.t.pause(retryDelay)
 		return
 	}
-	for i := range ends {
-		e := &ends[i]
+	for i := range c.Ends {
+		e := &c.Ends[i]
 		s.t.leader.metrics.countEnd(e.Outcome)
 		s.t.leader.Logger.Info("attempt ended", logging.Step("note ends"), logging.Job(e.Task.Job), "task", position(e.Task), "run", e.Run, logging.Peer(s.target.ID),
 			"how", e.Outcome.String(), "took_ms", s.runTimeOf(e, now).Milliseconds())
 	}
-	s.t.logEndedJobs(ends)
+	s.t.logEndedJobs(c.Ends)
 	s.mu.Lock()
-	for i := range ends {
-		delete(s.attempts, attemptKey{ends[i].Task, ends[i].Run})
+	for i := range c.Ends {
+		delete(s.attempts, attemptKey{c.Ends[i].Task, c.Ends[i].Run})
 	}
 	s.mu.Unlock()
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -54,6 +54,9 @@
 	wake   chan struct{}
 	// idle is set while run waits for attempts.
 	idle atomic.Bool
+	// commitInProgress is closed when the commit of listed ends is done; nil if there is
+	// none. Only the goroutine of run uses it.
+	commitInProgress chan struct{}
 
 	mu    sync.Mutex
 	clock workerClock
