dispatch: a gang in an idle cell requests advice until it can start

Callers: an accepted gang is never started although most workers are free (LOST). It is a single job beside others that are done, and only a change of the leader, which forgets the advice, can free it.

Cause: liveness that depends on an estimate without feedback. After the first answers a gang requests advice on as many workers as should hold its missing tasks by the share that is allowed on average in its queue. Whether the request is worth a call is decided by the share in the step's own answers.

Evidence: TestGangStartsAfterUnluckyFirstRequest, 90 empty workers, the first 30 of them not allowed, a gang of 15 that has one worker each. Before: overload_test.go:190: assertion failed: active (cell.JobState) != complete (cell.Complete cell.JobState) after 20 s.

Change: if the workers have room for all missing tasks, the requests are left to processes without others, as further requests of a step are. Each names workers that were not asked about, so a gang makes a bounded number of them, and a busy cell none.

Measured: the test passes, the job ends within 20 s.

--- a/internal/dispatch/advice_plan.go
+++ b/internal/dispatch/advice_plan.go
@@ -87,7 +87,10 @@
 
 // queryMore requests advice on further workers for a step that lacks room for a number of
 // tasks. It returns false if there are none, or none that are worth a request; if only no
-// process is free for the request, it returns true, and a later plan requests it.
+// process is free for the request, it returns true, and a later plan requests it. Workers
+// that are not worth a request, but have room for all missing tasks, are left to processes
+// without other requests: few allowed workers among those in earlier requests do not show
+// that the others are not allowed.
 func (p *planner) queryMore(rs *readyStep, missing int) bool {
 	if !p.mayRequest(rs, rs.advice) {
 		withRoom, _ := p.unanswered(rs, rs.advice)
@@ -98,13 +101,26 @@
 		return true
 	}
 	more := p.workersToQuery(rs, rs.advice, missing)
-	if len(more) == 0 || rs.step.Gang && !p.worthQuerying(rs, rs.advice, more, missing) {
+	if len(more) == 0 {
 		return false
 	}
+	if rs.step.Gang && !p.worthQuerying(rs, rs.advice, more, missing) {
+		return p.haveRoom(rs, more, missing) && p.requestAdviceIfIdle(rs, more)
+	}
 	p.requestAdvice(rs, more, nil)
 	return true
 }
 
+// haveRoom reports whether workers have room for a number of tasks of the step now.
+func (p *planner) haveRoom(rs *readyStep, workers []*candidate, tasks int) bool {
+	for _, c := range workers {
+		if fits(rs, c) {
+			tasks -= p.tasksThatFit(rs, c)
+		}
+	}
+	return tasks <= 0
+}
+
 // queryCount returns how many of a number of workers a gang requests advice on at the same
 // time, those with room first: full requests until the workers that are likely to be allowed
 // hold the missing tasks. Requests that follow each other would delay the gang by a whole
@@ -215,12 +231,20 @@
 // requestAdvice makes requests for advice on the workers, as few as the allowed size
 // permits.
 func (p *planner) requestAdvice(rs *readyStep, workers []*candidate, held []cell.Placement) {
-	p.requestAdviceWith(rs, workers, held, nil)
+	p.requestAdviceWith(rs, workers, held, nil, false)
+}
+
+// requestAdviceIfIdle makes the requests for which there are processes without others, and
+// reports whether there are any.
+func (p *planner) requestAdviceIfIdle(rs *readyStep, workers []*candidate) bool {
+	before := len(p.adviceRequests)
+	p.requestAdviceWith(rs, workers, nil, nil, true)
+	return len(p.adviceRequests) > before
 }
 
 // requestAdviceWith makes requests for advice as far as processes can take them. The stops
 // are made with the first of them.
-func (p *planner) requestAdviceWith(rs *readyStep, workers []*candidate, held []cell.Placement, stops []victim) {
+func (p *planner) requestAdviceWith(rs *readyStep, workers []*candidate, held []cell.Placement, stops []victim, onlyIfIdle bool) {
 	size := maxAdviceWorkers
 	if held != nil {
 		size = maxRenewals
@@ -232,7 +256,7 @@
 		if i == 0 {
 			q.stops = stops
 		}
-		q.onlyIfIdle = i > 0 && held == nil
+		q.onlyIfIdle = onlyIfIdle || i > 0 && held == nil
 		if p.request(q) {
 			p.adviceRequests = append(p.adviceRequests, q)
 			continue
--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -152,3 +152,41 @@
 		assert.Equal(t, steps[0].key.Job, c.wantFirst, c.name)
 	}
 }
+
+// startingAt allows the workers from an id on at once.
+type startingAt string
+
+func (f startingAt) Ask(_ context.Context, _ string, q *cellapi.AdviceRequest) *cellapi.AdviceReply {
+	reply := &cellapi.AdviceReply{Tickets: map[string]string{}}
+	for _, w := range q.Workers {
+		if w >= string(f) {
+			reply.Tickets[w] = "t"
+		}
+	}
+	return reply
+}
+
+// Guards against a gang that never starts in an idle cell because few of the workers in its
+// first request are allowed, so that no further request seems worth a call.
+func TestGangStartsAfterUnluckyFirstRequest(t *testing.T) {
+	const workers, tasks = 3 * maxAdviceWorkers, maxAdviceWorkers / 2
+	terms := cell.AdviceTerms{DecideMS: 430, PerWorkerMS: 6.2, ValidityMS: 2000}
+	runCellWith(t, 0, func(c *Config) { c.AdviceClient = startingAt(fmt.Sprintf("w%02d", maxAdviceWorkers)) }, func(b *testCell) {
+		b.do(&cellapi.Call{Configure: &cell.Configuration{
+			Version: 2, Services: []cell.Service{{Name: service}},
+			Queues: []cell.Queue{{Name: "q", Host: "h", Prefix: queuePath, Service: service, TimeoutMS: 1000, MaxFailures: 3, ObjectiveMS: 3000, Stretch: 1, Public: true, Advice: &terms}},
+		}})
+		for i := range workers {
+			b.register(fmt.Sprintf("w%02d", i), 1, i)
+		}
+		gang := taskStep(tasks, 3)
+		gang.Gang = true
+		b.submit(jobID1, gang)
+		for range 40 {
+			b.leader.currentTerm().advice.announce("p0", b.leader.Clock.Now())
+			b.reportAll()
+			time.Sleep(500 * time.Millisecond)
+		}
+		assert.Equal(t, b.state(queuePath, jobID1), cell.Complete)
+	})
+}
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -148,7 +148,7 @@
 			workers = append(workers, c)
 		}
 	}
-	p.requestAdviceWith(rs, workers, held, stops)
+	p.requestAdviceWith(rs, workers, held, stops, false)
 }
 
 // preemptibleTask is a task that may be preempted, with its job and queue.
