dispatch: ends are committed once while commits are slow

While a commit takes longer than a third of the lease, each end that is being committed is committed a second time, and counted twice in the statistics of queues and workers.

Class: work that is repeated because commits are slow, and makes them slower; a read before a wait is used after it.

Evidence: TestEndIsCommittedOnceWhileCommitsAreSlow, a commit of 2.5 s. Before: orphan_test.go:157: assertion failed: 2 (commits int) != 1 (int)

Change: after the wait for an earlier commit the worker's record is read again.

Measured: the test passes 20 times; the tests of dispatch pass, those of ends, leases and attempts also with the race detector.

--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -79,8 +79,13 @@
 		}
 	}
 	s.pace(listing, &state)
-	if !s.awaitCommit(state.shortLease) {
-		return // these ends are listed again
+	if s.commitInProgress != nil {
+		if !s.awaitCommit(state.shortLease) {
+			return // these ends are listed again
+		}
+		if state = s.workerState(); state.gone {
+			return
+		}
 	}
 	lastEnd := state.acknowledgedEnd
 	var ends []cell.AttemptEnd
@@ -119,12 +124,9 @@
 }
 
 // awaitCommit waits for the commit of listed ends that is in progress, but not for so long
-// that the lease of the worker's other attempts could expire. It reports whether none is in
-// progress any more.
+// that the lease of the worker's other attempts could expire. It reports whether the commit
+// is done.
 func (s *session) awaitCommit(shortLease bool) bool {
-	if s.commitInProgress == nil {
-		return true
-	}
 	lease := s.t.lease
 	if shortLease {
 		lease = s.t.shortLease
--- a/internal/dispatch/orphan_test.go
+++ b/internal/dispatch/orphan_test.go
@@ -134,3 +134,26 @@
 		assert.Equal(t, b.startCount("00000000000000b8", 0), 1)
 	})
 }
+
+// Guards against ends that are counted and committed again, when commits are slow already,
+// because they are compared with the state before their commit.
+func TestEndIsCommittedOnceWhileCommitsAreSlow(t *testing.T) {
+	const delay = 2500 * time.Millisecond // shorter than proposeTimeout, longer than a renewal waits for a commit
+	commits := 0
+	runCellWith(t, 1, func(c *Config) {
+		log := &slowLog{fakeLog: c.Log.(*fakeLog), entryTime: time.Millisecond}
+		c.Log = &hookedLog{log, func(c *cell.Command) bool {
+			if c.RecordEnds != nil && len(c.RecordEnds.Ends) > 0 {
+				if commits++; commits == 1 {
+					log.pause(delay)
+				}
+			}
+			return true
+		}}
+	}, func(b *testCell) {
+		b.submit(jobID1, taskStep(1, 1))
+		b.waitForState(jobID1, cell.Complete, 2*time.Second+delay)
+		time.Sleep(delay)
+		assert.Equal(t, commits, 1)
+	})
+}
