dispatch: no starts on workers whose capacity was not reported lately

After 3 s or more without a leader, or while the reports of a worker do not arrive, tasks are started on a worker that has shrunk longer than the three seconds and one report ago for which its old capacity still holds (LIMIT). Cause: the time of the last contact was also set by answers to lease renewals and by the beginning of a term, but neither states the capacity. The clock of a worker, which the first renewal shows, was all that a new leader waited for. Class: a decision on data older than the answer that made it look current. Change: a session knows when the worker sent the newest report that its record agrees with: none at first if an earlier leader left the record; a report counts from its sending, as far as the worker's clock shows it, and one that changes the record after its commit. A worker gets attempts, and start orders for those committed, only within 4 s of it. The model of the test is independent of the state; its reports are lost, late and in another order, its stops take time, leaders change and the state is restored. Measured: tests of dispatch, cellnode and platform pass. With the race detector only TestCommitsAreNotDelayedByLongPlans failed (load 27): 2 of 4 runs with the change, 2 of 4 without it.

--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -91,6 +91,8 @@
 	crashes    func(task cell.TaskKey) bool
 	onCrash    func(id string)
 	crashDelay time.Duration
+	// started, if not nil, is called for each attempt that a worker starts.
+	started func(id string, w *fakeWorker)
 }
 
 type fakeWorker struct {
@@ -113,6 +115,8 @@
 	// startDelay, if not 0, is how late the worker carries out start orders; it
 	// sends no answer to them.
 	startDelay time.Duration
+	// stopDuration is how long a stop takes; the attempt is listed as running until then.
+	stopDuration time.Duration
 	// taskDuration is how long a task takes, and outcome is how it ends.
 	taskDuration time.Duration
 	outcome      cell.Outcome
@@ -142,6 +146,7 @@
 	return &fakeWorker{
 		born: born, clockAt: time.Now(), running: map[attemptKey]*fakeRun{}, rejectedRuns: map[cell.TaskKey]uint32{},
 		taskDuration: earlier.taskDuration, outcome: earlier.outcome, serving: earlier.serving,
+		stopDuration: earlier.stopDuration,
 	}
 }
 
@@ -174,6 +179,21 @@
 	w.ends = append(w.ends, ListedEnd{Number: w.lastEnd, AttemptEnd: cell.AttemptEnd{Task: k.task, Run: k.run, Outcome: outcome}})
 }
 
+// endAfter ends an attempt that is being stopped. The caller holds f.mu.
+func (w *fakeWorker) endAfter(k attemptKey, f *fakeFleet) {
+	if w.stopDuration == 0 {
+		w.end(k, cell.EndedEarly)
+		return
+	}
+	time.AfterFunc(w.stopDuration, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if w.running[k] != nil {
+			w.end(k, cell.EndedEarly)
+		}
+	})
+}
+
 // reachable returns a worker, or an error after ctx has ended if it is
 // unreachable.
 func (f *fakeFleet) reachable(ctx context.Context, t Target) (*fakeWorker, error) {
@@ -236,6 +256,9 @@
 	w.running[k] = &fakeRun{began: time.Now(), endsAt: time.Now().Add(w.taskDuration)}
 	f.starts[fmt.Sprint(o.Task)]++
 	f.checkSingleRun(o.Task)
+	if f.started != nil {
+		f.started(id, w)
+	}
 	if f.crashes != nil && f.crashes(o.Task) {
 		if f.crashDelay == 0 {
 			f.crash(id, w)
@@ -285,7 +308,7 @@
 	}
 	w.rejectedRuns[o.Task] = max(w.rejectedRuns[o.Task], o.Run)
 	if k := (attemptKey{o.Task, o.Run}); w.running[k] != nil {
-		w.end(k, cell.EndedEarly)
+		w.endAfter(k, f)
 	}
 	return OrderReply{Answer: Done, ClockMS: w.clock()}, nil
 }
@@ -501,7 +524,10 @@
 	defer b.fleet.mu.Unlock()
 	for id, w := range b.fleet.workers {
 		if t := b.leader.currentTerm(); t != nil && !w.unreachable {
-			t.observeReport(&cellapi.Report{Register: cell.Register{ID: id, Born: w.born}, Sequence: uint64(time.Since(b.fleet.began)), ClockMS: w.clock()})
+			r := &cellapi.Report{Register: cell.Register{ID: id, Born: w.born}, Sequence: uint64(time.Since(b.fleet.began)), ClockMS: w.clock()}
+			if t.observeReport(r) {
+				t.confirmRecord(r, b.leader.Clock.Now())
+			}
 		}
 	}
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -240,10 +240,10 @@
 	t.mu.Lock()
 	firstSeen := t.times[p.Task.OccurrenceKey()].firstSeen
 	t.mu.Unlock()
-	found := false
+	found, current := false, s.recordIsCurrent(t.leader.Clock.Now())
 	t.leader.Store.View(func(v *cell.View) {
 		j, w := v.Job(p.Task.Job), v.Worker(p.Worker)
-		if j == nil || j.State != cell.Active || w == nil || w.Overcommitted() {
+		if j == nil || j.State != cell.Active || w == nil || !current || w.Overcommitted() {
 			return
 		}
 		found = true
@@ -254,8 +254,8 @@
 		}
 	})
 	if !found {
-		// The job was cancelled, or the worker has shrunk, between the commit and the
-		// order, so the attempt never starts.
+		// The job was cancelled, or the worker has shrunk or may have, between the commit
+		// and the order, so the attempt never starts.
 		t.spawn(func() {
 			if err := t.commitUnstarted(p.Worker, p.Born, p.Task, p.Run); err != nil {
 				t.leader.Logger.Warn("failed to commit the end of an attempt that did not start", logging.Step("note ends"), logging.Peer(p.Worker), logging.Error(err))
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -229,6 +229,7 @@
 // processReport processes a worker's report. A report that changes the worker's
 // record is committed before it is acknowledged.
 func (t *term) processReport(ctx context.Context, r *cellapi.Report) (reply *cellapi.Reply, committed bool) {
+	arrived := t.leader.Clock.Now()
 	r.Number = r.Sequence
 	changed, unknownService := true, false
 	t.leader.Store.View(func(v *cell.View) {
@@ -249,6 +250,9 @@
 		return &cellapi.Reply{Verdict: cell.Accepted}, false
 	}
 	if inOrder := t.observeReport(r); !changed || !inOrder && !r.Deregistered {
+		if inOrder {
+			t.confirmRecord(r, arrived)
+		}
 		return &cellapi.Reply{Verdict: cell.Accepted}, false
 	}
 	r.Started = t.startedBefore(&r.Register)
@@ -256,6 +260,7 @@
 	if err != nil {
 		return t.leader.failure(err), true
 	}
+	t.confirmRecord(r, arrived)
 	t.logCrashes(result)
 	t.leader.Logger.Info("worker registered", logging.Step("register"), logging.Peer(r.ID), "address", r.Address, "born", r.Born, "draining", r.Draining, "left", r.Deregistered)
 	return &cellapi.Reply{Verdict: cell.Accepted}, true
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -41,6 +41,9 @@
 	// maxReportSilence is how long a worker may be without contact before it gets
 	// no new attempts: three intervals of its reports.
 	maxReportSilence = 4500 * time.Millisecond
+	// maxRecordAge is how long after its newest report a worker may get new attempts: its
+	// answers to orders do not show whether it has shrunk since.
+	maxRecordAge = 4 * time.Second
 )
 
 // session manages one incarnation of a worker during a term: it sends orders,
@@ -64,6 +67,11 @@
 	// last reported or answered a lease renewal.
 	sequence    uint64
 	lastContact time.Duration
+	// recordAt is when the worker sent the newest report that its record agrees with. It
+	// is valid if recordConfirmed is set: an earlier leader may have had the last report long
+	// before this term.
+	recordAt        time.Duration
+	recordConfirmed bool
 	// failing is set from a failed lease renewal until the next successful one.
 	failing bool
 	// lastUnanswered and lastAnswered are when the newest calls without and with
@@ -91,7 +99,7 @@
 	ctx, cancel := context.WithCancel(t.ctx)
 	s := &session{
 		t: t, target: Target{w.ID, w.Address}, born: w.Born, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1),
-		lastContact: t.leader.Clock.Now(), fillerPace: fullPace, attempts: map[attemptKey]*attemptInfo{},
+		lastContact: t.leader.Clock.Now(), recordAt: t.leader.Clock.Now(), recordConfirmed: !inherited, fillerPace: fullPace, attempts: map[attemptKey]*attemptInfo{},
 	}
 	if inherited {
 		// A margin of twice the drift covers a lease of the earlier leader even on
@@ -139,8 +147,33 @@
 	return true
 }
 
+// confirmRecord records that the worker's record agrees with a report that arrived at a
+// time.
+func (s *session) confirmRecord(r *cellapi.Report, arrived time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := arrived
+	if s.clock.known && r.ClockMS > 0 {
+		delay := time.Duration(max(0, s.clock.atLeast(arrived)-r.ClockMS)) * time.Millisecond
+		at -= delay
+	}
+	if !s.recordConfirmed || at > s.recordAt {
+		s.recordAt, s.recordConfirmed = at, true
+	}
+}
+
+// recordIsCurrent reports whether the worker's record is recent enough for new attempts.
+func (s *session) recordIsCurrent(now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.recordConfirmed && now-s.recordAt < maxRecordAge
+}
+
 // usable reports whether the worker may get new attempts.
 func (s *session) usable(now time.Duration) bool {
+	if !s.recordIsCurrent(now) {
+		return false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	silent := s.lastUnanswered > s.lastAnswered
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -242,6 +242,14 @@
 	return s == nil || s.observeReport(r, t.leader.Clock.Now())
 }
 
+// confirmRecord passes a report that agrees with its worker's record to the worker's
+// session.
+func (t *term) confirmRecord(r *cellapi.Report, arrived time.Duration) {
+	if s := t.session(r.ID, r.Born); s != nil {
+		s.confirmRecord(r, arrived)
+	}
+}
+
 // stopUnwanted sends stop orders for attempts whose job has ended or whose gang is
 // no longer complete.
 func (t *term) stopUnwanted() {
