dispatch: a report that is committed late no longer counts as current

A worker that has shrunk gets starts beyond its capacity when the commit of an earlier, larger capacity is delayed by more than 4.5 s. Cause: a report is compared with the record, but reports that are being committed are not in it. A newer report that agreed with the record before the commit was neither committed nor compared again. Class: a check against a state that changes between check and effect. Change: when a report is applied that is older than the newest of its worker, the record does not count as current until the next report. Evidence: TestLateCommitOfReportDoesNotRestoreCapacity failed before (3 cores on a worker of 1) and passes. Measured: tests of dispatch pass; with the race detector those of capacity, reports, crashes, leaders and upkeep.

--- a/internal/dispatch/capacity_test.go
+++ b/internal/dispatch/capacity_test.go
@@ -223,3 +223,34 @@
 		})
 	}
 }
+
+// Guards against starts after the late commit of a report that newer reports, which agreed
+// with the record at their time, have overtaken.
+func TestLateCommitOfReportDoesNotRestoreCapacity(t *testing.T) {
+	log := &slowLog{entryTime: time.Millisecond}
+	runCellWith(t, 1, func(c *Config) {
+		log.fakeLog = c.Log.(*fakeLog)
+		c.Log = log
+	}, func(b *testCell) {
+		m := newCapacityModel(b, 0)
+		m.resize("w0", 1)
+		m.report("w0", 0)
+		time.Sleep(100 * time.Millisecond)
+		m.submit(jobID1, 1, 3)
+		m.resize("w0", 4)
+		log.pause(8 * time.Second)
+		m.report("w0", 0)
+		time.Sleep(100 * time.Millisecond)
+		m.resize("w0", 1)
+		for range 6 {
+			m.report("w0", 0)
+			time.Sleep(reportInterval)
+		}
+		m.check(t)
+		m.resize("w0", 4)
+		m.report("w0", 0)
+		time.Sleep(time.Second)
+		m.check(t)
+		assert.Equal(t, b.startCount(jobID1, 0), 1)
+	})
+}
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -165,6 +165,7 @@
 	}
 	if t := l.currentTerm(); t != nil && c.Register != nil {
 		if s := t.session(c.Register.ID, c.Register.Born); s != nil {
+			s.recordChanged(c.Register)
 			s.wakeUp()
 		}
 	}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -147,11 +147,24 @@
 	return true
 }
 
+// recordChanged records that a report was applied. Newer ones may have agreed with the
+// record as it was before.
+func (s *session) recordChanged(r *cell.Register) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.Number < s.sequence {
+		s.recordConfirmed = false
+	}
+}
+
 // confirmRecord records that the worker's record agrees with a report that arrived at a
-// time.
+// time, unless a newer one has arrived since.
 func (s *session) confirmRecord(r *cellapi.Report, arrived time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if r.Sequence < s.sequence {
+		return
+	}
 	at := arrived
 	if s.clock.known && r.ClockMS > 0 {
 		delay := time.Duration(max(0, s.clock.atLeast(arrived)-r.ClockMS)) * time.Millisecond
