cell: registrations without a number are not late

While a leader of the release before the reports had numbers leads newer replicas, these drop its registrations of a worker that has a number: they would go on with its old capacity, or start tasks on it while it drains. Cause: a missing number is 0 and less than any other. Class: a default of a new field that has a meaning of its own. Change: only a report with a number can be late. Evidence: TestRegistrationWithoutNumberIsNotLate failed before (capacity 4000 instead of 2000) and passes. Measured: tests of cell pass, also with the race detector. Replicas differ then in these counts.

--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -108,9 +108,9 @@
 func (w *Worker) Overcommitted() bool { return !structs.Resources{}.Fits(w.Free()) }
 
 // IsLate reports whether a report is older than one that has changed the record of the
-// same incarnation.
+// same incarnation. Reports without a number, which earlier releases commit, are not.
 func (w *Worker) IsLate(r *Register) bool {
-	return r.Born == w.Born && r.Number < w.LastReport && !r.Deregistered
+	return r.Born == w.Born && r.Number > 0 && r.Number < w.LastReport && !r.Deregistered
 }
 
 // Usable reports whether new attempts may be committed to the worker.
