dispatch: suspects of daemons wait for a worker of their own for 2 s only

A daemon task under which two workers may have crashed is not started for up to 15 s although workers have room; a daemon task must run again 6 s after its last run and 3 s of room (LOST), however full the service is. Cause: the time for which suspects wait depended only on how full the service is. Class: a wait without regard to the deadline of what waits. Change: for daemons the short time applies. Evidence: TestSuspectDaemonsWaitBriefly failed before (not placed after 2 s) and passes. Measured: tests of dispatch about suspects, crashes and isolation pass.

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -466,3 +466,20 @@
 	assert.Equal(t, fitCount(size, structs.Resources{MilliCPU: 8000}), 0)
 	assert.Equal(t, fitCount(size, structs.Resources{MilliCPU: 8000, Accelerators: 5}), 2)
 }
+
+// Guards against suspects of daemons, whose service is down, that wait for long although
+// workers have room.
+func TestSuspectDaemonsWaitBriefly(t *testing.T) {
+	var kept isolation
+	for _, now := range []time.Duration{0, idleIsolationTimeout - 1, idleIsolationTimeout} {
+		p := newPlanner(1, nil)
+		p.isolation = kept
+		p.now += now
+		p.runOn(0, "other", 40)
+		rs := p.newSuspectStep("s", 0)
+		rs.step.Daemon = true
+		p.planSteps([]*readyStep{rs})
+		kept = p.isolation
+		assert.Equal(t, len(p.placements) == 1, now == idleIsolationTimeout, "after %v", now)
+	}
+}
--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -13,7 +13,8 @@
 	settleTime = 10 * time.Second
 	// isolationTimeout is how long suspects wait for a worker without other jobs before
 	// they start beside others: some workers never become free of other jobs. Where most
-	// of the capacity is free, jobs must not wait and idleIsolationTimeout applies.
+	// of the capacity is free, and for daemons, suspects must not wait and
+	// idleIsolationTimeout applies.
 	isolationTimeout     = 15 * time.Second
 	idleIsolationTimeout = 2 * time.Second
 	// maxEmptiedWorkers is how many workers are kept free for suspects at a time.
@@ -237,7 +238,7 @@
 		}
 	}
 	placed := p.placeRound(rs, suspects, empty, len(suspects))
-	if since, waits := p.isolation.since[rs.key]; waits && p.now-since >= p.isolationTimeout(rs.queue.Service) {
+	if since, waits := p.isolation.since[rs.key]; waits && p.now-since >= p.isolationTimeout(rs) {
 		placed = append(placed, p.placeRound(rs, suspects[len(placed):], shared, len(suspects))...)
 	}
 	for i := range placed {
@@ -249,11 +250,14 @@
 	return placed
 }
 
-// isolationTimeout returns how long suspects wait for a worker of a service.
-func (p *planner) isolationTimeout(service string) time.Duration {
+// isolationTimeout returns how long suspects of a step wait for a worker without other jobs.
+func (p *planner) isolationTimeout(rs *readyStep) time.Duration {
+	if rs.step.Daemon {
+		return idleIsolationTimeout
+	}
 	var free, capacity structs.Resources
 	for _, c := range p.candidates {
-		if c.service == service {
+		if c.service == rs.queue.Service {
 			free, capacity = free.Add(c.free), capacity.Add(c.worker.Capacity)
 		}
 	}
