dispatch: suspects do not shut other jobs out for longer than 15 s

Cause: suspects stop waiting for a worker of their own after a while, but the jobs that their workers are closed to waited without a limit. Class: a wait without a bound. Change: a step that finds room only on workers with suspects of other jobs may use them after 15 s, that of a daemon after 2 s. Evidence: TestJobsStartBesideSuspectsAfterTimeout, in a form with the same cases, failed before (not placed after 15 s) and passes. Measured: tests of dispatch pass; with the race detector those of suspects, crashes, plans, gangs, advice and preemption.

--- a/internal/dispatch/advice_plan.go
+++ b/internal/dispatch/advice_plan.go
@@ -54,7 +54,7 @@
 	for _, c := range group {
 		answered, room := advice.hasAnswerFor(c), hasRoom(rs, c)
 		switch {
-		case !answered && room && c.admits(rs.job.ID):
+		case !answered && room && rs.mayJoin(c):
 			withRoom = append(withRoom, c)
 			continue
 		case !answered:
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -467,6 +467,34 @@
 	assert.Equal(t, fitCount(size, structs.Resources{MilliCPU: 8000, Accelerators: 5}), 2)
 }
 
+// Guards against jobs that do not start although workers have room, because suspects of
+// other jobs run on all of them.
+func TestJobsStartBesideSuspectsAfterTimeout(t *testing.T) {
+	for _, kind := range []string{"plain", "gang", "daemon"} {
+		timeout := shutOutTimeout
+		if kind == "daemon" {
+			timeout = daemonShutOutTimeout
+		}
+		var kept isolation
+		for _, now := range []time.Duration{0, timeout - 1, timeout} {
+			p := newPlanner(2, nil)
+			p.isolation = kept
+			p.now += now
+			for i, c := range p.candidates {
+				p.runOn(i, c.id, 10)
+				c.isolatedFor = c.id
+			}
+			step := newGangStep(2, 8)
+			step.Gang, step.Daemon = kind == "gang", kind == "daemon"
+			rs := p.newReadyStep("a", 0, step)
+			rs.queue.Advice = nil
+			p.planSteps([]*readyStep{rs})
+			kept = p.isolation
+			assert.Equal(t, len(p.placements), map[bool]int{true: 2}[now == timeout], "%s, after %v", kind, now)
+		}
+	}
+}
+
 // Guards against suspects of daemons, whose service is down, that wait for long although
 // workers have room.
 func TestSuspectDaemonsWaitBriefly(t *testing.T) {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -106,8 +106,10 @@
 	lastPreemption map[cell.StepKey]time.Duration
 	// isolation is updated by the plan. crashedSteps are the ready steps with tasks under
 	// which workers may have crashed.
+	// isolating is set if suspects have workers for themselves.
 	isolation    isolation
 	crashedSteps map[cell.StepKey]bool
+	isolating    bool
 	plan
 }
 
@@ -295,6 +297,7 @@
 func (p *planner) planNext(readySteps []*readyStep, mayContinue func() bool) []*readyStep {
 	for i, rs := range readySteps {
 		rs.waitsFor = p.planStep(rs)
+		p.recordShutOut(rs)
 		p.waiting[rs.waitsFor]++
 		if !mayContinue() {
 			return readySteps[i+1:]
--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -120,7 +120,7 @@
 }
 
 // fits reports whether a worker of the step's group can take one task of it now.
-func fits(rs *readyStep, c *candidate) bool { return hasRoom(rs, c) && c.admits(rs.job.ID) }
+func fits(rs *readyStep, c *candidate) bool { return hasRoom(rs, c) && rs.mayJoin(c) }
 
 // fitting returns the workers that can take a task of the step, in the order of their IDs.
 func (p *planner) fitting(rs *readyStep, advice *stepAdvice) []*candidate {
@@ -144,7 +144,7 @@
 			continue
 		}
 		full = false
-		if !c.admits(rs.job.ID) {
+		if !rs.mayJoin(c) {
 			continue
 		}
 		if advice != nil {
@@ -240,7 +240,7 @@
 	advice := rs.advice
 	var list []*candidate
 	for _, c := range p.group(rs) {
-		if c.withheld || !c.admits(rs.job.ID) {
+		if c.withheld || !rs.mayJoin(c) {
 			continue
 		}
 		if advice != nil {
--- a/internal/dispatch/ready.go
+++ b/internal/dispatch/ready.go
@@ -55,6 +55,9 @@
 	// do not start now.
 	crashed map[int]crashedTask
 	held    map[int]bool
+	// ignoresIsolation is set if the step has waited too long for workers on which no
+	// suspects of other jobs run.
+	ignoresIsolation bool
 	// waitsFor is set by the plan.
 	waitsFor waitReason
 }
--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"laburnumgrade/internal/cell"
@@ -23,6 +24,11 @@
 	// waits until it is known whether they have crashed. It doubles with each further one.
 	resolutionTimeout      = 10 * time.Second
 	maxResolutionDoublings = 5
+	// shutOutTimeout is how long other jobs wait if only workers with suspects have room:
+	// longer than settleTime, but a suspect may follow the other. Daemons wait for
+	// daemonShutOutTimeout.
+	shutOutTimeout       = 15 * time.Second
+	daemonShutOutTimeout = 2 * time.Second
 )
 
 // isolation is what the planner remembers from plan to plan about suspects that wait for a
@@ -32,6 +38,9 @@
 	emptied map[string]cell.StepKey
 	// since is when a step first had suspects that did not find a worker.
 	since map[cell.StepKey]time.Duration
+	// shutOut is when a step first found room only on workers that other jobs' suspects
+	// have for themselves.
+	shutOut map[cell.StepKey]time.Duration
 	// unresolved holds the tasks that wait until it is known whether workers have crashed
 	// under them.
 	unresolved map[cell.TaskKey]unresolvedTask
@@ -109,6 +118,12 @@
 	return (c.isolatedFor == "" || c.isolatedFor == job) && (c.plannedSuspects == 0 || c.plannedFor == job)
 }
 
+// mayJoin reports whether tasks of the step may be placed on the worker beside the suspects
+// there.
+func (rs *readyStep) mayJoin(c *candidate) bool {
+	return rs.ignoresIsolation || c.admits(rs.job.ID)
+}
+
 // runsOnly reports whether the worker has no tasks of other jobs, including those that
 // this plan has placed there.
 func (c *candidate) runsOnly(job string) bool {
@@ -162,6 +177,47 @@
 func (p *planner) holdSuspects(readySteps []*readyStep) {
 	p.holdUnresolved(readySteps)
 	p.renewIsolation(readySteps)
+	p.endShutOuts(readySteps)
+}
+
+// endShutOuts lets the steps that were shut out for too long use workers with suspects.
+func (p *planner) endShutOuts(readySteps []*readyStep) {
+	p.isolating = slices.ContainsFunc(p.candidates, func(c *candidate) bool { return c.isolatedFor != "" })
+	if len(p.isolation.shutOut) == 0 {
+		return
+	}
+	shutOut := map[cell.StepKey]time.Duration{}
+	for _, rs := range readySteps {
+		if since, known := p.isolation.shutOut[rs.key]; known {
+			shutOut[rs.key] = since
+			timeout := shutOutTimeout
+			if rs.step.Daemon {
+				timeout = daemonShutOutTimeout
+			}
+			rs.ignoresIsolation = p.now-since >= timeout
+		}
+	}
+	p.isolation.shutOut = shutOut
+}
+
+// recordShutOut records whether a step that waits for room would have some on workers that
+// other jobs' suspects have for themselves.
+func (p *planner) recordShutOut(rs *readyStep) {
+	if rs.waitsFor != waitsForRoom || rs.ignoresIsolation {
+		return
+	}
+	isShutOut := p.isolating && slices.ContainsFunc(p.group(rs), func(c *candidate) bool { return hasRoom(rs, c) && !c.admits(rs.job.ID) })
+	if _, known := p.isolation.shutOut[rs.key]; known == isShutOut {
+		return
+	}
+	if !isShutOut {
+		delete(p.isolation.shutOut, rs.key)
+		return
+	}
+	if p.isolation.shutOut == nil {
+		p.isolation.shutOut = map[cell.StepKey]time.Duration{}
+	}
+	p.isolation.shutOut[rs.key] = p.now
 }
 
 // holdUnresolved holds back the tasks that may not start before it is known whether
