--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -106,8 +106,10 @@
 	lastPreemption map[cell.StepKey]time.Duration
 	// isolation is updated by the plan. crashedSteps are the ready steps with tasks under
 	// which workers may have crashed.
+	// isolating is set if suspects have workers for themselves.
 	isolation    isolation
 	crashedSteps map[cell.StepKey]bool
+	isolating    bool
 	plan
 }
 
@@ -240,10 +242,10 @@
 	t.mu.Lock()
 	firstSeen := t.times[p.Task.OccurrenceKey()].firstSeen
 	t.mu.Unlock()
-	found := false
+	found, current := false, s.recordIsCurrent(t.leader.Clock.Now())
 	t.leader.Store.View(func(v *cell.View) {
 		j, w := v.Job(p.Task.Job), v.Worker(p.Worker)
-		if j == nil || j.State != cell.Active || w == nil || w.Overcommitted() {
+		if j == nil || j.State != cell.Active || w == nil || !current || w.Overcommitted() {
 			return
 		}
 		found = true
@@ -254,8 +256,8 @@
 		}
 	})
 	if !found {
-		// The job was cancelled, or the worker has shrunk, between the commit and the
-		// order, so the attempt never starts.
+		// The job was cancelled, or the worker has shrunk or may have, between the commit
+		// and the order, so the attempt never starts.
 		t.spawn(func() {
 			if err := t.commitUnstarted(p.Worker, p.Born, p.Task, p.Run); err != nil {
 				t.leader.Logger.Warn("failed to commit the end of an attempt that did not start", logging.Step("note ends"), logging.Peer(p.Worker), logging.Error(err))
@@ -295,6 +297,7 @@
 func (p *planner) planNext(readySteps []*readyStep, mayContinue func() bool) []*readyStep {
 	for i, rs := range readySteps {
 		rs.waitsFor = p.planStep(rs)
+		p.recordShutOut(rs)
 		p.waiting[rs.waitsFor]++
 		if !mayContinue() {
 			return readySteps[i+1:]
