raft, replica: heartbeats are sent and answered while the log is being stored

Cause: heartbeats stood before the disk.

So the time from the sending of a round to the reading of its answers was three to four writes. With writes of 100 ms, as they were measured on busy processors after the restart, it exceeds the lease of 400 ms, while followers still hear of the leader in time and entries are committed. A leader without a lease answers no calls and plans nothing.

Change: answers to heartbeats are among the messages that may be sent before entries are stored. They acknowledge no entries, and if the term or the vote has changed they wait for it as before. Writes run on a goroutine of their own, for which the replica's goroutine waits; meanwhile it handles heartbeats and their answers of the stored term and, on a leader, ticks. All other messages wait for the next turn.

TestHeartbeatIsNotAnsweredBeforeTermIsStored finds two deliberate faults (urgent messages while a term is being stored, a heartbeat of a later term during a write). The simulation handles heartbeats and ticks at half of the writes, with crashes after them; it does not find these two in 400 histories.

--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -68,8 +68,8 @@
 	n.messages = append(n.messages, n.withHeader(m))
 }
 
-// sendImmediately queues a message of the leader that may be sent before its own state
-// is stored.
+// sendImmediately queues a message that may be sent before the entries of the log are
+// stored.
 func (n *Node) sendImmediately(m *peerv1.RaftMessage) {
 	n.immediateMessages = append(n.immediateMessages, n.withHeader(m))
 }
--- a/internal/raft/follower.go
+++ b/internal/raft/follower.go
@@ -32,7 +32,7 @@
 func (n *Node) onHeartbeat(m *peerv1.RaftMessage) {
 	n.commitTo(m.Commit)
 	n.extendPromise()
-	n.send(&peerv1.RaftMessage{Type: peerv1.RaftMessage_HEARTBEAT_REPLY, To: m.From, Round: m.Round})
+	n.sendImmediately(&peerv1.RaftMessage{Type: peerv1.RaftMessage_HEARTBEAT_REPLY, To: m.From, Round: m.Round})
 }
 
 func (n *Node) onAppend(m *peerv1.RaftMessage) {
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -168,7 +168,8 @@
 }
 
 // Ready returns what the caller must store, send and apply; see type Ready. The caller
-// must call Advance when it has done so.
+// must call Advance when it has done so. Until then it may call only StepHeartbeat,
+// UrgentMessages and, on a leader, Tick.
 func (n *Node) Ready() Ready {
 	if n.role == Leader {
 		for _, id := range n.otherMembers() {
@@ -180,13 +181,11 @@
 	if n.log.stable < n.log.last() {
 		r.Entries = n.log.slice(n.log.stable+1, n.log.last(), maxInt)
 	}
-	hard := &peerv1.RaftHardState{Term: n.term, Vote: n.votedFor, Commit: n.log.commit, Generation: n.generation}
-	changed := hard.Term != n.storedHardState.GetTerm() || hard.Vote != n.storedHardState.GetVote() ||
-		hard.Generation != n.storedHardState.GetGeneration()
+	changed := n.hardStateChanged()
 	// A change of the commit index alone is not stored, to save a sync: after a
 	// restart the leader sends it again.
 	if changed || len(r.Entries) > 0 {
-		r.HardState = hard
+		r.HardState = &peerv1.RaftHardState{Term: n.term, Vote: n.votedFor, Commit: n.log.commit, Generation: n.generation}
 	}
 	if changed {
 		// A sole voter becomes the leader in the step in which it votes for itself.
@@ -199,6 +198,35 @@
 	return r
 }
 
+// hardStateChanged reports whether the hard state, apart from the commit index, differs from
+// the one that was stored with the last Advance.
+func (n *Node) hardStateChanged() bool {
+	s := n.storedHardState
+	return n.term != s.GetTerm() || n.votedFor != s.GetVote() || n.generation != s.GetGeneration()
+}
+
+// StepHeartbeat handles a heartbeat or the answer to one while the last Ready is being
+// stored. It returns false, and does nothing, for other messages and for those that would
+// change the hard state.
+func (n *Node) StepHeartbeat(now time.Duration, m *peerv1.RaftMessage) bool {
+	heartbeat := m.Type == peerv1.RaftMessage_HEARTBEAT || m.Type == peerv1.RaftMessage_HEARTBEAT_REPLY
+	if !heartbeat || m.Term != n.term || m.Generation != n.generation {
+		return false
+	}
+	n.Step(now, m)
+	return true
+}
+
+// UrgentMessages returns the messages that may be sent while the last Ready is being stored.
+func (n *Node) UrgentMessages() []*peerv1.RaftMessage {
+	if n.hardStateChanged() {
+		return nil
+	}
+	messages := n.immediateMessages
+	n.immediateMessages = nil
+	return messages
+}
+
 // Advance must be called when the last Ready has been handled completely, apart from
 // the work of the state machine.
 func (n *Node) Advance() {
--- a/internal/raft/node_test.go
+++ b/internal/raft/node_test.go
@@ -269,3 +269,28 @@
 	assert.Equal(t, n.Status().Leader, "")
 	assert.Equal(t, n.Status().Role, Follower)
 }
+
+// Guards against a heartbeat that is answered before the term of its leader is stored: after
+// a crash the replica could vote in an earlier term, and must not have extended a lease.
+func TestHeartbeatIsNotAnsweredBeforeTermIsStored(t *testing.T) {
+	heartbeat := func(term, round uint64) *peerv1.RaftMessage {
+		return &peerv1.RaftMessage{Type: peerv1.RaftMessage_HEARTBEAT, From: "b.1", To: "a.1", Term: term, Round: round, Generation: 1}
+	}
+	n := New(Config{ID: "a.1", Membership: votersOf("a.1", "b.1", "c.1")})
+	n.Step(0, heartbeat(2, 1))
+	r := n.Ready()
+	assert.Equal(t, r.HardState.Term, uint64(2))
+	assert.Equal(t, len(r.ImmediateMessages), 0)
+	assert.Equal(t, len(r.Messages), 1)
+	assert.Assert(t, n.StepHeartbeat(0, heartbeat(2, 2)))
+	assert.Equal(t, len(n.UrgentMessages()), 0, "the term is being stored")
+	n.Advance()
+	assert.Equal(t, len(n.UrgentMessages()), 1)
+
+	assert.Assert(t, !n.StepHeartbeat(0, heartbeat(3, 1)), "a later term has to be stored")
+	assert.Equal(t, n.Status().Term, uint64(2))
+	n.Step(0, heartbeat(2, 3))
+	r = n.Ready()
+	assert.Assert(t, r.HardState == nil)
+	assert.Equal(t, len(r.ImmediateMessages), 1)
+}
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -227,6 +227,7 @@
 			return
 		}
 		c.transmit(r.ImmediateMessages)
+		c.stepHeartbeats(s, r)
 		if s.crashAt == crashBeforeStore && (r.HardState != nil || r.Snapshot != nil) {
 			c.crash(s)
 			return
@@ -244,6 +245,26 @@
 	}
 }
 
+// stepHeartbeats handles heartbeats, and on a leader a tick, like a caller that is storing
+// a Ready.
+func (c *simCluster) stepHeartbeats(s *simNode, r Ready) {
+	if r.HardState == nil && r.Snapshot == nil || c.rng.IntN(2) == 0 {
+		return
+	}
+	var others []delayedMessage
+	for _, f := range c.inFlight {
+		cut := c.partitioned[f.m.From] != c.partitioned[f.m.To] || c.cutLinks[link(f.m.From, f.m.To)]
+		if f.m.To != s.id || cut || !s.node.StepHeartbeat(c.local(s), f.m) {
+			others = append(others, f)
+		}
+	}
+	c.inFlight = others
+	if s.node.role == Leader {
+		s.node.Tick(c.local(s))
+	}
+	c.transmit(s.node.UrgentMessages())
+}
+
 func (c *simCluster) store(s *simNode, r Ready) {
 	if r.Snapshot != nil {
 		s.snapshot = r.Snapshot
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -171,7 +171,7 @@
 	if s == nil {
 		return nil // a newer one was received
 	}
-	if err := r.cfg.Storage.SaveSnapshot(s); err != nil {
+	if err := r.write(func() error { return r.cfg.Storage.SaveSnapshot(s) }); err != nil {
 		return port.AtStep("store snapshot", "", err)
 	}
 	r.node.Compact(s)
--- a/internal/replica/doc.go
+++ b/internal/replica/doc.go
@@ -5,6 +5,7 @@
 // One goroutine per replica owns the core. In each turn it takes everything that is
 // queued (proposals, messages, calls), stores the resulting state with one sync (group
 // commit), sends messages and hands the committed entries to a second goroutine, which
-// owns the state machine. A slow state machine therefore delays no heartbeats. Other
+// owns the state machine. Heartbeats are also sent and answered while the state is being
+// stored. A slow state machine or disk therefore delays no heartbeats. Other
 // goroutines read a view of the core that is published in each turn.
 package replica
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -33,6 +33,7 @@
 	encoding      bool                 // the applier was asked for a snapshot
 	waiters       map[uint64]*proposal // proposals in the log that are not handed out, by index
 	role          raft.Role            // as last seen by recordRole
+	ticks         <-chan time.Time
 }
 
 // queue holds the input for the next turn.
@@ -142,13 +143,14 @@
 func (r *Replica) run() {
 	ticker := time.NewTicker(r.cfg.TickInterval)
 	defer ticker.Stop()
+	r.ticks = ticker.C
 	err := r.processQueue(false)
 	for err == nil {
 		select {
 		case <-r.stopRequested:
 			r.shutDown(nil)
 			return
-		case <-ticker.C:
+		case <-r.ticks:
 			err = r.processQueue(true)
 		case <-r.wake:
 			err = r.processQueue(false)
@@ -241,7 +243,7 @@
 // raft.Ready requires.
 func (r *Replica) handleReady(ready *raft.Ready) error {
 	r.send(ready.ImmediateMessages)
-	if err := r.store(ready); err != nil {
+	if err := r.write(func() error { return r.store(ready) }); err != nil {
 		return err
 	}
 	r.send(ready.Messages)
