cell, dispatch: crashes long after the start, or far apart, do not end a job

A daemon is shown as failed after its workers have crashed three times, however long it ran before each crash and however far they lie apart: any daemon of a cluster that lives long enough. Cause: a crash counts alike whenever it comes, and nothing lowers the count. Class: a counter of events without a window. Change: an attempt that has run for 10 s as far as the worker has shown it has settled: a crash under it counts, but not as a certain one, so the job ends with the fifth crash instead of the third. After 5 min the counts of the task are cleared. Both are committed when workers have crashed under the task before, so that they outlive the leader. A new leader counts the time from its first look at the attempt. A task that crashes its workers within 5 min is started five times at most, as before. Evidence: TestDaemonSurvivesCrashesThatItHardlyCauses failed before (given up after three crashes, 15 s after each start) and passes: with 15 s it is given up after the fifth crash, with 5 min never, with 2 s after the third. The model of the state follows both. Measured: tests of cell and dispatch pass, also with the race detector.

--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -154,6 +154,15 @@
 			w.Attempts[started.Task] = a
 		}
 	}
+	for _, settled := range c.Settled {
+		if a, ok := w.Attempts[settled.Task]; ok && a.Run == settled.Run {
+			a.Started = false
+			w.Attempts[settled.Task] = a
+		}
+	}
+	for _, sound := range c.Sound {
+		s.forgetCrashes(w, sound)
+	}
 	for i := range c.Ends {
 		s.recordEnd(w, &c.Ends[i])
 	}
--- a/internal/cell/command.go
+++ b/internal/cell/command.go
@@ -56,7 +56,7 @@
 	// shutting down.
 	Number uint64 `cbor:"11,keyasint,omitempty"`
 	// Started lists the attempts that had certainly started on the incarnations that this
-	// one replaces.
+	// one replaces, without settled ones.
 	Started []StartedAttempt `cbor:"12,keyasint,omitempty"`
 }
 
@@ -83,6 +83,11 @@
 	Alive bool `cbor:"5,keyasint,omitempty"`
 	// Started lists attempts that have started, as far as this has to outlive the leader.
 	Started []StartedAttempt `cbor:"6,keyasint,omitempty"`
+	// Settled lists attempts that have run for so long that a crash of the worker is hardly
+	// caused by them, and Sound those that have run for so long that earlier crashes no
+	// longer count.
+	Settled []StartedAttempt `cbor:"7,keyasint,omitempty"`
+	Sound   []StartedAttempt `cbor:"8,keyasint,omitempty"`
 }
 
 // AttemptEnd states how an attempt ended.
@@ -130,7 +135,7 @@
 type ExpireLease struct {
 	Worker string `cbor:"1,keyasint,omitempty"`
 	Born   int64  `cbor:"2,keyasint,omitempty"`
-	// Started lists the attempts that had certainly started.
+	// Started lists the attempts that had certainly started, without settled ones.
 	Started []StartedAttempt `cbor:"3,keyasint,omitempty"`
 }
 
--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -10,7 +10,7 @@
 
 const (
 	// MaxCrashes is the number of crashes under a task at which its job fails, if at least
-	// suspectCrashes of its attempts had certainly started.
+	// suspectCrashes of its attempts had certainly started and had not settled.
 	MaxCrashes = 3
 	// maxUnconfirmedCrashes is the number of crashes under a task at which its job fails in
 	// any case.
@@ -20,7 +20,7 @@
 // LostAttempt is an attempt that ended because its worker could not be reached, so that
 // the worker may have crashed under it.
 type LostAttempt struct {
-	// Started is set if the attempt had certainly started.
+	// Started is set if the attempt had certainly started and had not settled.
 	Started bool `cbor:",omitempty"`
 }
 
@@ -100,8 +100,9 @@
 }
 
 // countCrash counts a crash under a task and reports whether it has failed the task's job.
-// A worker may have been down before an attempt was to start there, so MaxCrashes crashes
-// suffice only if attempts of the task had certainly started in suspectCrashes of them.
+// A worker may have been down before an attempt was to start there, or crash long after its
+// start, so MaxCrashes crashes suffice only if attempts of the task had certainly started
+// shortly before in suspectCrashes of them.
 func (s *Store) countCrash(key TaskKey, l LostAttempt) bool {
 	task := s.activeTask(key)
 	if task == nil || task.Done {
@@ -119,6 +120,20 @@
 	return true
 }
 
+// forgetCrashes drops the proven crashes under the task of an attempt.
+func (s *Store) forgetCrashes(w *Worker, attempt StartedAttempt) {
+	a, ok := w.Attempts[attempt.Task]
+	task := s.activeTask(attempt.Task)
+	if !ok || a.Run != attempt.Run || task == nil {
+		return
+	}
+	w.removeCommitted(&a)
+	a.Crashes = 0
+	w.addCommitted(&a)
+	w.Attempts[attempt.Task] = a
+	task.Crashes, task.ConfirmedCrashes = 0, 0
+}
+
 // forgetLosses drops the lost attempts of a worker.
 func (s *Store) forgetLosses(w *Worker) {
 	for key := range w.Lost {
--- a/internal/cell/crash_test.go
+++ b/internal/cell/crash_test.go
@@ -59,6 +59,7 @@
 				m.lapse(t, m.workerName(worker(t)))
 			},
 			"confirm":   rarely(m.confirm),
+			"settle":    rarely(m.settle),
 			"replace":   rarely(m.replace),
 			"answer":    rarely(m.answer),
 			"take down": rarely(m.takeDown),
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -96,9 +96,11 @@
 	InFlight bool `cbor:"4,keyasint,omitempty"`
 	// Checkpoint is the newest checkpoint that was reported, empty if there is none.
 	Checkpoint string `cbor:"5,keyasint,omitempty"`
-	// Crashes counts the workers that have crashed under attempts of the task.
+	// Crashes counts the workers that have crashed under attempts of the task since one of
+	// them was sound.
 	Crashes uint8 `cbor:"6,keyasint,omitempty"`
-	// ConfirmedCrashes counts those of Crashes where the attempt had certainly started.
+	// ConfirmedCrashes counts those of Crashes where the attempt had certainly started and
+	// had not settled.
 	ConfirmedCrashes uint8 `cbor:"7,keyasint,omitempty"`
 
 	// unresolvedLosses counts the workers whose Lost contains the task.
--- a/internal/cell/model_test.go
+++ b/internal/cell/model_test.go
@@ -155,6 +155,30 @@
 	}
 }
 
+// settle commits that attempts on a worker have run for a while, or for so long that
+// earlier crashes no longer count.
+func (m *cellModel) settle(t *rapid.T) {
+	name := m.workerName(rapid.IntRange(0, modelWorkers-1).Draw(t, "worker"))
+	attempts, sound := m.startedOn(t, name), rapid.Bool().Draw(t, "sound")
+	late := int64(rapid.IntRange(0, 3).Draw(t, "earlier incarnation") / 3)
+	c := &RecordEnds{Worker: name, Born: m.workers[name].born - late, Settled: attempts}
+	if sound {
+		c.Sound = attempts
+	}
+	m.apply(t, &Command{RecordEnds: c})
+	if late > 0 {
+		return
+	}
+	for _, attempt := range attempts {
+		a := m.inFlight[attempt.Task]
+		a.started = false
+		m.inFlight[attempt.Task] = a
+		if sound {
+			m.crashes[attempt.Task], m.confirmed[attempt.Task] = 0, 0
+		}
+	}
+}
+
 // lapse expires the lease of a worker.
 func (m *cellModel) lapse(t *rapid.T, worker string) {
 	started := m.startedOn(t, worker)
@@ -531,6 +555,13 @@
 		for id, w := range v.Workers() {
 			free := int64(modelMilliCPU) - m.milliCPU(func(a modelAttempt) bool { return a.worker == id }, false)
 			assert.Equal(t, w.Free().MilliCPU, free, "worker %s", id)
+			suspects := 0
+			for _, a := range w.Attempts {
+				if a.Suspect() {
+					suspects++
+				}
+			}
+			assert.Equal(t, w.suspects, suspects, "suspects on %s", id)
 		}
 		for team, limit := range map[string]int64{"red": m.limit, "blue": 16_000} {
 			headroom := limit - m.milliCPU(func(a modelAttempt) bool { return a.team == team }, true)
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -47,7 +47,7 @@
 	Filler bool
 	// Crashes is the number of possible crashes under the task before the attempt.
 	Crashes uint8 `cbor:",omitempty"`
-	// Started is set if it was committed that the attempt has started.
+	// Started is set if it was committed that the attempt has started, until it has settled.
 	Started bool `cbor:",omitempty"`
 }
 
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -1,17 +1,29 @@
 package dispatch
 
 import (
+	"time"
+
 	"laburnumgrade/internal/cell"
 	"laburnumgrade/internal/logging"
 )
 
-// startedAttempts returns the attempts that the worker has started or listed.
+// soundTime is how long an attempt must have run for earlier crashes under its task to be
+// forgotten: crashes far apart in time have other causes.
+const soundTime = 5 * time.Minute
+
+// ranFor returns how long an attempt has certainly run. The caller holds s.mu.
+func (s *session) ranFor(info *attemptInfo) time.Duration {
+	return s.lastContact - info.confirmedAt
+}
+
+// startedAttempts returns the attempts that the worker has started or listed and that have
+// not settled.
 func (s *session) startedAttempts() []cell.StartedAttempt {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var started []cell.StartedAttempt
 	for k, info := range s.attempts {
-		if info.confirmed {
+		if info.confirmed && s.ranFor(info) < settleTime {
 			started = append(started, cell.StartedAttempt{Task: k.task, Run: k.run})
 		}
 	}
@@ -36,8 +48,39 @@
 	}
 }
 
-// startedBefore returns the attempts that have started on the incarnations that a worker
-// replaces.
+// commitRunTimes commits that running attempts have settled or are sound if workers have
+// crashed under their tasks before.
+func (s *session) commitRunTimes(running []RunningAttempt, state *workerState) {
+	c := &cell.RecordEnds{Worker: s.target.ID, Born: s.born}
+	s.mu.Lock()
+	for i := range running {
+		r := &running[i]
+		a, info := state.attempts[r.Task], s.attempts[attemptKey{r.Task, r.Run}]
+		if a.Run != r.Run || a.Crashes == 0 || info == nil || !info.confirmed {
+			continue
+		}
+		attempt, ran := cell.StartedAttempt{Task: r.Task, Run: r.Run}, s.ranFor(info)
+		if a.Started && ran >= settleTime {
+			c.Settled = append(c.Settled, attempt)
+		}
+		if ran >= soundTime {
+			c.Sound = append(c.Sound, attempt)
+		}
+	}
+	s.mu.Unlock()
+	if len(c.Settled)+len(c.Sound) == 0 {
+		return
+	}
+	s.t.spawn(func() {
+		// Repeated after the next listing if it fails.
+		if err := s.t.commitEnds(c); err != nil {
+			s.t.leader.Logger.Warn("failed to commit that attempts run well", logging.Step("hold"), logging.Peer(s.target.ID), logging.Error(err))
+		}
+	})
+}
+
+// startedBefore returns the attempts that have started, and have not settled, on the
+// incarnations that a worker replaces.
 func (t *term) startedBefore(r *cell.Register) []cell.StartedAttempt {
 	var replaced []*session
 	t.leader.Store.View(func(v *cell.View) {
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -511,3 +511,46 @@
 		assert.Equal(t, len(p.placements) == 1, now == idleIsolationTimeout, "after %v", now)
 	}
 }
+
+// crashAfter crashes the worker that runs a task, after it has run for a while, and starts
+// it again.
+func (b *testCell) crashAfter(ran time.Duration) {
+	b.runFor(ran)
+	id := b.workerWithAttempts()
+	var born int64
+	b.fleet.change(id, func(w *fakeWorker) {
+		born = w.born
+		w.unreachable = true
+		clear(w.running)
+	})
+	b.runFor(3 * time.Second)
+	b.restartWorker(id, born+1, int(id[1]-'0'), 0)
+	b.runFor(5 * time.Second)
+}
+
+// Guards against daemons that are given up because of crashes that are not caused by them:
+// some after they had run for a while, or any number far apart in time.
+func TestDaemonSurvivesCrashesThatItHardlyCauses(t *testing.T) {
+	for _, play := range []struct {
+		ran      time.Duration
+		crashes  int
+		survives bool
+	}{{settleTime + 5*time.Second, 4, true}, {settleTime + 5*time.Second, 5, false}, {soundTime + 10*time.Second, 8, true}, {2 * time.Second, 3, false}} {
+		runCell(t, 3, func(b *testCell) {
+			for i := range 3 {
+				b.fleet.change(fmt.Sprintf("w%d", i), func(w *fakeWorker) { w.taskDuration, w.serving = time.Hour, true })
+			}
+			step := taskStep(1, 1)
+			step.Daemon = true
+			b.submit(jobID1, step)
+			for crash := range play.crashes {
+				assert.Equal(t, b.state(queuePath, jobID1), cell.Active, "%v, after %d crashes", play.ran, crash)
+				b.crashAfter(play.ran)
+				if crash%2 == 1 {
+					b.changeLeader(uint64(crash + 2))
+				}
+			}
+			assert.Equal(t, b.state(queuePath, jobID1) == cell.Active, play.survives, "%v, %d crashes", play.ran, play.crashes)
+		})
+	}
+}
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -78,6 +78,7 @@
 			s.t.spawn(func() { s.stop(r.Task, r.Run) })
 		}
 	}
+	s.commitRunTimes(listing.Running, &state)
 	s.pace(listing, &state)
 	if !s.awaitCommit(state.shortLease) {
 		return // these ends are listed again
