cell: workers that were lost long ago do not hold a task back

A daemon task whose workers are lost for good from time to time is held back after each loss, from the third on for 10 s, 20 s and so on up to 320 s, although other workers have room. Cause: a lost attempt counts as a possible crash until its worker or a successor shows itself; where neither does, for ever. Class: a counter of events without a window. Change: when an attempt has run for 5 min, the possible crashes under its task are dropped like the proven ones. Evidence: TestWorkersLostLongAgoDoNotHoldDaemonBack failed before (not running 9 s after the third loss) and passes for eight losses; the model of the state follows it. Measured: tests of cell pass, and those of dispatch about daemons, crashes and suspects, also with the race detector.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -1,6 +1,9 @@
 package cell
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 const (
 	// suspectCrashes is the number of crashes, proven or possible, from which a task is a
@@ -120,7 +123,7 @@
 	return true
 }
 
-// forgetCrashes drops the proven crashes under the task of an attempt.
+// forgetCrashes drops the proven and the possible crashes under the task of an attempt.
 func (s *Store) forgetCrashes(w *Worker, attempt StartedAttempt) {
 	a, ok := w.Attempts[attempt.Task]
 	task := s.activeTask(attempt.Task)
@@ -131,7 +134,8 @@
 	a.Crashes = 0
 	w.addCommitted(&a)
 	w.Attempts[attempt.Task] = a
-	task.Crashes, task.ConfirmedCrashes = 0, 0
+	task.Crashes, task.ConfirmedCrashes, task.unresolvedLosses = 0, 0, 0
+	s.dropLosses(func(key TaskKey) bool { return key == attempt.Task })
 }
 
 // forgetLosses drops the lost attempts of a worker.
@@ -143,14 +147,11 @@
 	delete(s.workersWithLosses, w.ID)
 }
 
-// forgetLossesOf drops the lost attempts of a job that has ended.
-func (s *Store) forgetLossesOf(job string) {
+// dropLosses drops the lost attempts of some tasks without changing their numbers of
+// unresolved losses.
+func (s *Store) dropLosses(dropped func(TaskKey) bool) {
 	for id, w := range s.workersWithLosses {
-		for key := range w.Lost {
-			if key.Job == job {
-				delete(w.Lost, key)
-			}
-		}
+		maps.DeleteFunc(w.Lost, func(key TaskKey, _ LostAttempt) bool { return dropped(key) })
 		if len(w.Lost) == 0 {
 			w.Lost = nil
 			delete(s.workersWithLosses, id)
--- a/internal/cell/model_test.go
+++ b/internal/cell/model_test.go
@@ -175,6 +175,9 @@
 		m.inFlight[attempt.Task] = a
 		if sound {
 			m.crashes[attempt.Task], m.confirmed[attempt.Task] = 0, 0
+			for _, w := range m.workers {
+				delete(w.lost, attempt.Task)
+			}
 		}
 	}
 }
--- a/internal/cell/request.go
+++ b/internal/cell/request.go
@@ -197,7 +197,7 @@
 		}
 	}
 	j.Spec, j.Occurrences = "", nil
-	s.forgetLossesOf(j.ID)
+	s.dropLosses(func(key TaskKey) bool { return key.Job == j.ID }) // its tasks are dropped too
 	s.refreshScheduled(j)
 }
 
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -554,3 +554,26 @@
 		})
 	}
 }
+
+// Guards against a daemon that is held back for longer with each worker that was lost for
+// good under it, however far apart in time.
+func TestWorkersLostLongAgoDoNotHoldDaemonBack(t *testing.T) {
+	runCell(t, 9, func(b *testCell) {
+		for i := range 9 {
+			b.fleet.change(fmt.Sprintf("w%d", i), func(w *fakeWorker) { w.taskDuration, w.serving = time.Hour, true })
+		}
+		step := taskStep(1, 1)
+		step.Daemon = true
+		b.submit(jobID1, step)
+		for lost := range 8 {
+			b.runFor(soundTime + 10*time.Second)
+			assert.Equal(t, b.startCount(jobID1, 0), lost+1)
+			b.fleet.change(b.workerWithAttempts(), func(w *fakeWorker) {
+				w.unreachable = true
+				clear(w.running)
+			})
+			b.runFor(9 * time.Second)
+			assert.Equal(t, len(b.runningAttemptsOf(jobID1)), 1, "after %d workers were lost", lost+1)
+		}
+	})
+}
