dispatch: a task that is slow by itself is not stopped for ever

A task without others that takes longer than 160 s on a sound worker never completes if workers list whole percents of its progress: it is stopped every 1.6 s, and each worker that runs it is put on probation. Cause: an attempt without progress for 1.6 s is stopped, however often that has happened to its task. Class: a retry without a bound in one of the ways in which an attempt can end, as with tasks that crash their workers. Change: the time doubles with each attempt of the task that was stopped for this reason. A new leader begins with 1.6 s. Evidence: TestSlowTaskIsNotStoppedForEver failed before (active after 6 min) and passes. Measured: tests of dispatch pass; with the race detector those of stalls, leaders and workers.

--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -108,6 +109,8 @@
 	unreachable bool
 	// stalled workers list attempts that make no progress.
 	stalled bool
+	// wholePercents workers list the progress of attempts in whole percents.
+	wholePercents bool
 	// serving workers list their attempts as serving.
 	serving bool
 	// tail returns the load that the worker lists for each attempt.
@@ -357,6 +360,9 @@
 	l := &AttemptListing{Answer: Done, ClockMS: w.clock(), Born: w.born}
 	for k, r := range w.running {
 		percent := 100 * float64(time.Since(r.began)) / float64(w.taskDuration)
+		if w.wholePercents {
+			percent = math.Floor(percent)
+		}
 		if w.stalled {
 			percent = 0
 		}
--- a/internal/dispatch/leader_test.go
+++ b/internal/dispatch/leader_test.go
@@ -185,6 +185,18 @@
 	})
 }
 
+// Guards against a task that never completes, since it is stopped again and again for its
+// progress, which no worker makes faster.
+func TestSlowTaskIsNotStoppedForEver(t *testing.T) {
+	runCell(t, 2, func(b *testCell) {
+		for _, id := range []string{"w0", "w1"} {
+			b.fleet.change(id, func(w *fakeWorker) { w.wholePercents, w.taskDuration = true, 5*time.Minute })
+		}
+		b.submit(jobID1, taskStep(1, 1))
+		b.waitForState(jobID1, cell.Complete, 6*time.Minute)
+	})
+}
+
 // Guards against a worker that is never used again after one call without an
 // answer.
 func TestWorkerIsUsedAgain(t *testing.T) {
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -49,6 +49,10 @@
 // in 0.2 s on a sound worker and in 1.3 s on one that is 6.5 times slower.
 const stallTimeout = 1600 * time.Millisecond
 
+// maxStallDoublings bounds how often stallTimeout is doubled for a task that was stopped
+// because it made no progress: the cause may be the task itself.
+const maxStallDoublings = 8
+
 // orphanTimeout is how long an attempt may be committed without a start order
 // before it is closed. This happens if its proposal had no answer in time, so that
 // the order was never sent.
@@ -73,6 +77,7 @@
 		}
 		s.recordProgress(r, now)
 		if k := (attemptKey{r.Task, r.Run}); s.stalled(k, now) && s.t.runsIndependently(r.Task) {
+			s.t.recordStall(k)
 			s.t.stats.recordStall(s.target.ID, now)
 			s.t.leader.Logger.Warn("attempt stands still", logging.Step("hold"), logging.Peer(s.target.ID), logging.Job(r.Task.Job), "task", position(r.Task), "run", r.Run, "percent", r.ProgressPercent)
 			s.t.spawn(func() { s.stop(r.Task, r.Run) })
@@ -205,13 +210,42 @@
 	return info != nil && !info.stopped && info.servingSince > 0 && info.servingSince <= at
 }
 
-// stalled reports whether an attempt has made no progress for longer than
-// stallTimeout and was not stopped yet.
+// stalled reports whether an attempt has made no progress for longer than its task may and
+// was not stopped yet.
 func (s *session) stalled(k attemptKey, now time.Duration) bool {
+	timeout := s.t.stallTimeout(k)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	info := s.attemptInfo(k)
-	return now-info.progressAt > stallTimeout && !info.stopped
+	return now-info.progressAt > timeout && !info.stopped
+}
+
+// taskStalls counts the attempts of a task that were stopped because they made no progress.
+type taskStalls struct {
+	count int
+	// run is the newest of them.
+	run uint32
+}
+
+// stallTimeout returns how long an attempt may run without progress.
+func (t *term) stallTimeout(k attemptKey) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	stalls := t.stalls[k.task]
+	earlier := stalls.count
+	if stalls.run == k.run {
+		earlier-- // the count includes this attempt, whose stop may have to be repeated
+	}
+	return stallTimeout << max(0, min(earlier, maxStallDoublings))
+}
+
+// recordStall records that an attempt is being stopped because it makes no progress.
+func (t *term) recordStall(k attemptKey) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if stalls := t.stalls[k.task]; stalls.run != k.run {
+		t.stalls[k.task] = taskStalls{stalls.count + 1, k.run}
+	}
 }
 
 // checkpointOf returns the newest listed checkpoint of an attempt.
--- a/internal/dispatch/ready.go
+++ b/internal/dispatch/ready.go
@@ -141,6 +141,7 @@
 		maps.DeleteFunc(t.times, func(o cell.OccurrenceKey, _ jobTiming) bool { return ended(o.Job) })
 		maps.DeleteFunc(t.lastPreemption, func(k cell.StepKey, _ time.Duration) bool { return ended(k.Job) })
 		maps.DeleteFunc(t.preemptions, func(k cell.TaskKey, _ int) bool { return ended(k.Job) })
+		maps.DeleteFunc(t.stalls, func(k cell.TaskKey, _ taskStalls) bool { return ended(k.Job) })
 		t.stats.forget(ended)
 	})
 }
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -67,6 +67,8 @@
 	// counts how often each task was preempted.
 	lastPreemption map[cell.StepKey]time.Duration
 	preemptions    map[cell.TaskKey]int
+	// stalls holds the tasks that were stopped because they made no progress.
+	stalls map[cell.TaskKey]taskStalls
 	// lastStopOrder is when a stop order was last sent for an unwanted attempt.
 	lastStopOrder map[stopKey]time.Duration
 
@@ -111,6 +113,7 @@
 		times:          map[cell.OccurrenceKey]jobTiming{},
 		lastPreemption: map[cell.StepKey]time.Duration{},
 		preemptions:    map[cell.TaskKey]int{},
+		stalls:         map[cell.TaskKey]taskStalls{},
 		wall:           newWallClock(),
 		cordoned:       map[string]bool{},
 		lastStopOrder:  map[stopKey]time.Duration{},
