dispatch: fillers that are paced down are not stopped for lack of progress

Beside a serving task over its target, fillers are stopped and started again, and their worker gets no other work for 4 s each time. Cause: the leader paces fillers down to a standstill and then takes the standstill for a fault of the worker. Class: two mechanisms of which one does not know the other, and a retry without a bound. Change: the time without progress counts only at full speed. Evidence: TestPacedFillersAreNotStalled failed before (3 starts in 20 s) and passes. Measured: tests of dispatch pass; with the race detector those of fillers, pacing and stalls.

--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -128,6 +128,30 @@
 type fakeRun struct {
 	began, endsAt  time.Time
 	speedReduction int
+	// stoodStill is how long the attempt was paced to a standstill, and stillSince when it
+	// was last, zero if it works.
+	stoodStill time.Duration
+	stillSince time.Time
+}
+
+// pace limits the speed of the attempt.
+func (r *fakeRun) pace(percent int) {
+	if !r.stillSince.IsZero() {
+		r.stoodStill += time.Since(r.stillSince)
+		r.stillSince = time.Time{}
+	}
+	if percent == 0 {
+		r.stillSince = time.Now()
+	}
+	r.speedReduction = fullPace - percent
+}
+
+// worked returns how long the attempt has worked.
+func (r *fakeRun) worked() time.Duration {
+	if r.stillSince.IsZero() {
+		return time.Since(r.began) - r.stoodStill
+	}
+	return r.stillSince.Sub(r.began) - r.stoodStill
 }
 
 var errNoAnswer = errors.New("no answer")
@@ -325,7 +349,7 @@
 		return OrderReply{}, err
 	}
 	if r := w.running[attemptKey{o.Task, o.Run}]; r != nil {
-		r.speedReduction = fullPace - o.SpeedPercent
+		r.pace(o.SpeedPercent)
 	}
 	return OrderReply{Answer: Done, ClockMS: w.clock()}, nil
 }
@@ -359,7 +383,7 @@
 	}
 	l := &AttemptListing{Answer: Done, ClockMS: w.clock(), Born: w.born}
 	for k, r := range w.running {
-		percent := 100 * float64(time.Since(r.began)) / float64(w.taskDuration)
+		percent := 100 * float64(r.worked()) / float64(w.taskDuration)
 		if w.wholePercents {
 			percent = math.Floor(percent)
 		}
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -29,7 +29,7 @@
 	stoppedAt  time.Duration
 	checkpoint string
 	// percent is the progress in the newest listing; progressAt is when it last
-	// changed.
+	// changed, or when the speed of the attempt was last lowered.
 	percent    float64
 	progressAt time.Duration
 	// inherited is set if an earlier leader committed the attempt.
@@ -196,7 +196,7 @@
 	case info.servingSince == 0:
 		info.servingSince = now
 	}
-	if r.ProgressPercent != info.percent || info.progressAt == 0 {
+	if r.ProgressPercent != info.percent || info.progressAt == 0 || info.speedReduction > 0 {
 		info.percent, info.progressAt = r.ProgressPercent, now
 	}
 }
--- a/internal/dispatch/pace_test.go
+++ b/internal/dispatch/pace_test.go
@@ -89,3 +89,31 @@
 	p.planSteps([]*readyStep{rs})
 	assert.DeepEqual(t, placedOn(p), []string{"w01"})
 }
+
+// Guards against fillers that are stopped, and workers that get no other work, because
+// the fillers make no progress while they are paced to a standstill.
+func TestPacedFillersAreNotStalled(t *testing.T) {
+	runCell(t, 1, func(b *testCell) {
+		busy := true
+		b.fleet.change("w0", func(w *fakeWorker) {
+			w.taskDuration = time.Hour
+			w.tail = func(*fakeWorker) float64 {
+				if busy {
+					return 200
+				}
+				return 10
+			}
+		})
+		serving, filler := taskStep(1, 1), taskStep(1, 1)
+		serving.Daemon, serving.TailLatencyTargetMS = true, 100
+		filler.Filler = true
+		b.submit("00000000000000b9", serving)
+		b.runFor(500 * time.Millisecond)
+		b.submit(jobID1, filler)
+		b.runFor(20 * time.Second)
+		assert.Equal(t, b.startCount(jobID1, 0), 1)
+		b.fleet.change("w0", func(*fakeWorker) { busy = false })
+		b.runFor(20 * time.Second)
+		assert.Equal(t, b.startCount(jobID1, 0), 1)
+	})
+}
