--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -1,6 +1,9 @@
 package cell
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 const (
 	// suspectCrashes is the number of crashes, proven or possible, from which a task is a
@@ -10,7 +13,7 @@
 
 const (
 	// MaxCrashes is the number of crashes under a task at which its job fails, if at least
-	// suspectCrashes of its attempts had certainly started.
+	// suspectCrashes of its attempts had certainly started and had not settled.
 	MaxCrashes = 3
 	// maxUnconfirmedCrashes is the number of crashes under a task at which its job fails in
 	// any case.
@@ -20,7 +23,7 @@
 // LostAttempt is an attempt that ended because its worker could not be reached, so that
 // the worker may have crashed under it.
 type LostAttempt struct {
-	// Started is set if the attempt had certainly started.
+	// Started is set if the attempt had certainly started and had not settled.
 	Started bool `cbor:",omitempty"`
 }
 
@@ -100,8 +103,9 @@
 }
 
 // countCrash counts a crash under a task and reports whether it has failed the task's job.
-// A worker may have been down before an attempt was to start there, so MaxCrashes crashes
-// suffice only if attempts of the task had certainly started in suspectCrashes of them.
+// A worker may have been down before an attempt was to start there, or crash long after its
+// start, so MaxCrashes crashes suffice only if attempts of the task had certainly started
+// shortly before in suspectCrashes of them.
 func (s *Store) countCrash(key TaskKey, l LostAttempt) bool {
 	task := s.activeTask(key)
 	if task == nil || task.Done {
@@ -119,6 +123,21 @@
 	return true
 }
 
+// forgetCrashes drops the proven and the possible crashes under the task of an attempt.
+func (s *Store) forgetCrashes(w *Worker, attempt StartedAttempt) {
+	a, ok := w.Attempts[attempt.Task]
+	task := s.activeTask(attempt.Task)
+	if !ok || a.Run != attempt.Run || task == nil {
+		return
+	}
+	w.removeCommitted(&a)
+	a.Crashes = 0
+	w.addCommitted(&a)
+	w.Attempts[attempt.Task] = a
+	task.Crashes, task.ConfirmedCrashes, task.unresolvedLosses = 0, 0, 0
+	s.dropLosses(func(key TaskKey) bool { return key == attempt.Task })
+}
+
 // forgetLosses drops the lost attempts of a worker.
 func (s *Store) forgetLosses(w *Worker) {
 	for key := range w.Lost {
@@ -128,14 +147,11 @@
 	delete(s.workersWithLosses, w.ID)
 }
 
-// forgetLossesOf drops the lost attempts of a job that has ended.
-func (s *Store) forgetLossesOf(job string) {
+// dropLosses drops the lost attempts of some tasks without changing their numbers of
+// unresolved losses.
+func (s *Store) dropLosses(dropped func(TaskKey) bool) {
 	for id, w := range s.workersWithLosses {
-		for key := range w.Lost {
-			if key.Job == job {
-				delete(w.Lost, key)
-			}
-		}
+		maps.DeleteFunc(w.Lost, func(key TaskKey, _ LostAttempt) bool { return dropped(key) })
 		if len(w.Lost) == 0 {
 			w.Lost = nil
 			delete(s.workersWithLosses, id)
