cell, dispatch: a crash after an expired lease is not charged to what had run there

Callers: a job is shown as failed although at most one worker has crashed under its tasks. Cause: when a lease runs out, the attempts are remembered as certainly started, and a crash that is proven later counts fully for them, although the worker had ended them. Class: an outcome is attributed to a cause without regard to when each took place. Change: once the lease has run out, an attempt counts as certainly started only if the worker has not answered since its start. Other attempts count towards the five crashes that suffice in any case, as unconfirmed ones did before. Evidence: TestCrashAfterExpiredLeaseDoesNotFailJob failed before ("failed != active: after 3 crashes") and passes. The model of the state covers both kinds of expiry. Tests of cell and dispatch pass; a task that crashes its workers is still started three times.

--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -311,7 +311,7 @@
 // have crashed or only be cut off.
 func (s *Store) expireLease(c *ExpireLease) any {
 	if w := s.Workers[c.Worker]; w != nil && w.Born == c.Born {
-		s.loseAttempts(w, c.Started)
+		s.loseAttempts(w, c.Started, c.RanOut)
 	}
 	return nil
 }
--- a/internal/cell/command.go
+++ b/internal/cell/command.go
@@ -132,6 +132,10 @@
 	Born   int64  `cbor:"2,keyasint,omitempty"`
 	// Started lists the attempts that had certainly started.
 	Started []StartedAttempt `cbor:"3,keyasint,omitempty"`
+	// RanOut is set if the lease had run out before it was known whether the worker has
+	// crashed. Only the attempts in Started then count as certainly started: others may
+	// have ended before the worker crashed.
+	RanOut bool `cbor:"4,keyasint,omitempty"`
 }
 
 // StartedAttempt identifies an attempt that a worker has confirmed.
--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -20,7 +20,8 @@
 // LostAttempt is an attempt that ended because its worker could not be reached, so that
 // the worker may have crashed under it.
 type LostAttempt struct {
-	// Started is set if the attempt had certainly started.
+	// Started is set if the attempt had certainly started and, as far as known, ran until
+	// the worker was lost.
 	Started bool `cbor:",omitempty"`
 }
 
@@ -58,8 +59,9 @@
 }
 
 // loseAttempts ends all attempts on a worker and remembers them until it is known whether
-// the worker has crashed. started lists those that had certainly started.
-func (s *Store) loseAttempts(w *Worker, started []StartedAttempt) {
+// the worker has crashed. started lists those that had certainly started; ranOut is that of
+// ExpireLease.
+func (s *Store) loseAttempts(w *Worker, started []StartedAttempt, ranOut bool) {
 	for key, a := range w.Attempts {
 		s.recordEnd(w, &AttemptEnd{Task: key, Run: a.Run, Outcome: EndedEarly})
 		if w.TakenDown || s.activeTask(key) == nil {
@@ -69,7 +71,7 @@
 		if w.Lost == nil {
 			w.Lost = map[TaskKey]LostAttempt{}
 		}
-		w.Lost[key] = LostAttempt{Started: earlier.Started || a.Started || slices.Contains(started, StartedAttempt{key, a.Run})}
+		w.Lost[key] = LostAttempt{Started: earlier.Started || a.Started && !ranOut || slices.Contains(started, StartedAttempt{key, a.Run})}
 		if !known {
 			s.addUnresolvedLoss(key, 1)
 		}
@@ -83,7 +85,7 @@
 // its end was planned it has crashed, which counts for each task that ran there. It returns
 // the crash, or nil if there was none or no task ran there.
 func (s *Store) endIncarnation(w *Worker, started []StartedAttempt) *Crash {
-	s.loseAttempts(w, started)
+	s.loseAttempts(w, started, false)
 	lost := w.Lost
 	s.forgetLosses(w)
 	if len(lost) == 0 || w.Draining || w.Gone || w.TakenDown {
--- a/internal/cell/model_test.go
+++ b/internal/cell/model_test.go
@@ -158,8 +158,9 @@
 // lapse expires the lease of a worker.
 func (m *cellModel) lapse(t *rapid.T, worker string) {
 	started := m.startedOn(t, worker)
-	m.apply(t, &Command{ExpireLease: &ExpireLease{Worker: worker, Born: m.workers[worker].born, Started: started}})
-	m.lose(worker, started)
+	ranOut := rapid.Bool().Draw(t, "ran out")
+	m.apply(t, &Command{ExpireLease: &ExpireLease{Worker: worker, Born: m.workers[worker].born, Started: started, RanOut: ranOut}})
+	m.lose(worker, started, ranOut)
 }
 
 func (m *cellModel) register(t *rapid.T, i int, born int64, draining, deregistered bool) {
@@ -222,14 +223,15 @@
 	}
 }
 
-// lose ends the attempts on a worker that cannot be reached.
-func (m *cellModel) lose(worker string, started []StartedAttempt) {
+// lose ends the attempts on a worker that cannot be reached. If its lease has run out, only
+// those in started count as certainly started.
+func (m *cellModel) lose(worker string, started []StartedAttempt, ranOut bool) {
 	w := m.workers[worker]
 	var keys []TaskKey
 	for key, a := range m.inFlight {
 		if a.worker == worker {
 			keys = append(keys, key)
-			if a.started {
+			if a.started && !ranOut {
 				started = append(slices.Clone(started), StartedAttempt{key, a.run})
 			}
 		}
@@ -247,7 +249,7 @@
 // replaced counts a crash for the tasks that were lost with an incarnation, and fails the
 // jobs that have to be given up.
 func (m *cellModel) replaced(worker string, started []StartedAttempt) {
-	m.lose(worker, started)
+	m.lose(worker, started, false)
 	w := m.workers[worker]
 	if w.draining || w.gone || w.takenDown {
 		return
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -1,17 +1,33 @@
 package dispatch
 
 import (
+	"time"
+
 	"laburnumgrade/internal/cell"
 	"laburnumgrade/internal/logging"
 )
 
-// startedAttempts returns the attempts that the worker has started or listed.
+// startCrashWindow is how long after the start of an attempt its worker may still answer if
+// the attempt is what crashes it.
+const startCrashWindow = 100 * time.Millisecond
+
+// leaseRanOut reports whether every lease of the worker has run out.
+func (s *session) leaseRanOut() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.t.leader.Clock.Now() > s.latestLeaseEnd
+}
+
+// startedAttempts returns the attempts that the worker has started or listed. Once its
+// lease has run out, those are left out that it kept running for a while: they may have
+// ended before the worker crashed.
 func (s *session) startedAttempts() []cell.StartedAttempt {
+	ranOut := s.leaseRanOut()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var started []cell.StartedAttempt
 	for k, info := range s.attempts {
-		if info.confirmed {
+		if info.confirmed && (!ranOut || s.lastAnswered <= info.confirmedAt+startCrashWindow) {
 			started = append(started, cell.StartedAttempt{Task: k.task, Run: k.run})
 		}
 	}
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -168,6 +168,26 @@
 	})
 }
 
+// Guards against jobs that are given up because workers crashed after the leases of their
+// attempts had expired: nothing ran there any more.
+func TestCrashAfterExpiredLeaseDoesNotFailJob(t *testing.T) {
+	runCell(t, 3, func(b *testCell) {
+		for i := range 3 {
+			b.fleet.change(fmt.Sprintf("w%d", i), func(w *fakeWorker) { w.taskDuration = 12 * time.Second })
+		}
+		b.submit(jobID1, taskStep(1, 2))
+		for round := range int64(4) {
+			b.runFor(3 * time.Second)
+			assert.Equal(t, b.state(queuePath, jobID1), cell.Active, "after %d crashes", round)
+			id := b.workerWithAttempts()
+			b.fleet.change(id, func(w *fakeWorker) { w.unreachable = true })
+			b.runFor(leaseDuration + 2*time.Second)
+			b.restartWorker(id, round+2, int(id[1]-'0'), 0)
+		}
+		b.waitForState(jobID1, cell.Complete, time.Minute)
+	})
+}
+
 // Guards against jobs that are given up because workers left as planned while their
 // tasks ran there.
 func TestPlannedLeavesDoNotFailJobs(t *testing.T) {
