cell, dispatch: a job counts as pending until an attempt of it has started

Callers: while workers cannot be reached, a queue is said to have no pending jobs although some wait. Cause: a job left the count when its first attempt was committed. If its worker was cut off, the attempt never started, and the job was not counted again when it waited afterwards. Class: an intent that was committed is taken for its effect. Change: the state records that a job has begun when an attempt has ended that had started, and when a lease expires or a worker crashes, for the attempts that the leader knows to have started. For attempts in flight the leader adds those that their workers have confirmed. After a change of the leader a job may be counted until its worker has listed the attempt. Evidence: TestJobThatNeverStartedIsPending failed before ("0 != 1: the start is not answered") and passes; TestPendingJobsHaveNotStarted covers the ends in the state. Tests of cell, dispatch and cellnode pass, those of dispatch also with the race detector.

--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -152,10 +152,15 @@
 		if a, ok := w.Attempts[started.Task]; ok && a.Run == started.Run {
 			a.Started = true
 			w.Attempts[started.Task] = a
+			s.markBegun(started.Task.Job)
 		}
 	}
 	for i := range c.Ends {
-		s.recordEnd(w, &c.Ends[i])
+		e := &c.Ends[i]
+		if a, ok := w.Attempts[e.Task]; ok && a.Run == e.Run && e.Outcome != EndedUnstarted {
+			s.markBegun(e.Task.Job)
+		}
+		s.recordEnd(w, e)
 	}
 	w.LastEnd = max(w.LastEnd, c.LastEnd)
 	if c.Alive {
@@ -164,6 +169,13 @@
 	return nil
 }
 
+// markBegun records that an attempt of a job has started.
+func (s *Store) markBegun(job string) {
+	if j := s.Jobs[job]; j != nil {
+		j.Begun = true
+	}
+}
+
 // recordEnd records the end of an attempt. An end whose attempt is not committed to the
 // worker is ignored.
 func (s *Store) recordEnd(w *Worker, e *AttemptEnd) {
@@ -311,6 +323,9 @@
 // have crashed or only be cut off.
 func (s *Store) expireLease(c *ExpireLease) any {
 	if w := s.Workers[c.Worker]; w != nil && w.Born == c.Born {
+		for _, id := range c.Begun {
+			s.markBegun(id)
+		}
 		s.loseAttempts(w, c.Started, c.RanOut)
 	}
 	return nil
--- a/internal/cell/command.go
+++ b/internal/cell/command.go
@@ -136,6 +136,8 @@
 	// crashed. Only the attempts in Started then count as certainly started: others may
 	// have ended before the worker crashed.
 	RanOut bool `cbor:"4,keyasint,omitempty"`
+	// Begun lists the jobs of all attempts that had certainly started.
+	Begun []string `cbor:"5,keyasint,omitempty"`
 }
 
 // StartedAttempt identifies an attempt that a worker has confirmed.
--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -63,6 +63,10 @@
 // ExpireLease.
 func (s *Store) loseAttempts(w *Worker, started []StartedAttempt, ranOut bool) {
 	for key, a := range w.Attempts {
+		hasStarted := slices.Contains(started, StartedAttempt{key, a.Run})
+		if hasStarted {
+			s.markBegun(key.Job)
+		}
 		s.recordEnd(w, &AttemptEnd{Task: key, Run: a.Run, Outcome: EndedEarly})
 		if w.TakenDown || s.activeTask(key) == nil {
 			continue
@@ -71,7 +75,7 @@
 		if w.Lost == nil {
 			w.Lost = map[TaskKey]LostAttempt{}
 		}
-		w.Lost[key] = LostAttempt{Started: earlier.Started || a.Started && !ranOut || slices.Contains(started, StartedAttempt{key, a.Run})}
+		w.Lost[key] = LostAttempt{Started: earlier.Started || a.Started && !ranOut || hasStarted}
 		if !known {
 			s.addUnresolvedLoss(key, 1)
 		}
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -136,6 +136,9 @@
 	Accepted uint64
 	// Started is set once an attempt of any task was committed.
 	Started bool
+	// Begun is set once it is known in the state that an attempt of any task has started:
+	// at the latest when the attempt ends.
+	Begun bool `cbor:",omitempty"`
 	// Occurrences holds the occurrences that have become due. Each contains one entry
 	// for every step, in the order of Steps.
 	Occurrences [][]StepOccurrence `cbor:"Runs"`
--- a/internal/cell/request.go
+++ b/internal/cell/request.go
@@ -89,15 +89,16 @@
 	return q != nil && rest == ""
 }
 
-// Pending returns the number of active jobs of a queue of which no task has started.
-func (v *View) Pending(r *Request) (int, Verdict) {
+// Pending returns the number of active jobs of a queue of which no task has started. running
+// contains the jobs with attempts in flight that have started.
+func (v *View) Pending(r *Request, running map[string]bool) (int, Verdict) {
 	q, _, _, verdict := v.s.authorize(r)
 	if verdict != Accepted {
 		return 0, verdict
 	}
 	n := 0
 	for _, j := range v.s.Jobs {
-		if j.Queue == q.Name && j.State == Active && !j.Started {
+		if j.Queue == q.Name && j.State == Active && !j.Begun && !running[j.ID] {
 			n++
 		}
 	}
--- a/internal/cell/store_test.go
+++ b/internal/cell/store_test.go
@@ -461,3 +461,42 @@
 	b.end("w0", running, EndedEarly)
 	assert.DeepEqual(t, b.start(gang(3)...), []bool{true, true})
 }
+
+// Guards against jobs that are not counted as pending although no attempt has started, and
+// against those that are counted although one has.
+func TestPendingJobsHaveNotStarted(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		end     func(b *storeBench, p Placement)
+		pending int
+	}{
+		{"in flight, not known to have started", func(*storeBench, Placement) {}, 1},
+		{"never started", func(b *storeBench, p Placement) { b.end("w0", p, EndedUnstarted) }, 1},
+		{"stopped", func(b *storeBench, p Placement) { b.end("w0", p, EndedEarly) }, 0},
+		{"end of another attempt", func(b *storeBench, p Placement) { p.Run++; b.end("w0", p, EndedEarly) }, 1},
+		{"lease expired", func(b *storeBench, p Placement) {
+			b.apply(&Command{ExpireLease: &ExpireLease{Worker: "w0", Born: 1, RanOut: true}})
+		}, 1},
+		{"lease expired after the start", func(b *storeBench, p Placement) {
+			b.apply(&Command{ExpireLease: &ExpireLease{Worker: "w0", Born: 1, RanOut: true, Begun: []string{firstID}}})
+		}, 0},
+		{"worker crashed", func(b *storeBench, p Placement) { b.register("w0", 2, "10.0.0.0:80") }, 1},
+		{"worker crashed after the start", func(b *storeBench, p Placement) {
+			b.crash("w0", "w0", 2, "10.0.0.0:80", []StartedAttempt{{p.Task, p.Run}})
+		}, 0},
+	} {
+		b := newStoreBench(t)
+		b.submit(firstID, singleTask(1))
+		p := placement(firstID, 0, 0, 1, "w0")
+		assert.DeepEqual(t, b.start(p), []bool{true})
+		c.end(b, p)
+		b.store.View(func(v *View) {
+			r := request("")
+			n, verdict := v.Pending(&r, nil)
+			assert.Equal(t, verdict, Accepted, c.name)
+			assert.Equal(t, n, c.pending, c.name)
+			n, _ = v.Pending(&r, map[string]bool{firstID: true})
+			assert.Equal(t, n, 0, c.name)
+		})
+	}
+}
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -486,3 +486,37 @@
 	assert.Equal(t, fitCount(size, structs.Resources{MilliCPU: 8000}), 0)
 	assert.Equal(t, fitCount(size, structs.Resources{MilliCPU: 8000, Accelerators: 5}), 2)
 }
+
+// pending returns how many jobs are said to wait.
+func (b *testCell) pending() int {
+	b.t.Helper()
+	return *b.do(&cellapi.Call{Status: &cell.Request{Host: "h", Path: queuePath}}).Pending
+}
+
+// Guards against jobs that are not counted as pending although their only attempts were
+// sent to workers that could not be reached, and against those that are counted once an
+// attempt has started.
+func TestJobThatNeverStartedIsPending(t *testing.T) {
+	runCell(t, 1, func(b *testCell) {
+		b.runFor(time.Second)
+		b.fleet.change("w0", func(w *fakeWorker) { w.taskDuration, w.unreachable = 20*time.Second, true })
+		b.submit(jobID1, taskStep(1, 2))
+		b.runFor(time.Second)
+		assert.Equal(t, b.workerWithAttempts(), "w0")
+		assert.Equal(t, b.pending(), 1, "the start is not answered")
+		b.runFor(leaseDuration + 2*time.Second)
+		assert.Equal(t, b.workerWithAttempts(), "")
+		assert.Equal(t, b.pending(), 1, "the lease has run out")
+		b.fleet.change("w0", func(w *fakeWorker) { w.unreachable = false })
+		b.runFor(4 * time.Second)
+		assert.Equal(t, b.workerWithAttempts(), "w0")
+		assert.Equal(t, b.pending(), 0, "the task runs")
+		b.changeLeader(2)
+		b.runFor(time.Second)
+		assert.Equal(t, b.pending(), 0, "after a change of the leader")
+		b.fleet.change("w0", func(w *fakeWorker) { w.unreachable = true })
+		b.runFor(leaseDuration + 2*time.Second)
+		assert.Equal(t, b.workerWithAttempts(), "")
+		assert.Equal(t, b.pending(), 0, "the lease has run out after the start")
+	})
+}
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -160,7 +160,7 @@
 func (s *session) expireLease(reason string) {
 	s.t.leader.metrics.lapses.Inc(1)
 	s.t.leader.Logger.Warn("attempts of worker given up", logging.Step("lapse"), logging.Peer(s.target.ID), "reason", reason)
-	if _, err := s.t.leader.propose(s.ctx, &cell.Command{ExpireLease: &cell.ExpireLease{Worker: s.target.ID, Born: s.born, Started: s.startedAttempts(), RanOut: s.leaseRanOut()}}); err != nil {
+	if _, err := s.t.leader.propose(s.ctx, &cell.Command{ExpireLease: &cell.ExpireLease{Worker: s.target.ID, Born: s.born, Started: s.startedAttempts(), RanOut: s.leaseRanOut(), Begun: s.runningJobs()}}); err != nil {
 		s.t.leader.Logger.Warn("failed to commit the expiry of the worker's lease", logging.Step("lapse"), logging.Peer(s.target.ID), logging.Error(err))
 	}
 }
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -59,7 +59,7 @@
 	case c.Submit != nil:
 		return l.submit(ctx, t, c.Submit)
 	case c.Status != nil:
-		return l.status(c.Status), false
+		return l.status(t, c.Status), false
 	case c.Cancel != nil:
 		r := l.commit(ctx, t, &cell.Command{Cancel: c.Cancel}, nil)
 		l.Logger.Info("job cancelled", logging.Step("cancel"), logging.Job(jobID(c.Cancel.Path)), "verdict", r.Verdict.String(), "configuration", l.configurationVersion(), "unknown", r.Unknown)
@@ -170,12 +170,18 @@
 
 // status answers a query for the state of a job, or for the number of pending jobs
 // if the path is that of a queue.
-func (l *Leader) status(r *cell.Request) *cellapi.Reply {
+func (l *Leader) status(t *term, r *cell.Request) *cellapi.Reply {
 	reply := &cellapi.Reply{}
+	isQueue := false
+	l.Store.View(func(v *cell.View) { isQueue = v.IsQueue(r) })
+	var running map[string]bool
+	if isQueue {
+		running = t.runningJobs()
+	}
 	l.Store.View(func(v *cell.View) {
-		if v.IsQueue(r) {
+		if isQueue {
 			var n int
-			n, reply.Verdict = v.Pending(r)
+			n, reply.Verdict = v.Pending(r, running)
 			reply.Pending = &n
 			return
 		}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -154,6 +156,19 @@
 	return s.serves
 }
 
+// runningJobs returns the jobs of the attempts that the worker has started or listed.
+func (s *session) runningJobs() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	jobs := map[string]bool{}
+	for k, info := range s.attempts {
+		if info.confirmed {
+			jobs[k.task.Job] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(jobs))
+}
+
 // leaseRemaining returns how long the worker's lease may continue if the worker is
 // lost now.
 func (s *session) leaseRemaining(now time.Duration) time.Duration {
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -235,6 +237,20 @@
 	}
 }
 
+// runningJobs returns the jobs of the attempts that their workers have started or listed.
+func (t *term) runningJobs() map[string]bool {
+	t.mu.Lock()
+	sessions := slices.Collect(maps.Values(t.sessions))
+	t.mu.Unlock()
+	running := map[string]bool{}
+	for _, s := range sessions {
+		for _, job := range s.runningJobs() {
+			running[job] = true
+		}
+	}
+	return running
+}
+
 // observeReport passes a report to the worker's session. It returns false if the session
 // has seen a later report.
 func (t *term) observeReport(r *cellapi.Report) bool {
