--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -92,8 +92,10 @@
 	crashes    func(task cell.TaskKey) bool
 	onCrash    func(id string)
 	crashDelay time.Duration
-	// started, if not nil, is called for each attempt that a worker starts.
+	// started, if not nil, is called for each attempt that a worker starts, and crashed for
+	// each worker that crashes, before its attempts are gone.
 	started func(id string, w *fakeWorker)
+	crashed func(w *fakeWorker)
 }
 
 type fakeWorker struct {
@@ -105,8 +107,10 @@
 	rejectedRuns map[cell.TaskKey]uint32
 	ends         []ListedEnd
 	lastEnd      uint64
-	// unreachable workers receive no orders and send no answers.
+	// unreachable workers receive no orders and send no answers; crashed ones do not come
+	// back.
 	unreachable bool
+	crashed     bool
 	// stalled workers list attempts that make no progress.
 	stalled bool
 	// wholePercents workers list the progress of attempts in whole percents.
@@ -302,7 +306,14 @@
 
 // crash makes a worker vanish with all that runs on it.
 func (f *fakeFleet) crash(id string, w *fakeWorker) {
-	w.unreachable = true
+	if w.crashed {
+		return
+	}
+	w.endFinished()
+	if f.crashed != nil {
+		f.crashed(w)
+	}
+	w.unreachable, w.crashed = true, true
 	clear(w.running)
 	f.onCrash(id)
 }
