dispatch: a successor with the same ID refuses the start orders of its predecessor

Callers: a task runs twice at the same time (TWICE), and a task that crashes its workers may be started twice for one counted crash. Cause: calls name the ID only, and the clock of a new incarnation has not reached the deadline of the order. Its registration, or a listing of it, ended the attempts of the earlier one, and the tasks started elsewhere while the successor ran them. Class: an order is addressed to a name that outlives what it named. Change: before a registration under the same ID is committed, and before a listing of another incarnation ends the attempts, the successor is ordered to stop the attempts whose start the earlier incarnation has not confirmed, for 400 ms at most, until none of them is listed. A stop also makes it refuse them later. The session sends no starts after that. An answer with a clock that is behind that of the earlier incarnation confirms nothing.

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -577,3 +577,27 @@
 		}
 	})
 }
+
+// Guards against a start order for a worker that has crashed that reaches its successor with
+// the same ID before that has registered: the task would run twice.
+func TestStartOnSuccessorOfCrashedWorkerIsRejected(t *testing.T) {
+	for _, registration := range []time.Duration{20 * time.Millisecond, 300 * time.Millisecond, 3 * time.Second} {
+		runCell(t, 2, func(b *testCell) {
+			for _, id := range []string{"w0", "w1"} {
+				b.fleet.change(id, func(w *fakeWorker) { w.taskDuration, w.stopDuration = 3*time.Second, 200*time.Millisecond })
+			}
+			b.runFor(10 * time.Second) // the clocks are far from that of a new incarnation
+			b.fleet.change("w1", func(w *fakeWorker) { w.unreachable = true })
+			b.runFor(5 * time.Second) // w1 is not used
+			b.fleet.change("w0", func(w *fakeWorker) { w.unreachable = true })
+			time.Sleep(2 * time.Second)
+			b.fleet.change("w1", func(w *fakeWorker) { w.unreachable = false })
+			b.fleet.change("w0", func(w *fakeWorker) { *w = *newFakeWorker(2, w) })
+			time.Sleep(10 * time.Millisecond) // its clock shows more than 0
+			b.submit(jobID1, taskStep(1, 2))
+			time.Sleep(registration)
+			b.do(firstReport("w0", 2, 0))
+			b.waitForState(jobID1, cell.Complete, 30*time.Second)
+		})
+	}
+}
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -125,6 +125,7 @@
 		s.t.leader.Logger.Info("worker answers again", logging.Step("hold"), logging.Peer(s.target.ID))
 	}
 	if listing.Born != 0 && listing.Born != s.born {
+		s.rejectOrders(s.target)
 		s.incarnationEnded("another life answers", listing.Born)
 		return
 	}
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -64,7 +64,7 @@
 func (s *session) sendStart(o *StartOrder, until time.Duration) (answer OrderAnswer, certain bool) {
 	certain = true
 	for s.t.leader.Clock.Now() < until && s.ctx.Err() == nil {
-		if !s.t.leads() {
+		if !s.t.leads() || s.isReplaced() {
 			return 0, certain
 		}
 		sent := s.t.leader.Clock.Now()
@@ -85,6 +85,10 @@
 			}
 			continue
 		}
+		if s.answeredBySuccessor(sent, r.ClockMS) {
+			s.callUnanswered(sent)
+			return 0, false
+		}
 		s.callAnswered(sent, r.ClockMS, s.t.leader.Clock.Now())
 		// A stale run may have been started or stopped by an earlier try of this
 		// order.
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -255,6 +255,9 @@
 		}
 		return &cellapi.Reply{Verdict: cell.Accepted}, false
 	}
+	if t.leads() {
+		t.rejectEarlierOrders(&r.Register)
+	}
 	r.Started = t.startedBefore(&r.Register)
 	result, err := t.commitOnce(ctx, &cell.Command{Register: &r.Register}, nil)
 	if err != nil {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -88,6 +88,8 @@
 	// serves is set if serving tasks with a response time target run beside them.
 	fillerPace int
 	serves     bool
+	// replaced is set once a later incarnation with the same ID is known.
+	replaced bool
 	// fenced is set once the worker has accepted an order with this term's fence.
 	fenced   bool
 	attempts map[attemptKey]*attemptInfo
@@ -190,7 +192,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	silent := s.lastUnanswered > s.lastAnswered
-	return s.clock.known && !s.failing && !silent && now >= s.avoidUntil && now-s.lastContact < maxReportSilence
+	return !s.replaced && s.clock.known && !s.failing && !silent && now >= s.avoidUntil && now-s.lastContact < maxReportSilence
 }
 
 // serving reports whether tasks with a response time target run on the worker.
