dispatch: the random test of capacities plays short leases too

Not a fix: every other seed of TestStartsKeepToCapacityThatVaries submits jobs whose workers get the short lease.

--- a/internal/dispatch/capacity_test.go
+++ b/internal/dispatch/capacity_test.go
@@ -26,6 +26,8 @@
 type capacityModel struct {
 	b      *testCell
 	random *rand.Rand
+	// path is the queue of the jobs.
+	path string
 	// sizes holds the cores of a task by job.
 	sizes map[string]int64
 	// history holds the capacities of each worker, in cores, with the times from which they
@@ -42,7 +44,7 @@
 }
 
 func newCapacityModel(b *testCell, seed uint64) *capacityModel {
-	m := &capacityModel{b: b, random: rand.New(rand.NewPCG(seed, 1)), sizes: map[string]int64{}, history: map[string][]capacityChange{}, sequence: map[string]uint64{}}
+	m := &capacityModel{b: b, random: rand.New(rand.NewPCG(seed, 1)), path: queuePath, sizes: map[string]int64{}, history: map[string][]capacityChange{}, sequence: map[string]uint64{}}
 	b.fleet.mu.Lock()
 	defer b.fleet.mu.Unlock()
 	b.fleet.started = m.started
@@ -96,7 +98,7 @@
 	m.b.fleet.mu.Lock()
 	m.sizes[id] = cores
 	m.b.fleet.mu.Unlock()
-	r := cell.Request{Host: "h", Path: queuePath + id}
+	r := cell.Request{Host: "h", Path: m.path + id}
 	step := cell.Step{Count: count, Size: structs.Resources{MilliCPU: cores * 1000}, EstimateMS: 1000}
 	m.b.leader.Do(context.Background(), &cellapi.Call{Submit: &cell.Submit{Request: r, Job: cell.Submission{Spec: "s", Steps: []cell.Step{step}}}})
 }
@@ -163,6 +165,9 @@
 	for seed := range uint64(12) {
 		runCell(t, 3, func(b *testCell) {
 			m := newCapacityModel(b, seed)
+			if seed%2 == 1 {
+				m.path = shortObjectivePath
+			}
 			chance := func(percent int) bool { return m.random.IntN(100) < percent }
 			between := func(from, to time.Duration) time.Duration {
 				return from + time.Duration(m.random.Int64N(int64(to-from)))
@@ -199,7 +204,7 @@
 					m.submit(fmt.Sprintf("%016x", jobs), 1+m.random.IntN(3), 1+m.random.Int64N(3))
 				}
 				if chance(10) && jobs > 0 {
-					r := jobRequest(fmt.Sprintf("%016x", 1+m.random.IntN(jobs)))
+					r := cell.Request{Host: "h", Path: fmt.Sprintf("%s%016x", m.path, 1+m.random.IntN(jobs))}
 					b.leader.Do(context.Background(), &cellapi.Call{Cancel: &r})
 				}
 				if leadsAt == 0 && chance(1) {
