--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -113,6 +113,7 @@
 		return
 	}
 	if listing.Born != 0 && listing.Born != s.born {
+		s.rejectOrders(s.target)
 		s.incarnationEnded("another life answers", listing.Born)
 		return
 	}
