dispatch: a started order whose reply shows a clock of 0 is of a successor

A task runs twice at the same time (TWICE) if its start order reaches the next incarnation of a worker within the first millisecond of its clock. Cause: a clock of 0 in a reply counted as not stated. Class: a default that has a meaning of its own. Change: a reply that an attempt has started always states the clock.

--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -85,7 +85,7 @@
 			}
 			continue
 		}
-		if s.answeredBySuccessor(sent, r.ClockMS) {
+		if s.answeredBySuccessor(sent, &r) {
 			s.callUnanswered(sent)
 			return 0, false
 		}
--- a/internal/dispatch/successor.go
+++ b/internal/dispatch/successor.go
@@ -20,13 +20,14 @@
 	return s.replaced
 }
 
-// answeredBySuccessor reports whether the answer to a call that was sent at a time is
-// certainly of a later incarnation, whose clock has started anew. clockMS is its clock, 0 if
-// the answer does not state it.
-func (s *session) answeredBySuccessor(sent time.Duration, clockMS int64) bool {
+// answeredBySuccessor reports whether the reply to an order that was sent at a time is
+// certainly of a later incarnation, whose clock has started anew. Rejections may not state
+// the clock.
+func (s *session) answeredBySuccessor(sent time.Duration, r *OrderReply) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return clockMS > 0 && s.clock.known && clockMS < s.clock.atLeast(sent)
+	stated := r.ClockMS > 0 || r.Answer == Done
+	return stated && s.clock.known && r.ClockMS < s.clock.atLeast(sent)
 }
 
 // rejectEarlierOrders makes the sender of a report reject the start orders for an earlier
