dispatch: a new incarnation does not make its predecessor usable

A worker that has crashed and is back, but whose first report has not arrived, may be given tasks under its earlier incarnation; they run on the new one, which keeps the id, and are started again elsewhere when it registers (TWICE).

Cause: the answer of another incarnation to a lease renewal counted as an answer of the one that was called, and was rejected only afterwards, behind the commit that closes its attempts. For the time of this commit, repeated with each probe, the old incarnation was usable, with the clock of the new one. Class: an order of steps that makes a window as long as a commit.

Evidence: TestUnregisteredIncarnationGetsNoStarts, commits of 200 ms. Before: orphan_test.go:173: assertion failed: 1 (int) != 0 (started int)

Change: the incarnation in the answer is compared first, and the old one is unusable before the commit begins.

Measured: the test passes 10 times; the tests of dispatch pass. With the race detector and under load one run of all failed in a test whose name was not kept, the next one passed. Not covered: an order that is sent, or repeated for up to 1.5 s, while the worker restarts reaches the new incarnation as well, since orders name only the id.

--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -112,6 +112,10 @@
 		s.renewalFailed(state, listing, err, now)
 		return
 	}
+	if listing.Born != 0 && listing.Born != s.born {
+		s.incarnationEnded("another life answers", listing.Born)
+		return
+	}
 	s.mu.Lock()
 	wasFailing := s.failing
 	s.failing, s.fenced = false, true
@@ -124,10 +128,6 @@
 	if wasFailing {
 		s.t.leader.Logger.Info("worker answers again", logging.Step("hold"), logging.Peer(s.target.ID))
 	}
-	if listing.Born != 0 && listing.Born != s.born {
-		s.incarnationEnded("another life answers", listing.Born)
-		return
-	}
 	s.processListing(listing, sent, now)
 }
 
@@ -168,10 +168,10 @@
 // incarnationEnded handles an incarnation that has certainly ended, because
 // another one answers at its address.
 func (s *session) incarnationEnded(reason string, successor int64) {
-	s.expireLease(reason)
 	s.mu.Lock()
-	s.failing = true
+	s.failing = true // before the commit, which takes a while
 	s.mu.Unlock()
+	s.expireLease(reason)
 	s.t.leader.Logger.Info("life of worker is over", logging.Step("hold"), logging.Peer(s.target.ID), "reason", reason, "born", s.born, "successor", successor)
 	s.t.pause(probeInterval)
 }
--- a/internal/dispatch/orphan_test.go
+++ b/internal/dispatch/orphan_test.go
@@ -157,3 +157,21 @@
 		assert.Equal(t, commits, 1)
 	})
 }
+
+// Guards against tasks that are started on an incarnation that has not registered yet, and
+// then again elsewhere, because its answer makes its predecessor usable until a commit ends.
+func TestUnregisteredIncarnationGetsNoStarts(t *testing.T) {
+	runCellWith(t, 1, func(c *Config) {
+		c.Log = &slowLog{fakeLog: c.Log.(*fakeLog), entryTime: 200 * time.Millisecond}
+	}, func(b *testCell) {
+		b.fleet.change("w0", func(w *fakeWorker) { w.unreachable = true })
+		b.submit(jobID1, taskStep(1, 1))
+		time.Sleep(startValidity + time.Second)
+		started := b.startCount(jobID1, 0)
+		b.fleet.change("w0", func(w *fakeWorker) { *w = *newFakeWorker(2, w) })
+		time.Sleep(5 * probeInterval)
+		assert.Equal(t, b.startCount(jobID1, 0), started)
+		b.do(firstReport("w0", 2, 0))
+		b.waitForState(jobID1, cell.Complete, 10*time.Second)
+	})
+}
