dispatch: failing test of an order to a worker that restarted unnoticed

A task runs twice at the same time (TWICE) after its worker has restarted under the same id within the time in which it counts as usable.

Cause: a start order names the worker's id, which the next incarnation keeps, and a deadline on a clock that starts anew, so the next incarnation carries it out. When its listing or its registration shows that, the attempt of the old incarnation is closed and the task is placed elsewhere, while it still runs.

Listed as known red, since a fix has to reach the state: such an attempt must stay committed until the new incarnation no longer lists it.

--- a/internal/dispatch/orphan_test.go
+++ b/internal/dispatch/orphan_test.go
@@ -175,3 +175,21 @@
 		b.waitForState(jobID1, cell.Complete, 10*time.Second)
 	})
 }
+
+// Guards against a task that runs twice because its worker restarted unnoticed: the new
+// incarnation carries out the order, and the task is started elsewhere when that shows.
+func TestOrderToRestartedWorkerDoesNotRunTwice(t *testing.T) {
+	runCell(t, 1, func(b *testCell) {
+		time.Sleep(time.Second)
+		b.fleet.change("w0", func(w *fakeWorker) {
+			*w = *newFakeWorker(2, w)
+			w.taskDuration = 3 * time.Second
+		})
+		b.submit(jobID1, taskStep(1, 3))
+		time.Sleep(retryDelay / 2)
+		b.register("w1", 1, 1)
+		time.Sleep(time.Second)
+		b.do(firstReport("w0", 2, 0))
+		b.waitForState(jobID1, cell.Complete, 10*time.Second)
+	})
+}
