replica: the test of a replaced replica runs in simulated time

Cause, as read from the code: the test measures elections in real time, so a busy machine can change the leader between two of its steps. Change: it runs in a synctest bubble, with the same steps and checks.

--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -292,32 +293,33 @@
 	sameVM := func(newID, oldID string) bool { return newID[0] == oldID[0] }
 	for _, replacement := range []string{"b.2", "d.1"} {
 		t.Run(replacement, func(t *testing.T) {
-			t.Parallel()
-			c := newCluster(t, func(cfg *Config) { cfg.Supersedes = sameVM }, "a.1", "b.1", "c.1")
-			c.propose(0, 60)
-			var old *Replica
-			for _, r := range c.all() {
-				if r != c.leader() && (old == nil || r.cfg.ID == "b.1") {
-					old = r
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, func(cfg *Config) { cfg.Supersedes = sameVM }, "a.1", "b.1", "c.1")
+				c.propose(0, 60)
+				var old *Replica
+				for _, r := range c.all() {
+					if r != c.leader() && (old == nil || r.cfg.ID == "b.1") {
+						old = r
+					}
 				}
-			}
-			if sameVM(replacement, "b.1") {
-				replacement = old.cfg.ID[:1] + ".2"
-				c.stop(old)
-			}
-			c.start(replacement, disk.NewMemory(), nil)
-			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-			defer cancel()
-			l := c.leader()
-			err := l.Replace(ctx, old.cfg.ID, &peerv1.RaftReplica{Id: replacement})
-			assert.NilError(t, err)
-			s := l.Status()
-			assert.Equal(t, len(s.Voters), 3)
-			assert.Assert(t, containsReplica(s.Voters, replacement) && !containsReplica(s.Voters, old.cfg.ID))
-			assert.Assert(t, s.Match[replacement] >= s.CommitIndex)
-			c.propose(60, 61)
-			c.waitCommands(replacement, 61)
-			assert.ErrorIs(t, l.Replace(ctx, l.cfg.ID, &peerv1.RaftReplica{Id: "e.1"}), raft.ErrRemoveLeader)
+				if sameVM(replacement, "b.1") {
+					replacement = old.cfg.ID[:1] + ".2"
+					c.stop(old)
+				}
+				c.start(replacement, disk.NewMemory(), nil)
+				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+				defer cancel()
+				l := c.leader()
+				err := l.Replace(ctx, old.cfg.ID, &peerv1.RaftReplica{Id: replacement})
+				assert.NilError(t, err)
+				s := l.Status()
+				assert.Equal(t, len(s.Voters), 3)
+				assert.Assert(t, containsReplica(s.Voters, replacement) && !containsReplica(s.Voters, old.cfg.ID))
+				assert.Assert(t, s.Match[replacement] >= s.CommitIndex)
+				c.propose(60, 61)
+				c.waitCommands(replacement, 61)
+				assert.ErrorIs(t, l.Replace(ctx, l.cfg.ID, &peerv1.RaftReplica{Id: "e.1"}), raft.ErrRemoveLeader)
+			})
 		})
 	}
 }
