--- a/internal/dispatch/leftover_model_test.go
+++ b/internal/dispatch/leftover_model_test.go
@@ -55,7 +55,6 @@
 	steps           []cell.Step
 	durations       []time.Duration
 	key             string
-	cancelled       bool
 }
 
 // modelWorker is one incarnation of a worker.
