dispatch: a new leader uses workers whose reports the earlier one had a moment ago

Cause: a new leader took the records of an earlier one for unconfirmed, however short the time between them was. Change: a process remembers when it last followed another leader. That leader had the report of each worker at most one interval, and an election timeout, before; from then the 4 s count for which a record is current. After a restart, or a longer time without a leader, a report is required as before. Evidence: TestNewLeaderUsesRecentReportsOfEarlierLeader fails without the change of the leader (no start) and passes; TestNewLeaderWaitsForCapacityOfWorkers and TestStartsKeepToCapacityThatVaries pass as before, now with a leader that is followed for a moment after its end. Measured: tests of dispatch pass.

--- a/internal/dispatch/capacity_test.go
+++ b/internal/dispatch/capacity_test.go
@@ -14,12 +14,9 @@
 	"laburnumgrade/internal/structs"
 )
 
-const (
-	reportInterval = 1500 * time.Millisecond
-	// shrinkGrace is how long a worker may get starts as if it had not shrunk: the time in
-	// which a cut connection is noticed, and one report.
-	shrinkGrace = 3*time.Second + reportInterval
-)
+// shrinkGrace is how long a worker may get starts as if it had not shrunk: the time in which
+// a cut connection is noticed, and one report.
+const shrinkGrace = 3*time.Second + reportInterval
 
 // capacityModel follows the capacity of each worker and what runs there. It is
 // independent of the replicated state.
@@ -143,6 +140,24 @@
 	})
 }
 
+// Guards against a leader that starts nothing until its workers have reported, although the
+// earlier leader had their reports a moment ago.
+func TestNewLeaderUsesRecentReportsOfEarlierLeader(t *testing.T) {
+	runCell(t, 1, func(b *testCell) {
+		m := newCapacityModel(b, 0)
+		m.report("w0", 0)
+		time.Sleep(time.Second)
+		b.log.follow(3 * time.Second)
+		time.Sleep(3*time.Second + maxLeaderSilence)
+		b.log.setTerm(2)
+		time.Sleep(100 * time.Millisecond)
+		m.submit(jobID1, 1, 2)
+		time.Sleep(time.Second)
+		m.check(t)
+		assert.Equal(t, b.startCount(jobID1, 0), 1)
+	})
+}
+
 // Guards against starts on a worker whose reports do not arrive although it answers.
 func TestWorkerWithoutReportsGetsNoStarts(t *testing.T) {
 	runCell(t, 1, func(b *testCell) {
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -28,8 +28,10 @@
 	// leaseLost is set while the leader has no lease although no other process
 	// leads.
 	leaseLost bool
-	index     uint64
-	apply     func(index uint64, command []byte) any
+	// followUntil is until when another process that has failed is named as the leader.
+	followUntil time.Time
+	index       uint64
+	apply       func(index uint64, command []byte) any
 }
 
 func (l *fakeLog) Propose(_ context.Context, command []byte) (any, error) {
@@ -51,10 +53,14 @@
 func (l *fakeLog) Leader() (id, address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.term == 0 {
+	switch {
+	case l.term != 0:
+		return "self#1", "self"
+	case time.Now().Before(l.followUntil):
+		return "other#1", "other"
+	default:
 		return "", ""
 	}
-	return "self#1", "self"
 }
 
 func (l *fakeLog) Term() (term, commit uint64) {
@@ -63,13 +69,25 @@
 	return l.term, l.index
 }
 
-// setTerm makes the log lead in a term; 0 ends the leadership.
+// setTerm makes the log lead in a term. 0 ends the leadership, as if that of another process
+// that is followed until an election timeout.
 func (l *fakeLog) setTerm(term uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if term == 0 {
+		l.followUntil = time.Now().Add(maxLeaderSilence)
+	}
 	l.term, l.since = term, l.since+1
 }
 
+// follow ends the leadership in favour of another process, which leads for a while.
+func (l *fakeLog) follow(d time.Duration) {
+	l.setTerm(0)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.followUntil = time.Now().Add(d + maxLeaderSilence)
+}
+
 // setLeaseLost takes the leader's lease away or restores it.
 func (l *fakeLog) setLeaseLost(lost bool) {
 	l.mu.Lock()
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -86,6 +86,10 @@
 	// callers are the peers that the current leader uses for advice; a new term of
 	// this process starts with them.
 	callers []string
+	// followedAt is when this process last knew another one as the leader; it is valid if
+	// hasFollowed is set. Only the goroutine of Run uses them.
+	followedAt  time.Duration
+	hasFollowed bool
 }
 
 // SetAdviceCallers sets the peer addresses of the processes through which the
@@ -200,6 +204,10 @@
 		}
 		if since, leads := l.Log.Lease(); leads {
 			l.lead(ctx, since)
+			continue
+		}
+		if _, address := l.Log.Leader(); address != "" && address != l.PeerAddress {
+			l.followedAt, l.hasFollowed = l.Clock.Now(), true
 		}
 	}
 }
@@ -213,6 +221,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	t := newTerm(ctx, l, number, l.Clock.Now())
+	t.inheritRecords(l.followedAt, l.hasFollowed)
 	l.mu.Lock()
 	l.term = t
 	for _, peer := range append([]string{l.PeerAddress}, l.callers...) {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -46,6 +46,11 @@
 	// maxRecordAge is how long after its newest report a worker may get new attempts: its
 	// answers to orders do not show whether it has shrunk since.
 	maxRecordAge = 4 * time.Second
+	// reportInterval is how often workers report.
+	reportInterval = 1500 * time.Millisecond
+	// maxLeaderSilence is how long a leader that has failed may still be followed: an
+	// election timeout.
+	maxLeaderSilence = 750 * time.Millisecond
 )
 
 // session manages one incarnation of a worker during a term: it sends orders,
@@ -106,6 +111,7 @@
 		lastContact: t.leader.Clock.Now(), recordAt: t.leader.Clock.Now(), recordConfirmed: !inherited, fillerPace: fullPace, attempts: map[attemptKey]*attemptInfo{},
 	}
 	if inherited {
+		s.recordAt, s.recordConfirmed = t.inheritedRecordAt, t.recordsInherited
 		// A margin of twice the drift covers a lease of the earlier leader even on
 		// the slowest clock.
 		s.latestLeaseEnd = t.began + t.lease + t.lease/25 + 10*timerMargin
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -33,8 +33,12 @@
 	// all of whose attempts belong to jobs that need a short lease.
 	lease      time.Duration
 	shortLease time.Duration
-	advice     *adviceBroker
-	stats      *workerStats
+	// inheritedRecordAt is when the workers sent, at the earliest, the newest reports that an
+	// earlier leader has processed; it is valid if recordsInherited is set.
+	inheritedRecordAt time.Duration
+	recordsInherited  bool
+	advice            *adviceBroker
+	stats             *workerStats
 	// wall is the wall-clock time that the control processes agree on.
 	wall *wallClock
 	// reserved maps a worker to the gang for which the last plan reserved it. Only
@@ -126,6 +130,11 @@
 	return t
 }
 
+// inheritRecords states when this process last followed another leader, if it has.
+func (t *term) inheritRecords(followedAt time.Duration, hasFollowed bool) {
+	t.inheritedRecordAt, t.recordsInherited = followedAt-maxLeaderSilence-reportInterval, hasFollowed
+}
+
 // spawn runs f in a goroutine that wait waits for.
 func (t *term) spawn(f func()) {
 	t.goroutines.Add(1)
