--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -28,13 +27,10 @@
 	// reserved callers: a wait of that length is a large part of the time that
 	// urgent work has.
 	longCallCost = 150 * time.Millisecond
-	// reservedCallerDivisor sets the largest share of callers that long requests leave to
+	// reservedCallerDivisor sets the share of callers that long requests leave to
 	// others, one in reservedCallerDivisor: a caller cannot send another request
-	// in the meantime. They leave one caller, and for bursts shortDemandFactor times as
-	// many as short requests have kept busy in the last demandWindow.
+	// in the meantime.
 	reservedCallerDivisor = 3
-	shortDemandFactor     = 3
-	demandWindow          = 2 * time.Second
 	// adviceTimeoutSlack is how much longer than its stated cost a request for
 	// advice may take.
 	adviceTimeoutSlack = 400 * time.Millisecond
@@ -65,43 +61,6 @@
 	steps map[cell.StepKey]*stepAdvice
 	// shares holds the share of workers that were allowed in the answers for each queue.
 	shares map[string]float64
-	// shortDemand is the work of short requests.
-	shortDemand demand
-}
-
-// demand measures work by the time that it takes, in windows of demandWindow.
-type demand struct {
-	// began is when the current window began. current and last are the sums of the current
-	// and the last window; known is set if there was one.
-	began, current, last time.Duration
-	known                bool
-}
-
-// advance begins the window that contains a time.
-func (d *demand) advance(now time.Duration) {
-	switch passed := now - d.began; {
-	case passed >= 2*demandWindow:
-		*d = demand{began: now, known: true}
-	case passed >= demandWindow:
-		*d = demand{began: d.began + demandWindow, last: d.current, known: true}
-	}
-}
-
-// add adds work at a time.
-func (d *demand) add(work, now time.Duration) {
-	d.advance(now)
-	d.current += work
-}
-
-// reserved returns how many of a number of callers are left to short requests.
-func (d *demand) reserved(callers int, now time.Duration) int {
-	d.advance(now)
-	most := callers / reservedCallerDivisor
-	if !d.known {
-		return most
-	}
-	busy := float64(max(d.last, d.current)) / float64(demandWindow)
-	return min(most, 1+int(math.Ceil(shortDemandFactor*busy)))
 }
 
 // caller is a process through which advice can be requested. It makes one call to the
@@ -213,11 +172,7 @@
 }
 
 func newAdviceBroker(t *term) *adviceBroker {
-	b := &adviceBroker{t: t, callers: map[string]*caller{}, steps: map[cell.StepKey]*stepAdvice{}, shares: map[string]float64{}}
-	if t != nil {
-		b.shortDemand.began = t.began
-	}
-	return b
+	return &adviceBroker{t: t, callers: map[string]*caller{}, steps: map[cell.StepKey]*stepAdvice{}, shares: map[string]float64{}}
 }
 
 // announce records that a process can be used for advice.
@@ -288,7 +243,7 @@
 	}
 	slices.Sort(usable)
 	if cost >= longCallCost {
-		usable = usable[b.shortDemand.reserved(len(usable), now):]
+		usable = usable[len(usable)/reservedCallerDivisor:]
 	}
 	best := ""
 	var bestAt time.Duration
@@ -305,9 +260,6 @@
 		return nil
 	}
 	r := &callerRequest{peer: best, cost: cost}
-	if cost < longCallCost {
-		b.shortDemand.add(cost+b.callers[best].overhead, now)
-	}
 	b.callers[best].add(r, now)
 	return r
 }
