dispatch: the test of a start on a crashed worker rules out its new incarnation

Cause: TestStartOnCrashedWorkerDoesNotFailJob expected the task on the other worker. In its failing runs (traced: w0 born 2 has the attempt, w1 is empty) the restarted worker had reported and told its clock before the next plan, so both workers were equal choices and the order of ids decided. Nothing promises that a new incarnation is avoided; the fault that the test guards against is the start on a worker that has crashed and is not known to have. Change: the new incarnation is cordoned until the task is on the other worker. All checks are as before.

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -448,9 +448,12 @@
 		for _, id := range []string{first, second} {
 			b.fleet.change(id, func(w *fakeWorker) { w.unreachable = true })
 		}
+		// The new incarnation is as good a choice as the other worker.
+		b.leader.currentTerm().cordon([]string{first})
 		b.restartWorker(first, 2, int(first[1]-'0'), 0)
 		time.Sleep(50 * time.Millisecond)
 		assert.Equal(t, b.workerWithAttempts(), second)
+		b.leader.currentTerm().cordon(nil)
 		time.Sleep(2 * time.Second)
 		b.restartWorker(second, 2, int(second[1]-'0'), 0)
 		b.waitForState(jobID1, cell.Complete, 30*time.Second)
