descriptor: the descriptors of a process are divided over their uses

Clients kept up to 6 idle connections to each of 540 workers and 32 to each peer, servers kept accepted ones for ever, nothing bounded the sum, and a storage whose temporary file could not be opened counted as unusable. Change: internal/descriptor takes the limit of the process (settings limits. descriptors and reserved_descriptors, or the operating system's), keeps 32 for files and gives each use a part: an outgoing connection waits for a descriptor, an accepted one closes those that were idle the longest, idle ones take 5/8 of a part at most. Gauges descriptors_open, _allowed, _limit, counters _waited, _rejected, a log line when a part is full. Servers that are started when a later one fails are stopped now. Tests: TestFailedWrites expected an unusable storage after four failures on temporary files, which is what ended the processes; these four cases and the failed open are in TestSnapshotThatIsNotStoredLeavesStorageUsable now, which checks what is stored before, during and after.

--- a/cmd/lg-cell/main.go
+++ b/cmd/lg-cell/main.go
@@ -12,6 +12,7 @@
 	"laburnumgrade/internal/adviser"
 	"laburnumgrade/internal/cellnode"
 	"laburnumgrade/internal/config"
+	"laburnumgrade/internal/descriptor"
 	"laburnumgrade/internal/dispatch"
 	"laburnumgrade/internal/logging"
 	"laburnumgrade/internal/port"
@@ -23,6 +24,14 @@
 // its leadership.
 const shutdownTimeout = time.Second
 
+// Shares of the descriptors by use. Workers are called by the leader alone, often several
+// times at once; they and the gateways keep a connection to it for their reports.
+const (
+	shareForWorkers  = 0.55
+	shareForAccepted = 0.33
+	shareForPeers    = 0.12
+)
+
 // maxLogLinesPerSecond bounds the log. It leaves room for three lines for each of
 // 250 task starts a second beside the reserve for other lines.
 const maxLogLinesPerSecond = 1000
@@ -40,11 +49,11 @@
 
 // newMachines returns the client of the service that takes machines down for
 // upkeep, nil if none is configured.
-func newMachines(c *config.Cell) dispatch.Machines {
+func newMachines(c *config.Cell, part *descriptor.Part) dispatch.Machines {
 	if !c.MachinesAddress.IsValid() {
 		return nil
 	}
-	return platform.NewMachines(c.MachinesAddress.String())
+	return platform.NewMachines(c.MachinesAddress.String(), part)
 }
 
 // run runs the process until a shutdown signal or the failure of its replica.
@@ -52,6 +61,8 @@
 	ctx, secondSignal := process.ShutdownSignals()
 	telemetry := process.NewTelemetry(c.Process, maxLogLinesPerSecond)
 	logger := telemetry.Logger
+	descriptors := descriptor.NewBudget(c.Descriptors, c.ReservedDescriptors, logger, telemetry.Scope)
+	peers := descriptors.Part("peers", shareForPeers)
 	nodeCtx, stopNode := context.WithCancel(context.Background())
 	defer stopNode()
 	node, err := cellnode.Start(nodeCtx, cellnode.Config{
@@ -64,9 +75,10 @@
 		Folder:        c.DataFolder,
 		Bootstrap:     c.Bootstrap,
 		Clock:         port.NewBootClock(),
-		Workers:       platform.NewWorkers(),
-		Adviser:       adviser.NewQueue(platform.NewAdviser(c.AdviceAddress.String()), logger, telemetry.Scope),
-		Machines:      newMachines(c),
+		Workers:       platform.NewWorkers(descriptors.Part("workers", shareForWorkers)),
+		Adviser:       adviser.NewQueue(platform.NewAdviser(c.AdviceAddress.String(), peers), logger, telemetry.Scope),
+		Machines:      newMachines(c, peers),
+		Peers:         peers,
 		Bounds: dispatch.Bounds{
 			MaxLease:          c.MaxLease,
 			EndedJobRetention: c.EndedJobRetention,
@@ -84,7 +96,7 @@
 		c.PublicAddress.String():        platform.ControlHandler(node, logger),
 		c.PeerAddress.String():          node.Handler(),
 		c.Process.AdminAddress.String(): telemetry.Metrics,
-	})
+	}, descriptors.Part("accepted", shareForAccepted))
 	if err != nil {
 		return err
 	}
--- a/cmd/lg-gateway/main.go
+++ b/cmd/lg-gateway/main.go
@@ -12,6 +12,7 @@
 	"laburnumgrade/internal/adviser"
 	"laburnumgrade/internal/cellapi"
 	"laburnumgrade/internal/config"
+	"laburnumgrade/internal/descriptor"
 	"laburnumgrade/internal/gateway"
 	"laburnumgrade/internal/logging"
 	"laburnumgrade/internal/process"
@@ -23,6 +24,12 @@
 // sending clients within two checks.
 const notReadyServingTime = 2500 * time.Millisecond
 
+// Shares of the descriptors by use.
+const (
+	shareForAccepted = 0.8
+	shareForPeers    = 0.2
+)
+
 // maxLogLinesPerSecond bounds the log. It leaves room for one line for each of 150
 // failed requests a second beside the reserve for other lines.
 const maxLogLinesPerSecond = 200
@@ -43,14 +50,16 @@
 	ctx, secondSignal := process.ShutdownSignals()
 	telemetry := process.NewTelemetry(c.Process, maxLogLinesPerSecond)
 	logger := telemetry.Logger
-	client := cellapi.NewClient(c.Seeds, logger)
+	descriptors := descriptor.NewBudget(c.Descriptors, c.ReservedDescriptors, logger, telemetry.Scope)
+	peers := descriptors.Part("peers", shareForPeers)
+	client := cellapi.NewClient(c.Seeds, peers, logger)
 	g := gateway.New(client, c.PeerAddress.String(), logger)
 	servers, err := process.StartServers(map[string]http.Handler{
 		c.PublicAddress.String():        platform.ClientHandler(g, logger, telemetry.Scope),
 		c.ReadinessAddress.String():     platform.ReadinessHandler(g.Ready),
 		c.Process.AdminAddress.String(): telemetry.Metrics,
-		c.PeerAddress.String():          cellapi.Handler(nil, adviser.NewQueue(platform.NewAdviser(c.AdviceAddress.String()), logger, telemetry.Scope)),
-	})
+		c.PeerAddress.String():          cellapi.Handler(nil, adviser.NewQueue(platform.NewAdviser(c.AdviceAddress.String(), peers), logger, telemetry.Scope)),
+	}, descriptors.Part("accepted", shareForAccepted))
 	if err != nil {
 		return err
 	}
--- a/internal/adapter/disk/errors.go
+++ b/internal/adapter/disk/errors.go
@@ -12,7 +12,7 @@
 var ErrIdentityMissing = errors.New("the data folder has no identity file")
 
 // ErrUnusable is returned by every call after an Append or SaveSnapshot that
-// failed, and after Close.
+// failed, unless with port.ErrNotStored, and after Close.
 var ErrUnusable = errors.New("the storage failed earlier and is unusable")
 
 // CorruptError reports a file that is damaged in another way than by a torn
--- a/internal/adapter/disk/storage.go
+++ b/internal/adapter/disk/storage.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"laburnumgrade/gen/peerv1"
+	"laburnumgrade/internal/port"
 )
 
 const (
@@ -29,7 +30,8 @@
 	failure  error
 	state    logState
 	snapshot *peerv1.RaftSnapshot
-	wal      File
+	// wal is nil if it could not be opened again after it was replaced.
+	wal File
 	// payload and record are buffers that Append reuses.
 	payload []byte
 	record  []byte
@@ -190,7 +192,10 @@
 	if s.state.baseIndex == base {
 		return nil
 	}
-	return s.rewriteWAL()
+	if err := s.rewriteWAL(); !errors.Is(err, port.ErrNotStored) {
+		return err
+	}
+	return nil // the file still holds all entries
 }
 
 // Load implements port.LogStorage.
@@ -259,13 +264,20 @@
 	if err != nil {
 		return err
 	}
-	if err := s.replaceFile(walFile, data); err != nil {
+	if err := s.writeTemp(walFile, data); err != nil {
+		return err
+	}
+	// The replaced file is closed first, so that the next steps have a descriptor.
+	s.wal.Close()
+	s.wal = nil
+	if err := s.publish(walFile); err != nil {
 		return err
 	}
-	s.wal.Close() // s.wal is still the replaced file
-	if s.wal, err = s.files.Open(s.path(walFile)); err != nil {
+	wal, err := s.files.Open(s.path(walFile))
+	if err != nil {
 		return &IOError{File: s.path(walFile), Step: "open", Err: err}
 	}
+	s.wal = wal
 	if _, err := s.wal.Seek(0, io.SeekEnd); err != nil {
 		return &IOError{File: s.path(walFile), Step: "seek", Err: err}
 	}
@@ -273,24 +285,43 @@
 }
 
 // replaceFile replaces a file of the folder atomically: it writes and syncs the
-// data under a temporary name, renames the file and syncs the folder.
+// data under a temporary name, renames the file and syncs the folder. The error wraps
+// port.ErrNotStored if the file is as it was.
 func (s *Storage) replaceFile(name string, data []byte) error {
+	if err := s.writeTemp(name, data); err != nil {
+		return err
+	}
+	return s.publish(name)
+}
+
+// writeTemp writes and syncs the data under the temporary name of a file. The error wraps
+// port.ErrNotStored.
+func (s *Storage) writeTemp(name string, data []byte) error {
 	path := s.path(name)
 	f, err := s.files.Open(path + tempSuffix)
 	if err != nil {
-		return &IOError{File: path, Step: "create", Err: err}
+		return notStored(&IOError{File: path, Step: "create", Err: err})
 	}
 	if err := f.Truncate(0); err != nil {
 		f.Close()
-		return &IOError{File: path, Step: "truncate", Err: err}
+		return notStored(&IOError{File: path, Step: "truncate", Err: err})
 	}
 	err = writeAndSync(f, path, data)
+	if err != nil {
+		_ = f.Truncate(0) // a full disk needs the space
+	}
 	if closeErr := f.Close(); err == nil && closeErr != nil {
 		err = &IOError{File: path, Step: "close", Err: closeErr}
 	}
 	if err != nil {
-		return err
+		return notStored(err)
 	}
+	return nil
+}
+
+// publish gives a file that writeTemp has written its name, and syncs the folder.
+func (s *Storage) publish(name string) error {
+	path := s.path(name)
 	if err := s.files.Rename(path+tempSuffix, path); err != nil {
 		return &IOError{File: path, Step: "rename", Err: err}
 	}
@@ -300,6 +331,9 @@
 	return nil
 }
 
+// notStored marks an error after which all that was stored is still there.
+func notStored(err error) error { return errors.Join(port.ErrNotStored, err) }
+
 func writeAndSync(f File, path string, data []byte) error {
 	n, err := f.Write(data)
 	if err == nil && n < len(data) {
@@ -314,9 +348,10 @@
 	return nil
 }
 
-// recordFailure makes the storage unusable if err is not nil, and returns err.
+// recordFailure makes the storage unusable if err is an error other than
+// port.ErrNotStored, and returns err.
 func (s *Storage) recordFailure(err error) error {
-	if err != nil {
+	if err != nil && !errors.Is(err, port.ErrNotStored) {
 		s.failure = errors.Join(ErrUnusable, err)
 	}
 	return err
@@ -332,5 +367,8 @@
 	if s.failure == nil {
 		s.failure = ErrUnusable
 	}
+	if s.wal == nil {
+		return nil // closed when it could not be replaced
+	}
 	return s.wal.Close()
 }
--- a/internal/adapter/httpserver/server.go
+++ b/internal/adapter/httpserver/server.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"laburnumgrade/internal/descriptor"
 )
 
 const (
@@ -18,6 +20,9 @@
 	// abandonTimeout is how long handlers may take to answer once their contexts
 	// were cancelled at the end of a shutdown.
 	abandonTimeout = 500 * time.Millisecond
+	// closedIdleDivisor sets how many idle connections a full server closes at a time, one
+	// in closedIdleDivisor of those that it may have.
+	closedIdleDivisor = 16
 )
 
 // Server is an HTTP server for HTTP/1.1 and for HTTP/2 without TLS (h2c).
@@ -33,12 +38,20 @@
 }
 
 // Start listens on the address (IP address and port) and serves requests in the
-// background.
+// background. It closes no idle connections.
 func Start(address string, handler http.Handler) (*Server, error) {
+	return StartWithin(address, handler, nil, 0)
+}
+
+// StartWithin is Start for a server whose connections are within the part. It closes
+// those that were idle for idleTimeout and, while the part is full, those that were idle
+// the longest. An idleTimeout of 0 means none.
+func StartWithin(address string, handler http.Handler, part *descriptor.Part, idleTimeout time.Duration) (*Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
+	l = part.Listen(l)
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
@@ -46,7 +59,12 @@
 	s := &Server{listener: l, failed: make(chan error, 1), abandon: abandon}
 	s.server = &http.Server{
 		Handler: s.track(handler), Protocols: protocols, ReadHeaderTimeout: readHeaderTimeout,
-		BaseContext: func(net.Listener) context.Context { return base },
+		BaseContext: func(net.Listener) context.Context { return base }, IdleTimeout: idleTimeout,
+	}
+	if part != nil {
+		idle := newIdleConnections()
+		s.server.ConnState = idle.observe
+		part.OnFull(func() { idle.closeOldest(max(1, part.Size()/closedIdleDivisor)) })
 	}
 	go s.serve()
 	return s, nil
--- a/internal/cellapi/client.go
+++ b/internal/cellapi/client.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"laburnumgrade/internal/descriptor"
 	"laburnumgrade/internal/logging"
 	"laburnumgrade/internal/port"
 )
@@ -40,13 +41,16 @@
 )
 
 // NewHTTPClient returns a client whose connections fail if the peer stops acknowledging.
-// It keeps at most idlePerHost idle connections to a host.
-func NewHTTPClient(idlePerHost int) *http.Client {
+// It keeps at most idlePerHost idle connections to a host and opens no more connections
+// than the part allows.
+func NewHTTPClient(idlePerHost int, part *descriptor.Part) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, Control: SetTCPUserTimeout, KeepAlive: 5 * time.Second}
-	return &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerHost,
+	client := &http.Client{Transport: &http.Transport{
+		DialContext: part.Dial(dialer.DialContext), MaxIdleConnsPerHost: idlePerHost, MaxIdleConns: part.MaxIdle(),
 		IdleConnTimeout: idleTimeout, DisableCompression: true,
 	}}
+	part.OnFull(client.CloseIdleConnections)
+	return client
 }
 
 // SetTCPUserTimeout makes a connection fail if sent bytes are not acknowledged within
@@ -83,8 +87,8 @@
 }
 
 // NewClient returns a client. seeds are the peer addresses of some control processes.
-func NewClient(seeds []string, logger *slog.Logger) *Client {
-	return &Client{http: NewHTTPClient(idleConnectionsPerPeer), logger: logger, seeds: seeds}
+func NewClient(seeds []string, part *descriptor.Part, logger *slog.Logger) *Client {
+	return &Client{http: NewHTTPClient(idleConnectionsPerPeer, part), logger: logger, seeds: seeds}
 }
 
 // SetSeeds replaces the seeds after the settings have changed.
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -18,6 +18,7 @@
 	"laburnumgrade/internal/adapter/peer"
 	"laburnumgrade/internal/cell"
 	"laburnumgrade/internal/cellapi"
+	"laburnumgrade/internal/descriptor"
 	"laburnumgrade/internal/dispatch"
 	"laburnumgrade/internal/logging"
 	"laburnumgrade/internal/membership"
@@ -64,9 +65,11 @@
 	// Machines is nil if there is no machine service.
 	Machines dispatch.Machines
 	Adviser  cellapi.Adviser
-	Bounds   dispatch.Bounds
-	Logger   *slog.Logger
-	Scope    tally.Scope
+	// Peers bounds the connections to other processes of the cell.
+	Peers  *descriptor.Part
+	Bounds dispatch.Bounds
+	Logger *slog.Logger
+	Scope  tally.Scope
 }
 
 // Tolerance is what may be lost at the same time, disks included, without the loss of
@@ -93,9 +96,9 @@
 // Start opens or creates the replica and starts the node. Its background work ends with
 // the context; the replica runs until Stop.
 func Start(ctx context.Context, c Config) (*Node, error) {
-	n := &Node{config: c, raft: peer.NewRaftServer(), client: cellapi.NewClient(c.Seeds, c.Logger)}
+	n := &Node{config: c, raft: peer.NewRaftServer(), client: cellapi.NewClient(c.Seeds, c.Peers, c.Logger)}
 	n.announcements.byName = map[string]membership.Candidate{}
-	n.transport = peer.NewRaftTransport(cellapi.NewHTTPClient(idleConnectionsPerPeer), membership.ProcessName, c.Logger)
+	n.transport = peer.NewRaftTransport(cellapi.NewHTTPClient(idleConnectionsPerPeer, c.Peers), membership.ProcessName, c.Logger)
 	store := cell.NewStore(func(command *cell.Command) {
 		if n.leader != nil {
 			n.leader.Applied(command)
--- a/internal/config/cell.go
+++ b/internal/config/cell.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"net/netip"
 	"os"
 	"strings"
@@ -20,6 +21,11 @@
 	defaultHolderLease       = 3 * time.Second
 	defaultMinServingTime    = 4500 * time.Millisecond
 	maxSeedsTextBytes        = 4096
+	maxDescriptors           = 1 << 30
+	// minDescriptors is the least number of descriptors beside the reserved ones with
+	// which a process can serve.
+	minDescriptors             = 64
+	defaultReservedDescriptors = 200
 )
 
 // CellCommon holds the settings that lg-cell and lg-gateway have in common.
@@ -36,6 +42,11 @@
 	AdviceAddress netip.AddrPort
 	// DrainTimeout bounds the time of a shutdown.
 	DrainTimeout time.Duration
+	// Descriptors is how many descriptors the process may open, 0 for the limit of the
+	// operating system. ReservedDescriptors of them are not used for connections or the
+	// data folder.
+	Descriptors         int
+	ReservedDescriptors int
 }
 
 // Gateway holds the settings of lg-gateway.
@@ -104,6 +115,11 @@
 	}
 	c.AdviceAddress = optional(r, "cell", "advice", addressKind(), netip.AddrPort{})
 	c.DrainTimeout = optional(r, "limits", "drain", durationKind(0, maxDrain), defaultCellDrain)
+	c.ReservedDescriptors = int(optional(r, "limits", "reserved_descriptors", wholeKind(0, maxDescriptors), defaultReservedDescriptors))
+	c.Descriptors = int(optional(r, "limits", "descriptors", wholeKind(0, maxDescriptors), 0))
+	if least := c.ReservedDescriptors + minDescriptors; c.Descriptors > 0 && c.Descriptors < least && r.valid("limits.descriptors", "limits.reserved_descriptors") {
+		r.fault("limits", "descriptors", fmt.Sprint(c.Descriptors), fmt.Sprintf("0 or at least %d, %d more than reserved_descriptors", least, minDescriptors))
+	}
 	return c
 }
 
@@ -176,6 +192,14 @@
 	}
 }
 
+// cellLimits writes the section limits.
+func (p *printer) cellLimits(c *CellCommon) {
+	p.section("limits")
+	p.key("drain", c.DrainTimeout)
+	p.key("descriptors", c.Descriptors)
+	p.key("reserved_descriptors", c.ReservedDescriptors)
+}
+
 // String returns the settings as an INI text that ParseGateway accepts.
 func (g *Gateway) String() string {
 	var p printer
@@ -184,8 +208,7 @@
 	p.key("public", g.PublicAddress)
 	p.key("ready", g.ReadinessAddress)
 	p.key("peer", g.PeerAddress)
-	p.section("limits")
-	p.key("drain", g.DrainTimeout)
+	p.cellLimits(&g.CellCommon)
 	return p.String()
 }
 
@@ -209,7 +232,6 @@
 	p.key("peer", c.PeerAddress)
 	p.section("disk")
 	p.key("folder", c.DataFolder)
-	p.section("limits")
-	p.key("drain", c.DrainTimeout)
+	p.cellLimits(&c.CellCommon)
 	return p.String()
 }
--- a/internal/port/interfaces.go
+++ b/internal/port/interfaces.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"laburnumgrade/gen/peerv1"
@@ -42,8 +43,13 @@
 	Leader() (id, address string)
 }
 
+// ErrNotStored is wrapped by an error of LogStorage.SaveSnapshot that leaves the storage
+// usable, as when a temporary file cannot be opened or written. The call may be repeated.
+var ErrNotStored = errors.New("the snapshot was not stored")
+
 // LogStorage keeps a replica's log, hard state and last snapshot. A call that
-// returns an error leaves the storage unusable: the replica must stop.
+// returns an error other than ErrNotStored leaves the storage unusable: the replica must
+// stop.
 type LogStorage interface {
 	// Load returns the stored hard state, snapshot and entries. The entries start
 	// after the index of the snapshot.
@@ -51,7 +57,8 @@
 	// Append stores the hard state, if it is not nil, and the entries, and syncs
 	// once. The entries replace all stored entries with the same or a higher index.
 	Append(hard *peerv1.RaftHardState, entries []*peerv1.RaftEntry) error
-	// SaveSnapshot stores a snapshot and drops the entries it covers.
+	// SaveSnapshot stores a snapshot and drops the entries it covers. After ErrNotStored
+	// all that was stored before is still there.
 	SaveSnapshot(snapshot *peerv1.RaftSnapshot) error
 	// Durable reports whether the storage survives the end of the process.
 	Durable() bool
--- a/internal/process/serve.go
+++ b/internal/process/serve.go
@@ -13,19 +13,27 @@
 	"github.com/pkg/errors"
 
 	"laburnumgrade/internal/adapter/httpserver"
+	"laburnumgrade/internal/descriptor"
 	"laburnumgrade/internal/logging"
 )
 
 // Servers are the HTTP servers of a process.
 type Servers []*httpserver.Server
 
-// StartServers starts one server for each address. If one fails to start, those
-// already started keep running.
-func StartServers(handlers map[string]http.Handler) (Servers, error) {
+// idleTimeout is how long an idle connection is kept. It exceeds that of cellapi's
+// clients, so that they do not send on a connection that is about to be closed.
+const idleTimeout = time.Minute
+
+// StartServers starts one server for each address. Their connections are within the
+// part. If one fails to start, those already started are stopped.
+func StartServers(handlers map[string]http.Handler, part *descriptor.Part) (Servers, error) {
 	var servers Servers
 	for address, handler := range handlers {
-		s, err := httpserver.Start(address, handler)
+		s, err := httpserver.StartWithin(address, handler, part, idleTimeout)
 		if err != nil {
+			stopped := make(chan struct{})
+			close(stopped)
+			_ = servers.Shutdown(stopped, 0)
 			return nil, err
 		}
 		servers = append(servers, s)
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -1,15 +1,23 @@
 package replica
 
 import (
+	"errors"
 	"sync"
+	"time"
 
 	"laburnumgrade/gen/peerv1"
 	"laburnumgrade/internal/port"
 )
 
-// maxUnappliedEntries is the number of entries by which the state machine may lag behind
-// before no more are accepted. Entries that are not applied cannot be compacted.
-const maxUnappliedEntries = 16_384
+const (
+	// maxUnappliedEntries is the number of entries by which the state machine may lag
+	// behind before no more are accepted. Entries that are not applied cannot be compacted.
+	maxUnappliedEntries = 16_384
+	// snapshotRetryDelay is the delay after a snapshot that could not be stored until the
+	// next one is encoded, and receivedRetryDelay that until a received one is stored again.
+	snapshotRetryDelay = time.Second
+	receivedRetryDelay = 100 * time.Millisecond
+)
 
 // applier calls the state machine on a goroutine of its own, because a call may take
 // longer than an election timeout. It carries out tasks in the order of their queueing.
@@ -170,7 +178,13 @@
 	if s == nil {
 		return nil // a newer one was received
 	}
-	if err := r.write(func() error { return r.cfg.Storage.SaveSnapshot(s) }); err != nil {
+	err := r.write(func() error { return r.cfg.Storage.SaveSnapshot(s) })
+	if errors.Is(err, port.ErrNotStored) {
+		r.log.Warn("snapshot not stored, tried again later", "index", s.Index, "err", err)
+		r.snapshotRetryAt = r.cfg.Clock.Now() + snapshotRetryDelay
+		return nil
+	}
+	if err != nil {
 		return port.AtStep("store snapshot", "", err)
 	}
 	r.node.Compact(s)
@@ -204,9 +218,29 @@
 	r.applier.enqueue(t)
 }
 
+// storeReceived stores a snapshot of another replica. Without it the replica cannot go on,
+// so it tries until it succeeds or the replica is stopped.
+func (r *Replica) storeReceived(s *peerv1.RaftSnapshot) error {
+	for {
+		err := r.cfg.Storage.SaveSnapshot(s)
+		if !errors.Is(err, port.ErrNotStored) {
+			return err
+		}
+		r.log.Warn("received snapshot not stored, tried again", "index", s.Index, "err", err)
+		select {
+		case <-r.stopRequested:
+			return err
+		case <-time.After(receivedRetryDelay):
+		}
+	}
+}
+
 // maybeRequestSnapshot requests a snapshot if Config.SnapshotThreshold entries were
-// applied since the last one.
+// applied since the last one, and not shortly after one that could not be stored.
 func (r *Replica) maybeRequestSnapshot() {
+	if r.cfg.Clock.Now() < r.snapshotRetryAt {
+		return
+	}
 	if r.encoding || r.node.Status().AppliedIndex < r.snapshotIndex+r.cfg.SnapshotThreshold {
 		return
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -29,11 +29,14 @@
 	// The following fields are used only by the goroutine of run.
 	node          *raft.Node
 	applier       *applier
-	snapshotIndex uint64               // index of the newest snapshot
-	encoding      bool                 // the applier was asked for a snapshot
-	waiters       map[uint64]*proposal // proposals in the log that are not handed out, by index
-	role          raft.Role            // as last seen by recordRole
-	ticks         <-chan time.Time
+	snapshotIndex uint64 // index of the newest snapshot
+	encoding      bool   // the applier was asked for a snapshot
+	// snapshotRetryAt is the earliest time of the next snapshot after one that could not
+	// be stored.
+	snapshotRetryAt time.Duration
+	waiters         map[uint64]*proposal // proposals in the log that are not handed out, by index
+	role            raft.Role            // as last seen by recordRole
+	ticks           <-chan time.Time
 }
 
 // queue holds the input for the next turn.
@@ -263,7 +266,7 @@
 				return port.AtStep("append to log", "", err)
 			}
 		}
-		if err := r.cfg.Storage.SaveSnapshot(ready.Snapshot); err != nil {
+		if err := r.storeReceived(ready.Snapshot); err != nil {
 			return port.AtStep("store snapshot", "", err)
 		}
 		hard = nil
