dispatch: gangs reserve the room that becomes free first, and ask about no more workers than they need

What became free on the workers it was allowed on went to small tasks of lower priority: only four gangs could reserve, and only whole workers, those with most free capacity. Change: internal/reservation finds the earliest time at which the allowed workers have room together, from the expected ends of what runs there, and reserves just that room (32 gangs a plan); other work may start there if it ends before or fits beside it. A gang whose allowed workers could hold it three times asks no further. Within a priority the step comes first that has to start first to be in time. Gangs that need a rack, or do not fit on the workers known to be allowed, have whole workers as before.

--- a/cmd/lg-cell/main.go
+++ b/cmd/lg-cell/main.go
@@ -61,6 +61,7 @@
 	ctx, secondSignal := process.ShutdownSignals()
 	telemetry := process.NewTelemetry(c.Process, maxLogLinesPerSecond)
 	logger := telemetry.Logger
+	process.LimitMemory(c.MemoryBytes)
 	descriptors := descriptor.NewBudget(c.Descriptors, c.ReservedDescriptors, logger, telemetry.Scope)
 	peers := descriptors.Part("peers", shareForPeers)
 	nodeCtx, stopNode := context.WithCancel(context.Background())
--- a/cmd/lg-gateway/main.go
+++ b/cmd/lg-gateway/main.go
@@ -50,6 +50,7 @@
 	ctx, secondSignal := process.ShutdownSignals()
 	telemetry := process.NewTelemetry(c.Process, maxLogLinesPerSecond)
 	logger := telemetry.Logger
+	process.LimitMemory(c.MemoryBytes)
 	descriptors := descriptor.NewBudget(c.Descriptors, c.ReservedDescriptors, logger, telemetry.Scope)
 	peers := descriptors.Part("peers", shareForPeers)
 	client := cellapi.NewClient(c.Seeds, peers, logger)
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -59,7 +59,7 @@
 
 // addCommitted adds an attempt to the sums of the worker.
 func (w *Worker) addCommitted(a *Attempt) {
-	w.committed = w.committed.Add(a.claim())
+	w.committed = w.committed.Add(a.Claim())
 	if a.Suspect() {
 		w.suspects++
 	}
@@ -67,14 +67,14 @@
 
 // removeCommitted removes an attempt from the sums of the worker.
 func (w *Worker) removeCommitted(a *Attempt) {
-	w.committed = w.committed.Sub(a.claim())
+	w.committed = w.committed.Sub(a.Claim())
 	if a.Suspect() {
 		w.suspects--
 	}
 }
 
-// claim returns the part of a worker's capacity that the attempt occupies.
-func (a *Attempt) claim() structs.Resources { return claim(a.Size, a.Filler) }
+// Claim returns the part of a worker's capacity that the attempt occupies.
+func (a *Attempt) Claim() structs.Resources { return claim(a.Size, a.Filler) }
 
 // Claim returns the part of a worker's capacity that a task of the step occupies.
 func (s *Step) Claim() structs.Resources { return claim(s.Size, s.Filler) }
--- a/internal/config/cell.go
+++ b/internal/config/cell.go
@@ -26,6 +26,8 @@
 	// which a process can serve.
 	minDescriptors             = 64
 	defaultReservedDescriptors = 200
+	minMemoryBytes             = 16 << 20
+	maxMemoryBytes             = 1 << 40
 )
 
 // CellCommon holds the settings that lg-cell and lg-gateway have in common.
@@ -47,6 +49,9 @@
 	// data folder.
 	Descriptors         int
 	ReservedDescriptors int
+	// MemoryBytes is how much memory the process may use before it is killed, 0 if that is
+	// not limited.
+	MemoryBytes int64
 }
 
 // Gateway holds the settings of lg-gateway.
@@ -117,6 +122,7 @@
 	c.DrainTimeout = optional(r, "limits", "drain", durationKind(0, maxDrain), defaultCellDrain)
 	c.ReservedDescriptors = int(optional(r, "limits", "reserved_descriptors", wholeKind(0, maxDescriptors), defaultReservedDescriptors))
 	c.Descriptors = int(optional(r, "limits", "descriptors", wholeKind(0, maxDescriptors), 0))
+	c.MemoryBytes = optional(r, "limits", "memory", memoryKind(minMemoryBytes, maxMemoryBytes), 0)
 	if least := c.ReservedDescriptors + minDescriptors; c.Descriptors > 0 && c.Descriptors < least && r.valid("limits.descriptors", "limits.reserved_descriptors") {
 		r.fault("limits", "descriptors", fmt.Sprint(c.Descriptors), fmt.Sprintf("0 or at least %d, %d more than reserved_descriptors", least, minDescriptors))
 	}
@@ -198,6 +204,9 @@
 	p.key("drain", c.DrainTimeout)
 	p.key("descriptors", c.Descriptors)
 	p.key("reserved_descriptors", c.ReservedDescriptors)
+	if c.MemoryBytes > 0 {
+		p.key("memory", FormatBytes(c.MemoryBytes))
+	}
 }
 
 // String returns the settings as an INI text that ParseGateway accepts.
--- a/internal/dispatch/advice_plan.go
+++ b/internal/dispatch/advice_plan.go
@@ -19,6 +19,9 @@
 	// is sent: if it may find one in usefulCapacityDivisor of the missing
 	// capacity.
 	usefulCapacityDivisor = 4
+	// gangCapacityFactor is how many times the workers that a gang may use should be able
+	// to hold it if they were empty.
+	gangCapacityFactor = 3
 )
 
 // workersToQuery returns the workers to request advice on, those with free capacity
@@ -52,7 +55,7 @@
 	}
 	roomElsewhere := false
 	for _, c := range group {
-		answered, room := advice.hasAnswerFor(c), hasRoom(rs, c)
+		answered, room := advice.hasAnswerFor(c), p.hasRoom(rs, c)
 		switch {
 		case !answered && room && rs.mayJoin(c):
 			withRoom = append(withRoom, c)
@@ -92,6 +95,9 @@
 // without other requests: few allowed workers among those in earlier requests do not show
 // that the others are not allowed.
 func (p *planner) queryMore(rs *readyStep, missing int) bool {
+	if p.hasEnoughAllowed(rs, rs.advice) {
+		return false
+	}
 	if !p.mayRequest(rs, rs.advice) {
 		withRoom, _ := p.unanswered(rs, rs.advice)
 		if len(withRoom) == 0 || rs.step.Gang && !p.worthQuerying(rs, rs.advice, withRoom, missing) {
@@ -114,7 +120,7 @@
 // haveRoom reports whether workers have room for a number of tasks of the step now.
 func (p *planner) haveRoom(rs *readyStep, workers []*candidate, tasks int) bool {
 	for _, c := range workers {
-		if fits(rs, c) {
+		if p.fits(rs, c) {
 			tasks -= p.tasksThatFit(rs, c)
 		}
 	}
@@ -126,17 +132,33 @@
 // hold the missing tasks. Requests that follow each other would delay the gang by a whole
 // call each.
 func (p *planner) queryCount(rs *readyStep, withRoom []*candidate, workers, missing int) int {
-	share, tasks := p.allowedShare(rs.queue.Name), 0
+	share, tasks, capacity := p.allowedShare(rs.queue.Name), 0, 0
 	for i, c := range withRoom {
-		if i%maxAdviceWorkers == 0 && (i == maxParallelRequests*maxAdviceWorkers || i > 0 && share*float64(tasks) >= float64(missing)) {
+		if i%maxAdviceWorkers == 0 && (i == maxParallelRequests*maxAdviceWorkers || i > 0 && (share*float64(tasks) >= float64(missing) || share*float64(capacity) >= gangCapacityFactor*float64(missing))) {
 			return i
 		}
 		tasks += capPerWorker(rs.step, fitCount(rs.step.Claim(), c.free))
+		capacity += capPerWorker(rs.step, fitCount(rs.step.Claim(), c.worker.Capacity))
 	}
 	// The others have no room.
 	return min(workers, (len(withRoom)+maxAdviceWorkers-1)/maxAdviceWorkers*maxAdviceWorkers)
 }
 
+// hasEnoughAllowed reports whether the workers that a gang is allowed on could hold it
+// several times if they were empty, so that it gets room on them as tasks end.
+func (p *planner) hasEnoughAllowed(rs *readyStep, advice *stepAdvice) bool {
+	if !rs.step.Gang || rs.step.SameRack {
+		return false
+	}
+	tasks := 0
+	for id := range advice.tickets {
+		if c := p.byID[id]; c != nil && advice.tickets[id].born == c.born {
+			tasks += capPerWorker(rs.step, fitCount(rs.step.Claim(), c.worker.Capacity))
+		}
+	}
+	return float64(tasks) >= gangCapacityFactor*float64(rs.step.Count)
+}
+
 // worthQuerying reports whether a request for advice on more workers is expected
 // to find a useful part of the capacity that a gang lacks. A long request for a
 // few workers takes nearly as long as one for all and blocks its caller for other
@@ -147,7 +169,7 @@
 	}
 	tasks := 0
 	for _, c := range more {
-		if fits(rs, c) {
+		if p.fits(rs, c) {
 			tasks += fitCount(rs.step.Claim(), c.free)
 		}
 	}
--- a/internal/dispatch/candidate.go
+++ b/internal/dispatch/candidate.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"laburnumgrade/internal/cell"
+	"laburnumgrade/internal/reservation"
 	"laburnumgrade/internal/structs"
 )
 
@@ -41,8 +42,12 @@
 	// withheld is set if this plan reserves the worker for a gang of higher rank, or if the
 	// worker has become unusable since the plan began.
 	// reservedFor is the gang for which the last plan reserved it.
-	withheld    bool
-	reservedFor cell.StepKey
+	withheld bool
+	// timeline holds what gangs of higher rank have reserved on the worker. What ends
+	// there is known if releasesKnown is set.
+	timeline      reservation.Timeline
+	releasesKnown bool
+	reservedFor   cell.StepKey
 	// isolatedFor is the job whose suspects run on the worker, or for which it is kept
 	// free of others. plannedSuspects counts the suspects, all of the job plannedFor, that
 	// this plan has placed on it.
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -32,6 +32,9 @@
 	// changed, or when the speed of the attempt was last lowered.
 	percent    float64
 	progressAt time.Duration
+	// expected is how long the attempt should run on a worker of mean speed, 0 if that is
+	// not known.
+	expected time.Duration
 	// inherited is set if an earlier leader committed the attempt.
 	inherited bool
 	// servingSince is when a daemon attempt was first listed as serving, 0 if
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -29,10 +29,11 @@
 	claim := rs.step.Claim()
 	for _, c := range list {
 		onWorker, placedHere := 0, 0
+		room := p.tasksThatFit(rs, c)
 		if rs.step.MaxPerWorker > 0 {
 			onWorker = p.countTasks(rs.key, c) + c.placed[rs.key]
 		}
-		for len(placed) < len(tasks) && placedHere < maxInRound && claim.Fits(c.free) {
+		for len(placed) < len(tasks) && placedHere < min(room, maxInRound) && claim.Fits(c.free) {
 			if rs.step.MaxPerWorker > 0 && onWorker >= rs.step.MaxPerWorker {
 				break
 			}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -6,6 +6,7 @@
 
 	"laburnumgrade/internal/cell"
 	"laburnumgrade/internal/logging"
+	"laburnumgrade/internal/reservation"
 	"laburnumgrade/internal/structs"
 )
 
@@ -96,9 +97,13 @@
 	allowedShare func(queue string) float64
 	// offRackFactor is the ratio of a task's run time outside the rack of its data
 	// to its run time inside. reservedGangCount counts the gangs for which this
-	// plan reserves workers.
+	// plan reserves room, and wholeWorkersCount those for which it reserves whole workers.
 	offRackFactor     float64
 	reservedGangCount int
+	wholeWorkersCount int
+	// releases returns what should become free on a worker and when; nil if it is not
+	// known.
+	releases func(c *candidate) []reservation.Release
 	// victims returns the tasks on a worker that may be preempted by work of a
 	// priority; nil disables preemption. lastPreemption is when tasks were last
 	// preempted for a gang.
@@ -130,6 +135,7 @@
 		t.completeReadySteps(steps, p.now, use)
 		t.addCandidates(workers, p)
 		p.victims = t.newVictimFinder(p)
+		p.releases = func(c *candidate) []reservation.Release { return t.releasesOf(c, p.now) }
 		t.mu.Lock()
 		p.lastPreemption = maps.Clone(t.lastPreemption)
 		t.mu.Unlock()
@@ -242,6 +248,8 @@
 	t.mu.Lock()
 	firstSeen := t.times[p.Task.OccurrenceKey()].firstSeen
 	t.mu.Unlock()
+	var expected time.Duration
+	ratios := t.stats.queueRatios()
 	found, current := false, s.recordIsCurrent(t.leader.Clock.Now())
 	t.leader.Store.View(func(v *cell.View) {
 		j, w := v.Job(p.Task.Job), v.Worker(p.Worker)
@@ -250,6 +258,9 @@
 		}
 		found = true
 		o.Spec = j.Spec
+		if step := &j.Steps[p.Task.Step]; !step.Daemon {
+			expected = expectedDuration(step.EstimateMS, ratios.of(j.Queue))
+		}
 		o.Checkpoint = j.Occurrences[p.Task.Occurrence][p.Task.Step].Tasks[p.Task.Index].Checkpoint
 		if q := v.Queue(j.Queue); q != nil && q.Advice != nil {
 			o.Ticket = t.advice.ticket(p.Task.StepKey, p.Worker)
@@ -268,6 +279,7 @@
 	t.leader.metrics.wait.RecordDuration(t.leader.Clock.Now() - firstSeen)
 	t.leader.Logger.Info("task planned", logging.Step("plan"), logging.Job(p.Task.Job), "task", position(p.Task), "run", p.Run, logging.Peer(p.Worker),
 		"since_seen_ms", (t.leader.Clock.Now() - firstSeen).Milliseconds(), "factor", t.stats.factorOf(p.Worker), "saved", o.Checkpoint != "")
+	s.expectAttempt(attemptKey{p.Task, p.Run}, expected)
 	t.spawn(func() { s.start(o) })
 }
 
@@ -336,10 +348,13 @@
 			p.requestAdvice(rs, workers, nil)
 			return waitsForAdvice
 		}
-		if advice.inFlight > 0 {
-			return waitsForAdvice
-		}
-		if p.now < advice.retryAt {
+		if advice.inFlight > 0 || p.now < advice.retryAt {
+			if rs.step.Gang && len(advice.heldPlacements) == 0 && p.tasksWithinLimit(rs) >= rs.step.Count {
+				p.reserve(rs) // others must not take its room meanwhile
+			}
+			if advice.inFlight > 0 {
+				return waitsForAdvice
+			}
 			return waitsForRetry
 		}
 	}
--- a/internal/dispatch/rack.go
+++ b/internal/dispatch/rack.go
@@ -1,9 +1,12 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
+	"time"
 
 	"laburnumgrade/internal/cell"
+	"laburnumgrade/internal/reservation"
 )
 
 // restrictToRack reduces a ranked list of workers to one rack for a step whose
@@ -84,9 +87,22 @@
 	return p.runningTasks().counts[stepOnWorker{k, c}]
 }
 
-// tasksThatFit returns how many tasks of the step fit on a worker now.
+// tasksThatFit returns how many tasks of the step fit on a worker now, beside what gangs of
+// higher rank have reserved there.
 func (p *planner) tasksThatFit(rs *readyStep, c *candidate) int {
-	return capPerWorker(rs.step, fitCount(rs.step.Claim(), c.free))
+	n := fitCount(rs.step.Claim(), c.free)
+	if n > 0 && c.timeline.HasReservations() {
+		n = min(n, c.timeline.Count(rs.step.Claim(), c.free, p.now, p.expectedEnd(rs, c)))
+	}
+	return capPerWorker(rs.step, n)
+}
+
+// expectedEnd returns when a task of the step that starts on a worker now should have ended.
+func (p *planner) expectedEnd(rs *readyStep, c *candidate) time.Duration {
+	if rs.step.Daemon {
+		return reservation.Forever
+	}
+	return p.now + time.Duration(slowMargin*c.runTimeFactor*float64(cmp.Or(rs.duration, rs.remaining)))
 }
 
 // capPerWorker limits a number of tasks to what the step allows on one worker.
--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"laburnumgrade/internal/reservation"
 	"laburnumgrade/internal/structs"
 )
 
@@ -39,9 +40,11 @@
 	reservedCost = 5
 	// expiredTicketCost ranks workers with a valid ticket before all others.
 	expiredTicketCost = 10
-	// maxReservedGangs is how many gangs that do not fit have workers reserved for
-	// them.
-	maxReservedGangs = 4
+	// maxReservedGangs is how many gangs that do not fit have room reserved for them, and
+	// maxWholeWorkersGangs how many have whole workers: those that need a rack, and those
+	// that do not fit on the workers they are known to be allowed on.
+	maxReservedGangs     = 32
+	maxWholeWorkersGangs = 4
 )
 
 // startableTasks returns the indices of the tasks that may be started. The caller does
@@ -115,12 +118,12 @@
 }
 
 // hasRoom reports whether a worker of the step's group has room for one task of it now.
-func hasRoom(rs *readyStep, c *candidate) bool {
-	return rs.step.Claim().Fits(c.free) && !c.withheld
+func (p *planner) hasRoom(rs *readyStep, c *candidate) bool {
+	return rs.step.Claim().Fits(c.free) && !c.withheld && (!c.timeline.HasReservations() || p.tasksThatFit(rs, c) > 0)
 }
 
 // fits reports whether a worker of the step's group can take one task of it now.
-func fits(rs *readyStep, c *candidate) bool { return hasRoom(rs, c) && rs.mayJoin(c) }
+func (p *planner) fits(rs *readyStep, c *candidate) bool { return p.hasRoom(rs, c) && rs.mayJoin(c) }
 
 // fitting returns the workers that can take a task of the step, in the order of their IDs.
 func (p *planner) fitting(rs *readyStep, advice *stepAdvice) []*candidate {
@@ -131,7 +134,7 @@
 	var list []*candidate
 	if advice != nil && len(advice.tickets) < len(group) {
 		for id, issued := range advice.tickets {
-			if c := p.byID[id]; c != nil && issued.born == c.born && c.service == kind.service && c.worker.HasLabel(kind.label) && fits(rs, c) {
+			if c := p.byID[id]; c != nil && issued.born == c.born && c.service == kind.service && c.worker.HasLabel(kind.label) && p.fits(rs, c) {
 				list = append(list, c)
 			}
 		}
@@ -140,7 +143,7 @@
 	}
 	full := true
 	for _, c := range group {
-		if !hasRoom(rs, c) {
+		if !p.hasRoom(rs, c) {
 			continue
 		}
 		full = false
@@ -229,31 +232,74 @@
 	return value
 }
 
-// reserve withholds the allowed workers with the most free capacity for a gang
-// that does not fit. Otherwise smaller tasks would take the capacity as it becomes
-// free.
+// reserve reserves room for a gang that does not fit: what becomes free first on its allowed
+// workers, or the rack with the most free capacity if it needs one. Otherwise smaller tasks
+// would take the room as it becomes free.
 func (p *planner) reserve(rs *readyStep) {
 	if p.reservedGangCount >= maxReservedGangs || !p.fitsOnEmptyWorkers(rs) {
 		return
 	}
+	list := p.reservable(rs)
+	if rs.step.SameRack {
+		p.reserveWorkers(rs, p.rackToReserve(rs, list))
+		return
+	}
 	p.reservedGangCount++
-	advice := rs.advice
+	places := make([]reservation.Place, len(list))
+	for i, c := range list {
+		p.knowReleases(c)
+		places[i] = reservation.Place{Timeline: &c.timeline, Free: c.free, Most: capPerWorker(rs.step, rs.step.Count)}
+	}
+	from, parts, ok := reservation.Earliest(places, rs.step.Claim(), rs.step.Count, p.now)
+	if !ok {
+		p.reserveWorkers(rs, list) // workers that are not asked about yet may be allowed
+		return
+	}
+	for i, c := range list {
+		if tasks := parts[i]; tasks > 0 {
+			c.timeline.Reserve(from, rs.step.Claim().Scale(int64(tasks)))
+			p.reserved[c.id] = rs.key
+		}
+	}
+}
+
+// reservable returns the allowed workers on which room may be reserved for a gang.
+func (p *planner) reservable(rs *readyStep) []*candidate {
 	var list []*candidate
 	for _, c := range p.group(rs) {
 		if c.withheld || !rs.mayJoin(c) {
 			continue
 		}
-		if advice != nil {
-			if _, ok := advice.tickets[c.id]; !ok {
+		if rs.advice != nil {
+			if issued, ok := rs.advice.tickets[c.id]; !ok || issued.born != c.born {
 				continue
 			}
 		}
 		list = append(list, c)
 	}
-	slices.SortStableFunc(list, func(a, b *candidate) int { return cmp.Compare(b.free.MilliCPU, a.free.MilliCPU) })
-	if rs.step.SameRack {
-		list = p.rackToReserve(rs, list)
+	return list
+}
+
+// knowReleases adds what should end on a worker to its timeline.
+func (p *planner) knowReleases(c *candidate) {
+	if c.releasesKnown {
+		return
 	}
+	c.releasesKnown = true
+	releases := []reservation.Release{{At: p.now + unknownRunTime, Amount: c.worker.Capacity.Sub(c.free)}}
+	if p.releases != nil {
+		releases = p.releases(c)
+	}
+	c.timeline.SetReleases(releases, p.now)
+}
+
+// reserveWorkers withholds whole workers for a gang, those with the most free capacity first.
+func (p *planner) reserveWorkers(rs *readyStep, list []*candidate) {
+	if p.wholeWorkersCount >= maxWholeWorkersGangs {
+		return
+	}
+	p.wholeWorkersCount++
+	slices.SortStableFunc(list, func(a, b *candidate) int { return cmp.Compare(b.free.MilliCPU, a.free.MilliCPU) })
 	need := rs.step.Count
 	for _, c := range list {
 		if need <= 0 {
--- a/internal/dispatch/ready.go
+++ b/internal/dispatch/ready.go
@@ -34,6 +34,8 @@
 	// remaining is the expected duration of this step and the longest chain of
 	// steps that depend on it.
 	remaining time.Duration
+	// duration is the expected duration of this step alone.
+	duration time.Duration
 	// deadline is when the job should be complete to meet its objective.
 	deadline time.Duration
 	// shortLease is set if the job needs a short lease; its tasks are placed apart
@@ -105,6 +107,7 @@
 			rest := remainingDurations(rs.job, ratios.of(rs.queue.Name))
 			times := t.timesOf(rs.key, rs.job, rs.queue, rest, now)
 			rs.remaining = rest[rs.key.Step]
+			rs.duration = expectedDuration(rs.step.EstimateMS, ratios.of(rs.queue.Name))
 			rs.shortLease = times.needsShortLease()
 			rs.deadline = times.firstSeen + times.objective
 			rs.late = now+rs.remaining > rs.deadline
@@ -119,9 +122,10 @@
 		use.yield()
 	}
 	slices.SortFunc(readySteps, func(a, b *readyStep) int {
-		// Daemon steps come first, since their service is down while they wait.
+		// Daemon steps come first, since their service is down while they wait. Within a
+		// priority the step comes first that must start first to be in time.
 		return cmp.Or(trueFirst(a.step.Daemon, b.step.Daemon), trueFirst(!a.overdue, !b.overdue), cmp.Compare(a.queue.Priority, b.queue.Priority),
-			trueFirst(!a.overtaken, !b.overtaken), cmp.Compare(a.job.Accepted, b.job.Accepted), cmp.Compare(a.key.Step, b.key.Step))
+			trueFirst(!a.overtaken, !b.overtaken), cmp.Compare(a.deadline-a.remaining, b.deadline-b.remaining), cmp.Compare(a.job.Accepted, b.job.Accepted), cmp.Compare(a.key.Step, b.key.Step))
 	})
 }
 
--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -206,7 +206,7 @@
 	if rs.waitsFor != waitsForRoom || rs.ignoresIsolation {
 		return
 	}
-	isShutOut := p.isolating && slices.ContainsFunc(p.group(rs), func(c *candidate) bool { return hasRoom(rs, c) && !c.admits(rs.job.ID) })
+	isShutOut := p.isolating && slices.ContainsFunc(p.group(rs), func(c *candidate) bool { return p.hasRoom(rs, c) && !c.admits(rs.job.ID) })
 	if _, known := p.isolation.shutOut[rs.key]; known == isShutOut {
 		return
 	}
