--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -152,6 +152,7 @@
 		if a, ok := w.Attempts[started.Task]; ok && a.Run == started.Run {
 			a.Started = true
 			w.Attempts[started.Task] = a
+			w.changes++
 			s.markBegun(started.Task.Job)
 		}
 	}
@@ -159,6 +160,7 @@
 		if a, ok := w.Attempts[settled.Task]; ok && a.Run == settled.Run {
 			a.Started = false
 			w.Attempts[settled.Task] = a
+			w.changes++
 		}
 	}
 	for _, sound := range c.Sound {
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -35,8 +35,14 @@
 	// whose tasks are suspects.
 	committed structs.Resources
 	suspects  int
+	// changes counts the changes of Attempts.
+	changes uint64
 }
 
+// AttemptChanges returns a number that changes with Attempts as long as the record is the
+// same.
+func (w *Worker) AttemptChanges() uint64 { return w.changes }
+
 // Attempt is one attempt to execute a task on one incarnation of a worker.
 type Attempt struct {
 	// Run is the number of the attempt.
@@ -60,6 +66,7 @@
 // addCommitted adds an attempt to the sums of the worker.
 func (w *Worker) addCommitted(a *Attempt) {
 	w.committed = w.committed.Add(a.Claim())
+	w.changes++
 	if a.Suspect() {
 		w.suspects++
 	}
@@ -68,6 +75,7 @@
 // removeCommitted removes an attempt from the sums of the worker.
 func (w *Worker) removeCommitted(a *Attempt) {
 	w.committed = w.committed.Sub(a.Claim())
+	w.changes++
 	if a.Suspect() {
 		w.suspects--
 	}
--- a/internal/dispatch/candidate.go
+++ b/internal/dispatch/candidate.go
@@ -56,8 +56,31 @@
 	plannedFor      string
 }
 
+// attemptCopies holds copies of the attempts of workers by their records. Plans share them
+// as long as the attempts do not change, since copying all for each plan would be a large
+// part of its cost.
+type attemptCopies map[*cell.Worker]attemptCopy
+
+type attemptCopy struct {
+	changes  uint64
+	attempts map[cell.TaskKey]cell.Attempt
+}
+
+// of returns a copy of the attempts of a worker, which the caller does not modify.
+func (a attemptCopies) of(w *cell.Worker) map[cell.TaskKey]cell.Attempt {
+	known, ok := a[w]
+	if !ok || known.changes != w.AttemptChanges() {
+		known = attemptCopy{w.AttemptChanges(), maps.Clone(w.Attempts)}
+		a[w] = known
+	}
+	return known.attempts
+}
+
 // copyWorkers returns copies of the records of the usable workers in no order.
-func copyWorkers(v *cell.View) []*cell.Worker {
+func (a attemptCopies) copyWorkers(v *cell.View) []*cell.Worker {
+	if len(a) > 2*len(v.Workers()) {
+		clear(a) // most of them are of records that were replaced
+	}
 	copies := make([]cell.Worker, 0, len(v.Workers()))
 	list := make([]*cell.Worker, 0, len(v.Workers()))
 	for _, w := range v.Workers() {
@@ -66,7 +89,7 @@
 		}
 		copies = append(copies, *w)
 		c := &copies[len(copies)-1]
-		c.Attempts = maps.Clone(w.Attempts)
+		c.Attempts = a.of(w)
 		list = append(list, c)
 	}
 	return list
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -226,7 +226,7 @@
 		// workers have free capacity.
 		t.advice.retainSteps(v.Ready())
 		if len(readySteps) > 0 {
-			workers = copyWorkers(v)
+			workers = t.attemptCopies.copyWorkers(v)
 		}
 		for _, rs := range readySteps {
 			if _, known := p.headroom[rs.job.Team]; !known {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -19,7 +19,7 @@
 	leaseDuration = 5700 * time.Millisecond
 	// renewalWait is how long a worker waits for an attempt to end before it
 	// answers a lease renewal.
-	renewalWait = 800 * time.Millisecond
+	renewalWait = 1200 * time.Millisecond
 	// shortLeaseDuration is the lease of a worker whose attempts all belong to jobs
 	// with a short objective. It covers a change of the leader, which takes up to
 	// 1.2 s; with a longer lease these jobs would miss their objective whenever the
@@ -27,7 +27,7 @@
 	shortLeaseDuration = 1800 * time.Millisecond
 	// shortRenewalWait is the wait under a short lease, so that the wait does not
 	// use up most of the lease.
-	shortRenewalWait = 400 * time.Millisecond
+	shortRenewalWait = 600 * time.Millisecond
 	// callTimeout bounds a call to a worker in addition to the time that the
 	// worker may wait.
 	callTimeout = 400 * time.Millisecond
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -16,6 +16,9 @@
 	// minPlanGap is the shortest time between two plans, so that events that
 	// arrive together are handled by one plan.
 	minPlanGap = 8 * time.Millisecond
+	// housekeepingInterval is the shortest time between two searches for workers without a
+	// session and for attempts that should not run, which look at all workers.
+	housekeepingInterval = 40 * time.Millisecond
 	// stopRetryInterval is how long the leader waits before it repeats a stop
 	// order for an attempt that has not ended.
 	stopRetryInterval = 400 * time.Millisecond
@@ -44,6 +47,11 @@
 	// reserved maps a worker to the gang for which the last plan reserved it. Only
 	// the planner's goroutine uses it.
 	reserved map[string]cell.StepKey
+	// attemptCopies is shared by the plans. Only the planner's goroutine uses it.
+	attemptCopies attemptCopies
+	// housekeepingAt is when sessions and unwanted attempts were last looked for. Only the
+	// planner's goroutine uses it.
+	housekeepingAt time.Duration
 	// isolation is that of the last plan. Only the planner's goroutine uses it.
 	isolation isolation
 	// waitReportAt and attemptReportAt are when the next reports are due, and unconfirmed
@@ -123,6 +131,7 @@
 		wall:           newWallClock(),
 		cordoned:       map[string]bool{},
 		lastStopOrder:  map[stopKey]time.Duration{},
+		attemptCopies:  attemptCopies{},
 		commits:        map[string]*pendingCommit{},
 		stats:          newWorkerStats(),
 	}
@@ -178,9 +187,12 @@
 			continue
 		}
 		use := newProcessorUse(t.leader.Clock)
-		t.syncSessions()
-		t.stopUnwanted()
-		t.reportUnconfirmedAttempts()
+		if now := t.leader.Clock.Now(); now >= t.housekeepingAt+housekeepingInterval || !t.isSynced() {
+			t.housekeepingAt = now
+			t.syncSessions()
+			t.stopUnwanted()
+			t.reportUnconfirmedAttempts()
+		}
 		use.stop()
 		t.openDueOccurrences()
 		if !t.pause(planPause(use.used + t.planOnce())) {
@@ -195,6 +207,13 @@
 	}
 }
 
+// isSynced reports whether every incarnation of before the term has a session.
+func (t *term) isSynced() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.synced
+}
+
 // session returns the session of an incarnation of a worker, nil if there is none.
 func (t *term) session(worker string, born int64) *session {
 	t.mu.Lock()
