dispatch: a request for advice goes to the process that should answer first

Cause: chooseCaller took the first idle process in the order of addresses. Change: the expected time of the answer decides; the bound on the wait is still that until the call begins. Test: TestRequestGoesToCallerThatAnswersFirst (before: the first of three idle ones).

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -249,14 +249,15 @@
 	var bestAt time.Duration
 	for _, peer := range usable {
 		c := b.callers[peer]
-		if !c.answering && len(c.queue) > 0 {
+		if !c.answering && len(c.queue) > 0 || c.idleAt(now) > now+maxWait {
 			continue
 		}
-		if at := c.idleAt(now); best == "" || at < bestAt {
+		// Calls through a busy or small VM take longer than their stated cost.
+		if at := c.idleAt(now) + c.overhead; best == "" || at < bestAt {
 			best, bestAt = peer, at
 		}
 	}
-	if best == "" || bestAt > now+maxWait {
+	if best == "" {
 		return nil
 	}
 	r := &callerRequest{peer: best, cost: cost}
--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -184,3 +184,17 @@
 	limit := int(time.Minute/(adviceTimeoutSlack<<maxAvoidDoublings)) + maxAvoidDoublings + 1
 	assert.Assert(t, requests <= limit, "%d requests in a minute", requests)
 }
+
+// Guards against short requests that wait for a slow VM while a fast one is idle.
+func TestRequestGoesToCallerThatAnswersFirst(t *testing.T) {
+	b := newAdviceBroker(nil)
+	for peer, overhead := range map[string]time.Duration{"a": 80 * time.Millisecond, "b": 5 * time.Millisecond, "c": 40 * time.Millisecond} {
+		b.announce(peer, 0)
+		b.callers[peer].answering, b.callers[peer].overhead = true, overhead
+	}
+	const cost = 20 * time.Millisecond
+	assert.Equal(t, b.chooseCaller(0, cost, maxCallerBacklog).peer, "b")
+	assert.Equal(t, b.chooseCaller(0, cost, maxCallerBacklog).peer, "b", "its second answer still comes first")
+	assert.Equal(t, b.chooseCaller(0, cost, maxCallerBacklog).peer, "c")
+	assert.Equal(t, b.chooseCaller(0, cost, 0).peer, "a", "the only one that is idle")
+}
