--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -27,7 +27,7 @@
 	shortLeaseDuration = 1800 * time.Millisecond
 	// shortRenewalWait is the wait under a short lease, so that the wait does not
 	// use up most of the lease.
-	shortRenewalWait = 600 * time.Millisecond
+	shortRenewalWait = 500 * time.Millisecond
 	// callTimeout bounds a call to a worker in addition to the time that the
 	// worker may wait.
 	callTimeout = 400 * time.Millisecond
