dispatch: gangs without advice use up no reservations, and a gang reserves once a plan

Cause, found when reading the change: a gang whose first request was in flight counted among the 32 that may reserve, and among the four that may have whole workers, though it knows no worker yet; and an urgent gang that joined a plan again was kept out by its own reservation and reserved twice. Change: no allowed worker, no reservation; a gang that has reserved does not join.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -270,8 +270,12 @@
 		return nil
 	}
 	t.completeReadySteps(steps, p.now, use)
-	// The isolation of suspects is settled for whole plans.
-	steps = slices.DeleteFunc(steps, func(rs *readyStep) bool { return rs.overdue || len(rs.crashed) > 0 })
+	// The isolation of suspects is settled for whole plans, and a gang that has reserved room
+	// in this one has it for the next.
+	steps = slices.DeleteFunc(steps, func(rs *readyStep) bool {
+		earlier, again := p.counted[rs.key]
+		return rs.overdue || len(rs.crashed) > 0 || rs.step.Gang && again && earlier == waitsForRoom
+	})
 	steps = steps[:min(len(steps), maxJoiningSteps)]
 	for _, rs := range steps {
 		if rs.queue.Advice != nil {
@@ -361,6 +365,12 @@
 	return nil
 }
 
+// hasPlanned reports whether the plan has looked at the step before.
+func (p *planner) hasPlanned(rs *readyStep) bool {
+	_, again := p.counted[rs.key]
+	return again
+}
+
 // countWait counts what a step waits for, and no longer what it did earlier in the plan.
 func (p *planner) countWait(rs *readyStep) {
 	if p.counted == nil {
@@ -404,7 +414,7 @@
 			return waitsForAdvice
 		}
 		if advice.inFlight > 0 || p.now < advice.retryAt {
-			if rs.step.Gang && len(advice.heldPlacements) == 0 && p.tasksWithinLimit(rs) >= rs.step.Count {
+			if rs.step.Gang && len(advice.heldPlacements) == 0 && p.tasksWithinLimit(rs) >= rs.step.Count && !p.hasPlanned(rs) {
 				p.reserve(rs) // others must not take its room meanwhile
 			}
 			if advice.inFlight > 0 {
--- a/internal/dispatch/plan_test.go
+++ b/internal/dispatch/plan_test.go
@@ -314,3 +314,22 @@
 	p.planSteps([]*readyStep{p.newReadyStep("gang", 1, newGangStep(2, 40)), small})
 	assert.Equal(t, len(p.placements), 0, "the other workers may be allowed")
 }
+
+// Guards against gangs that wait for their first advice and use up the number of gangs that
+// may reserve room, so that those which know where they may run lose theirs.
+func TestGangWithoutAdviceReservesNothing(t *testing.T) {
+	advice := map[cell.StepKey]*stepAdvice{{Job: "knows"}: adviceAllowing(20*time.Second, "w00", "w01")}
+	p := newPlanner(2, advice)
+	p.candidates[1].free.MilliCPU = 1000
+	var steps []*readyStep
+	for i := range 2 * maxReservedGangs {
+		rs := p.newReadyStep(fmt.Sprintf("asks%02d", i), 1, newGangStep(6, 18))
+		advice[rs.key] = &stepAdvice{inFlight: 1}
+		steps = append(steps, rs)
+	}
+	small := p.newReadyStep("small", 2, newGangStep(3, 18))
+	small.queue.Advice = nil
+	p.planSteps(append(steps, p.newReadyStep("knows", 1, newGangStep(6, 18)), small))
+	assert.Equal(t, len(p.reserved), 2)
+	assert.Equal(t, len(p.placements), 0)
+}
--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -240,6 +240,9 @@
 		return
 	}
 	list := p.reservable(rs)
+	if len(list) == 0 {
+		return
+	}
 	if rs.step.SameRack {
 		p.reserveWorkers(rs, p.rackToReserve(rs, list))
 		return
