--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -27,8 +27,10 @@
 	calls  int
 }
 
-func (f *ticketAdvisers) Ask(ctx context.Context, peer string, q *cellapi.AdviceRequest) *cellapi.AdviceReply {
+// queue adds a call to those of a process and returns when it is answered.
+func (f *ticketAdvisers) queue(peer string, q *cellapi.AdviceRequest) time.Time {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	idleAt := f.idleAt[peer]
 	if idleAt.Before(time.Now()) {
 		idleAt = time.Now()
@@ -36,7 +38,11 @@
 	idleAt = idleAt.Add(time.Duration(q.CostMS) * time.Millisecond)
 	f.idleAt[peer] = idleAt
 	f.calls++
-	f.mu.Unlock()
+	return idleAt
+}
+
+func (f *ticketAdvisers) Ask(ctx context.Context, peer string, q *cellapi.AdviceRequest) *cellapi.AdviceReply {
+	idleAt := f.queue(peer, q)
 	reply := &cellapi.AdviceReply{Tickets: map[string]string{}}
 	select {
 	case <-ctx.Done():
--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -93,35 +93,26 @@
 // replayAdvisers is ticketAdvisers with a share for each queue.
 type replayAdvisers struct {
 	ticketAdvisers
-	shareOf func(job string) uint32
-	cost    time.Duration
-	// costOf is the cost of calls by the decision time of their queue.
-	costOf  map[string]time.Duration
-	classOf func(job string) string
+	// classOf returns the class of a job.
+	classOf func(job string) *loadClass
+	// costOf is what the calls for each class have cost.
+	costOf map[string]time.Duration
 }
 
 func (f *replayAdvisers) Ask(ctx context.Context, peer string, q *cellapi.AdviceRequest) *cellapi.AdviceReply {
+	idleAt, class := f.queue(peer, q), f.classOf(q.Step.Job)
 	f.mu.Lock()
-	idleAt := f.idleAt[peer]
-	if idleAt.Before(time.Now()) {
-		idleAt = time.Now()
-	}
-	idleAt = idleAt.Add(time.Duration(q.CostMS) * time.Millisecond)
-	f.idleAt[peer] = idleAt
-	f.calls++
-	f.cost += time.Duration(q.CostMS) * time.Millisecond
-	share := f.shareOf(q.Step.Job)
-	f.costOf[f.classOf(q.Step.Job)] += time.Duration(q.CostMS) * time.Millisecond
+	f.costOf[class.name] += time.Duration(q.CostMS) * time.Millisecond
 	f.mu.Unlock()
-	reply := &cellapi.AdviceReply{Tickets: map[string]string{}}
 	select {
 	case <-ctx.Done():
-		reply.Error = ctx.Err().Error()
+		return &cellapi.AdviceReply{Error: ctx.Err().Error()}
 	case <-time.After(time.Until(idleAt)):
-		for _, w := range q.Workers {
-			if isAllowed(q.Step, w, share) {
-				reply.Tickets[w] = "t"
-			}
+	}
+	reply := &cellapi.AdviceReply{Tickets: map[string]string{}}
+	for _, w := range q.Workers {
+		if isAllowed(q.Step, w, class.goodPercent) {
+			reply.Tickets[w] = "t"
 		}
 	}
 	return reply
@@ -146,17 +137,11 @@
 	random := rand.New(rand.NewPCG(pattern.seed, 1))
 	jobs := map[string]*replayedJob{}
 	var mu sync.Mutex
-	f := &replayAdvisers{ticketAdvisers: ticketAdvisers{idleAt: map[string]time.Time{}}}
-	f.costOf = map[string]time.Duration{}
-	f.classOf = func(job string) string {
+	f := &replayAdvisers{ticketAdvisers: ticketAdvisers{idleAt: map[string]time.Time{}}, costOf: map[string]time.Duration{}}
+	f.classOf = func(job string) *loadClass {
 		mu.Lock()
 		defer mu.Unlock()
-		return jobs[job].class.name
-	}
-	f.shareOf = func(job string) uint32 {
-		mu.Lock()
-		defer mu.Unlock()
-		return jobs[job].class.goodPercent
+		return jobs[job].class
 	}
 	speed := func(id string) float64 {
 		if hashOf(id)%4 == 0 {
@@ -326,7 +311,11 @@
 			float64(r.inTime)/float64(r.jobs), float64(r.late)/float64(r.jobs), r.earned/r.worth, float64(r.largestServed)/float64(max(1, r.largest)), float64(r.inTime+r.late)/float64(r.jobs),
 			quantile(r.waits, 0.5), quantile(r.waits, 0.95))
 	}
-	fmt.Fprintf(&text, "worth %.3f advice %d calls %v, of %v; cores used %.2f\n", total/owed, f.calls, f.cost.Round(time.Second), (time.Duration(pattern.callers) * (pattern.length)).Round(time.Second), used/(float64(pattern.workers*64)*pattern.length.Seconds()))
+	var cost time.Duration
+	for _, c := range f.costOf {
+		cost += c
+	}
+	fmt.Fprintf(&text, "worth %.3f advice %d calls %v, of %v; cores used %.2f\n", total/owed, f.calls, cost.Round(time.Second), (time.Duration(pattern.callers) * pattern.length).Round(time.Second), used/(float64(pattern.workers*64)*pattern.length.Seconds()))
 	return results, text.String()
 }
 
--- a/internal/replica/snapshot_test.go
+++ b/internal/replica/snapshot_test.go
@@ -71,38 +71,37 @@
 	}
 }
 
-// Guards against a replica that stops because a received snapshot cannot be stored, and
-// against one that goes on without it.
-func TestReceivedSnapshotIsStoredLater(t *testing.T) {
-	t.Parallel()
+// receiveRefusedSnapshot returns a cluster with a follower that has received a snapshot of
+// 300 commands and cannot store it, and the follower's storage.
+func receiveRefusedSnapshot(t *testing.T) (*cluster, *Replica, *refusingStorage) {
+	t.Helper()
 	c, storages := newRefusingCluster(t)
 	leader := c.leader()
 	behind, _ := c.followers(leader)
-	id := behind.cfg.ID
-	c.net.setCut(id, true)
+	storage := storages[behind.cfg.ID]
+	c.net.setCut(behind.cfg.ID, true)
 	c.propose(0, 300)
 	wait(t, "the leader has stored no snapshot", func() bool { return storages[leader.cfg.ID].stored.Load() > 100 })
-	storages[id].refusing.Store(true)
-	c.net.setCut(id, false)
-	wait(t, "no snapshot was received", func() bool { return storages[id].refused.Load() > 1 })
-	storages[id].refusing.Store(false)
-	c.waitCommands(id, 300)
+	storage.refusing.Store(true)
+	c.net.setCut(behind.cfg.ID, false)
+	wait(t, "no snapshot was received", func() bool { return storage.refused.Load() > 1 })
+	return c, behind, storage
+}
+
+// Guards against a replica that stops because a received snapshot cannot be stored, and
+// against one that goes on without it.
+func TestReceivedSnapshotIsStoredLater(t *testing.T) {
+	t.Parallel()
+	c, behind, storage := receiveRefusedSnapshot(t)
+	storage.refusing.Store(false)
+	c.waitCommands(behind.cfg.ID, 300)
 	assert.NilError(t, behind.Err())
 }
 
 // Guards against a replica that cannot be stopped while it stores a received snapshot.
 func TestStopWhileReceivedSnapshotIsNotStored(t *testing.T) {
 	t.Parallel()
-	c, storages := newRefusingCluster(t)
-	leader := c.leader()
-	behind, _ := c.followers(leader)
-	id := behind.cfg.ID
-	c.net.setCut(id, true)
-	c.propose(0, 300)
-	wait(t, "the leader has stored no snapshot", func() bool { return storages[leader.cfg.ID].stored.Load() > 100 })
-	storages[id].refusing.Store(true)
-	c.net.setCut(id, false)
-	wait(t, "no snapshot was received", func() bool { return storages[id].refused.Load() > 0 })
+	_, behind, _ := receiveRefusedSnapshot(t)
 	stopped := make(chan struct{})
 	go func() { behind.Stop(); close(stopped) }()
 	select {
