dispatch: work of a leaving worker ends when that is certain

Cause: the commit of the announcement ended all attempts on the worker, although it runs until it has the answer, or some seconds longer. Change: the announcement is committed as Departing.

--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -369,12 +369,13 @@
 		if crash := s.endIncarnation(w, c.Started); crash != nil {
 			crashes = append(crashes, crash)
 		}
-		w.LastEnd, w.LastReport, w.Gone, w.Draining, w.TakenDown = 0, 0, false, false, false
+		w.LastEnd, w.LastReport, w.Gone, w.Draining, w.TakenDown, w.Departing = 0, 0, false, false, false, false
 	}
 	w.Born, w.Address, w.DataCentre, w.Service = c.Born, c.Address, c.DataCentre, c.Service
 	w.Capacity, w.Labels, w.Rack = c.Capacity, c.Labels, c.Rack
 	w.LastReport = max(w.LastReport, c.Number)
-	w.Draining = w.Draining || c.Draining
+	w.Draining = w.Draining || c.Draining || c.Departing
+	w.Departing = w.Departing || c.Departing
 	if c.Deregistered {
 		s.retire(w)
 	}
--- a/internal/cell/command.go
+++ b/internal/cell/command.go
@@ -50,7 +50,8 @@
 	Labels     []string          `cbor:"7,keyasint,omitempty"`
 	Rack       string            `cbor:"10,keyasint,omitempty"`
 	Draining   bool              `cbor:"8,keyasint,omitempty"`
-	// Deregistered is set if the worker announced that it is shutting down.
+	// Deregistered is set once the worker has announced that it is shutting down and nothing
+	// runs there any more. It ends all attempts on the worker.
 	Deregistered bool `cbor:"9,keyasint,omitempty"`
 	// Number increases with each report of an incarnation; it is 0 for an announcement of
 	// shutting down.
@@ -58,6 +59,9 @@
 	// Started lists the attempts that had certainly started on the incarnations that this
 	// one replaces, without settled ones.
 	Started []StartedAttempt `cbor:"12,keyasint,omitempty"`
+	// Departing is set if the worker announced that it is shutting down. Its attempts may
+	// run until it has ended.
+	Departing bool `cbor:"13,keyasint,omitempty"`
 }
 
 // Start commits attempts to workers. Consecutive placements of the same step are
--- a/internal/cell/store_test.go
+++ b/internal/cell/store_test.go
@@ -274,6 +274,32 @@
 	assert.DeepEqual(t, b.start(placement(firstID, 0, 0, 1, "w0")), []bool{false})
 }
 
+// Guards against attempts on a worker that is shutting down which end, or stop counting for
+// their team, before it has left, also after a restore, and against a successor that inherits
+// the departure.
+func TestDepartingWorkerKeepsItsAttempts(t *testing.T) {
+	b := newStoreBench(t)
+	b.submit(firstID, singleTask(2))
+	assert.DeepEqual(t, b.start(placement(firstID, 0, 0, 1, "w0")), []bool{true})
+	usage := func() int64 { return unlimited - b.store.headroom(b.store.Jobs[firstID].Team).MilliCPU }
+	before := usage()
+	report := Register{ID: "w0", Born: 1, Address: "10.0.0.0:80", Service: "planner", Draining: true, Departing: true}
+	b.apply(&Command{Register: &report})
+	data, err := b.store.Snapshot()
+	assert.NilError(t, err)
+	assert.NilError(t, b.store.Restore(b.index, data))
+	w := b.store.Workers["w0"]
+	assert.Assert(t, w.Departing && !w.Gone && !w.Usable())
+	assert.Equal(t, len(w.Attempts), 1)
+	assert.Equal(t, usage(), before)
+	report.Departing, report.Deregistered = false, true
+	b.apply(&Command{Register: &report})
+	assert.Assert(t, w.Gone)
+	assert.Equal(t, len(w.Attempts), 0)
+	b.register("w0", 2, "10.0.0.0:80")
+	assert.Assert(t, b.store.Workers["w0"].Usable() && !b.store.Workers["w0"].Departing)
+}
+
 // Guards against requests with a withdrawn key, access to another team's job, and a job
 // that is accepted twice.
 func TestKeysAndTeams(t *testing.T) {
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -15,8 +15,11 @@
 	Labels     []string
 	Rack       string
 	Draining   bool
-	// Gone is set once the worker has deregistered or a later incarnation has
-	// replaced it at its address.
+	// Departing is set once the worker has announced that it is shutting down. It gets no
+	// further lease, and its attempts stay committed until they have certainly ended.
+	Departing bool `cbor:",omitempty"`
+	// Gone is set once the worker has announced that it is shutting down and nothing runs
+	// there, or a later incarnation has replaced it at its address.
 	Gone bool
 	// LastEnd is the number of the newest attempt end of the worker that the state has
 	// recorded.
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -11,6 +11,8 @@
 // workerState is a copy of the worker's record in the replicated state.
 type workerState struct {
 	gone bool
+	// departing is set once the worker has announced that it is shutting down.
+	departing bool
 	// acknowledgedEnd is the number of the newest end that is committed.
 	acknowledgedEnd uint64
 	attempts        map[cell.TaskKey]cell.Attempt
@@ -36,7 +38,7 @@
 			r.gone = true
 			return
 		}
-		r.gone, r.acknowledgedEnd, r.hasLosses = w.Gone, w.LastEnd, len(w.Lost) > 0
+		r.gone, r.departing, r.acknowledgedEnd, r.hasLosses = w.Gone, w.Departing, w.LastEnd, len(w.Lost) > 0
 		r.attempts = make(map[cell.TaskKey]cell.Attempt, len(w.Attempts))
 		r.targets = map[cell.TaskKey]int64{}
 		for k, a := range w.Attempts {
@@ -95,7 +97,7 @@
 	// Do not extend the lease of a worker that does not answer: any of the
 	// renewals may have been carried out, so the time at which its lease has
 	// certainly expired would move on with each of them.
-	if s.clock.known && len(state.attempts) > 0 && !s.failing {
+	if s.clock.known && len(state.attempts) > 0 && !s.failing && !state.departing {
 		order.DeadlineMS = s.clock.estimate(sent) + lease.Milliseconds()
 		s.latestLeaseEnd = max(s.latestLeaseEnd, s.clock.certainlyPassed(order.DeadlineMS))
 	}
@@ -161,6 +163,10 @@
 func (s *session) expireLease(reason string) {
 	s.t.leader.metrics.lapses.Inc(1)
 	s.t.leader.Logger.Warn("attempts of worker given up", logging.Step("lapse"), logging.Peer(s.target.ID), "reason", reason)
+	if state := s.workerState(); state.departing {
+		s.endAttempts(&state)
+		return
+	}
 	if _, err := s.t.leader.propose(s.ctx, &cell.Command{ExpireLease: &cell.ExpireLease{Worker: s.target.ID, Born: s.born, Started: s.startedAttempts(), RanOut: s.leaseRanOut(), Begun: s.runningJobs()}}); err != nil {
 		s.t.leader.Logger.Warn("failed to commit the expiry of the worker's lease", logging.Step("lapse"), logging.Peer(s.target.ID), logging.Error(err))
 	}
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -236,18 +236,17 @@
 // record is committed before it is acknowledged.
 func (t *term) processReport(ctx context.Context, r *cellapi.Report) (reply *cellapi.Reply, committed bool) {
 	arrived := t.leader.Clock.Now()
+	if r.Deregistered {
+		return t.processDeparture(ctx, r.ID, r.Born)
+	}
 	r.Number = r.Sequence
 	changed, unknownService := true, false
 	t.leader.Store.View(func(v *cell.View) {
-		w := v.Worker(r.ID)
-		switch {
-		case r.Deregistered:
-			changed = w != nil && completeFinalReport(&r.Register, w)
-		case w != nil:
+		if w := v.Worker(r.ID); w != nil {
 			changed = changesRecord(w, &r.Register)
-		default:
-			unknownService = v.Configuration() != nil && !v.HasService(r.Service)
+			return
 		}
+		unknownService = v.Configuration() != nil && !v.HasService(r.Service)
 	})
 	if unknownService {
 		// Not a worker of this cell: registering it would end the incarnation of a
@@ -255,7 +254,7 @@
 		t.leader.Logger.Warn("report ignored", logging.Step("register"), logging.Peer(r.ID), "reason", "no such service", "service", r.Service, "address", r.Address)
 		return &cellapi.Reply{Verdict: cell.Accepted}, false
 	}
-	if inOrder := t.observeReport(r); !changed || !inOrder && !r.Deregistered {
+	if inOrder := t.observeReport(r); !changed || !inOrder {
 		if inOrder {
 			t.confirmRecord(r, arrived)
 		}
@@ -271,30 +270,17 @@
 	}
 	t.confirmRecord(r, arrived)
 	t.logCrashes(result)
-	t.leader.Logger.Info("worker registered", logging.Step("register"), logging.Peer(r.ID), "address", r.Address, "born", r.Born, "draining", r.Draining, "left", r.Deregistered)
+	t.leader.Logger.Info("worker registered", logging.Step("register"), logging.Peer(r.ID), "address", r.Address, "born", r.Born, "draining", r.Draining)
 	return &cellapi.Reply{Verdict: cell.Accepted}, true
 }
 
-// completeFinalReport fills in the fields that the final report of a worker
-// omits. It returns false if the report is not about the known incarnation.
-func completeFinalReport(r *cell.Register, w *cell.Worker) bool {
-	if w.Gone || r.Born != 0 && r.Born != w.Born {
-		return false
-	}
-	*r = cell.Register{
-		ID: w.ID, Born: w.Born, Address: w.Address, DataCentre: w.DataCentre, Service: w.Service,
-		Capacity: w.Capacity, Labels: w.Labels, Rack: w.Rack, Draining: true, Deregistered: true,
-	}
-	return true
-}
-
 // changesRecord reports whether a report would change the worker's record.
 func changesRecord(w *cell.Worker, r *cell.Register) bool {
 	if r.Born < w.Born || r.Born == w.Born && w.Gone || w.IsLate(r) {
 		return false
 	}
 	return w.Born != r.Born || w.Address != r.Address || w.Service != r.Service || w.DataCentre != r.DataCentre ||
-		w.Capacity != r.Capacity || !slices.Equal(w.Labels, r.Labels) || w.Rack != r.Rack || r.Draining && !w.Draining || r.Deregistered
+		w.Capacity != r.Capacity || !slices.Equal(w.Labels, r.Labels) || w.Rack != r.Rack || r.Draining && !w.Draining
 }
 
 // forgetEndedJobs removes jobs from the state EndedJobRetention after their end,
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -266,6 +266,10 @@
 		if state.gone {
 			return
 		}
+		if state.departing && len(state.attempts) == 0 {
+			s.endDeparture()
+			continue
+		}
 		if len(state.attempts) == 0 && !s.waitForWork(state.hasLosses) {
 			continue
 		}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -297,8 +297,8 @@
 	}
 }
 
-// stopUnwanted sends stop orders for attempts whose job has ended or whose gang is
-// no longer complete.
+// stopUnwanted sends stop orders for attempts whose job has ended, whose gang is no longer
+// complete or whose worker is shutting down.
 func (t *term) stopUnwanted() {
 	now := t.leader.Clock.Now()
 	var orders []stopKey
@@ -308,7 +308,7 @@
 				continue
 			}
 			for key, a := range w.Attempts {
-				if !wanted(v, key, a.Run) {
+				if w.Departing || !wanted(v, key, a.Run) {
 					orders = append(orders, stopKey{id, key, a.Run})
 				}
 			}
