dispatch: a truncated listing of ends shows nothing about what it lacks

Cause: attempts that a listing does not contain were taken for ended early or never started, although the listing was not complete. All branches of unlistedOutcome are concerned. Evidence: with the check left out, TestEndsBeyondListingAreAwaitedAfterLeaderChange, TestEndsBeyondListingAreAwaitedAfterSlowCommits and TestStoppedAttemptsBeyondListingEndOnce fail. Change: the adapter marks a listing with the maximum of ends as truncated; then only the ends that it contains are committed, and the next renewal gets the following ones.

--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -117,6 +117,8 @@
 	crashed func(w *fakeWorker)
 	// durationOf, if not nil, returns how long a task takes on a worker.
 	durationOf func(id string, task cell.TaskKey) time.Duration
+	// maxListedEnds, if not 0, is the maximum number of ends in a listing.
+	maxListedEnds int
 	// outcomeOf, if not nil, returns how an attempt ends.
 	outcomeOf func(k attemptKey) cell.Outcome
 }
@@ -450,6 +452,9 @@
 		}
 	}
 	w.ends = kept
+	if f.maxListedEnds > 0 && len(kept) >= f.maxListedEnds {
+		kept, l.EndsTruncated = kept[:f.maxListedEnds], true
+	}
 	l.Ended = append(l.Ended, kept...)
 	return l, nil
 }
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -110,14 +110,10 @@
 			ends = append(ends, e.AttemptEnd)
 		}
 	}
-	for key, a := range state.attempts {
-		k := attemptKey{key, a.Run}
-		if listed[k] {
-			continue
-		}
-		if outcome, ended := s.unlistedOutcome(k, listing, sent, now); ended {
-			ends = append(ends, cell.AttemptEnd{Task: key, Run: a.Run, Outcome: outcome, Checkpoint: s.checkpointOf(k)})
-		}
+	if listing.EndsTruncated {
+		s.t.leader.metrics.truncatedListings.Inc(1)
+	} else {
+		ends = append(ends, s.unlistedEnds(listing, listed, &state, sent, now)...)
 	}
 	alive := state.hasLosses && listing.Born == s.born
 	if len(ends) == 0 && lastEnd == state.acknowledgedEnd && !alive {
@@ -132,6 +128,22 @@
 	s.awaitCommit(state.shortLease)
 }
 
+// unlistedEnds returns the ends of the committed attempts that a complete listing does not
+// contain and that have certainly ended or can no longer start.
+func (s *session) unlistedEnds(listing *AttemptListing, listed map[attemptKey]bool, state *workerState, sent, now time.Duration) []cell.AttemptEnd {
+	var ends []cell.AttemptEnd
+	for key, a := range state.attempts {
+		k := attemptKey{key, a.Run}
+		if listed[k] {
+			continue
+		}
+		if outcome, ended := s.unlistedOutcome(k, listing, sent, now); ended {
+			ends = append(ends, cell.AttemptEnd{Task: key, Run: a.Run, Outcome: outcome, Checkpoint: s.checkpointOf(k)})
+		}
+	}
+	return ends
+}
+
 // awaitCommit waits for the commit of listed ends that is in progress, but not for so long
 // that the lease of the worker's other attempts could expire. It reports whether the commit
 // is done.
--- a/internal/dispatch/ports.go
+++ b/internal/dispatch/ports.go
@@ -149,6 +149,9 @@
 	Born    int64
 	Running []RunningAttempt
 	Ended   []ListedEnd
+	// EndsTruncated is set if the worker may have more ends than Ended contains. Then nothing
+	// follows from the absence of an attempt.
+	EndsTruncated bool
 }
 
 // Workers sends orders to workers. An error means that no answer arrived; the
