cell, dispatch: a submission after the cancellation of its job is refused

Cause: the state kept no trace of the cancellation of a job that it did not have, and nobody can tell how long a submission was under way. Evidence: TestSubmissionAfterCancellationIsRefused and TestSubmissionAndCancellationAtTheSameTime fail if withdrawals are not looked at, the latter also if both commands of a job may be committed at the same time. Change: such a cancellation is kept as a withdrawal, as long as an ended job, at most 4,096 for each team. The leader refuses later submissions with 503 and Retry-After, and commits the commands of one job one after the other. Submissions are applied as before, so replicas of earlier builds keep the same jobs.

--- a/internal/cell/command.go
+++ b/internal/cell/command.go
@@ -9,18 +9,19 @@
 
 // Command is one change of the state. Exactly one field is set.
 type Command struct {
-	Configure       *Configuration   `cbor:"1,keyasint,omitempty"`
-	Submit          *Submit          `cbor:"2,keyasint,omitempty"`
-	Cancel          *Request         `cbor:"3,keyasint,omitempty"`
-	Register        *Register        `cbor:"4,keyasint,omitempty"`
-	Start           *Start           `cbor:"5,keyasint,omitempty"`
-	RecordEnds      *RecordEnds      `cbor:"6,keyasint,omitempty"`
-	ExpireLease     *ExpireLease     `cbor:"7,keyasint,omitempty"`
-	OpenOccurrences *OpenOccurrences `cbor:"8,keyasint,omitempty"`
-	DeleteJobs      *DeleteJobs      `cbor:"9,keyasint,omitempty"`
-	StartWave       *StartWave       `cbor:"10,keyasint,omitempty"`
-	SettleMachine   *SettleMachine   `cbor:"11,keyasint,omitempty"`
-	TakeDown        *TakeDown        `cbor:"12,keyasint,omitempty"`
+	Configure         *Configuration     `cbor:"1,keyasint,omitempty"`
+	Submit            *Submit            `cbor:"2,keyasint,omitempty"`
+	Cancel            *Request           `cbor:"3,keyasint,omitempty"`
+	Register          *Register          `cbor:"4,keyasint,omitempty"`
+	Start             *Start             `cbor:"5,keyasint,omitempty"`
+	RecordEnds        *RecordEnds        `cbor:"6,keyasint,omitempty"`
+	ExpireLease       *ExpireLease       `cbor:"7,keyasint,omitempty"`
+	OpenOccurrences   *OpenOccurrences   `cbor:"8,keyasint,omitempty"`
+	DeleteJobs        *DeleteJobs        `cbor:"9,keyasint,omitempty"`
+	StartWave         *StartWave         `cbor:"10,keyasint,omitempty"`
+	SettleMachine     *SettleMachine     `cbor:"11,keyasint,omitempty"`
+	TakeDown          *TakeDown          `cbor:"12,keyasint,omitempty"`
+	ForgetWithdrawals *ForgetWithdrawals `cbor:"13,keyasint,omitempty"`
 }
 
 // Request identifies a queue, or a job of it, by the host and path that a client
--- a/internal/cell/request.go
+++ b/internal/cell/request.go
@@ -24,11 +24,14 @@
 	Invalid
 	// NoWave means that there is no wave of upkeep with the number.
 	NoWave
+	// Withdrawn means that the job was cancelled before it was submitted, so that the
+	// submission was not accepted.
+	Withdrawn
 )
 
 // verdictNames are the verdicts as shown in logs, indexed by verdict; index 0 stands
 // for a missing verdict.
-var verdictNames = [...]string{"none", "accepted", "no configuration", "no queue", "bad key", "no job", "invalid", "no wave"}
+var verdictNames = [...]string{"none", "accepted", "no configuration", "no queue", "bad key", "no job", "invalid", "no wave", "withdrawn"}
 
 // String returns the verdict as shown in logs.
 func (v Verdict) String() string {
@@ -147,14 +150,19 @@
 	return Accepted
 }
 
-// cancel cancels an active job; a job that has ended is left as it is.
-func (s *Store) cancel(r *Request) any {
+// cancel cancels an active job; a job that has ended is left as it is. The cancellation of a
+// job that is not known is kept as a withdrawal.
+func (s *Store) cancel(index uint64, r *Request) any {
 	q, id, team, verdict := s.authorize(r)
 	if verdict != Accepted {
 		return verdict
 	}
 	j := s.Jobs[id]
-	if j == nil || !s.mayAccess(j, q, team) {
+	if j == nil {
+		s.withdraw(index, q, team, id)
+		return NoJob
+	}
+	if !s.mayAccess(j, q, team) {
 		return NoJob
 	}
 	if j.State == Active {
--- a/internal/cell/store.go
+++ b/internal/cell/store.go
@@ -26,6 +26,8 @@
 	scheduledJobs map[string]*Job
 	// workersWithLosses holds the workers that have lost attempts, by their ids.
 	workersWithLosses map[string]*Worker
+	// withdrawn holds the keys of Withdrawals.
+	withdrawn map[withdrawalKey]bool
 	// onApplied is called with each applied command; it may be nil.
 	onApplied func(*Command)
 }
@@ -37,6 +39,9 @@
 	Jobs          map[string]*Job
 	Workers       map[string]*Worker
 	Waves         map[int64]*Wave
+	// Withdrawals are the jobs that were cancelled before they were submitted, by team, the
+	// oldest first. Those of public queues have no team.
+	Withdrawals map[string][]Withdrawal `cbor:",omitempty"`
 }
 
 var _ port.StateMachine = (*Store)(nil)
@@ -73,6 +78,7 @@
 	s.readySteps = map[StepKey]*StepOccurrence{}
 	s.scheduledJobs = map[string]*Job{}
 	s.workersWithLosses = map[string]*Worker{}
+	s.indexWithdrawals()
 	for _, w := range s.Workers {
 		w.committed, w.suspects = structs.Resources{}, 0
 		if w.Attempts == nil {
@@ -118,7 +124,7 @@
 	case c.Submit != nil:
 		return s.submit(index, c.Submit)
 	case c.Cancel != nil:
-		return s.cancel(c.Cancel)
+		return s.cancel(index, c.Cancel)
 	case c.Register != nil:
 		return s.register(c.Register)
 	case c.Start != nil:
@@ -137,6 +143,8 @@
 		return s.settleMachine(c.SettleMachine)
 	case c.TakeDown != nil:
 		return s.takeDown(c.TakeDown)
+	case c.ForgetWithdrawals != nil:
+		return s.forgetWithdrawals(c.ForgetWithdrawals)
 	}
 	return errors.New("the command is empty")
 }
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"github.com/pkg/errors"
 
@@ -13,18 +14,72 @@
 // pendingCommit is a command of a caller that is being committed. result and err are set
 // when done is closed.
 type pendingCommit struct {
-	done   chan struct{}
-	result any
-	err    error
+	// command is the encoding of the command, and job the id of the job that it submits or
+	// cancels, empty for other commands.
+	command, job string
+	done         chan struct{}
+	result       any
+	err          error
+}
+
+// pendingCommits holds the commands that are being committed: one for each encoding, and at
+// most one for each job. The zero value is ready to use.
+type pendingCommits struct {
+	// mu is held while the state is read, so it must not be taken in a view.
+	mu        sync.Mutex
+	byCommand map[string]*pendingCommit
+	byJob     map[string]*pendingCommit
+}
+
+// find returns the commit in progress that a command has to wait for, nil if there is none.
+// The caller holds mu.
+func (c *pendingCommits) find(command, job string) *pendingCommit {
+	if p := c.byCommand[command]; p != nil || job == "" {
+		return p
+	}
+	return c.byJob[job]
+}
+
+// add adds a commit. The caller holds mu.
+func (c *pendingCommits) add(p *pendingCommit) {
+	if c.byCommand == nil {
+		c.byCommand, c.byJob = map[string]*pendingCommit{}, map[string]*pendingCommit{}
+	}
+	c.byCommand[p.command] = p
+	if p.job != "" {
+		c.byJob[p.job] = p
+	}
+}
+
+// remove removes a commit that is done.
+func (c *pendingCommits) remove(p *pendingCommit) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.byCommand, p.command)
+	if p.job != "" {
+		delete(c.byJob, p.job)
+	}
+}
+
+// jobOf returns the id of the job that a command submits or cancels, empty for other commands.
+func jobOf(c *cell.Command) string {
+	switch {
+	case c.Submit != nil:
+		return jobID(c.Submit.Path)
+	case c.Cancel != nil:
+		return jobID(c.Cancel.Path)
+	}
+	return ""
 }
 
 // commitOnce commits a command of a caller and returns the result of applying it. A call
 // with the same command as one that is being committed waits for that one: callers repeat
 // calls that take long, and the log cannot take back a command whose caller has gone. The
-// error is as that of port.ReplicatedLog, a *replica.OutcomeUnknownError if ctx ends
-// first. done, which may be nil, returns the result of a command that the state shows as
-// applied.
-func (t *term) commitOnce(ctx context.Context, c *cell.Command, done func() (result any, applied bool)) (any, error) {
+// submission and the cancellation of a job are committed one after the other, so that each is
+// decided in the state that the other has left. The error is as that of port.ReplicatedLog, a
+// *replica.OutcomeUnknownError if ctx ends first. done, which may be nil, returns the result
+// of a command that need not be committed according to the state.
+func (t *term) commitOnce(ctx context.Context, c *cell.Command, done func() (result any, decided bool)) (any, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
@@ -34,44 +89,49 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	p, result := t.pendingCommit(data, done)
-	if p == nil {
-		return result, nil
-	}
-	select {
-	case <-p.done:
-		return p.result, p.err
-	case <-ctx.Done():
-		return nil, &replica.OutcomeUnknownError{Group: "cell", Err: errors.Wrap(ctx.Err(), "wait for commit")}
+	for {
+		p, result := t.pendingCommit(data, jobOf(c), done)
+		if p == nil {
+			return result, nil
+		}
+		isOwn := p.command == string(data)
+		select {
+		case <-p.done:
+			if isOwn {
+				return p.result, p.err
+			}
+		case <-ctx.Done():
+			if isOwn {
+				return nil, &replica.OutcomeUnknownError{Group: "cell", Err: errors.Wrap(ctx.Err(), "wait for commit")}
+			}
+			return nil, errors.Wrap(ctx.Err(), "wait for another command of the job")
+		}
 	}
 }
 
-// pendingCommit returns the commit of an encoded command that is in progress, and begins
-// one if there is none. It ends with the term. If done shows the command as applied, it
-// returns the result instead: the command may have been applied, and its commit removed,
-// since the caller looked at the state.
-func (t *term) pendingCommit(data []byte, done func() (any, bool)) (p *pendingCommit, result any) {
-	t.commitsMu.Lock()
-	defer t.commitsMu.Unlock()
-	key := string(data)
-	if p := t.commits[key]; p != nil {
+// pendingCommit returns the commit in progress of an encoded command or, if there is one, of
+// another command of the same job, and otherwise begins to commit the command. The commit ends
+// with the term. If done shows that the command need not be committed, it returns the result
+// instead: the state may have changed since the caller looked at it.
+func (t *term) pendingCommit(data []byte, job string, done func() (any, bool)) (p *pendingCommit, result any) {
+	t.commits.mu.Lock()
+	defer t.commits.mu.Unlock()
+	if p := t.commits.find(string(data), job); p != nil {
 		return p, nil
 	}
 	if done != nil {
-		if result, applied := done(); applied {
+		if result, decided := done(); decided {
 			return nil, result
 		}
 	}
-	p = &pendingCommit{done: make(chan struct{})}
-	t.commits[key] = p
+	p = &pendingCommit{command: string(data), job: job, done: make(chan struct{})}
+	t.commits.add(p)
 	go func() {
 		p.result, p.err = t.leader.proposeEncoded(t.ctx, data)
 		if errors.Is(p.err, context.Canceled) && !isOutcomeUnknown(p.err) {
 			p.err = &port.NotLeaderError{Group: "cell"} // the term ended before the command was proposed
 		}
-		t.commitsMu.Lock()
-		delete(t.commits, key)
-		t.commitsMu.Unlock()
+		t.commits.remove(p)
 		close(p.done)
 	}()
 	return p, nil
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -109,7 +109,7 @@
 
 // leaderMetrics holds the metrics of a leader.
 type leaderMetrics struct {
-	planned, refused, done, failed, early, unstarted, lapses, crashes, advice, adviceErrors, truncatedListings tally.Counter
+	planned, refused, done, failed, early, unstarted, lapses, crashes, advice, adviceErrors, truncatedListings, withdrawnSubmissions tally.Counter
 	// adviceWait is the time until an answer, and adviceDelay what it exceeds the expected
 	// time by.
 	commit, wait, adviceWait, adviceDelay tally.Histogram
@@ -120,6 +120,8 @@
 	// adviceDeferred the requests for advice that it could not give to any process.
 	waiting        [waitReasons]tally.Gauge
 	adviceDeferred tally.Gauge
+	// withdrawals is the number of jobs that were cancelled before they were submitted.
+	withdrawals tally.Gauge
 }
 
 // recordWaiting updates the numbers of ready steps by what they wait for.
@@ -136,8 +138,9 @@
 		done: scope.Counter("cell_ends_done"), failed: scope.Counter("cell_ends_failed"),
 		early: scope.Counter("cell_ends_early"), unstarted: scope.Counter("cell_ends_unstarted"),
 		lapses: scope.Counter("cell_lapses"), crashes: scope.Counter("cell_crashes"), advice: scope.Counter("cell_advice_calls"), adviceErrors: scope.Counter("cell_advice_errors"),
-		truncatedListings: scope.Counter("cell_truncated_listings"),
-		commit:            scope.Histogram("cell_commit", buckets), wait: scope.Histogram("cell_wait", buckets),
+		truncatedListings: scope.Counter("cell_truncated_listings"), withdrawnSubmissions: scope.Counter("cell_withdrawn_submissions"),
+		withdrawals: scope.Gauge("cell_withdrawals"),
+		commit:      scope.Histogram("cell_commit", buckets), wait: scope.Histogram("cell_wait", buckets),
 		adviceWait: scope.Histogram("cell_advice_wait", buckets), adviceDelay: scope.Histogram("cell_advice_delay", buckets),
 		plan: scope.Histogram("cell_plan", buckets), planLock: scope.Histogram("cell_plan_lock", buckets),
 		adviceDeferred: scope.Gauge("cell_advice_deferred"),
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -148,23 +148,46 @@
 	known := false
 	l.Store.View(func(v *cell.View) {
 		if verdict = v.Authorize(&c.Request); verdict == cell.Accepted {
-			_, statusVerdict := v.Status(&c.Request)
-			known = statusVerdict == cell.Accepted
+			verdict, known = submissionVerdict(v, &c.Request)
 		}
 	})
 	if known || verdict != cell.Accepted {
 		l.Logger.Info("submission answered from the state", logging.Step("submit"), logging.Job(jobID(c.Path)), "host", c.Host, "path", c.Path, "known", known, "verdict", verdict.String(), "configuration", l.configurationVersion())
-		return &cellapi.Reply{Verdict: verdict}, false
+		return l.submissionReply(verdict), false
 	}
 	r = l.commit(ctx, t, &cell.Command{Submit: c}, func() (any, bool) {
-		var status cell.Verdict
-		l.Store.View(func(v *cell.View) { _, status = v.Status(&c.Request) })
-		return cell.Accepted, status == cell.Accepted
+		l.Store.View(func(v *cell.View) { verdict, known = submissionVerdict(v, &c.Request) })
+		return verdict, known || verdict == cell.Withdrawn
 	})
+	if r.Verdict == cell.Withdrawn {
+		r = l.submissionReply(cell.Withdrawn)
+	}
 	l.Logger.Info("job submitted", logging.Step("submit"), logging.Job(jobID(c.Path)), "path", c.Path, "steps", len(c.Job.Steps), "verdict", r.Verdict.String(), "configuration", l.configurationVersion(), "unknown", r.Unknown)
 	return r, true
 }
 
+// submissionVerdict returns the verdict on an authorized submission and whether the job is
+// known already.
+func submissionVerdict(v *cell.View, r *cell.Request) (verdict cell.Verdict, known bool) {
+	if _, status := v.Status(r); status == cell.Accepted {
+		return cell.Accepted, true
+	}
+	if v.Withdrawn(r) {
+		return cell.Withdrawn, false
+	}
+	return cell.Accepted, false
+}
+
+// submissionReply returns the reply to a submission that is answered from the state.
+func (l *Leader) submissionReply(verdict cell.Verdict) *cellapi.Reply {
+	r := &cellapi.Reply{Verdict: verdict}
+	if verdict == cell.Withdrawn {
+		l.metrics.withdrawnSubmissions.Inc(1)
+		r.RetryAfterMS = (l.Bounds.EndedJobRetention + 2*l.Bounds.EndedJobRetention/retentionChecks).Milliseconds()
+	}
+	return r
+}
+
 // jobID returns the last element of the path of a request, which is the job's ID.
 func jobID(path string) string { return path[strings.LastIndexByte(path, '/')+1:] }
 
@@ -283,11 +306,16 @@
 		w.Capacity != r.Capacity || !slices.Equal(w.Labels, r.Labels) || w.Rack != r.Rack || r.Draining && !w.Draining
 }
 
-// forgetEndedJobs removes jobs from the state EndedJobRetention after their end,
-// until the term ends.
+// retentionChecks is how often in EndedJobRetention the state is searched for what it need
+// not keep any longer.
+const retentionChecks = 8
+
+// forgetEndedJobs removes jobs from the state EndedJobRetention after their end, and
+// withdrawals as long after the cancellation, until the term ends.
 func (t *term) forgetEndedJobs() {
 	seen := map[string]time.Duration{}
-	for t.pause(t.leader.Bounds.EndedJobRetention / 8) {
+	var withdrawals withdrawalAges
+	for t.pause(t.leader.Bounds.EndedJobRetention / retentionChecks) {
 		now := t.leader.Clock.Now()
 		var old []string
 		t.leader.Store.View(func(v *cell.View) {
@@ -302,7 +330,14 @@
 					old = append(old, id)
 				}
 			}
+			count, newest := v.Withdrawals()
+			withdrawals.observe(newest, now)
+			t.leader.metrics.withdrawals.Update(float64(count))
 		})
+		if last := withdrawals.expired(now - t.leader.Bounds.EndedJobRetention); last > 0 {
+			// Without the commit they are dropped together with later ones.
+			_, _ = t.leader.propose(t.ctx, &cell.Command{ForgetWithdrawals: &cell.ForgetWithdrawals{LastIndex: last}})
+		}
 		if len(old) == 0 {
 			continue
 		}
@@ -314,3 +349,29 @@
 		}
 	}
 }
+
+// withdrawalAges remembers when the newest withdrawals were first seen. The zero value is
+// ready to use.
+type withdrawalAges []withdrawalAge
+
+type withdrawalAge struct {
+	lastIndex uint64
+	at        time.Duration
+}
+
+// observe records the log index of the newest withdrawal at a time, 0 if there is none.
+func (a *withdrawalAges) observe(newest uint64, now time.Duration) {
+	if n := len(*a); newest > 0 && (n == 0 || (*a)[n-1].lastIndex < newest) {
+		*a = append(*a, withdrawalAge{newest, now})
+	}
+}
+
+// expired returns the log index up to which the withdrawals were seen before a time, and
+// forgets it. It is 0 if there are none.
+func (a *withdrawalAges) expired(before time.Duration) (lastIndex uint64) {
+	for len(*a) > 0 && (*a)[0].at < before {
+		lastIndex = (*a)[0].lastIndex
+		*a = (*a)[1:]
+	}
+	return lastIndex
+}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -86,10 +86,8 @@
 	// lastStopOrder is when a stop order was last sent for an unwanted attempt.
 	lastStopOrder map[stopKey]time.Duration
 
-	// commitsMu is held while the state is read, so it must not be taken in a view.
-	commitsMu sync.Mutex
-	// commits holds the commands of callers that are being committed, by their encoding.
-	commits map[string]*pendingCommit
+	// commits holds the commands of callers that are being committed.
+	commits pendingCommits
 }
 
 // jobTiming is the timing of an occurrence of an active job.
@@ -132,7 +130,6 @@
 		cordoned:       map[string]bool{},
 		lastStopOrder:  map[stopKey]time.Duration{},
 		attemptCopies:  attemptCopies{},
-		commits:        map[string]*pendingCommit{},
 		stats:          newWorkerStats(),
 	}
 	t.advice = newAdviceBroker(t)
