cell: a daemon is not failed by crashes of its workers

Cause: crashes under a task fail its job, daemons included, although these are restarted however they end and only ends that failed count as attempts. Change: crashes under a daemon are counted, up to 255, and isolate it as before, but do not fail its job; from three on each start is preceded by a pause of 2 s.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -111,15 +111,18 @@
 // countCrash counts a crash under a task and reports whether it has failed the task's job.
 // A worker may have been down before an attempt was to start there, or crash long after its
 // start, so MaxCrashes crashes suffice only if attempts of the task had certainly started
-// shortly before in suspectCrashes of them.
+// shortly before in suspectCrashes of them. A daemon is restarted however it ends.
 func (s *Store) countCrash(key TaskKey, l LostAttempt) bool {
 	task := s.activeTask(key)
 	if task == nil || task.Done {
 		return false
 	}
-	task.Crashes++
+	task.Crashes = increment(task.Crashes)
 	if l.Started {
-		task.ConfirmedCrashes++
+		task.ConfirmedCrashes = increment(task.ConfirmedCrashes)
+	}
+	if s.Jobs[key.Job].Steps[key.Step].Daemon {
+		return false
 	}
 	certain := task.Crashes >= MaxCrashes && task.ConfirmedCrashes >= suspectCrashes
 	if !certain && task.Crashes < maxUnconfirmedCrashes {
@@ -129,6 +132,9 @@
 	return true
 }
 
+// increment adds one to a count, which stays at its maximum.
+func increment(count uint8) uint8 { return max(count, count+1) }
+
 // forgetCrashes drops the proven and the possible crashes under the task of an attempt.
 func (s *Store) forgetCrashes(w *Worker, attempt StartedAttempt) {
 	a, ok := w.Attempts[attempt.Task]
--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -24,6 +24,9 @@
 	// waits until it is known whether they have crashed. It doubles with each further one.
 	resolutionTimeout      = 10 * time.Second
 	maxResolutionDoublings = 5
+	// daemonRestartDelay is how long a daemon waits under which as many workers may have
+	// crashed as fail another job. It has to be at work again soon after its last attempt.
+	daemonRestartDelay = 2 * time.Second
 	// shutOutTimeout is how long other jobs wait if only workers with suspects have room:
 	// longer than settleTime, but a suspect may follow the other. Daemons wait for
 	// daemonShutOutTimeout.
@@ -221,18 +224,18 @@
 }
 
 // holdUnresolved holds back the tasks that may not start before it is known whether
-// workers have crashed under them.
+// workers have crashed under them, and for a while the daemons under which many have.
 func (p *planner) holdUnresolved(readySteps []*readyStep) {
 	held := map[cell.TaskKey]unresolvedTask{}
 	for _, rs := range readySteps {
 		for i, task := range rs.crashed {
-			if task.unresolved == 0 || task.crashes < cell.MaxCrashes {
+			if task.crashes < cell.MaxCrashes || task.unresolved == 0 && !rs.step.Daemon {
 				continue
 			}
 			key := cell.TaskKey{StepKey: rs.key, Index: i}
 			wait, known := p.isolation.unresolved[key]
 			if !known || wait.crashes != task.crashes {
-				wait = unresolvedTask{crashes: task.crashes, until: p.now + resolutionTimeout<<min(task.crashes-cell.MaxCrashes, maxResolutionDoublings)}
+				wait = unresolvedTask{crashes: task.crashes, until: p.now + rs.holdTime(task.crashes)}
 			}
 			held[key] = wait
 			if p.now >= wait.until {
@@ -247,6 +250,14 @@
 	p.isolation.unresolved = held
 }
 
+// holdTime returns how long a task is held back that may have crashed a number of workers.
+func (rs *readyStep) holdTime(crashes int) time.Duration {
+	if rs.step.Daemon {
+		return daemonRestartDelay
+	}
+	return resolutionTimeout << min(crashes-cell.MaxCrashes, maxResolutionDoublings)
+}
+
 // renewIsolation keeps other jobs off the workers that an earlier plan has chosen for
 // suspects which are still waiting.
 func (p *planner) renewIsolation(readySteps []*readyStep) {
