--- a/internal/dispatch/departure.go
+++ b/internal/dispatch/departure.go
@@ -19,7 +19,7 @@
 // received the answer, or some seconds longer if that is lost. So they are stopped, and stay
 // committed until it is certain that they have ended; a later leader goes on with it.
 func (t *term) processDeparture(ctx context.Context, id string, born int64) (reply *cellapi.Reply, committed bool) {
-	departing, attempts := t.departingReport(id, born)
+	departing, _ := t.departingReport(id, born)
 	if departing == nil {
 		return &cellapi.Reply{Verdict: cell.Accepted}, false
 	}
@@ -27,7 +27,7 @@
 		return t.leader.failure(err), true
 	}
 	// From here on the worker gets no new attempts.
-	departing, attempts = t.departingReport(id, departing.Born)
+	departing, attempts := t.departingReport(id, departing.Born)
 	if departing == nil {
 		return &cellapi.Reply{Verdict: cell.Accepted}, true
 	}
