--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -105,6 +105,9 @@
 	workers map[string]*fakeWorker
 	// starts counts how often each task was started.
 	starts map[string]int
+	// startedRun is the newest run of each task that was started, and notedRun the newest one
+	// that has ended as done and whose end was acknowledged before its lease lapsed.
+	startedRun, notedRun map[cell.TaskKey]uint32
 	// crashes, if not nil, states whether starting a task crashes its worker; onCrash is
 	// then called with the worker's id. crashDelay is how long after the start it crashes;
 	// with 0 it does not answer the order.
@@ -132,6 +135,8 @@
 	rejectedRuns map[cell.TaskKey]uint32
 	ends         []ListedEnd
 	lastEnd      uint64
+	// lapsedEnd is the number of the newest end after which the lease has lapsed.
+	lapsedEnd uint64
 	// unreachable workers receive no orders and send no answers; crashed ones do not come
 	// back.
 	unreachable bool
@@ -188,7 +193,7 @@
 var errNoAnswer = errors.New("no answer")
 
 func newFakeFleet(t *testing.T) *fakeFleet {
-	return &fakeFleet{t: t, began: time.Now(), workers: map[string]*fakeWorker{}, starts: map[string]int{}}
+	return &fakeFleet{t: t, began: time.Now(), workers: map[string]*fakeWorker{}, starts: map[string]int{}, startedRun: map[cell.TaskKey]uint32{}, notedRun: map[cell.TaskKey]uint32{}}
 }
 
 func (f *fakeFleet) add(id string, born int64) *fakeWorker {
@@ -228,6 +233,9 @@
 			w.end(k, cell.EndedEarly)
 		}
 	}
+	if !leaseEnd.After(time.Now()) {
+		w.lapsedEnd = w.lastEnd
+	}
 }
 
 func (w *fakeWorker) end(k attemptKey, outcome cell.Outcome) {
@@ -322,6 +330,8 @@
 	w.running[k] = run
 	f.starts[fmt.Sprint(o.Task)]++
 	f.checkSingleRun(o.Task)
+	f.startedRun[o.Task] = max(f.startedRun[o.Task], o.Run)
+	f.checkNotDone(o.Task)
 	if f.started != nil {
 		f.started(id, w)
 	}
@@ -369,6 +379,29 @@
 	}
 }
 
+// checkNotDone fails the test if a task was started after a run of it was done whose end is
+// acknowledged.
+func (f *fakeFleet) checkNotDone(task cell.TaskKey) {
+	if noted, known := f.notedRun[task]; known && f.startedRun[task] > noted {
+		f.t.Errorf("task %v: run %d was started, and the end of run %d, which was done, is acknowledged at %v", task, f.startedRun[task], noted, time.Since(f.began))
+	}
+}
+
+// acknowledgeEnds drops the ends of a worker up to a number.
+func (f *fakeFleet) acknowledgeEnds(w *fakeWorker, number uint64) {
+	var kept []ListedEnd
+	for _, e := range w.ends {
+		switch {
+		case e.Number > number:
+			kept = append(kept, e)
+		case e.Outcome == cell.EndedDone && e.Number > w.lapsedEnd:
+			f.notedRun[e.Task] = max(f.notedRun[e.Task], e.Run)
+			f.checkNotDone(e.Task)
+		}
+	}
+	w.ends = kept
+}
+
 func (f *fakeFleet) Stop(ctx context.Context, t Target, o *StopOrder) (OrderReply, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -445,13 +478,8 @@
 		}
 		l.Running = append(l.Running, RunningAttempt{Task: k.task, Run: k.run, ProgressPercent: percent, Load: load})
 	}
-	var kept []ListedEnd
-	for _, e := range w.ends {
-		if e.Number > o.AcknowledgedEnd {
-			kept = append(kept, e)
-		}
-	}
-	w.ends = kept
+	f.acknowledgeEnds(w, o.AcknowledgedEnd)
+	kept := w.ends
 	if f.maxListedEnds > 0 && len(kept) >= f.maxListedEnds {
 		kept, l.EndsTruncated = kept[:f.maxListedEnds], true
 	}
