cellapi, platform: log why the outcome of an earlier attempt is not known

The line "request answered" of the gateway had the status, the number of tries and the reason of the last attempt only, so a rejection after an attempt that may have been carried out looked like any other one.

Hypotheses that the lines have to distinguish: 1. a negative verdict on a later attempt is returned although an earlier attempt has timed out and is committed later; 2. an attempt is answered "certainly not carried out" and is carried out; 3. 503 for "withdrawn" or "no configuration", for a job that is or becomes known.

No change of any answer.

--- a/internal/cellapi/client.go
+++ b/internal/cellapi/client.go
@@ -258,7 +258,7 @@
 			if r.Refused != "" && unknownReason != "" {
 				r = Reply{Unknown: unknownReason}
 			}
-			r.AnsweredBy, r.Tries = address, tries
+			r.AnsweredBy, r.Tries, r.EarlierUnknown = address, tries, unknownReason
 			return &r
 		case err != nil && reached:
 			unknownReason = err.Error()
--- a/internal/cellapi/message.go
+++ b/internal/cellapi/message.go
@@ -97,9 +97,12 @@
 	Leader    string `cbor:"9,keyasint,omitempty"`
 	NotLeader bool   `cbor:"10,keyasint,omitempty"`
 	// AnsweredBy is the address of the process that answered or was called last, and
-	// Tries the number of attempts to call. Client sets both; they are not sent.
-	AnsweredBy string `cbor:"-"`
-	Tries      int    `cbor:"-"`
+	// Tries the number of attempts to call. EarlierUnknown is the reason why the outcome of
+	// an attempt before the last one is not known, empty if there is no such attempt. Client
+	// sets all three; they are not sent.
+	AnsweredBy     string `cbor:"-"`
+	Tries          int    `cbor:"-"`
+	EarlierUnknown string `cbor:"-"`
 }
 
 // AdviceRequest asks which of the given workers may run a step.
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -145,14 +145,15 @@
 // request is not allowed.
 func (l *Leader) submit(ctx context.Context, t *term, c *cell.Submit) (r *cellapi.Reply, committed bool) {
 	var verdict cell.Verdict
-	known := false
+	known, exists := false, false
 	l.Store.View(func(v *cell.View) {
+		exists = v.Job(jobID(c.Path)) != nil
 		if verdict = v.Authorize(&c.Request); verdict == cell.Accepted {
 			verdict, known = submissionVerdict(v, &c.Request)
 		}
 	})
 	if known || verdict != cell.Accepted {
-		l.Logger.Info("submission answered from the state", logging.Step("submit"), logging.Job(jobID(c.Path)), "host", c.Host, "path", c.Path, "known", known, "verdict", verdict.String(), "configuration", l.configurationVersion())
+		l.Logger.Info("submission answered from the state", logging.Step("submit"), logging.Job(jobID(c.Path)), "host", c.Host, "path", c.Path, "known", known, "exists", exists, "verdict", verdict.String(), "configuration", l.configurationVersion())
 		return l.submissionReply(verdict), false
 	}
 	r = l.commit(ctx, t, &cell.Command{Submit: c}, func() (any, bool) {
