cellapi: reject a call only if no attempt may have been carried out

Cause: a gateway repeats a call until a leader answers. An attempt that times out may still be committed. Client.Do turned Refused after such an attempt into Unknown, but returned each negative verdict of a later attempt as the result of the call. The verdict is true for the state in which it was given; it says nothing about the earlier attempt, which was judged by, or still is to be judged in, another state.

In the logs of such a job the leader submits it with "unknown", and the third attempt is "answered from the state" with "no queue" 31 ms after the job was planned.

Change: one function, combine, makes the reply of the call out of the last attempt's reply and the knowledge of the earlier ones. After an attempt with unknown outcome only a result that holds for all attempts is returned: accepted, no such job for a cancellation, and anything for a call without effect. All else is unknown, and returned at once: the client repeats the request with the same id and gets a rejection that concerns only that request. The early return without a known process goes through combine as well.

The true answer was weighed and not taken: the leader may know the job, but not whether this call or an earlier one of a key since withdrawn has created it.

--- a/internal/cellapi/client.go
+++ b/internal/cellapi/client.go
@@ -231,8 +231,9 @@
 	}
 }
 
-// Do calls the leader until it answers or the context ends. Without an answer, the
-// reply has Unknown set if an attempt may have been carried out, and Refused otherwise.
+// Do calls the leader until it answers or the context ends. The reply has Unknown set if an
+// attempt may have been carried out and no later one was answered with a result that holds for
+// all of them. Without an answer and without such an attempt it has Refused set.
 func (c *Client) Do(ctx context.Context, call *Call) *Reply {
 	data, err := cbor.Marshal(call)
 	if err != nil {
@@ -242,7 +243,8 @@
 	for tries := 1; ; tries++ {
 		address, known := c.nextAddress()
 		if address == "" {
-			return &Reply{Refused: "no control process is known"}
+			r := combine(call, Reply{Refused: "no control process is known"}, unknownReason)
+			return &r
 		}
 		var r Reply
 		reached, err := c.callOnce(ctx, address, data, &r)
@@ -255,9 +257,7 @@
 			unknownReason = r.Unknown
 			c.forgetLeader(address)
 		case err == nil && !r.NotLeader:
-			if r.Refused != "" && unknownReason != "" {
-				r = Reply{Unknown: unknownReason}
-			}
+			r = combine(call, r, unknownReason)
 			r.AnsweredBy, r.Tries, r.EarlierUnknown = address, tries, unknownReason
 			return &r
 		case err != nil && reached:
--- a/internal/cellapi/client_test.go
+++ b/internal/cellapi/client_test.go
@@ -142,6 +142,30 @@
 	}
 }
 
+// Guards against Refused, or a crash, for a call after whose first attempt no process is left
+// to call or no time.
+func TestClientKeepsUnknownWithoutFurtherAttempt(t *testing.T) {
+	for _, end := range []string{"no process", "no time"} {
+		t.Run(end, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(contextWithTimeout(t, 5*time.Second))
+			defer cancel()
+			var c *Client
+			address, _ := startServer(t, func(context.Context) *Reply {
+				if end == "no process" {
+					c.SetSeeds(nil)
+				} else {
+					time.AfterFunc(roundDelay/2, cancel) // while the client pauses
+				}
+				return &Reply{Unknown: "leadership was lost"}
+			})
+			c = NewClient([]string{address}, nil, discardLogger)
+			r := c.Do(ctx, &Call{Submit: &cell.Submit{}})
+			assert.Equal(t, r.Unknown, "leadership was lost", "%+v", r)
+			assert.Equal(t, r.Refused, "")
+		})
+	}
+}
+
 // replyAfterUnknown returns the reply to a call whose first attempt is answered Unknown and
 // whose second one has a verdict.
 func replyAfterUnknown(t *testing.T, call *Call, verdict cell.Verdict) *Reply {
