--- a/internal/cell/request.go
+++ b/internal/cell/request.go
@@ -33,6 +33,10 @@
 // for a missing verdict.
 var verdictNames = [...]string{"none", "accepted", "no configuration", "no queue", "bad key", "no job", "invalid", "no wave", "withdrawn"}
 
+// Valid reports whether this release knows the verdict. It does not know a missing one, nor
+// those that later releases add.
+func (v Verdict) Valid() bool { return v > 0 && int(v) < len(verdictNames) }
+
 // String returns the verdict as shown in logs.
 func (v Verdict) String() string {
 	if int(v) < len(verdictNames) {
--- a/internal/cellapi/client_test.go
+++ b/internal/cellapi/client_test.go
@@ -118,6 +118,17 @@
 	}
 }
 
+// Guards against a reply without a verdict, or with one of a later release, that counts as a
+// rejection.
+func TestClientDoesNotRejectWithoutKnownVerdict(t *testing.T) {
+	for _, verdict := range []cell.Verdict{0, 200} {
+		address, _ := startServer(t, func(context.Context) *Reply { return &Reply{Verdict: verdict} })
+		r := NewClient([]string{address}, nil, discardLogger).Do(contextWithTimeout(t, 5*time.Second), &Call{Submit: &cell.Submit{}})
+		assert.Assert(t, r.Unknown != "" && r.Verdict == 0, "%+v", r)
+		assert.Equal(t, r.Tries, 1)
+	}
+}
+
 // Guards against Unknown for a call whose last attempt decides the earlier ones as well.
 func TestClientReturnsDecisiveVerdictAfterUnknownOutcome(t *testing.T) {
 	request := cell.Request{Host: "h", Path: "/q/00000000000000a1"}
--- a/internal/cellapi/outcome.go
+++ b/internal/cellapi/outcome.go
@@ -1,6 +1,10 @@
 package cellapi
 
-import "laburnumgrade/internal/cell"
+import (
+	"strconv"
+
+	"laburnumgrade/internal/cell"
+)
 
 // combine returns the reply to a call whose last attempt was answered with r. unknownReason is
 // the reason why the outcome of an earlier attempt is not known, empty if that of each is. The
@@ -8,10 +12,13 @@
 // later, or a process that was paused may read it. A rejection of the last attempt is then no
 // rejection of the call.
 func combine(c *Call, r Reply, unknownReason string) Reply {
-	if unknownReason == "" || r.Refused == "" && c.settledBy(r.Verdict) {
-		return r
+	switch {
+	case unknownReason != "" && (r.Refused != "" || !c.settledBy(r.Verdict)):
+		return Reply{Unknown: unknownReason}
+	case r.Refused == "" && !r.Verdict.Valid():
+		return Reply{Unknown: "the reply has the verdict " + strconv.Itoa(int(r.Verdict)) + ", which is not known"}
 	}
-	return Reply{Unknown: unknownReason}
+	return r
 }
 
 // settledBy reports whether the verdict on one attempt of the call is the result of all its
