dispatch: a test of a departure that fails between its two commits

Symptom: a worker's announcement that it is shutting down is refused (503, not carried out), although the worker is marked and gets no work any more.

Cause: processDeparture commits twice and answers an error of the second commit as if it were that of the whole call.

--- a/internal/dispatch/departure_test.go
+++ b/internal/dispatch/departure_test.go
@@ -3,13 +3,17 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
 	"laburnumgrade/internal/cell"
 	"laburnumgrade/internal/cellapi"
+	"laburnumgrade/internal/port"
+	"laburnumgrade/internal/replica"
 	"laburnumgrade/internal/structs"
 )
 
@@ -143,3 +147,41 @@
 		assert.Equal(t, b.startCount(jobID1, 0), 1)
 	})
 }
+
+// deregistrationLog fails the commits which record that a worker has left, with err, until
+// healed is set.
+type deregistrationLog struct {
+	*fakeLog
+	err    error
+	healed atomic.Bool
+}
+
+func (l *deregistrationLog) Propose(ctx context.Context, command []byte) (any, error) {
+	var c cell.Command
+	if err := cbor.Unmarshal(command, &c); err != nil {
+		return nil, err
+	}
+	if !l.healed.Load() && c.Register != nil && c.Register.Deregistered {
+		return nil, l.err
+	}
+	return l.fakeLog.Propose(ctx, command)
+}
+
+// Guards against a departure that is refused as not carried out although its first commit has
+// marked the worker, which gets no work any more.
+func TestDepartureInProgressIsNotRefused(t *testing.T) {
+	for name, failure := range map[string]error{"overload": replica.ErrOverloaded, "leadership lost": &port.NotLeaderError{Group: "cell"}} {
+		var log *deregistrationLog
+		runCellWith(t, 1, func(c *Config) {
+			log = &deregistrationLog{fakeLog: c.Log.(*fakeLog), err: failure}
+			c.Log = log
+		}, func(b *testCell) {
+			r := b.leader.Do(b.t.Context(), deregistration("w0", 1))
+			b.store.View(func(v *cell.View) { assert.Assert(t, v.Worker("w0").Departing, name) })
+			assert.Assert(t, r.Unknown != "" && r.Refused == "" && !r.NotLeader, "%s: %+v", name, r)
+			log.healed.Store(true)
+			b.do(deregistration("w0", 1))
+			assert.Assert(t, b.hasLeft("w0"), name)
+		})
+	}
+}
