dispatch: a departure that is carried out in part is not refused

Change: an error of the second commit is answered as unknown, so that the gateway repeats the call at a leader instead of answering 503.

--- a/internal/dispatch/departure.go
+++ b/internal/dispatch/departure.go
@@ -33,7 +33,8 @@
 	}
 	if attempts == 0 {
 		if err := t.commitDeregistration(ctx, departing); err != nil {
-			return t.leader.failure(err), true
+			// The first commit was carried out, so the call is not refused as a whole.
+			return &cellapi.Reply{Unknown: err.Error()}, true
 		}
 		return &cellapi.Reply{Verdict: cell.Accepted}, true
 	}
