dispatch: a test of the two answers of a command that waits for a commit

Refused has to mean that the command was not proposed: the cancellation of a job waits for the submission, its time passes, and it must not be carried out later. The submission, which was proposed, has an unknown outcome. No fault was found; no test of the leader covered the two answers of failure().

Measured: go test -race ./internal/dispatch -run TestRefusedCommandIsNotCommitted passes; with failure() changed to refuse each passed deadline (trial) it fails.

--- a/internal/dispatch/commit_test.go
+++ b/internal/dispatch/commit_test.go
@@ -104,3 +104,30 @@
 		assert.Equal(t, log.proposed.Load(), int64(jobs))
 	})
 }
+
+// Guards against a command that is carried out although it was refused because its caller's
+// time has passed while it waited for another command of the job, and against Refused for the
+// command that was proposed.
+func TestRefusedCommandIsNotCommitted(t *testing.T) {
+	var log *slowLog
+	runCellWith(t, 1, func(c *Config) {
+		log = &slowLog{fakeLog: c.Log.(*fakeLog), entryTime: time.Millisecond}
+		c.Log = log
+	}, func(b *testCell) {
+		log.pause(2 * time.Second)
+		replies := make(chan *cellapi.Reply, 1)
+		send := func(c *cellapi.Call) *cellapi.Reply {
+			ctx, cancel := context.WithTimeout(b.t.Context(), 450*time.Millisecond)
+			defer cancel()
+			return b.leader.Do(ctx, c)
+		}
+		go func() { replies <- send(submitCall(jobID1)) }()
+		time.Sleep(50 * time.Millisecond)
+		cancelled := send(cancelCall(jobID1))
+		submitted := <-replies
+		assert.Assert(t, cancelled.Refused != "" && cancelled.Unknown == "", "%+v", cancelled)
+		assert.Assert(t, submitted.Refused == "" && submitted.Unknown != "", "%+v", submitted)
+		time.Sleep(2 * time.Second)
+		b.waitForState(jobID1, cell.Complete, 10*time.Second)
+	})
+}
