entry: a resend refused by the home group is not "not run"

Symptom: a call with resend set that the home group refuses to record (key withdrawn, no configuration lease) was answered "not run". The record of the earlier try may still be on its way to the group; it is granted then, and its owner runs the call. Change: after an earlier try, by resend or by a pending record, the answer is "outcome unknown". Evidence: before the change, resend_test.go:19: OUTCOME_NOT_RUN (got.Outcome) != OUTCOME_UNKNOWN: not run: the key does not allow work for team t After it, go test -run 'TestResend|TestExpired' ./internal/entry passes.

--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -42,6 +42,17 @@
 	lists       []*peerv1.ListInstancesRequest
 	hold        chan struct{}
 	releaseOnce sync.Once
+	// newRecordRefusal is the reason for refusing requests without a record; empty records
+	// them.
+	newRecordRefusal string
+}
+
+// refuseNewRecords makes the process refuse requests that have no record, as a leader does
+// under another configuration; empty ends this.
+func (c *fakeControl) refuseNewRecords(reason string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.newRecordRefusal = reason
 }
 
 // releaseHold lets the delayed heartbeats be answered. It also runs at the end of the
@@ -104,6 +115,12 @@
 	if err := c.checkLeader(); err != nil {
 		return nil, err
 	}
+	c.mu.Lock()
+	refusal := c.newRecordRefusal
+	c.mu.Unlock()
+	if _, known := c.store.Request(r.Record.RequestId); !known && refusal != "" {
+		return &peerv1.RecordRequestReply{Refusal: refusal}, nil
+	}
 	result := c.apply(&statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_RecordRequest{RecordRequest: r.Record}})
 	reply := &peerv1.RecordRequestReply{Granted: result.Granted, Refusal: result.Refusal}
 	if q := result.Request; q != nil {
--- a/internal/entry/non_idempotent.go
+++ b/internal/entry/non_idempotent.go
@@ -65,7 +65,7 @@
 		}
 		switch {
 		case reply.Refusal != "":
-			return refusedRecord(m, reply.Refusal)
+			return refusedRecord(m, reply.Refusal, earlierTry)
 		case reply.Granted:
 			return s.awaitRun(ctx, m, s.startRun(m, r, deadline), true)
 		case !reply.Pending:
@@ -107,11 +107,15 @@
 	}))
 }
 
-// refusedRecord answers a request that the home group refused to record.
-func refusedRecord(m *apiv1.CallRequest, refusal string) *apiv1.CallResponse {
+// refusedRecord answers a request that the home group refused to record. The record of
+// an earlier try may reach the group later and still be granted.
+func refusedRecord(m *apiv1.CallRequest, refusal string, earlierTry bool) *apiv1.CallResponse {
 	if reason, expired := strings.CutPrefix(refusal, prefixUnknown); expired {
 		return unknownAnswer(m, "id expired: "+reason)
 	}
+	if earlierTry {
+		return unknownAfterRefusedResend(m, errors.New(refusal))
+	}
 	return notRunAnswer(m, errors.New(refusal))
 }
 
