entry: a record that arrives after the refusal of its call is ended

Symptom: a call answered "not run" kept a pending record; a resend with the same id got "outcome unknown" until the record expired, and never ran. Cause: the first try to make the record timed out and was committed later; the second one was refused (key withdrawn meanwhile). Only the loss of all tries ended the record, not a refusal after a lost one. Change: if a request for the record got no reply, a refusal ends the record in the background too. The new fault deliveredLate of the tests delivers a request that stayed in a socket.

--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -76,6 +76,7 @@
 	c.server = httptest.NewServer(c.handler(mux))
 	t.Cleanup(c.server.Close)
 	t.Cleanup(c.releaseHold)
+	t.Cleanup(c.releaseLate)
 	c.apply(&statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_AdvanceTime{AdvanceTime: &statev1.AdvanceTime{UnixMs: time.Now().UnixMilli()}}})
 	return c
 }
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -44,6 +44,9 @@
 	replyLost
 	// neverAnswered blocks until the client closes the connection.
 	neverAnswered
+	// deliveredLate delivers the request once releaseLate is called, whatever the client
+	// does meanwhile. The reply is lost.
+	deliveredLate
 )
 
 // faultInjector holds the faults of the next requests, and the number of requests, by
@@ -52,10 +55,15 @@
 	mu   sync.Mutex
 	next map[string][]messageFault
 	seen map[string]int
+	late chan struct{}
+	once sync.Once
 }
 
+// releaseLate delivers the requests with the fault deliveredLate.
+func (f *faultInjector) releaseLate() { f.once.Do(func() { close(f.late) }) }
+
 func newFaultInjector() *faultInjector {
-	return &faultInjector{next: map[string][]messageFault{}, seen: map[string]int{}}
+	return &faultInjector{next: map[string][]messageFault{}, seen: map[string]int{}, late: make(chan struct{})}
 }
 
 // setFaults defines the faults of the next requests of a method, one each. The last one
@@ -99,6 +107,13 @@
 			_, _ = io.Copy(io.Discard, r.Body)
 			<-r.Context().Done()
 			return
+		case deliveredLate:
+			body, _ := io.ReadAll(r.Body)
+			<-f.late
+			r = r.WithContext(context.WithoutCancel(r.Context()))
+			r.Body = io.NopCloser(bytes.NewReader(body))
+			next.ServeHTTP(httptest.NewRecorder(), r)
+			panic(http.ErrAbortHandler)
 		case replyLost:
 			next.ServeHTTP(httptest.NewRecorder(), r)
 			panic(http.ErrAbortHandler)
--- a/internal/entry/non_idempotent.go
+++ b/internal/entry/non_idempotent.go
@@ -55,8 +55,11 @@
 	deadline := s.clock.Now() + time.Duration(m.DeadlineMs)*time.Millisecond
 	// earlierTry is set if a try before this one may have run the call.
 	earlierTry := m.Resend
+	// recordMayArrive is set if a request for the record got no reply.
+	recordMayArrive := false
 	for poll := minPollInterval; ; poll = min(2*poll, maxPollInterval) {
-		reply, err := s.record(ctx, r)
+		reply, uncertain, err := s.record(ctx, r)
+		recordMayArrive = recordMayArrive || uncertain
 		if err != nil {
 			return s.notRecorded(m, r, err, earlierTry)
 		}
@@ -65,6 +68,9 @@
 		}
 		switch {
 		case reply.Refusal != "":
+			if recordMayArrive {
+				s.goBackground(func() { s.recordNotRun(r) })
+			}
 			return refusedRecord(m, reply.Refusal, earlierTry)
 		case reply.Granted:
 			return s.awaitRun(ctx, m, s.startRun(m, r, deadline), true)
@@ -99,10 +105,11 @@
 	}
 }
 
-// record asks the home group for the ownership of the request's record.
-func (s *Server) record(ctx context.Context, r *record) (*peerv1.RecordRequestReply, error) {
+// record asks the home group for the ownership of the request's record. uncertain
+// reports whether a process may have received this without a reply.
+func (s *Server) record(ctx context.Context, r *record) (reply *peerv1.RecordRequestReply, uncertain bool, err error) {
 	request := &peerv1.RecordRequestRequest{DataCentre: r.dataCentre, Record: r.command, KeyId: r.keyID}
-	return peer.Call(ctx, r.group, peer.WithAttemptTimeout(tryTimeout, func(ctx context.Context, c *http.Client, url string) (*peerv1.RecordRequestReply, error) {
+	return peer.CallReportingSent(ctx, r.group, peer.WithAttemptTimeout(tryTimeout, func(ctx context.Context, c *http.Client, url string) (*peerv1.RecordRequestReply, error) {
 		return peerv1.NewDataCentreServiceProtobufClient(url, c).RecordRequest(ctx, request)
 	}))
 }
--- a/internal/entry/resend_test.go
+++ b/internal/entry/resend_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -22,3 +23,24 @@
 	got = c.sendTo(t, c.entries[0], m)
 	assert.Equal(t, got.Outcome, notRun, got.Detail)
 }
+
+// Guards against a record that stays pending after its owner has answered "not run": one
+// try to make the record arrives late, after another one was refused. A resend would get
+// "outcome unknown" and never run.
+func TestLateRecordOfRefusedCallIsEnded(t *testing.T) {
+	c := newCell(t, nonIdempotent, "a")
+	c.control.setFaults("RecordRequest", deliveredLate, delivered)
+	c.control.refuseNewRecords("the key does not allow work for team t")
+	id := newID()
+	got := c.send(t, id, longDeadline)
+	assert.Equal(t, got.Outcome, notRun, got.Detail)
+	c.control.refuseNewRecords("")
+	c.control.releaseLate()
+	waitFor(t, func() bool {
+		_, known := c.control.store.Request(id)
+		return known && c.entries[0].background.Load() == 0
+	})
+	got = c.send(t, id, 2*time.Second)
+	assert.Equal(t, got.Outcome, ok, got.Detail)
+	assert.Equal(t, c.ran(id), 1)
+}
