entry: "not run" of a granted resend is answered as unknown

Symptom: a resend of a non-idempotent call that got the record but no slot was answered "not run", and then an earlier try of the same id ran the call. Cause: a record that ended as "not run" is granted to any other owner. The request for the record of an earlier try, delayed on its way, comes after it and is such an owner. The answer to idempotent calls already took resend into account, that to non-idempotent ones did not. Change: "not run" is answered to no call with resend set. After it, go test ./internal/entry passes.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -64,10 +64,13 @@
 	setDeadline(m, d)
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(m.DeadlineMs)*time.Millisecond)
 	defer cancel()
-	if !d.Spec.Idempotent {
-		return s.callNonIdempotent(ctx, m, keyID(key))
+	var result *apiv1.CallResponse
+	if d.Spec.Idempotent {
+		result = s.callIdempotent(ctx, m, p)
+	} else {
+		result = s.callNonIdempotent(ctx, m, keyID(key))
 	}
-	result := s.callIdempotent(ctx, m, p)
+	// The record of a request that has not run is granted to a try that arrives later.
 	if m.Resend && result.Outcome == apiv1.Outcome_OUTCOME_NOT_RUN {
 		return unknownAfterRefusedResend(m, errors.New(result.Detail))
 	}
--- a/internal/entry/resend_test.go
+++ b/internal/entry/resend_test.go
@@ -44,3 +44,25 @@
 	assert.Equal(t, got.Outcome, ok, got.Detail)
 	assert.Equal(t, c.ran(id), 1)
 }
+
+// Guards against the outcome "not run" for a resend that found no free slot, while an
+// earlier try, whose record reaches the home group later, runs the call.
+func TestResendWithoutSlotIsNotRefused(t *testing.T) {
+	c := newCell(t, nonIdempotent, "a")
+	a, in := c.entries[0], c.instances[0]
+	in.hold = make(chan struct{})
+	for range 8 { // the slots of the instance
+		c.begin(t, a)
+	}
+	c.control.setFaults("RecordRequest", neverAnswered, delivered)
+	seen := c.control.requestCount("RecordRequest")
+	id := newID()
+	first := make(chan *apiv1.CallResponse, 1)
+	go func() { first <- c.send(t, id, longDeadline) }()
+	waitFor(t, func() bool { return c.control.requestCount("RecordRequest") > seen })
+	got := c.sendTo(t, a, &apiv1.CallRequest{RequestId: id, Team: "t", Service: "s", Body: []byte("body"), DeadlineMs: 200, Resend: true})
+	assert.Equal(t, got.Outcome, unknown, got.Detail)
+	in.releaseHold()
+	assert.Equal(t, (<-first).Outcome, ok)
+	assert.Equal(t, c.ran(id), 1)
+}
