entry: a cancellation is not refused after it was carried out

Symptom: CancelJob answered PermissionDenied (lgctl: exit 2, refused) although the job was cancelled. Cause: the key is checked before the cancellation and again for the answer; if it was withdrawn between the two, the second check refused the whole call. Change: the second check still withholds the job's state, but the answer is "outcome unknown" and says that the job is cancelled. Evidence: before the change, job_test.go:93: permission_denied (connect.Code) != unknown (connect.CodeUnknown): the key is not that of the job's team After it, go test -run TestCancellation ./internal/entry passes.

--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -45,6 +45,10 @@
 	// newRecordRefusal is the reason for refusing requests without a record; empty records
 	// them.
 	newRecordRefusal string
+	// cancelled, if not nil, is called after a job was cancelled.
+	cancelled func()
+	// jobsForgotten makes the process answer that it knows no job.
+	jobsForgotten bool
 }
 
 // refuseNewRecords makes the process refuse requests that have no record, as a leader does
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -149,7 +149,12 @@
 	if err != nil {
 		return nil, controlError(err)
 	}
-	return s.authorizedJob(r.Header(), j)
+	// The key may have been withdrawn since the check above, but the job is cancelled.
+	if err := s.checkTeamAccess(r.Header(), j.Team, j.Service); err != nil {
+		return nil, connect.NewError(connect.CodeUnknown, errors.Wrap(err, "outcome unknown: the job is cancelled, but its state is not shown"))
+	}
+	s.recordJobAnswer(j)
+	return connect.NewResponse(j), nil
 }
 
 // ExplainJob returns the reasons why a job waits.
