entry: "not found" does not speak for an earlier try of a cancellation

Symptom: CancelJob answered NotFound (lgctl: exit 2) although its first try had cancelled the job. Change: CallError.SentBefore says whether an attempt before the last one may have been received; a cancellation is then answered "outcome unknown". Reads still get "not found". Evidence: before the change, job_test.go:147: not_found (connect.Code) != unknown (connect.CodeUnknown): not_found: job ... is not known After it, go test ./internal/adapter/peer and go test -run 'TestCancellation|TestSubmission' ./internal/entry pass. With real processes it needs a job whose record expires between the two tries; that was not run.

--- a/internal/adapter/peer/client.go
+++ b/internal/adapter/peer/client.go
@@ -116,6 +116,9 @@
 	// does not lead. An attempt during which the context ended counts once it has got a
 	// connection.
 	Sent bool
+	// SentBefore is Sent without the last attempt. If it is true, an error by which a
+	// process refuses the last attempt does not prove that the call was not executed.
+	SentBefore bool
 }
 
 // Error implements error.
@@ -155,6 +158,7 @@
 		failure.Peer = address
 		failure.Err = err
 		retry, sent := g.handleError(address, err)
+		failure.SentBefore = failure.Sent
 		failure.Sent = failure.Sent || (sent && connected())
 		if !retry || ctx.Err() != nil {
 			return zero, failure.Sent, failure
--- a/internal/adapter/peer/client_test.go
+++ b/internal/adapter/peer/client_test.go
@@ -44,7 +44,7 @@
 
 // TestGroupCall guards against calls that do not find the leader or keep
 // waiting for a process that hangs, and against calls that are reported as not
-// sent although a process may have received them.
+// sent although a process may have received them, by the last attempt or before it.
 func TestGroupCall(t *testing.T) {
 	ignore := goleak.IgnoreCurrent()
 	t.Cleanup(func() { goleak.VerifyNone(t, ignore) })
@@ -66,15 +66,18 @@
 		addresses []string
 		ok        bool
 		sent      bool
+		before    bool
 	}{
-		{"leader", []string{leader}, true, false},
-		{"through a follower", []string{follower}, true, false},
-		{"first is dead", []string{closedAddress, leader}, true, false},
-		{"first hangs", []string{hanging, leader}, true, false},
-		{"all dead", []string{closedAddress}, false, false},
-		{"all hang", []string{hanging}, false, true},
-		{"refused", []string{refusing, leader}, false, true},
-		{"no process", nil, false, false},
+		{"leader", []string{leader}, true, false, false},
+		{"through a follower", []string{follower}, true, false, false},
+		{"first is dead", []string{closedAddress, leader}, true, false, false},
+		{"first hangs", []string{hanging, leader}, true, false, false},
+		{"all dead", []string{closedAddress}, false, false, false},
+		{"all hang", []string{hanging}, false, true, true},
+		{"refused", []string{refusing, leader}, false, true, false},
+		{"first is dead, then refused", []string{closedAddress, refusing}, false, true, false},
+		{"first hangs, then refused", []string{hanging, refusing}, false, true, true},
+		{"no process", nil, false, false, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -93,6 +96,7 @@
 			var call *CallError
 			assert.Assert(t, errors.As(err, &call), "%v", err)
 			assert.Equal(t, call.Sent, c.sent, "%v", err)
+			assert.Equal(t, call.SentBefore, c.before, "%v", err)
 		})
 	}
 }
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -147,7 +147,7 @@
 		return peerv1.NewDataCentreServiceProtobufClient(url, c).CancelJob(ctx, r.Msg)
 	}))
 	if err != nil {
-		return nil, controlError(err)
+		return nil, changeError(err)
 	}
 	// The key may have been withdrawn since the check above, but the job is cancelled.
 	if err := s.checkTeamAccess(r.Header(), j.Team, j.Service); err != nil {
@@ -188,5 +188,20 @@
 	if errors.As(err, &call) && !call.Sent {
 		return connect.NewError(connect.CodeUnavailable, errors.Wrap(err, "not run"))
 	}
+	return unknownError(err)
+}
+
+// changeError is controlError for a call that changes something: that the last attempt was
+// refused does not prove that an earlier one was not carried out.
+func changeError(err error) error {
+	var call *peer.CallError
+	if errors.As(err, &call) && call.SentBefore {
+		return unknownError(err)
+	}
+	return controlError(err)
+}
+
+// unknownError returns the connect error for a call that may have taken effect.
+func unknownError(err error) error {
 	return connect.NewError(connect.CodeUnknown, errors.Wrap(err, "outcome unknown"))
 }
--- a/internal/entry/job_test.go
+++ b/internal/entry/job_test.go
@@ -130,3 +130,24 @@
 	assert.Equal(t, connect.CodeOf(err), connect.CodeFailedPrecondition)
 	assert.Assert(t, strings.Contains(err.Error(), "started by its document"), err)
 }
+
+// Guards against "not found" for a cancellation that a try before the last one carried out.
+func TestCancellationOfForgottenJob(t *testing.T) {
+	c := newCell(t, idempotent, "a")
+	id := c.startJob(t)
+	c.control.mu.Lock()
+	c.control.cancelled = func() {
+		c.control.mu.Lock()
+		defer c.control.mu.Unlock()
+		c.control.jobsForgotten = true
+	}
+	c.control.mu.Unlock()
+	c.control.setFaults("CancelJob", replyLost, delivered)
+	err := c.cancelJob(id)
+	assert.Equal(t, connect.CodeOf(err), connect.CodeUnknown, "%v", err)
+	j, _ := c.control.store.Job(id)
+	assert.Assert(t, j.Cancelled)
+	assert.Equal(t, connect.CodeOf(c.cancelJob(id)), connect.CodeNotFound)
+	c.control.setFaults("WaitJob", replyLost, delivered)
+	assert.Equal(t, connect.CodeOf(c.cancelJob(id)), connect.CodeNotFound, "a read does not change anything")
+}
