lgctl: a call sent again after a lost answer is a resend

Symptom: lgctl call exited with 2 (not run) although the entry that it tried first had received the call and may have run it. Cause: errors of later tries were reported as unknown after a lost answer, but the outcome of a call is an answer, not an error. The tries after the first did not set resend either, so that an entry could not know better. Change: a try after one that may have had an effect sets resend; "not run" for a resend exits with 4, also if an older entry answers it. Evidence: before the change, ctl_test.go:199 (a call, lost, then not run): not_run (got.exit) != outcome_unknown: exit:2 stderr: lgctl: not run: no free slot ctl_test.go:229 (TestCallSaysResend): resend false, expected true After it, go test ./internal/ctl passes.

--- a/internal/ctl/call.go
+++ b/internal/ctl/call.go
@@ -41,15 +41,18 @@
 	}
 	options := teamChange(id)
 	options.extraTimeout = v.Deadline
+	options.beforeResend = func() { request.Resend = true }
 	answer, problem := sendToCallerService(v.app, options, apiv1connect.CallerServiceClient.Call, request)
 	if problem != nil {
 		return problem
 	}
-	return callReport(id, answer)
+	return callReport(request, answer)
 }
 
-// callReport returns the report of an answer to a call.
-func callReport(id string, answer *apiv1.CallResponse) *report {
+// callReport returns the report of an answer to a call. That a resend has not run does not
+// prove that an earlier try has not.
+func callReport(request *apiv1.CallRequest, answer *apiv1.CallResponse) *report {
+	id := request.GetRequestId()
 	if answer.GetRequestId() != id {
 		return &report{
 			Exit: ExitOutcomeUnknown, ID: id, Message: "outcome unknown: the answer belongs to request " + answer.GetRequestId(),
@@ -57,15 +60,20 @@
 		}
 	}
 	r := &report{Exit: outcomeExit(answer.GetOutcome()), ID: id, Answer: answer}
+	detail := answer.GetDetail()
+	if r.Exit == ExitNotRun && request.GetResend() {
+		r.Exit = ExitOutcomeUnknown
+		detail = "an earlier try may have run; this one was refused: " + detail
+	}
 	switch r.Exit {
 	case ExitOK:
 		r.Text = answer.GetBody()
 	case ExitNotRun:
-		r.Message, r.Next = "not run: "+answer.GetDetail(), "run the same command again later"
+		r.Message, r.Next = "not run: "+detail, "run the same command again later"
 	case ExitFailed:
-		r.Message = "failed: " + answer.GetDetail()
+		r.Message = "failed: " + detail
 	default:
-		r.Message = prefixUnknown + ": " + answer.GetDetail()
+		r.Message = prefixUnknown + ": " + detail
 		r.Next = "run the same command with --request-id " + id + " to retrieve a late answer; the request never runs twice"
 	}
 	return r
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -161,6 +161,7 @@
 func TestFailover(t *testing.T) {
 	refused := entryWithError(connect.CodePermissionDenied, "not run: configuration lease has expired")
 	draining := entryWithError(connect.CodeUnavailable, "not run: draining")
+	notRunEntry := &fakeEntry{answer: &apiv1.CallResponse{Outcome: apiv1.Outcome_OUTCOME_NOT_RUN, Detail: "no free slot"}}
 	tests := []struct {
 		name    string
 		verb    string
@@ -176,6 +177,8 @@
 		{"all lose the answer", "job submit red print", []*fakeEntry{{dropConnection: true}}, 4, "it never runs twice"},
 		{"lost, then refused", "job submit red print", []*fakeEntry{{dropConnection: true}, refused}, 4, "an earlier answer was lost"},
 		{"down, then refused", "job submit red print", []*fakeEntry{nil, refused}, 2, "lease has expired"},
+		{"a call, lost, then not run", "call red print", []*fakeEntry{{dropConnection: true}, notRunEntry}, 4, "an earlier try may have run"},
+		{"a call, down, then not run", "call red print", []*fakeEntry{nil, notRunEntry}, 2, "no free slot"},
 		{"a read, lost", "job status j", []*fakeEntry{{dropConnection: true}}, 5, "run the same command again"},
 		{"a read, lost then refused", "job status j", []*fakeEntry{{dropConnection: true}, refused}, 2, "lease has expired"},
 		{"a change, lost", "key withdraw k1 --wait 1s", []*fakeEntry{{dropConnection: true}, {}}, 0, "in force"},
@@ -209,6 +212,24 @@
 	}
 }
 
+// Guards against a call that is sent again after a lost answer without resend, so that the
+// entry answers "not run" for that try alone, and against resend on a call sent once.
+func TestCallSaysResend(t *testing.T) {
+	for _, test := range []struct {
+		first  *fakeEntry // nil refuses connections
+		resend bool
+	}{{nil, false}, {&fakeEntry{dropConnection: true}, true}} {
+		first := closedPort
+		if test.first != nil {
+			first = test.first.start(t)
+		}
+		second := entryWithOutcome(apiv1.Outcome_OUTCOME_OK)
+		got := lgctl(nil, "", "call", "red", "print", "--entry", first, "--entry", second.start(t))
+		assert.Equal(t, got.exit, ExitOK, "%+v", got)
+		assert.DeepEqual(t, second.resends, []bool{test.resend})
+	}
+}
+
 // Guards against a change that is reported as possibly carried out although no entry
 // accepted a connection within the timeout, and against one that is reported as not sent
 // although an entry received it.
--- a/internal/ctl/fake_test.go
+++ b/internal/ctl/fake_test.go
@@ -43,6 +43,7 @@
 
 	mu            sync.Mutex
 	ids           []string
+	resends       []bool // of the calls
 	authorization []string
 	requests      int
 }
@@ -132,6 +133,9 @@
 
 func (f *fakeEntry) Call(_ context.Context, r *connect.Request[apiv1.CallRequest]) (*connect.Response[apiv1.CallResponse], error) {
 	f.recordID(r.Msg.GetRequestId())
+	f.mu.Lock()
+	f.resends = append(f.resends, r.Msg.GetResend())
+	f.mu.Unlock()
 	if f.err != nil {
 		return nil, f.err
 	}
--- a/internal/ctl/request.go
+++ b/internal/ctl/request.go
@@ -31,6 +31,9 @@
 	// extraTimeout is added to the timeout of each try, for requests that the
 	// entry holds until something happens.
 	extraTimeout time.Duration
+	// beforeResend, if not nil, is called before each try that follows one which may have
+	// had an effect.
+	beforeResend func()
 }
 
 // operatorRead returns the options of an operator's request that changes nothing.
@@ -67,7 +70,7 @@
 
 // send sends a request to the entries in turn until one of them answers with a
 // result or with an error that another entry would give as well. Every try sends
-// the same message with the same id.
+// the same message with the same id, except for what options.beforeResend changes.
 func send[C, Q, A any](a *app, options requestOptions, construct newClient[C], call method[C, Q, A], message *Q) (*A, *report) {
 	entries, problem := a.entries()
 	if problem != nil {
@@ -83,6 +86,9 @@
 			time.Sleep(roundPause)
 		}
 		for _, entry := range entries {
+			if failures.mayHaveRun && options.beforeResend != nil {
+				options.beforeResend()
+			}
 			request := connect.NewRequest(message)
 			if !key.IsZero() {
 				request.Header().Set("Authorization", "Bearer "+key.Reveal())
