--- a/internal/ctl/call.go
+++ b/internal/ctl/call.go
@@ -38,6 +38,7 @@
 	}
 	request := &apiv1.CallRequest{
 		RequestId: id, Team: v.Arguments.Team, Service: v.Arguments.Service, Body: body, DeadlineMs: v.Deadline.Milliseconds(),
+		Resend: v.RequestID != "", // an earlier command may have sent it
 	}
 	options := teamChange(id)
 	options.extraTimeout = v.Deadline
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -230,6 +230,15 @@
 	}
 }
 
+// Guards against "not run" for a call that the user sends again after an unknown outcome,
+// with the id of the first command.
+func TestGivenRequestIDIsResend(t *testing.T) {
+	entry := &fakeEntry{answer: &apiv1.CallResponse{Outcome: apiv1.Outcome_OUTCOME_NOT_RUN, Detail: "draining"}}
+	got := lgctl(nil, "", "call", "red", "print", "--entry", entry.start(t), "--request-id", newID())
+	assert.Equal(t, got.exit, ExitOutcomeUnknown, "%+v", got)
+	assert.DeepEqual(t, entry.resends, []bool{true})
+}
+
 // Guards against a change that is reported as possibly carried out although no entry
 // accepted a connection within the timeout, and against one that is reported as not sent
 // although an entry received it.
