entry: a change with a lost first try is not answered as refused

Symptom: an operator's change was answered Aborted (lgctl: exit 2, refused), and then its first try arrived and was carried out: an order that was accepted was refused. Cause: change() looked only at the refusal of the last try; submitJob already asked whether an earlier try may have been received. Change: the same rule for changes: after a lost try a refusal is "outcome unknown", which a repetition with the same operation id resolves. Evidence: before the change, operator_test.go:51: aborted (connect.Code) != unknown (connect.CodeUnknown): aborted: key k is not known The test then grants the key and delivers the first try: the key is withdrawn. After it, go test ./internal/entry passes.

--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -19,6 +19,7 @@
 	"laburnumgrade/gen/peerv1"
 	"laburnumgrade/gen/statev1"
 	"laburnumgrade/internal/adapter/peer"
+	"laburnumgrade/internal/fleet"
 	"laburnumgrade/internal/port"
 	"laburnumgrade/internal/state"
 	"laburnumgrade/internal/structs"
@@ -32,16 +33,18 @@
 	*faultInjector
 	server *httptest.Server
 
-	mu          sync.Mutex
-	index       uint64
-	store       *state.Store
-	instances   []*peerv1.Instance
-	fleet       *statev1.FleetState
-	otherLeader string
-	released    []uint64
-	lists       []*peerv1.ListInstancesRequest
-	hold        chan struct{}
-	releaseOnce sync.Once
+	mu        sync.Mutex
+	index     uint64
+	store     *state.Store
+	instances []*peerv1.Instance
+	fleet     *statev1.FleetState
+	// configuration holds what Propose changes.
+	configuration *fleet.Store
+	otherLeader   string
+	released      []uint64
+	lists         []*peerv1.ListInstancesRequest
+	hold          chan struct{}
+	releaseOnce   sync.Once
 	// newRecordRefusal is the reason for refusing requests without a record; empty records
 	// them.
 	newRecordRefusal string
@@ -71,7 +74,7 @@
 func (noopObserver) InstancesChanged()    {}
 
 func newFakeControl(t *testing.T) *fakeControl {
-	c := &fakeControl{faultInjector: newFaultInjector(), store: state.New(noopObserver{}), hold: make(chan struct{})}
+	c := &fakeControl{faultInjector: newFaultInjector(), store: state.New(noopObserver{}), configuration: fleet.New(), hold: make(chan struct{})}
 	c.fleet = &statev1.FleetState{Index: 1}
 	mux := http.NewServeMux()
 	dc, fleet := peerv1.NewDataCentreServiceServer(c), peerv1.NewFleetServiceServer(c)
@@ -187,7 +190,10 @@
 	return &apiv1.Change{}, nil
 }
 
-const testKey = "lg_0011_secret"
+const (
+	testKey         = "lg_0011_secret"
+	testOperatorKey = "operator"
+)
 
 // putDocument adds a document for a service of team t, and the team's key.
 func (c *fakeControl) putDocument(service string, change func(*statev1.WorkSpec)) {
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
 	"flag"
 	"io"
 	"log/slog"
@@ -167,6 +168,7 @@
 	e.Server = New(Config{
 		Name: name, DataCentre: "x", PeerAddress: e.peers.Address(), Clock: port.NewSystemClock(), Logger: slog.New(slog.NewJSONHandler(e.log, nil)),
 		ControlAddresses: map[string][]string{"x": addresses}, MaxBodyBytes: 1 << 20, Client: processes, TargetClient: targets, MaxCallsInFlight: 1000, MaxWaitingPerTeam: 100,
+		OperatorKeyHash: sha256.Sum256([]byte(testOperatorKey)),
 	})
 	late.set(e.Server.PeerHandler())
 	e.public, err = httpserver.Start("127.0.0.1:0", e.Server.PublicHandler())
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -70,10 +70,10 @@
 		return peerv1.NewDataCentreServiceProtobufClient(url, c).SubmitJob(ctx, command)
 	}))
 	if err != nil {
-		return nil, controlError(err)
+		return nil, changeError(err)
 	}
 	if reply.Refusal != "" && uncertain {
-		return nil, connect.NewError(connect.CodeUnknown, errors.Errorf("outcome unknown: an earlier try may have been accepted; a later one was refused: %s", reply.Refusal))
+		return nil, refusedAfterLostTry(reply.Refusal)
 	}
 	if reply.Refusal != "" {
 		return nil, notRunError(refusal(reply.Refusal))
@@ -201,6 +201,12 @@
 	return controlError(err)
 }
 
+// refusedAfterLostTry returns the connect error for a call whose last try was refused, while
+// an earlier one may have been received.
+func refusedAfterLostTry(reason string) error {
+	return connect.NewError(connect.CodeUnknown, errors.Errorf("outcome unknown: an earlier try may have been accepted; a later one was refused: %s", reason))
+}
+
 // unknownError returns the connect error for a call that may have taken effect.
 func unknownError(err error) error {
 	return connect.NewError(connect.CodeUnknown, errors.Wrap(err, "outcome unknown"))
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -160,11 +160,14 @@
 func (s *operatorService) change(ctx context.Context, command *statev1.FleetCommand) (*statev1.FleetResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	reply, err := peer.Call(ctx, s.fleetGroup, peer.WithAttemptTimeout(tryTimeout, func(ctx context.Context, client *http.Client, url string) (*peerv1.ProposeResponse, error) {
+	reply, uncertain, err := peer.CallReportingSent(ctx, s.fleetGroup, peer.WithAttemptTimeout(tryTimeout, func(ctx context.Context, client *http.Client, url string) (*peerv1.ProposeResponse, error) {
 		return peerv1.NewFleetServiceProtobufClient(url, client).Propose(ctx, &peerv1.ProposeRequest{Command: command})
 	}))
 	if err != nil {
-		return nil, controlError(err)
+		return nil, changeError(err)
+	}
+	if reply.Result.Refusal != "" && uncertain {
+		return nil, refusedAfterLostTry(reply.Result.Refusal)
 	}
 	if reply.Result.Refusal != "" {
 		return nil, connect.NewError(connect.CodeAborted, errors.New(reply.Result.Refusal))
