control: a recovery that may have begun is not "aborted"

Symptom: an entry answers RecoverGroup "not run" although the replica may be the only voter of a new generation. Cause: every error of Replica.Recover was answered Aborted, also when the replica stopped (a failed append) after the generation had been changed and before it led. Change: Aborted only if the replica leads or is not started; any other error is Internal, which the entry answers as "outcome unknown". A recovery with a failed disk was not played.

--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
 
 	"laburnumgrade/gen/apiv1"
@@ -13,6 +14,7 @@
 	"laburnumgrade/internal/adapter/peer"
 	"laburnumgrade/internal/membership"
 	"laburnumgrade/internal/port"
+	"laburnumgrade/internal/raft"
 	"laburnumgrade/internal/timeline"
 )
 
@@ -113,13 +115,23 @@
 	}
 	s.server.logger.Warn("recovering the group with one replica at the request of the operator", "step", "recover", "group", r.Group, "replica", m.Replica.ID())
 	if err := m.Replica.Recover(ctx); err != nil {
-		return nil, twirp.NewError(twirp.Aborted, err.Error())
+		return nil, recoverError(err)
 	}
 	term, _ := m.Replica.Term()
 	s.server.events.Record(timeline.Event{Kind: timeline.MembershipChanged, Peer: m.Replica.ID(), Detail: "group " + r.Group + " recovered by the operator"})
 	return &apiv1.RecoverGroupResponse{Replica: m.Replica.ID(), Term: term}, nil
 }
 
+// recoverError converts the error of a recovery. Aborted says that it has not begun; after
+// any other error the replica may be in the new generation.
+func recoverError(err error) error {
+	var notStarted *port.NotLeaderError
+	if errors.Is(err, raft.ErrLeading) || errors.As(err, &notStarted) {
+		return twirp.NewError(twirp.Aborted, err.Error())
+	}
+	return twirp.InternalErrorWith(err)
+}
+
 // recordCandidate records that the replica has announced itself.
 func (m *HostedGroup) recordCandidate(r *peerv1.RaftReplica, now time.Duration) {
 	m.mu.Lock()
