entry: tests of resends wait for their calls

Symptom: one run of five rounds of the new tests (go test -count 5 -run 'TestResend|TestLate|TestCancellation' ./internal/entry, load 50 on 8 cores) failed; only the end of its output, the goroutines of an HTTP server, was kept. A second such run failed once in TestResendIsNotRefusedAsNotRun: dial tcp: i/o timeout (the limit of 500 ms). Cause: not proven for the first; TestResendWithoutSlotIsNotRefused ended while the calls that it began were still being answered. Change: the test waits for these calls and checks their outcomes; the resend in TestLateRecordOfRefusedCallIsEnded has the usual long deadline.

--- a/internal/entry/resend_test.go
+++ b/internal/entry/resend_test.go
@@ -3,7 +3,6 @@
 import (
 	"strings"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -40,7 +39,7 @@
 		_, known := c.control.store.Request(id)
 		return known && c.entries[0].background.Load() == 0
 	})
-	got = c.send(t, id, 2*time.Second)
+	got = c.send(t, id, longDeadline)
 	assert.Equal(t, got.Outcome, ok, got.Detail)
 	assert.Equal(t, c.ran(id), 1)
 }
@@ -51,8 +50,9 @@
 	c := newCell(t, nonIdempotent, "a")
 	a, in := c.entries[0], c.instances[0]
 	in.hold = make(chan struct{})
+	var others []<-chan *apiv1.CallResponse
 	for range 8 { // the slots of the instance
-		c.begin(t, a)
+		others = append(others, c.begin(t, a))
 	}
 	c.control.setFaults("RecordRequest", neverAnswered, delivered)
 	seen := c.control.requestCount("RecordRequest")
@@ -65,4 +65,7 @@
 	in.releaseHold()
 	assert.Equal(t, (<-first).Outcome, ok)
 	assert.Equal(t, c.ran(id), 1)
+	for _, other := range others {
+		assert.Equal(t, (<-other).Outcome, ok)
+	}
 }
