--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -19,6 +19,7 @@
 	"laburnumgrade/gen/peerv1"
 	"laburnumgrade/gen/statev1"
 	"laburnumgrade/internal/adapter/peer"
+	"laburnumgrade/internal/fleet"
 	"laburnumgrade/internal/port"
 	"laburnumgrade/internal/state"
 	"laburnumgrade/internal/structs"
@@ -32,16 +33,33 @@
 	*faultInjector
 	server *httptest.Server
 
-	mu          sync.Mutex
-	index       uint64
-	store       *state.Store
-	instances   []*peerv1.Instance
-	fleet       *statev1.FleetState
-	otherLeader string
-	released    []uint64
-	lists       []*peerv1.ListInstancesRequest
-	hold        chan struct{}
-	releaseOnce sync.Once
+	mu        sync.Mutex
+	index     uint64
+	store     *state.Store
+	instances []*peerv1.Instance
+	fleet     *statev1.FleetState
+	// configuration holds what Propose changes.
+	configuration *fleet.Store
+	otherLeader   string
+	released      []uint64
+	lists         []*peerv1.ListInstancesRequest
+	hold          chan struct{}
+	releaseOnce   sync.Once
+	// newRecordRefusal is the reason for refusing requests without a record; empty records
+	// them.
+	newRecordRefusal string
+	// cancelled, if not nil, is called after a job was cancelled.
+	cancelled func()
+	// jobsForgotten makes the process answer that it knows no job.
+	jobsForgotten bool
+}
+
+// refuseNewRecords makes the process refuse requests that have no record, as a leader does
+// under another configuration; empty ends this.
+func (c *fakeControl) refuseNewRecords(reason string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.newRecordRefusal = reason
 }
 
 // releaseHold lets the delayed heartbeats be answered. It also runs at the end of the
@@ -56,7 +74,7 @@
 func (noopObserver) InstancesChanged()    {}
 
 func newFakeControl(t *testing.T) *fakeControl {
-	c := &fakeControl{faultInjector: newFaultInjector(), store: state.New(noopObserver{}), hold: make(chan struct{})}
+	c := &fakeControl{faultInjector: newFaultInjector(), store: state.New(noopObserver{}), configuration: fleet.New(), hold: make(chan struct{})}
 	c.fleet = &statev1.FleetState{Index: 1}
 	mux := http.NewServeMux()
 	dc, fleet := peerv1.NewDataCentreServiceServer(c), peerv1.NewFleetServiceServer(c)
@@ -65,6 +83,7 @@
 	c.server = httptest.NewServer(c.handler(mux))
 	t.Cleanup(c.server.Close)
 	t.Cleanup(c.releaseHold)
+	t.Cleanup(c.releaseLate)
 	c.apply(&statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_AdvanceTime{AdvanceTime: &statev1.AdvanceTime{UnixMs: time.Now().UnixMilli()}}})
 	return c
 }
@@ -104,6 +123,12 @@
 	if err := c.checkLeader(); err != nil {
 		return nil, err
 	}
+	c.mu.Lock()
+	refusal := c.newRecordRefusal
+	c.mu.Unlock()
+	if _, known := c.store.Request(r.Record.RequestId); !known && refusal != "" {
+		return &peerv1.RecordRequestReply{Refusal: refusal}, nil
+	}
 	result := c.apply(&statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_RecordRequest{RecordRequest: r.Record}})
 	reply := &peerv1.RecordRequestReply{Granted: result.Granted, Refusal: result.Refusal}
 	if q := result.Request; q != nil {
@@ -165,7 +190,10 @@
 	return &apiv1.Change{}, nil
 }
 
-const testKey = "lg_0011_secret"
+const (
+	testKey         = "lg_0011_secret"
+	testOperatorKey = "operator"
+)
 
 // putDocument adds a document for a service of team t, and the team's key.
 func (c *fakeControl) putDocument(service string, change func(*statev1.WorkSpec)) {
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
 	"flag"
 	"io"
 	"log/slog"
@@ -44,6 +45,9 @@
 	replyLost
 	// neverAnswered blocks until the client closes the connection.
 	neverAnswered
+	// deliveredLate delivers the request once releaseLate is called, whatever the client
+	// does meanwhile. The reply is lost.
+	deliveredLate
 )
 
 // faultInjector holds the faults of the next requests, and the number of requests, by
@@ -52,10 +56,15 @@
 	mu   sync.Mutex
 	next map[string][]messageFault
 	seen map[string]int
+	late chan struct{}
+	once sync.Once
 }
 
+// releaseLate delivers the requests with the fault deliveredLate.
+func (f *faultInjector) releaseLate() { f.once.Do(func() { close(f.late) }) }
+
 func newFaultInjector() *faultInjector {
-	return &faultInjector{next: map[string][]messageFault{}, seen: map[string]int{}}
+	return &faultInjector{next: map[string][]messageFault{}, seen: map[string]int{}, late: make(chan struct{})}
 }
 
 // setFaults defines the faults of the next requests of a method, one each. The last one
@@ -99,6 +108,13 @@
 			_, _ = io.Copy(io.Discard, r.Body)
 			<-r.Context().Done()
 			return
+		case deliveredLate:
+			body, _ := io.ReadAll(r.Body)
+			<-f.late
+			r = r.WithContext(context.WithoutCancel(r.Context()))
+			r.Body = io.NopCloser(bytes.NewReader(body))
+			next.ServeHTTP(httptest.NewRecorder(), r)
+			panic(http.ErrAbortHandler)
 		case replyLost:
 			next.ServeHTTP(httptest.NewRecorder(), r)
 			panic(http.ErrAbortHandler)
@@ -152,6 +168,7 @@
 	e.Server = New(Config{
 		Name: name, DataCentre: "x", PeerAddress: e.peers.Address(), Clock: port.NewSystemClock(), Logger: slog.New(slog.NewJSONHandler(e.log, nil)),
 		ControlAddresses: map[string][]string{"x": addresses}, MaxBodyBytes: 1 << 20, Client: processes, TargetClient: targets, MaxCallsInFlight: 1000, MaxWaitingPerTeam: 100,
+		OperatorKeyHash: sha256.Sum256([]byte(testOperatorKey)),
 	})
 	late.set(e.Server.PeerHandler())
 	e.public, err = httpserver.Start("127.0.0.1:0", e.Server.PublicHandler())
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -70,10 +70,10 @@
 		return peerv1.NewDataCentreServiceProtobufClient(url, c).SubmitJob(ctx, command)
 	}))
 	if err != nil {
-		return nil, controlError(err)
+		return nil, changeError(err)
 	}
 	if reply.Refusal != "" && uncertain {
-		return nil, connect.NewError(connect.CodeUnknown, errors.Errorf("outcome unknown: an earlier try may have been accepted; a later one was refused: %s", reply.Refusal))
+		return nil, refusedAfterLostTry(reply.Refusal)
 	}
 	if reply.Refusal != "" {
 		return nil, notRunError(refusal(reply.Refusal))
@@ -147,9 +147,14 @@
 		return peerv1.NewDataCentreServiceProtobufClient(url, c).CancelJob(ctx, r.Msg)
 	}))
 	if err != nil {
-		return nil, controlError(err)
+		return nil, changeError(err)
 	}
-	return s.authorizedJob(r.Header(), j)
+	// The key may have been withdrawn since the check above, but the job is cancelled.
+	if err := s.checkTeamAccess(r.Header(), j.Team, j.Service); err != nil {
+		return nil, connect.NewError(connect.CodeUnknown, errors.Wrap(err, "outcome unknown: the job is cancelled, but its state is not shown"))
+	}
+	s.recordJobAnswer(j)
+	return connect.NewResponse(j), nil
 }
 
 // ExplainJob returns the reasons why a job waits.
@@ -183,5 +188,26 @@
 	if errors.As(err, &call) && !call.Sent {
 		return connect.NewError(connect.CodeUnavailable, errors.Wrap(err, "not run"))
 	}
+	return unknownError(err)
+}
+
+// changeError is controlError for a call that changes something: that the last attempt was
+// refused does not prove that an earlier one was not carried out.
+func changeError(err error) error {
+	var call *peer.CallError
+	if errors.As(err, &call) && call.SentBefore {
+		return unknownError(err)
+	}
+	return controlError(err)
+}
+
+// refusedAfterLostTry returns the connect error for a call whose last try was refused, while
+// an earlier one may have been received.
+func refusedAfterLostTry(reason string) error {
+	return connect.NewError(connect.CodeUnknown, errors.Errorf("outcome unknown: an earlier try may have been accepted; a later one was refused: %s", reason))
+}
+
+// unknownError returns the connect error for a call that may have taken effect.
+func unknownError(err error) error {
 	return connect.NewError(connect.CodeUnknown, errors.Wrap(err, "outcome unknown"))
 }
