test/refusal: results are not taken from the cache after a change of the programs

Symptom: `go test ./...` would show an earlier result of the soak after a change of the code that it runs.

Cause: the test builds lg-cell and lg-gateway by a command; go test knows neither them nor their packages as inputs, so the cached result stays valid.

Change: the test imports the packages that the programs consist of. Only the two main packages are not covered. `go list -deps` shows no other difference.

--- a/test/refusal/deployment_test.go
+++ b/test/refusal/deployment_test.go
@@ -19,6 +19,13 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	// What the programs consist of: go test does not know the programs that the test builds,
+	// and would show an earlier result after a change of them.
+	_ "laburnumgrade/internal/cellnode"
+	_ "laburnumgrade/internal/gateway"
+	_ "laburnumgrade/internal/process"
+	_ "laburnumgrade/platform"
 )
 
 // Names in the configurations. Requests name firstHost and carry firstKey.
