--- a/internal/cellapi/outcome.go
+++ b/internal/cellapi/outcome.go
@@ -28,7 +28,7 @@
 	case v == cell.Accepted:
 		return true // repeating a call that was carried out has no further effect
 	case c.Cancel != nil:
-		return v == cell.NoJob // the job does not exist, and a later submission is refused
+		return v == cell.NoJob // an earlier attempt found no job either, or its job is forgotten
 	}
 	return !c.hasEffect()
 }
--- a/test/refusal/refusal_test.go
+++ b/test/refusal/refusal_test.go
@@ -301,8 +301,12 @@
 	return strings.Join(append(text, lines[:min(len(lines), maxShownLogLine)]...), "\n    ")
 }
 
-// check checks the promises made to the clients of the jobs.
+// check checks the promises made to the clients of the jobs. Without an answer 504 no attempt
+// had an unknown outcome, so that the rounds show nothing.
 func (d *deployment) check(t *testing.T, seed uint64, jobs []*job) {
+	assert.Assert(t, slices.ContainsFunc(jobs, func(j *job) bool {
+		return slices.ContainsFunc(j.tries, func(t try) bool { return t.status == http.StatusGatewayTimeout })
+	}), "no request had an unknown outcome")
 	lost := func(j *job) bool { return j.accepted() && len(j.cancels) == 0 && len(d.startsOf(j.id)) == 0 }
 	await(maxTimeToStart, func() bool { return !slices.ContainsFunc(jobs, lost) })
 	promises := []struct {
