cell: failing test of a cancellation after a configuration renames the queue

Symptom: DELETE of an active job is answered 410, "no such job", and the job goes on, if a configuration has given its queue another name at the same host and prefix.

Cause: a job belongs to the name of its queue (mayAccess); a request is resolved by host and prefix to the queue of the configuration in force.

Evidence: TestCancelOfJobInRenamedQueue fails: no job, want accepted.

--- a/internal/cell/store_test.go
+++ b/internal/cell/store_test.go
@@ -245,6 +245,21 @@
 	assert.DeepEqual(t, b.start(placement(secondID, 0, 0, 1, "w0")), []bool{true})
 }
 
+// Guards against a job that goes on although its cancellation is answered "no such job",
+// because a configuration has renamed its queue at the same host and prefix.
+func TestCancelOfJobInRenamedQueue(t *testing.T) {
+	b := newStoreBench(t)
+	b.submit(firstID, singleTask(1))
+	renamed := configuration(100)
+	for i := range renamed.Queues {
+		renamed.Queues[i].Name += "-renamed"
+	}
+	assert.Equal(t, b.apply(&Command{Configure: renamed}), Accepted)
+	r := request(firstID)
+	assert.Equal(t, b.apply(&Command{Cancel: &r}), Accepted)
+	assert.Equal(t, b.state(firstID).State, Cancelled)
+}
+
 // Guards against attempts on an earlier incarnation: one that restarted under the same
 // id, or was replaced by another worker at its address, and whose report arrives late.
 func TestNewIncarnationReplacesOlder(t *testing.T) {
