cell: a job stays with its queue when the queue is renamed

Callers saw: after a configuration renamed a queue at the same host and prefix, DELETE of its active job was answered 410 while the job went on, status reads 410, a repeated submission was not recognised, and a cancellation of an unknown job no longer kept a late submission out.

Cause: jobs and withdrawals belonged to the name of their queue, which clients do not know; they address a queue by its host and path prefix.

Evidence: TestCancelOfJobInRenamedQueue (known red until now), TestJobStaysWithRenamedQueue, TestWithdrawalStaysWithRenamedQueue and TestJobStaysWithItsPathWhenNamesAreSwapped fail on the code before.

Fix: a job and a withdrawal store host and prefix, and the queue is found by them; only where no queue is there (moved, or stored by an earlier release) by its name. Statistics are kept under the present name. Replicas of an earlier release ignore the new fields; queues should not be renamed while both releases serve together.

--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -101,7 +101,7 @@
 	if task.Done || task.InFlight || p.Run <= task.Run || p.Run <= occurrence.Run && step.Gang || !j.dependenciesDone(p.Task.StepKey) {
 		return false
 	}
-	q := s.configIndex.queuesByName[j.Queue]
+	q := s.queueOf(j)
 	if q == nil || q.Service != w.Service || !w.HasLabel(step.Label) {
 		return false
 	}
@@ -302,7 +302,7 @@
 // least 1. If the job's queue was removed from the configuration, it is the value that
 // the queue had when it accepted the job.
 func (s *Store) maxFailures(j *Job) int {
-	if q := s.configIndex.queuesByName[j.Queue]; q != nil {
+	if q := s.queueOf(j); q != nil {
 		return max(1, q.MaxFailures)
 	}
 	return max(1, j.MaxFailures)
--- a/internal/cell/configuration.go
+++ b/internal/cell/configuration.go
@@ -48,6 +48,11 @@
 	Public bool `cbor:"Open"`
 }
 
+// queuePath identifies a queue to its clients, which do not know its name.
+type queuePath struct{ host, prefix string }
+
+func (q *Queue) path() queuePath { return queuePath{q.Host, q.Prefix} }
+
 // AdviceTerms states the duration of a call to the advice service, which is DecideMS
 // plus PerWorkerMS for each worker in the request, and how long its answer is valid,
 // all in milliseconds.
@@ -157,6 +162,7 @@
 type configurationIndex struct {
 	queuesByHost map[string][]*Queue
 	queuesByName map[string]*Queue
+	queuesByPath map[queuePath]*Queue
 	services     map[string]bool
 	teamsByKey   map[string]*Team
 	teamsByName  map[string]*Team
@@ -165,7 +171,7 @@
 // newConfigurationIndex returns the index of a configuration, which may be nil.
 func newConfigurationIndex(c *Configuration) *configurationIndex {
 	x := &configurationIndex{
-		queuesByHost: map[string][]*Queue{}, queuesByName: map[string]*Queue{}, services: map[string]bool{},
+		queuesByHost: map[string][]*Queue{}, queuesByName: map[string]*Queue{}, queuesByPath: map[queuePath]*Queue{}, services: map[string]bool{},
 		teamsByKey: map[string]*Team{}, teamsByName: map[string]*Team{},
 	}
 	if c == nil {
@@ -175,6 +181,7 @@
 		q := &c.Queues[i]
 		x.queuesByHost[q.Host] = append(x.queuesByHost[q.Host], q)
 		x.queuesByName[q.Name] = q
+		x.queuesByPath[q.path()] = q
 	}
 	for _, s := range c.Services {
 		x.services[s.Name] = true
@@ -189,6 +196,15 @@
 	return x
 }
 
+// find returns the queue at the host and prefix. If there is none, or they are not known, it
+// returns the queue with the name, nil if there is none.
+func (x *configurationIndex) find(path queuePath, name string) *Queue {
+	if q := x.queuesByPath[path]; q != nil {
+		return q
+	}
+	return x.queuesByName[name]
+}
+
 // resolve returns the queue of the host with the longest prefix that matches the path,
 // and the rest of the path. It returns nil if no queue matches.
 func (x *configurationIndex) resolve(host, path string) (*Queue, string) {
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -124,8 +124,13 @@
 
 // Job is an accepted job.
 type Job struct {
-	ID       string
-	Queue    string
+	ID    string
+	Queue string
+	// Host and Prefix are those of the queue when it accepted the job. They are empty for
+	// a job that an earlier release has accepted.
+	Host   string `cbor:",omitempty"`
+	Prefix string `cbor:",omitempty"`
+
 	Team     string
 	Spec     string
 	Steps    []Step
--- a/internal/cell/request.go
+++ b/internal/cell/request.go
@@ -87,7 +87,14 @@
 
 // mayAccess reports whether a request of the team to the queue may access the job.
 func (s *Store) mayAccess(j *Job, q *Queue, team string) bool {
-	return j.Queue == q.Name && (q.Public || j.Team == team)
+	return s.queueOf(j) == q && (q.Public || j.Team == team)
+}
+
+// queueOf returns the queue that a job belongs to, nil if it was removed from the
+// configuration. A job stays with the host and prefix that its clients use when the queue
+// there gets another name.
+func (s *Store) queueOf(j *Job) *Queue {
+	return s.configIndex.find(queuePath{j.Host, j.Prefix}, j.Queue)
 }
 
 // IsQueue reports whether the path is that of a queue itself and not of a job.
@@ -105,7 +112,7 @@
 	}
 	n := 0
 	for _, j := range v.s.Jobs {
-		if j.Queue == q.Name && j.State == Active && !j.Begun && !running[j.ID] {
+		if j.State == Active && !j.Begun && !running[j.ID] && v.s.queueOf(j) == q {
 			n++
 		}
 	}
@@ -125,6 +132,7 @@
 	}
 	s.Configuration = c
 	s.configIndex = newConfigurationIndex(c)
+	s.indexWithdrawals()
 	s.failExhaustedJobs()
 	return Accepted
 }
@@ -142,7 +150,7 @@
 		return Invalid
 	}
 	j := &Job{
-		ID: id, Queue: q.Name, Team: team, Spec: c.Job.Spec, Steps: c.Job.Steps, Schedule: c.Job.Schedule,
+		ID: id, Queue: q.Name, Host: q.Host, Prefix: q.Prefix, Team: team, Spec: c.Job.Spec, Steps: c.Job.Steps, Schedule: c.Job.Schedule,
 		MaxFailures: q.MaxFailures, Accepted: index,
 	}
 	if j.Schedule.Times == 0 {
--- a/internal/cell/store.go
+++ b/internal/cell/store.go
@@ -207,8 +207,8 @@
 // their ids.
 func (v *View) Scheduled() map[string]*Job { return v.s.scheduledJobs }
 
-// Queue returns the queue with the name, or nil if it is not configured.
-func (v *View) Queue(name string) *Queue { return v.s.configIndex.queuesByName[name] }
+// QueueOf returns the queue that a job belongs to, or nil if it is not configured.
+func (v *View) QueueOf(j *Job) *Queue { return v.s.queueOf(j) }
 
 // HasService reports whether a service is configured.
 func (v *View) HasService(name string) bool { return v.s.configIndex.services[name] }
--- a/internal/cell/withdrawal.go
+++ b/internal/cell/withdrawal.go
@@ -13,6 +13,10 @@
 	Queue string `cbor:"2,keyasint,omitempty"`
 	// Index is the log index of the cancellation.
 	Index uint64 `cbor:"3,keyasint,omitempty"`
+	// Host and Prefix are those of the queue at the cancellation. Earlier releases leave
+	// them empty.
+	Host   string `cbor:"4,keyasint,omitempty"`
+	Prefix string `cbor:"5,keyasint,omitempty"`
 }
 
 // ForgetWithdrawals drops the withdrawals up to a log index.
@@ -20,7 +24,7 @@
 	LastIndex uint64 `cbor:"1,keyasint,omitempty"`
 }
 
-// withdrawalKey identifies a withdrawal. Team is empty for a public queue, where each client
+// withdrawalKey identifies a withdrawal by the queue's present name. Team is empty for a public queue, where each client
 // may cancel each job.
 type withdrawalKey struct{ team, queue, job string }
 
@@ -40,9 +44,9 @@
 	if s.Withdrawals == nil {
 		s.Withdrawals = map[string][]Withdrawal{}
 	}
-	list := append(s.Withdrawals[key.team], Withdrawal{Job: job, Queue: q.Name, Index: index})
+	list := append(s.Withdrawals[key.team], Withdrawal{Job: job, Queue: q.Name, Index: index, Host: q.Host, Prefix: q.Prefix})
 	for len(list) > maxWithdrawals {
-		delete(s.withdrawn, withdrawalKey{key.team, list[0].Queue, list[0].Job})
+		s.unindexWithdrawal(key.team, &list[0])
 		list = list[1:]
 	}
 	s.Withdrawals[key.team] = list
@@ -55,7 +59,7 @@
 		s.Withdrawals[team] = slices.DeleteFunc(list, func(w Withdrawal) bool {
 			forgotten := w.Index <= c.LastIndex
 			if forgotten {
-				delete(s.withdrawn, withdrawalKey{team, w.Queue, w.Job})
+				s.unindexWithdrawal(team, &w)
 			}
 			return forgotten
 		})
@@ -66,12 +70,22 @@
 	return nil
 }
 
-// indexWithdrawals rebuilds withdrawn.
+// unindexWithdrawal removes a withdrawal from withdrawn.
+func (s *Store) unindexWithdrawal(team string, w *Withdrawal) {
+	if q := s.configIndex.find(queuePath{w.Host, w.Prefix}, w.Queue); q != nil {
+		delete(s.withdrawn, withdrawalKey{team, q.Name, w.Job})
+	}
+}
+
+// indexWithdrawals rebuilds withdrawn. Withdrawals of queues that are not configured are left
+// out.
 func (s *Store) indexWithdrawals() {
 	s.withdrawn = map[withdrawalKey]bool{}
 	for team, list := range s.Withdrawals {
 		for _, w := range list {
-			s.withdrawn[withdrawalKey{team, w.Queue, w.Job}] = true
+			if q := s.configIndex.find(queuePath{w.Host, w.Prefix}, w.Queue); q != nil {
+				s.withdrawn[withdrawalKey{team, q.Name, w.Job}] = true
+			}
 		}
 	}
 }
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -65,7 +65,7 @@
 			continue
 		}
 		times, known := t.times[k.OccurrenceKey()]
-		if q := v.Queue(j.Queue); !known && q != nil {
+		if q := v.QueueOf(j); !known && q != nil {
 			times, known = t.timesOf(k.StepKey, j, q, t.remainingDurations(j, q), now), true
 		}
 		if !known || !times.needsShortLease() {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -306,10 +306,10 @@
 		found = true
 		o.Spec = j.Spec
 		if step := &j.Steps[p.Task.Step]; !step.Daemon {
-			expected = expectedDuration(step.EstimateMS, ratios.of(j.Queue))
+			expected = expectedDuration(step.EstimateMS, ratios.of(queueName(v, j)))
 		}
 		o.Checkpoint = j.Occurrences[p.Task.Occurrence][p.Task.Step].Tasks[p.Task.Index].Checkpoint
-		if q := v.Queue(j.Queue); q != nil && q.Advice != nil {
+		if q := v.QueueOf(j); q != nil && q.Advice != nil {
 			o.Ticket = t.advice.ticket(p.Task.StepKey, p.Worker)
 		}
 	})
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -187,7 +187,7 @@
 				if j == nil || j.State != cell.Active {
 					continue
 				}
-				q, step := v.Queue(j.Queue), &j.Steps[k.Step]
+				q, step := v.QueueOf(j), &j.Steps[k.Step]
 				if q == nil || !step.Checkpointable || step.Gang || step.Daemon || step.Filler {
 					continue
 				}
--- a/internal/dispatch/ready.go
+++ b/internal/dispatch/ready.go
@@ -75,7 +75,7 @@
 	taskCount := 0
 	for key, occurrence := range ready {
 		j := v.Job(key.Job)
-		q := v.Queue(j.Queue)
+		q := v.QueueOf(j)
 		if q == nil || !selected(q) {
 			continue // without its queue in the configuration; a later one may have it
 		}
--- a/internal/dispatch/worker_stats.go
+++ b/internal/dispatch/worker_stats.go
@@ -80,6 +80,15 @@
 	return runsIndependently
 }
 
+// queueName returns the present name of a job's queue; statistics are kept under it. If the
+// queue is not configured, it is the name under which the job was accepted.
+func queueName(v *cell.View, j *cell.Job) string {
+	if q := v.QueueOf(j); q != nil {
+		return q.Name
+	}
+	return j.Queue
+}
+
 // recordDone records a task that was done. took is its run time, 0 if it is not
 // known.
 func (t *term) recordDone(worker string, k cell.TaskKey, took time.Duration) {
@@ -90,7 +99,7 @@
 		if j == nil {
 			return
 		}
-		queue = j.Queue
+		queue = queueName(v, j)
 		if j.State == cell.Active && !j.Steps[k.Step].Gang && j.Steps[k.Step].DataRack == "" {
 			estimate = time.Duration(j.Steps[k.Step].EstimateMS) * time.Millisecond
 		}
@@ -103,7 +112,7 @@
 	queue := ""
 	t.leader.Store.View(func(v *cell.View) {
 		if j := v.Job(k.Job); j != nil {
-			queue = j.Queue
+			queue = queueName(v, j)
 		}
 	})
 	t.stats.failed(worker, queue, k.Job, now)
