gateway, cellnode: refuse what may have waited during a pause of the process

Cause: a process cannot see how long a request has waited in its socket while it was paused. The withdrawal that the leader keeps closes the case as long as it is kept: it is bounded, and a client that leaves without cancelling leaves none.

TestSubmissionAfterPauseIsRefused fails without the check.

Fix: a detector compares a clock that counts suspensions with its last reading. For 250 ms after a pause of a second or more a gateway answers submissions with 503, and a control process commands of operators that have no version. The refusal is true: nothing was passed on, and a client that is still there sends its request again.

--- a/cmd/lg-cell/main.go
+++ b/cmd/lg-cell/main.go
@@ -15,6 +15,7 @@
 	"laburnumgrade/internal/descriptor"
 	"laburnumgrade/internal/dispatch"
 	"laburnumgrade/internal/logging"
+	"laburnumgrade/internal/pause"
 	"laburnumgrade/internal/port"
 	"laburnumgrade/internal/process"
 	"laburnumgrade/platform"
@@ -66,6 +67,9 @@
 	peers := descriptors.Part("peers", shareForPeers)
 	nodeCtx, stopNode := context.WithCancel(context.Background())
 	defer stopNode()
+	clock := port.NewBootClock()
+	pauses := pause.New(clock)
+	go pauses.Run(nodeCtx)
 	node, err := cellnode.Start(nodeCtx, cellnode.Config{
 		Name:          c.Process.Name,
 		DataCentre:    c.Process.DataCentre,
@@ -75,11 +79,12 @@
 		Seeds:         c.Seeds,
 		Folder:        c.DataFolder,
 		Bootstrap:     c.Bootstrap,
-		Clock:         port.NewBootClock(),
+		Clock:         clock,
 		Workers:       platform.NewWorkers(descriptors.Part("workers", shareForWorkers)),
 		Adviser:       adviser.NewQueue(platform.NewAdviser(c.AdviceAddress.String(), peers), logger, telemetry.Scope),
 		Machines:      newMachines(c, peers),
 		Peers:         peers,
+		Pauses:        pauses,
 		Bounds: dispatch.Bounds{
 			MaxLease:          c.MaxLease,
 			EndedJobRetention: c.EndedJobRetention,
--- a/cmd/lg-gateway/main.go
+++ b/cmd/lg-gateway/main.go
@@ -15,6 +15,8 @@
 	"laburnumgrade/internal/descriptor"
 	"laburnumgrade/internal/gateway"
 	"laburnumgrade/internal/logging"
+	"laburnumgrade/internal/pause"
+	"laburnumgrade/internal/port"
 	"laburnumgrade/internal/process"
 	"laburnumgrade/platform"
 )
@@ -54,7 +56,8 @@
 	descriptors := descriptor.NewBudget(c.Descriptors, c.ReservedDescriptors, logger, telemetry.Scope)
 	peers := descriptors.Part("peers", shareForPeers)
 	client := cellapi.NewClient(c.Seeds, peers, logger)
-	g := gateway.New(client, c.PeerAddress.String(), logger)
+	pauses := pause.New(port.NewBootClock())
+	g := gateway.New(client, c.PeerAddress.String(), pauses, logger)
 	servers, err := process.StartServers(map[string]http.Handler{
 		c.PublicAddress.String():        platform.ClientHandler(g, logger, telemetry.Scope),
 		c.ReadinessAddress.String():     platform.ReadinessHandler(g.Ready),
@@ -67,6 +70,7 @@
 	go process.ReloadOnChange(config.SettingsPath(os.Args[1:]), logger, config.ReadGateway, func(reloaded *config.Gateway) { client.SetSeeds(reloaded.Seeds) })
 	background, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
+	go pauses.Run(background)
 	go g.Run(background)
 	logger.Info("process started", logging.Step("start"), "seeds", c.Seeds)
 	<-ctx.Done()
--- a/internal/cellapi/message.go
+++ b/internal/cellapi/message.go
@@ -21,6 +21,14 @@
 	AnnounceLeader *AnnounceLeader `cbor:"11,keyasint,omitempty"`
 }
 
+// RefusedAfterPause is the reason for the refusal of a call whose request may have waited while
+// the process was paused.
+const RefusedAfterPause = "the request may have waited while the process was paused"
+
+// HasNoVersion reports whether the call is an operator's command that has no version, so that
+// one that arrives late cannot be told from a new one.
+func (c *Call) HasNoVersion() bool { return c.StartWave != nil }
+
 // ReadWave asks whether a wave of upkeep is complete.
 type ReadWave struct {
 	Number int64 `cbor:"1,keyasint,omitempty"`
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -22,6 +22,7 @@
 	"laburnumgrade/internal/dispatch"
 	"laburnumgrade/internal/logging"
 	"laburnumgrade/internal/membership"
+	"laburnumgrade/internal/pause"
 	"laburnumgrade/internal/port"
 	"laburnumgrade/internal/raft"
 	"laburnumgrade/internal/replica"
@@ -66,7 +67,9 @@
 	Machines dispatch.Machines
 	Adviser  cellapi.Adviser
 	// Peers bounds the connections to other processes of the cell.
-	Peers  *descriptor.Part
+	Peers *descriptor.Part
+	// Pauses detects pauses of the process.
+	Pauses *pause.Detector
 	Bounds dispatch.Bounds
 	Logger *slog.Logger
 	Scope  tally.Scope
@@ -216,8 +219,13 @@
 	return mux
 }
 
-// Do carries out a call at the leader, which may be this process.
+// Do carries out a call at the leader, which may be this process. After a pause of the process
+// it refuses commands without a version: they may have waited since before the pause, and the
+// operator may have sent others since.
 func (n *Node) Do(ctx context.Context, c *cellapi.Call) *cellapi.Reply {
+	if c.HasNoVersion() && n.config.Pauses.JustResumed() {
+		return &cellapi.Reply{Refused: cellapi.RefusedAfterPause}
+	}
 	if r := n.leader.Do(ctx, c); !r.NotLeader {
 		return r
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"laburnumgrade/internal/cellapi"
 	"laburnumgrade/internal/logging"
+	"laburnumgrade/internal/pause"
 )
 
 const (
@@ -35,6 +36,7 @@
 type Gateway struct {
 	client   *cellapi.Client
 	peer     string
+	pauses   *pause.Detector
 	logger   *slog.Logger
 	draining atomic.Bool
 	// isolated is set while a minority of the control processes, but at least one of them,
@@ -44,8 +46,8 @@
 
 // New returns a gateway that calls the leader through client. peer is the address at
 // which the process serves the calls of other processes.
-func New(client *cellapi.Client, peer string, logger *slog.Logger) *Gateway {
-	return &Gateway{client: client, peer: peer, logger: logger}
+func New(client *cellapi.Client, peer string, pauses *pause.Detector, logger *slog.Logger) *Gateway {
+	return &Gateway{client: client, peer: peer, pauses: pauses, logger: logger}
 }
 
 // Ready reports whether the gateway should get new connections. A gateway that is
@@ -59,11 +61,16 @@
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
 // Do calls the leader. While the gateway is isolated, it refuses calls immediately, so that
-// clients retry soon and reach another data centre.
+// clients retry soon and reach another data centre. After a pause of the process it refuses
+// submissions: they may have waited since before the pause, and their clients may have left and
+// cancelled them.
 func (g *Gateway) Do(ctx context.Context, c *cellapi.Call) *cellapi.Reply {
 	if g.isolated.Load() {
 		return &cellapi.Reply{Refused: "cut off from most control processes"}
 	}
+	if c.Submit != nil && g.pauses.JustResumed() {
+		return &cellapi.Reply{Refused: cellapi.RefusedAfterPause}
+	}
 	return g.client.Do(ctx, c)
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -14,6 +14,7 @@
 
 	"laburnumgrade/internal/cell"
 	"laburnumgrade/internal/cellapi"
+	"laburnumgrade/internal/pause"
 )
 
 // fakeControlProcess is a control process that gives the same reply to every call.
@@ -38,6 +39,30 @@
 	return strings.TrimPrefix(s.URL, "http://")
 }
 
+// pausedClock is a clock that advances only when a test advances it.
+type pausedClock struct{ now time.Duration }
+
+func (c *pausedClock) Now() time.Duration { return c.now }
+
+// Guards against a gateway that passes on a submission which waited in its socket while the
+// process was paused: its client may have left and cancelled the job since. Calls without this
+// risk are passed on.
+func TestSubmissionAfterPauseIsRefused(t *testing.T) {
+	leader := &fakeControlProcess{reply: cellapi.Reply{Verdict: cell.Accepted}}
+	client := cellapi.NewClient([]string{startControlProcess(t, leader)}, nil, slog.New(slog.DiscardHandler))
+	clock := &pausedClock{}
+	g := New(client, "gateway", pause.New(clock), slog.New(slog.DiscardHandler))
+	submit := &cellapi.Call{Submit: &cell.Submit{}}
+	assert.Equal(t, g.Do(t.Context(), submit).Verdict, cell.Accepted)
+	clock.now += 3500 * time.Millisecond
+	assert.Equal(t, g.Do(t.Context(), submit).Refused, cellapi.RefusedAfterPause)
+	for _, c := range []*cellapi.Call{{Status: &cell.Request{}}, {Cancel: &cell.Request{}}} {
+		assert.Equal(t, g.Do(t.Context(), c).Verdict, cell.Accepted)
+	}
+	clock.now += 250 * time.Millisecond
+	assert.Equal(t, g.Do(t.Context(), submit).Verdict, cell.Accepted)
+}
+
 // silentAddress returns the address of a listener that never replies.
 func silentAddress(t *testing.T) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -55,7 +80,7 @@
 	client := cellapi.NewClient([]string{address}, nil, slog.New(slog.DiscardHandler))
 	assert.Equal(t, client.Do(t.Context(), &cellapi.Call{AnnounceAdviceCaller: &cellapi.AnnounceAdviceCaller{}}).Verdict, cell.Accepted)
 	leader.gone.Store(true)
-	g := New(client, "gateway", slog.New(slog.DiscardHandler))
+	g := New(client, "gateway", nil, slog.New(slog.DiscardHandler))
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	assert.Assert(t, g.Ready())
