test/untrusted: crowds of untrusted clients against a gateway and the leader

Guards against a process that exceeds its memory or descriptors, exits, or serves nobody else while 300 clients (1,500 for the descriptors) send large or endless heads, empty lines, whole or unfinished bodies, or never read responses. The tests run the programs on loopback addresses with [limits] memory = 64MiB and descriptors = 1024 (1536 for a control process, whose share for accepted connections is smaller). They check all processes of the cell, and that a job is accepted while the connections of the crowd are open and after they were closed.

--- a/Makefile
+++ b/Makefile
@@ -29,9 +29,14 @@
 RACE_CRASHES = $(if $(filter aarch64 arm64,$(shell uname -m)),^TestReplayGangs)
 RACE_SKIP = $(if $(KNOWN_RED)$(RACE_CRASHES),-skip '$(KNOWN_RED)$(if $(KNOWN_RED),$(if $(RACE_CRASHES),|))$(RACE_CRASHES)')
 
+# Compares the memory of processes with their settings under load: it would slow other tests
+# down, and be slowed down by them, if go test ran it beside other packages.
+ALONE = ./test/untrusted
+
 test:
-	go test $(SKIP) ./...
+	go test $(SKIP) $$(go list ./... | grep -v '$(ALONE:.%=%)$$')
 	go test $(RACE_SKIP) -race $(RACE)
+	go test $(SKIP) $(ALONE)
 
 model:
 	command -v spin >/dev/null || (apt-get update && apt-get install -y spin)
--- a/test/refusal/deployment_test.go
+++ b/test/deployment/deployment.go
@@ -1,4 +1,4 @@
-package refusal
+package deployment
 
 import (
 	"bytes"
@@ -18,6 +18,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	// What the programs consist of: go test does not know the programs that the test builds,
@@ -28,15 +29,29 @@
 	_ "laburnumgrade/platform"
 )
 
-// Names in the configurations. Requests name firstHost and carry firstKey.
+// Names in the configurations. Requests name FirstHost and carry FirstKey.
 const (
-	firstHost = "nony24.example"
-	otherHost = "ficu95.example"
-	firstKey  = "6x73d3zji9n73hh2b9wu"
-	otherKey  = "3fexd9dnn2ctnfzs989a"
-	prefix    = "/lohu930/"
+	FirstHost = "nony24.example"
+	OtherHost = "ficu95.example"
+	FirstKey  = "6x73d3zji9n73hh2b9wu"
+	OtherKey  = "3fexd9dnn2ctnfzs989a"
+	Prefix    = "/lohu930/"
 )
 
+// Limits are the limits in the settings of a process.
+type Limits struct {
+	MemoryMiB   int
+	Descriptors int
+}
+
+// Settings are the limits of the processes by program.
+type Settings struct {
+	Cell, Gateway Limits
+}
+
+// Defaults are ample limits.
+var Defaults = Settings{Cell: Limits{MemoryMiB: 280, Descriptors: 4096}, Gateway: Limits{MemoryMiB: 280, Descriptors: 4096}}
+
 // configuration takes the version, the host of the queue and the key of the team.
 const configuration = `{"version":%d,` +
 	`"routes":[{"name":"r-ihhacru","host":"%s","path_prefix":"/lohu930/","type":"non_idempotent","timeout_ms":3000,"slo_ms":1000,"priority":0,"service":"huvo11a","attempts":3,"stretch":4.0,"public":false}],` +
@@ -65,8 +80,8 @@
 [disk]
 folder = %[7]s
 [limits]
-descriptors = 4096
-memory = 280MiB
+descriptors = %[9]d
+memory = %[10]dMiB
 `
 
 const gatewaySettings = `[process]
@@ -82,22 +97,26 @@
 peer = %[3]s:%[6]d
 [limits]
 drain = 6s
-descriptors = 4096
-memory = 280MiB
+descriptors = %[9]d
+memory = %[10]dMiB
 `
 
-// process is a program of the cell.
-type process struct {
-	name, program, settings, log string
-	// public is the address for the operator and workers, or for clients.
-	public string
+// Process is a program of the cell.
+type Process struct {
+	Name string
+	// Public is the address for the operator and workers, or for clients.
+	Public string
+	Limits Limits
+
+	program, settings, log string
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{}
 }
 
-func (p *process) start() error {
+// Start starts the program.
+func (p *Process) Start() error {
 	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -121,49 +140,51 @@
 	return nil
 }
 
-// signal sends a signal and returns a channel that is closed when the process has ended.
-func (p *process) signal(s syscall.Signal) <-chan struct{} {
+// Signal sends a signal and returns a channel that is closed when the process has ended.
+func (p *Process) Signal(s syscall.Signal) <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	_ = p.cmd.Process.Signal(s) // the process may have ended
 	return p.done
 }
 
-// lines returns the lines of the process's log that contain the text.
-func (p *process) lines(text string) []string {
+// Lines returns the lines of the process's log that contain the text.
+func (p *Process) Lines(text string) []string {
 	data, _ := os.ReadFile(p.log)
 	var found []string
 	for _, line := range strings.Split(string(data), "\n") {
 		if strings.Contains(line, text) {
-			found = append(found, p.name+": "+line)
+			found = append(found, p.Name+": "+line)
 		}
 	}
 	return found
 }
 
-// deployment is a cell of three control processes, two gateways and three workers.
-type deployment struct {
-	began    time.Time
-	cells    []*process
-	gateways []*process
-	kept     *http.Client // keeps its connections open
-	once     *http.Client // opens a connection for each request
-	version  int64        // of the configuration sent last
+// Deployment is a cell of three control processes, two gateways and three workers.
+type Deployment struct {
+	Cells    []*Process
+	Gateways []*Process
+	Kept     *http.Client // keeps its connections open
+	Once     *http.Client // opens a connection for each request
+	Version  int64        // of the configuration sent last
 
+	began  time.Time
 	mu     sync.Mutex
 	leader string // public address that a worker was told last
-	starts map[string][]start
+	starts map[string][]Start
 }
 
-// start is the start of a task on a worker.
-type start struct {
-	at           time.Duration // since the deployment began
-	task, worker string
+// Start is the start of a task on a worker.
+type Start struct {
+	At           time.Duration // since the deployment began
+	Task, Worker string
 }
 
-func (d *deployment) now() time.Duration { return time.Since(d.began) }
+// Now returns the time since the deployment began.
+func (d *Deployment) Now() time.Duration { return time.Since(d.began) }
 
-func (d *deployment) all() []*process { return slices.Concat(d.cells, d.gateways) }
+// All returns all processes.
+func (d *Deployment) All() []*Process { return slices.Concat(d.Cells, d.Gateways) }
 
 // freeNetwork returns the first three bytes of loopback addresses and the first of five
 // ports that are free on them.
@@ -191,70 +212,71 @@
 	return true
 }
 
-// build builds the programs and returns their folder.
-func build(t *testing.T) string {
-	folder := t.TempDir()
+// Build builds the programs into the folder. The current folder is that of a package two
+// levels below the root of the repository.
+func Build(folder string) error {
 	cmd := exec.Command("go", "build", "-o", folder, "./cmd/lg-cell", "./cmd/lg-gateway")
 	cmd.Dir = filepath.Join("..", "..")
 	out, err := cmd.CombinedOutput()
-	assert.NilError(t, err, "%s", out)
-	return folder
+	return errors.Wrapf(err, "build programs: %s", out)
 }
 
-// deploy starts the processes and workers and sends the first configuration.
-func deploy(t *testing.T, programs string) *deployment {
+// Deploy starts the processes, from the folder of the programs, and the workers, and sends
+// the first configuration. All end with the test.
+func Deploy(t *testing.T, programs string, limits Settings) *Deployment {
 	network, base := freeNetwork(t)
-	d := &deployment{
-		began: time.Now(), starts: map[string][]start{},
-		kept: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
-		once: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
+	d := &Deployment{
+		began: time.Now(), starts: map[string][]Start{},
+		Kept: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		Once: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
-	t.Cleanup(d.kept.CloseIdleConnections)
+	t.Cleanup(d.Kept.CloseIdleConnections)
 	folder := t.TempDir()
 	seeds := fmt.Sprintf("%[1]s1:%[2]d,%[1]s2:%[2]d,%[1]s3:%[2]d", network, base)
-	add := func(program, settings string, i, last, disk int) *process {
+	add := func(program, settings string, limits Limits, i, last, disk int) *Process {
 		name := fmt.Sprintf("%s-%d", program, i)
-		p := &process{
-			name: name, program: filepath.Join(programs, program), settings: filepath.Join(folder, name+".ini"), log: filepath.Join(folder, name+".log"),
-			public: fmt.Sprintf("%s%d:%d", network, last, base),
+		p := &Process{
+			Name: name, Limits: limits, program: filepath.Join(programs, program), settings: filepath.Join(folder, name+".ini"), log: filepath.Join(folder, name+".log"),
+			Public: fmt.Sprintf("%s%d:%d", network, last, base),
 		}
 		var place any = filepath.Join(folder, name)
 		if disk == 0 {
 			place = base + 2
 		}
-		text := fmt.Sprintf(settings, name, "zone-"+string(rune('a'+i-1)), fmt.Sprintf("%s%d", network, last), seeds, base, base+1, place, base+3)
+		text := fmt.Sprintf(settings, name, "zone-"+string(rune('a'+i-1)), fmt.Sprintf("%s%d", network, last), seeds, base, base+1, place, base+3, limits.Descriptors, limits.MemoryMiB)
 		assert.NilError(t, os.WriteFile(p.settings, []byte(text), 0o600))
 		return p
 	}
 	for i := 1; i <= 3; i++ {
-		d.cells = append(d.cells, add("lg-cell", cellSettings, i, i, 1))
+		d.Cells = append(d.Cells, add("lg-cell", cellSettings, limits.Cell, i, i, 1))
 	}
 	for i := 1; i <= 2; i++ {
-		d.gateways = append(d.gateways, add("lg-gateway", gatewaySettings, i, 10+i, 0))
+		d.Gateways = append(d.Gateways, add("lg-gateway", gatewaySettings, limits.Gateway, i, 10+i, 0))
 	}
-	for _, p := range d.all() {
-		assert.NilError(t, p.start())
-		t.Cleanup(func() { <-p.signal(syscall.SIGKILL) })
+	for _, p := range d.All() {
+		assert.NilError(t, p.Start())
+		t.Cleanup(func() { <-p.Signal(syscall.SIGKILL) })
 	}
 	for i := 1; i <= 3; i++ {
 		startWorker(t, d, i, fmt.Sprintf("%s%d:%d", network, 100+i, base))
 	}
-	d.configure(t, firstHost, firstKey)
+	d.Configure(t, FirstHost, FirstKey)
 	return d
 }
 
-// configure sends a new configuration until it is acknowledged.
-func (d *deployment) configure(t *testing.T, host, key string) {
-	d.version++
-	d.sendConfiguration(t, d.version, host, key)
+// Configure sends a new configuration until it is acknowledged.
+func (d *Deployment) Configure(t *testing.T, host, key string) {
+	d.Version++
+	d.SendConfiguration(t, d.Version, host, key)
 }
 
-func (d *deployment) sendConfiguration(t *testing.T, version int64, host, key string) {
+// SendConfiguration sends a configuration until it is acknowledged.
+func (d *Deployment) SendConfiguration(t *testing.T, version int64, host, key string) {
 	body := fmt.Sprintf(configuration, version, host, key)
-	acknowledged := await(30*time.Second, func() bool {
-		for _, c := range d.cells {
+	acknowledged := Await(30*time.Second, func() bool {
+		for _, c := range d.Cells {
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-			status, err := send(ctx, d.once, http.MethodPost, c.public, "/config/put", "", body)
+			status, err := Send(ctx, d.Once, http.MethodPost, c.Public, "/config/put", "", body)
 			cancel()
 			if err == nil && status == http.StatusOK {
 				return true
@@ -267,27 +289,38 @@
 	}
 }
 
-// leading returns the process that workers were last told to report to, nil if there is
+// Leading returns the process that workers were last told to report to, nil if there is
 // none.
-func (d *deployment) leading() *process {
+func (d *Deployment) Leading() *Process {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, c := range d.cells {
-		if c.public == d.leader {
+	for _, c := range d.Cells {
+		if c.Public == d.leader {
 			return c
 		}
 	}
 	return nil
 }
 
-func (d *deployment) startsOf(job string) []start {
+// StartsOf returns the starts of the tasks of a job.
+func (d *Deployment) StartsOf(job string) []Start {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return slices.Clone(d.starts[job])
 }
 
-// send sends a request. With a host it is a client's and carries firstKey.
-func send(ctx context.Context, c *http.Client, method, address, path, host, body string) (status int, err error) {
+// CountStarts returns the number of all starts.
+func (d *Deployment) CountStarts() (n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.starts {
+		n += len(s)
+	}
+	return n
+}
+
+// Send sends a request. With a host it is a client's and carries FirstKey.
+func Send(ctx context.Context, c *http.Client, method, address, path, host, body string) (status int, err error) {
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader([]byte(body)))
 	if err != nil {
 		return 0, err
@@ -295,7 +328,7 @@
 	r.Header.Set("Content-Type", "application/json")
 	if host != "" {
 		r.Host = host
-		r.Header.Set("Authorization", "Token "+firstKey)
+		r.Header.Set("Authorization", "Token "+FirstKey)
 		r.Header.Set("Deadline-Ms", "3000")
 	}
 	response, err := c.Do(r)
@@ -307,8 +340,8 @@
 	return response.StatusCode, err
 }
 
-// await polls until the condition holds.
-func await(timeout time.Duration, condition func() bool) bool {
+// Await polls until the condition holds.
+func Await(timeout time.Duration, condition func() bool) bool {
 	for until := time.Now().Add(timeout); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
 		if condition() {
 			return true
--- a/test/refusal/worker_test.go
+++ b/test/deployment/worker.go
@@ -1,4 +1,4 @@
-package refusal
+package deployment
 
 import (
 	"bytes"
@@ -29,7 +29,7 @@
 
 // worker is a stand-in for a worker. The spec of a task is its duration in ms.
 type worker struct {
-	d                     *deployment
+	d                     *Deployment
 	id, address, dataZone string
 	began                 time.Time
 
@@ -43,7 +43,7 @@
 	event   chan struct{} // closed when a task ends
 }
 
-func startWorker(t *testing.T, d *deployment, i int, address string) {
+func startWorker(t *testing.T, d *Deployment, i int, address string) {
 	l, err := net.Listen("tcp", address)
 	assert.NilError(t, err)
 	w := &worker{
@@ -71,7 +71,7 @@
 	address := ""
 	for n := 1; ctx.Err() == nil; n++ {
 		if address == "" {
-			address = w.d.cells[n%len(w.d.cells)].public
+			address = w.d.Cells[n%len(w.d.Cells)].Public
 		}
 		body := fmt.Sprintf(heartbeat, w.address, w.dataZone, w.clock(), n, w.began.UnixMilli())
 		response, err := client.Post("http://"+address+"/instances/"+w.id+"/heartbeat", "application/json", bytes.NewReader([]byte(body)))
@@ -173,7 +173,7 @@
 	job, _, _ := strings.Cut(o.Task, ".")
 	w.d.mu.Lock()
 	defer w.d.mu.Unlock()
-	w.d.starts[job] = append(w.d.starts[job], start{w.d.now(), o.Task, w.id})
+	w.d.starts[job] = append(w.d.starts[job], Start{w.d.Now(), o.Task, w.id})
 	return http.StatusOK, ""
 }
 
--- a/test/refusal/refusal_test.go
+++ b/test/refusal/refusal_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"laburnumgrade/test/deployment"
 )
 
 var (
@@ -116,7 +118,7 @@
 func newPlan(rng *rand.Rand, seed uint64, round int) *plan {
 	p := &plan{
 		stops: []string{"followers", "leader", "nothing"}[rng.IntN(3)], stopAt: between(rng, 50*time.Millisecond, 250*time.Millisecond),
-		stopTime: between(rng, 300*time.Millisecond, time.Second), host: firstHost, key: firstKey, configureAt: between(rng, 100*time.Millisecond, 500*time.Millisecond),
+		stopTime: between(rng, 300*time.Millisecond, time.Second), host: deployment.FirstHost, key: deployment.FirstKey, configureAt: between(rng, 100*time.Millisecond, 500*time.Millisecond),
 		returnAfter: between(rng, 0, time.Second), resends: rng.IntN(2) == 0,
 		restarts: []string{"nothing", "gateway", "leader"}[rng.IntN(3)], restartAt: between(rng, 0, 600*time.Millisecond),
 	}
@@ -127,9 +129,9 @@
 		p.configureAt, p.returnAfter = between(rng, 200*time.Millisecond, 400*time.Millisecond), between(rng, 600*time.Millisecond, 1200*time.Millisecond)
 	}
 	if changesHost {
-		p.host = otherHost
+		p.host = deployment.OtherHost
 	} else {
-		p.key = otherKey
+		p.key = deployment.OtherKey
 	}
 	for i := range clients {
 		j := &job{
@@ -149,30 +151,35 @@
 
 func (p *plan) String() string {
 	change := "host"
-	if p.host == firstHost {
+	if p.host == deployment.FirstHost {
 		change = "key"
 	}
 	return fmt.Sprintf("%s stopped at %v for %v, other %s sent at %v and the first %v later, %s restarted at %v", p.stops, p.stopAt, p.stopTime, change, p.configureAt, p.returnAfter, p.restarts, p.restartAt)
 }
 
+// soak is a deployment whose rounds are played.
+type soak struct {
+	*deployment.Deployment
+}
+
 // request sends one request about a job through a gateway.
-func (d *deployment) request(ctx context.Context, j *job, method string, gateway int, text string) try {
+func (d *soak) request(ctx context.Context, j *job, method string, gateway int, text string) try {
 	ctx, cancel := context.WithTimeout(ctx, j.patience)
 	defer cancel()
-	client := d.once
+	client := d.Once
 	if j.keeps {
-		client = d.kept
+		client = d.Kept
 	}
-	g := d.gateways[gateway%len(d.gateways)]
-	t := try{gateway: g.name, sent: d.now()}
-	t.status, t.err = send(ctx, client, method, g.public, prefix+j.id, firstHost, text)
-	t.answered = d.now()
+	g := d.Gateways[gateway%len(d.Gateways)]
+	t := try{gateway: g.Name, sent: d.Now()}
+	t.status, t.err = deployment.Send(ctx, client, method, g.Public, deployment.Prefix+j.id, deployment.FirstHost, text)
+	t.answered = d.Now()
 	return t
 }
 
 // submit hands a job in, and repeats a request without an answer that is final at the
 // other gateway.
-func (d *deployment) submit(ctx context.Context, j *job) {
+func (d *soak) submit(ctx context.Context, j *job) {
 	for n := range j.maxTries {
 		if n > 0 {
 			time.Sleep(j.delay)
@@ -186,8 +193,8 @@
 }
 
 // play plays a round and waits until all is calm again.
-func (d *deployment) play(t *testing.T, p *plan) {
-	leader := d.leading()
+func (d *soak) play(t *testing.T, p *plan) {
+	leader := d.Leading()
 	assert.Assert(t, leader != nil, "no worker was told who leads")
 	var group sync.WaitGroup
 	at := func(delay time.Duration, f func()) {
@@ -205,30 +212,30 @@
 			})
 		}
 	}
-	for _, c := range d.cells {
+	for _, c := range d.Cells {
 		if p.stops == "leader" && c == leader || p.stops == "followers" && c != leader {
 			at(p.stopAt, func() {
-				c.signal(syscall.SIGSTOP)
+				c.Signal(syscall.SIGSTOP)
 				time.Sleep(p.stopTime)
-				c.signal(syscall.SIGCONT)
+				c.Signal(syscall.SIGCONT)
 			})
 		}
 	}
 	at(p.configureAt, func() {
-		d.configure(t, p.host, p.key)
-		overtaken := d.version
+		d.Configure(t, p.host, p.key)
+		overtaken := d.Version
 		time.Sleep(p.returnAfter)
-		d.configure(t, firstHost, firstKey)
+		d.Configure(t, deployment.FirstHost, deployment.FirstKey)
 		if p.resends {
-			d.sendConfiguration(t, overtaken, p.host, p.key)
+			d.SendConfiguration(t, overtaken, p.host, p.key)
 		}
 	})
-	restarted := map[string]*process{"gateway": d.gateways[0], "leader": leader}[p.restarts]
+	restarted := map[string]*deployment.Process{"gateway": d.Gateways[0], "leader": leader}[p.restarts]
 	if restarted != nil {
 		at(p.restartAt, func() {
-			<-restarted.signal(syscall.SIGTERM)
-			if err := restarted.start(); err != nil {
-				t.Errorf("%s: %v", restarted.name, err)
+			<-restarted.Signal(syscall.SIGTERM)
+			if err := restarted.Start(); err != nil {
+				t.Errorf("%s: %v", restarted.Name, err)
 			}
 		})
 	}
@@ -238,26 +245,18 @@
 
 // awaitCalm waits until a job handed in at each gateway has started and nothing has started
 // for calmTime.
-func (d *deployment) awaitCalm(t *testing.T) {
-	for i := range d.gateways {
+func (d *soak) awaitCalm(t *testing.T) {
+	for i := range d.Gateways {
 		j := &job{id: fmt.Sprintf("%016x", rand.Uint64()), patience: 3 * time.Second}
-		ran := await(maxTimeToCalm, func() bool {
+		ran := deployment.Await(maxTimeToCalm, func() bool {
 			d.request(t.Context(), j, http.MethodPost, i, fmt.Sprintf(body, 1))
-			return len(d.startsOf(j.id)) > 0
+			return len(d.StartsOf(j.id)) > 0
 		})
 		assert.Assert(t, ran, "no job handed in at gateway %d starts", i+1)
 	}
-	count := func() (n int) {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		for _, s := range d.starts {
-			n += len(s)
-		}
-		return n
-	}
-	last, since := count(), time.Now()
-	calm := await(maxTimeToCalm, func() bool {
-		if n := count(); n != last {
+	last, since := d.CountStarts(), time.Now()
+	calm := deployment.Await(maxTimeToCalm, func() bool {
+		if n := d.CountStarts(); n != last {
 			last, since = n, time.Now()
 		}
 		return time.Since(since) >= calmTime
@@ -266,7 +265,7 @@
 }
 
 // summary counts the answers to the jobs, and the rejected jobs that ran.
-func (d *deployment) summary(jobs []*job) string {
+func (d *soak) summary(jobs []*job) string {
 	answers, rejected, ran := map[string]int{}, 0, 0
 	for _, j := range jobs {
 		for _, t := range j.tries {
@@ -274,7 +273,7 @@
 		}
 		if j.rejected() {
 			rejected++
-			if len(d.startsOf(j.id)) > 0 {
+			if len(d.StartsOf(j.id)) > 0 {
 				ran++
 			}
 		}
@@ -283,7 +282,7 @@
 }
 
 // describe returns what is known of a job.
-func (d *deployment) describe(seed uint64, j *job) string {
+func (d *soak) describe(seed uint64, j *job) string {
 	text := []string{fmt.Sprintf("seed %d, round %d, job %s", seed, j.round, j.id)}
 	for _, t := range j.tries {
 		text = append(text, "POST through "+t.String())
@@ -291,33 +290,33 @@
 	for _, t := range j.cancels {
 		text = append(text, "DELETE through "+t.String())
 	}
-	for _, s := range d.startsOf(j.id) {
-		text = append(text, fmt.Sprintf("%s starts on %s at %d ms", s.task, s.worker, s.at.Milliseconds()))
+	for _, s := range d.StartsOf(j.id) {
+		text = append(text, fmt.Sprintf("%s starts on %s at %d ms", s.Task, s.Worker, s.At.Milliseconds()))
 	}
 	var lines []string
-	for _, p := range d.all() {
-		lines = append(lines, p.lines(j.id)...)
+	for _, p := range d.All() {
+		lines = append(lines, p.Lines(j.id)...)
 	}
 	return strings.Join(append(text, lines[:min(len(lines), maxShownLogLine)]...), "\n    ")
 }
 
 // check checks the promises made to the clients of the jobs. Without an answer 504 no attempt
 // had an unknown outcome, so that the rounds show nothing.
-func (d *deployment) check(t *testing.T, seed uint64, jobs []*job) {
+func (d *soak) check(t *testing.T, seed uint64, jobs []*job) {
 	assert.Assert(t, slices.ContainsFunc(jobs, func(j *job) bool {
 		return slices.ContainsFunc(j.tries, func(t try) bool { return t.status == http.StatusGatewayTimeout })
 	}), "no request had an unknown outcome")
-	lost := func(j *job) bool { return j.accepted() && len(j.cancels) == 0 && len(d.startsOf(j.id)) == 0 }
-	await(maxTimeToStart, func() bool { return !slices.ContainsFunc(jobs, lost) })
+	lost := func(j *job) bool { return j.accepted() && len(j.cancels) == 0 && len(d.StartsOf(j.id)) == 0 }
+	deployment.Await(maxTimeToStart, func() bool { return !slices.ContainsFunc(jobs, lost) })
 	promises := []struct {
 		failure string
 		broken  func(j *job) bool
 	}{
-		{"ran although every try was rejected", func(j *job) bool { return j.rejected() && len(d.startsOf(j.id)) > 0 }},
+		{"ran although every try was rejected", func(j *job) bool { return j.rejected() && len(d.StartsOf(j.id)) > 0 }},
 		{"were accepted and lost", lost},
 		{"started after they were cancelled", func(j *job) bool {
 			at, ok := j.cancelled()
-			return ok && slices.ContainsFunc(d.startsOf(j.id), func(s start) bool { return s.at > at+maxCancelTime })
+			return ok && slices.ContainsFunc(d.StartsOf(j.id), func(s deployment.Start) bool { return s.At > at+maxCancelTime })
 		}},
 	}
 	for _, p := range promises {
@@ -337,11 +336,12 @@
 // Guards against jobs that run although every try to hand them in was rejected, that are
 // accepted and lost, or that start after they were cancelled.
 func TestRejectedJobsDoNotRun(t *testing.T) {
-	programs := build(t)
+	programs := t.TempDir()
+	assert.NilError(t, deployment.Build(programs))
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seeds); seed++ {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(seed, 1))
-			d := deploy(t, programs)
+			d := &soak{deployment.Deploy(t, programs, deployment.Defaults)}
 			d.awaitCalm(t)
 			var jobs []*job
 			for round := range rounds {
