--- a/test/untrusted/untrusted_test.go
+++ b/test/untrusted/untrusted_test.go
@@ -218,5 +218,6 @@
 	during, _ := accepted(t, d, g)
 	c.disperse()
 	peak := stop()
+	t.Logf("%s from %d clients: %s", l.name, clients, c)
 	return fmt.Sprintf("%s | %d | %.1f | %d | %t | %t", l.name, clients, float64(peak.memory)/1e6, peak.descriptors, during, g.Running())
 }
