cell, dispatch, platform: evacuation of a data centre

Operators had no way to keep new work away from a data centre.

The leader decides: workers of an evacuated data centre are no candidates, the placements of each slice of a plan are checked again right before they are proposed, and a committed start is revoked if the order is not sent yet. The deadline of an order counts from before the state is looked at, so a delay of the process in between does not prolong it. Start and stop for the same data centre are committed one after the other; otherwise a repeated start could be answered with the commit of one before a stop.

Reports carry cold_left_ms; nothing uses it yet.

go test ./internal/cell ./internal/cellapi ./platform passes; of ./internal/dispatch the tests selected with -run for planning, commits and departures pass (14 s). The rest of that package was not run on this commit.

--- a/internal/cell/doc.go
+++ b/internal/cell/doc.go
@@ -1,6 +1,7 @@
 // Package cell implements the replicated state machine of one scheduling cell: the
 // configuration set by operators, the jobs with their steps and tasks, the workers
-// with the attempts committed to them, and the waves of machine upkeep.
+// with the attempts committed to them, the waves of machine upkeep and the data
+// centres that are evacuated.
 //
 // A Command is encoded with Encode, replicated through the log, and applied by
 // Store.Apply on every replica in log order. Each command is checked against the
--- a/internal/cell/request.go
+++ b/internal/cell/request.go
@@ -20,7 +20,8 @@
 	BadKey
 	// NoJob means that the queue has no such job of the team.
 	NoJob
-	// Invalid means that the job, configuration or wave is malformed.
+	// Invalid means that the job, configuration, wave or evacuation is malformed or not
+	// allowed.
 	Invalid
 	// NoWave means that there is no wave of upkeep with the number.
 	NoWave
--- a/internal/cell/store.go
+++ b/internal/cell/store.go
@@ -42,6 +42,9 @@
 	// Withdrawals are the jobs that were cancelled before they were submitted, by team, the
 	// oldest first. Those of public queues have no team.
 	Withdrawals map[string][]Withdrawal `cbor:",omitempty"`
+	// Evacuated contains the evacuated data centres. It is omitted while there are none, as
+	// in the snapshots of earlier releases.
+	Evacuated map[string]bool `cbor:",omitempty"`
 }
 
 var _ port.StateMachine = (*Store)(nil)
@@ -145,6 +148,8 @@
 		return s.takeDown(c.TakeDown)
 	case c.ForgetWithdrawals != nil:
 		return s.forgetWithdrawals(c.ForgetWithdrawals)
+	case c.Evacuate != nil:
+		return s.evacuate(c.Evacuate)
 	}
 	return errors.New("the command is empty")
 }
--- a/internal/cellapi/message.go
+++ b/internal/cellapi/message.go
@@ -19,6 +19,7 @@
 	ReadWave             *ReadWave             `cbor:"10,keyasint,omitempty"`
 	// AnnounceLeader is the only call that goes to other processes than the leader.
 	AnnounceLeader *AnnounceLeader `cbor:"11,keyasint,omitempty"`
+	Evacuate       *cell.Evacuate  `cbor:"12,keyasint,omitempty"`
 }
 
 // RefusedAfterPause is the reason for the refusal of a call whose request may have waited while
@@ -27,7 +28,7 @@
 
 // HasNoVersion reports whether the call is an operator's command that has no version, so that
 // one that arrives late cannot be told from a new one.
-func (c *Call) HasNoVersion() bool { return c.StartWave != nil }
+func (c *Call) HasNoVersion() bool { return c.StartWave != nil || c.Evacuate != nil }
 
 // ReadWave asks whether a wave of upkeep is complete.
 type ReadWave struct {
@@ -44,6 +45,9 @@
 	Sequence uint64 `cbor:"20,keyasint,omitempty"`
 	// ClockMS is the reading of the worker's own clock in milliseconds.
 	ClockMS int64 `cbor:"21,keyasint,omitempty"`
+	// ColdLeftMS is for how many milliseconds the worker remains slow after its start, 0 if
+	// it is not.
+	ColdLeftMS int64 `cbor:"22,keyasint,omitempty"`
 }
 
 // AnnounceAdviceCaller informs the leader that a process can call the advice service. It
--- a/internal/cellapi/outcome.go
+++ b/internal/cellapi/outcome.go
@@ -35,5 +35,5 @@
 
 // hasEffect reports whether the call changes the replicated state.
 func (c *Call) hasEffect() bool {
-	return c.Submit != nil || c.Cancel != nil || c.Configure != nil || c.Report != nil || c.StartWave != nil
+	return c.Submit != nil || c.Cancel != nil || c.Configure != nil || c.Report != nil || c.StartWave != nil || c.Evacuate != nil
 }
--- a/internal/dispatch/candidate.go
+++ b/internal/dispatch/candidate.go
@@ -95,6 +95,20 @@
 	return list
 }
 
+// setAsideEvacuated removes the workers of evacuated data centres from those of a plan.
+func (p *planner) setAsideEvacuated(workers []*cell.Worker, v *cell.View) []*cell.Worker {
+	if len(v.Evacuated()) == 0 {
+		return workers
+	}
+	return slices.DeleteFunc(workers, func(w *cell.Worker) bool {
+		evacuated := v.IsEvacuated(w.DataCentre)
+		if evacuated {
+			p.evacuated = append(p.evacuated, &candidate{id: w.ID, born: w.Born, service: w.Service, worker: w})
+		}
+		return evacuated
+	})
+}
+
 // addCandidates adds the workers that can be used now to a plan, sorted by ID.
 func (t *term) addCandidates(workers []*cell.Worker, p *planner) {
 	for _, w := range workers {
@@ -127,8 +141,9 @@
 // withholdUnusable excludes the workers that may no longer get new attempts from the rest of
 // a plan.
 func (t *term) withholdUnusable(p *planner) {
+	evacuated := t.evacuated()
 	for _, c := range p.candidates {
-		if t.usableSession(c.id, c.born, p.now) == nil {
+		if evacuated[c.worker.DataCentre] || t.usableSession(c.id, c.born, p.now) == nil {
 			c.withheld = true
 		}
 	}
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -14,40 +14,39 @@
 // pendingCommit is a command of a caller that is being committed. result and err are set
 // when done is closed.
 type pendingCommit struct {
-	// command is the encoding of the command, and job the id of the job that it submits or
-	// cancels, empty for other commands.
-	command, job string
-	done         chan struct{}
-	result       any
-	err          error
+	// command is the encoding of the command, and subject what it changes, as subjectOf has it.
+	command, subject string
+	done             chan struct{}
+	result           any
+	err              error
 }
 
 // pendingCommits holds the commands that are being committed: one for each encoding, and at
-// most one for each job. The zero value is ready to use.
+// most one for each subject. The zero value is ready to use.
 type pendingCommits struct {
 	// mu is held while the state is read, so it must not be taken in a view.
 	mu        sync.Mutex
 	byCommand map[string]*pendingCommit
-	byJob     map[string]*pendingCommit
+	bySubject map[string]*pendingCommit
 }
 
 // find returns the commit in progress that a command has to wait for, nil if there is none.
 // The caller holds mu.
-func (c *pendingCommits) find(command, job string) *pendingCommit {
-	if p := c.byCommand[command]; p != nil || job == "" {
+func (c *pendingCommits) find(command, subject string) *pendingCommit {
+	if p := c.byCommand[command]; p != nil || subject == "" {
 		return p
 	}
-	return c.byJob[job]
+	return c.bySubject[subject]
 }
 
 // add adds a commit. The caller holds mu.
 func (c *pendingCommits) add(p *pendingCommit) {
 	if c.byCommand == nil {
-		c.byCommand, c.byJob = map[string]*pendingCommit{}, map[string]*pendingCommit{}
+		c.byCommand, c.bySubject = map[string]*pendingCommit{}, map[string]*pendingCommit{}
 	}
 	c.byCommand[p.command] = p
-	if p.job != "" {
-		c.byJob[p.job] = p
+	if p.subject != "" {
+		c.bySubject[p.subject] = p
 	}
 }
 
@@ -56,18 +55,22 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.byCommand, p.command)
-	if p.job != "" {
-		delete(c.byJob, p.job)
+	if p.subject != "" {
+		delete(c.bySubject, p.subject)
 	}
 }
 
-// jobOf returns the id of the job that a command submits or cancels, empty for other commands.
-func jobOf(c *cell.Command) string {
+// subjectOf returns what a command changes if commands that change the same are committed one
+// after the other: the id of the job that it submits or cancels, or the data centre whose
+// evacuation it starts or stops, in a form that no id has. It is empty for other commands.
+func subjectOf(c *cell.Command) string {
 	switch {
 	case c.Submit != nil:
 		return jobID(c.Submit.Path)
 	case c.Cancel != nil:
 		return jobID(c.Cancel.Path)
+	case c.Evacuate != nil:
+		return "evacuation/" + c.Evacuate.DataCentre
 	}
 	return ""
 }
@@ -76,7 +79,9 @@
 // with the same command as one that is being committed waits for that one: callers repeat
 // calls that take long, and the log cannot take back a command whose caller has gone. The
 // submission and the cancellation of a job are committed one after the other, so that each is
-// decided in the state that the other has left. The error is as that of port.ReplicatedLog, a
+// decided in the state that the other has left; so are the start and the stop of an
+// evacuation, since the start that is repeated after a stop must not be answered with the
+// commit of one before it. The error is as that of port.ReplicatedLog, a
 // *replica.OutcomeUnknownError if ctx ends first. done, which may be nil, returns the result
 // of a command that need not be committed according to the state.
 func (t *term) commitOnce(ctx context.Context, c *cell.Command, done func() (result any, decided bool)) (any, error) {
@@ -90,7 +95,7 @@
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	for {
-		p, result := t.pendingCommit(data, jobOf(c), done)
+		p, result := t.pendingCommit(data, subjectOf(c), done)
 		if p == nil {
 			return result, nil
 		}
@@ -104,19 +109,19 @@
 			if isOwn {
 				return nil, &replica.OutcomeUnknownError{Group: "cell", Err: errors.Wrap(ctx.Err(), "wait for commit")}
 			}
-			return nil, errors.Wrap(ctx.Err(), "wait for another command of the job")
+			return nil, errors.Wrap(ctx.Err(), "wait for another command with the same subject")
 		}
 	}
 }
 
 // pendingCommit returns the commit in progress of an encoded command or, if there is one, of
-// another command of the same job, and otherwise begins to commit the command. The commit ends
+// another command with the same subject, and otherwise begins to commit the command. The commit ends
 // with the term. If done shows that the command need not be committed, it returns the result
 // instead: the state may have changed since the caller looked at it.
-func (t *term) pendingCommit(data []byte, job string, done func() (any, bool)) (p *pendingCommit, result any) {
+func (t *term) pendingCommit(data []byte, subject string, done func() (any, bool)) (p *pendingCommit, result any) {
 	t.commits.mu.Lock()
 	defer t.commits.mu.Unlock()
-	if p := t.commits.find(string(data), job); p != nil {
+	if p := t.commits.find(string(data), subject); p != nil {
 		return p, nil
 	}
 	if done != nil {
@@ -124,7 +129,7 @@
 			return nil, result
 		}
 	}
-	p = &pendingCommit{command: string(data), job: job, done: make(chan struct{})}
+	p = &pendingCommit{command: string(data), subject: subject, done: make(chan struct{})}
 	t.commits.add(p)
 	go func() {
 		p.result, p.err = t.leader.proposeEncoded(t.ctx, data)
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -122,6 +122,9 @@
 	adviceDeferred tally.Gauge
 	// withdrawals is the number of jobs that were cancelled before they were submitted.
 	withdrawals tally.Gauge
+	// evacuatedDataCentres is the number of evacuated data centres in the state of this
+	// process.
+	evacuatedDataCentres tally.Gauge
 }
 
 // recordWaiting updates the numbers of ready steps by what they wait for.
@@ -139,8 +142,8 @@
 		early: scope.Counter("cell_ends_early"), unstarted: scope.Counter("cell_ends_unstarted"),
 		lapses: scope.Counter("cell_lapses"), crashes: scope.Counter("cell_crashes"), advice: scope.Counter("cell_advice_calls"), adviceErrors: scope.Counter("cell_advice_errors"),
 		truncatedListings: scope.Counter("cell_truncated_listings"), withdrawnSubmissions: scope.Counter("cell_withdrawn_submissions"),
-		withdrawals: scope.Gauge("cell_withdrawals"),
-		commit:      scope.Histogram("cell_commit", buckets), wait: scope.Histogram("cell_wait", buckets),
+		withdrawals: scope.Gauge("cell_withdrawals"), evacuatedDataCentres: scope.Gauge("cell_evacuated_data_centres"),
+		commit: scope.Histogram("cell_commit", buckets), wait: scope.Histogram("cell_wait", buckets),
 		adviceWait: scope.Histogram("cell_advice_wait", buckets), adviceDelay: scope.Histogram("cell_advice_delay", buckets),
 		plan: scope.Histogram("cell_plan", buckets), planLock: scope.Histogram("cell_plan_lock", buckets),
 		adviceDeferred: scope.Gauge("cell_advice_deferred"),
@@ -171,6 +174,9 @@
 	if c.Configure != nil {
 		l.Logger.Info("configuration applied", logging.Step("apply"), "version", c.Configure.Version, "in_force", l.configurationVersion())
 	}
+	if isRestore := *c == (cell.Command{}); isRestore || c.Evacuate != nil {
+		l.Store.View(func(v *cell.View) { l.metrics.evacuatedDataCentres.Update(float64(len(v.Evacuated()))) })
+	}
 	if t := l.currentTerm(); t != nil && c.Register != nil {
 		if s := t.session(c.Register.ID, c.Register.Born); s != nil {
 			s.recordChanged(c.Register)
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -16,20 +16,19 @@
 const failedStartAvoidance = time.Second
 
 // start sends the start order for a committed attempt until the worker answers or
-// the order's deadline has passed. If the attempt has certainly not started, it
-// commits its end.
-func (s *session) start(o StartOrder) {
+// the order's deadline, startValidity after decidedAt, has passed. If the attempt has
+// certainly not started, it commits its end.
+func (s *session) start(o StartOrder, decidedAt time.Duration) {
 	key := attemptKey{o.Task, o.Run}
-	now := s.t.leader.Clock.Now()
 	s.mu.Lock()
-	o.DeadlineMS = s.clock.estimate(now) + startValidity.Milliseconds()
+	o.DeadlineMS = s.clock.estimate(decidedAt) + startValidity.Milliseconds()
 	s.latestLeaseEnd = max(s.latestLeaseEnd, s.clock.certainlyPassed(o.DeadlineMS))
 	info := s.attemptInfo(key)
 	info.deadlineMS, info.startInFlight = o.DeadlineMS, true
 	s.mu.Unlock()
 	s.wakeUp()
-	answer, certain := s.sendStart(&o, now+startValidity)
-	now = s.t.leader.Clock.Now()
+	answer, certain := s.sendStart(&o, decidedAt+startValidity)
+	now := s.t.leader.Clock.Now()
 	s.mu.Lock()
 	info.startInFlight = false
 	if answer == Done {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -68,12 +68,14 @@
 	// waitsForCrashes means that it is not known yet whether workers have crashed under
 	// tasks of the step.
 	waitsForCrashes
+	// waitsForEvacuation means that the step fits only on workers of evacuated data centres.
+	waitsForEvacuation
 	waitReasons
 )
 
 // String returns the name of the reason in metrics.
 func (r waitReason) String() string {
-	return [waitReasons]string{"placed", "advice", "renewal", "retry", "room", "limit", "crashes"}[r]
+	return [waitReasons]string{"placed", "advice", "renewal", "retry", "room", "limit", "crashes", "evacuated"}[r]
 }
 
 // planner holds the inputs and the result of one planning round. It reads no clock
@@ -82,6 +84,8 @@
 	now        time.Duration
 	candidates []*candidate
 	byID       map[string]*candidate
+	// evacuated holds the workers of evacuated data centres, which get no attempts.
+	evacuated []*candidate
 	// headroom is what each team may still use within its limit.
 	headroom map[string]structs.Resources
 	advice   func(cell.StepKey) *stepAdvice
@@ -186,6 +190,7 @@
 		t.lastPreemption[k] = p.now
 	}
 	t.mu.Unlock()
+	t.dropEvacuated(p)
 	for _, q := range p.adviceRequests {
 		if len(q.stops) > 0 {
 			t.preempt(q.stops, q.step)
@@ -234,6 +239,7 @@
 		t.advice.retainSteps(v.Ready())
 		if len(readySteps) > 0 {
 			workers = t.attemptCopies.copyWorkers(v)
+			workers = p.setAsideEvacuated(workers, v)
 		}
 		p.addHeadroom(v, readySteps)
 		t.leader.metrics.planLock.RecordDuration(t.leader.Clock.Now() - began)
@@ -274,7 +280,7 @@
 	// in this one has it for the next.
 	steps = slices.DeleteFunc(steps, func(rs *readyStep) bool {
 		earlier, again := p.counted[rs.key]
-		return rs.overdue || len(rs.crashed) > 0 || rs.step.Gang && again && earlier == waitsForRoom
+		return rs.overdue || len(rs.crashed) > 0 || rs.step.Gang && again && (earlier == waitsForRoom || earlier == waitsForEvacuation)
 	})
 	steps = steps[:min(len(steps), maxJoiningSteps)]
 	for _, rs := range steps {
@@ -292,6 +298,9 @@
 		return // the incarnation has ended, and its attempts with it
 	}
 	o := StartOrder{Task: p.Task, Run: p.Run, Fence: t.number}
+	// The deadline of the order counts from before the state is looked at, so that a delay
+	// afterwards does not make the order valid for longer after a change of the state.
+	decidedAt := t.leader.Clock.Now()
 	t.mu.Lock()
 	firstSeen := t.times[p.Task.OccurrenceKey()].firstSeen
 	t.mu.Unlock()
@@ -300,7 +309,7 @@
 	found, current := false, s.recordIsCurrent(t.leader.Clock.Now())
 	t.leader.Store.View(func(v *cell.View) {
 		j, w := v.Job(p.Task.Job), v.Worker(p.Worker)
-		if j == nil || j.State != cell.Active || w == nil || !current || w.Overcommitted() {
+		if j == nil || j.State != cell.Active || w == nil || !current || w.Overcommitted() || v.IsEvacuated(w.DataCentre) {
 			return
 		}
 		found = true
@@ -314,8 +323,8 @@
 		}
 	})
 	if !found {
-		// The job was cancelled, or the worker has shrunk or may have, between the commit
-		// and the order, so the attempt never starts.
+		// The job was cancelled, the worker has shrunk or may have, or its data centre was
+		// evacuated, between the commit and the order, so the attempt never starts.
 		t.spawn(func() {
 			if err := t.commitUnstarted(p.Worker, p.Born, p.Task, p.Run); err != nil {
 				t.leader.Logger.Warn("failed to commit the end of an attempt that did not start", logging.Step("note ends"), logging.Peer(p.Worker), logging.Error(err))
@@ -327,7 +336,7 @@
 	t.leader.Logger.Info("task planned", logging.Step("plan"), logging.Job(p.Task.Job), "task", position(p.Task), "run", p.Run, logging.Peer(p.Worker),
 		"since_seen_ms", (t.leader.Clock.Now() - firstSeen).Milliseconds(), "factor", t.stats.factorOf(p.Worker), "saved", o.Checkpoint != "")
 	s.expectAttempt(attemptKey{p.Task, p.Run}, expected)
-	t.spawn(func() { s.start(o) })
+	t.spawn(func() { s.start(o, decidedAt) })
 }
 
 // planSteps plans the ready steps in the given order and counts them by what they wait
@@ -356,6 +365,9 @@
 func (p *planner) planNext(readySteps []*readyStep, mayContinue func() bool) []*readyStep {
 	for i, rs := range readySteps {
 		rs.waitsFor = p.planStep(rs)
+		if rs.waitsFor == waitsForRoom && p.isEvacuationTheCause(rs) {
+			rs.waitsFor = waitsForEvacuation
+		}
 		p.recordShutOut(rs)
 		p.countWait(rs)
 		if !mayContinue() {
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -77,6 +77,10 @@
 		l.Logger.Info("wave of upkeep", logging.Step("start wave"), "wave", c.StartWave.Number, "machines", len(c.StartWave.Machines), "bound", c.StartWave.MaxDown,
 			"duration_ms", c.StartWave.DurationMS, "verdict", r.Verdict.String(), "unknown", r.Unknown)
 		return r, true
+	case c.Evacuate != nil:
+		r := l.commit(ctx, t, &cell.Command{Evacuate: c.Evacuate}, nil)
+		l.Logger.Info("evacuation", logging.Step("evacuate"), "data_centre", c.Evacuate.DataCentre, "active", c.Evacuate.Active, "verdict", r.Verdict.String(), "unknown", r.Unknown)
+		return r, true
 	case c.ReadWave != nil:
 		return l.waveState(c.ReadWave), false
 	case c.AnnounceAdviceCaller != nil:
--- a/internal/dispatch/wait_report.go
+++ b/internal/dispatch/wait_report.go
@@ -27,10 +27,11 @@
 	// usable counts the workers that may get attempts, registered those that the state
 	// has. Of the usable ones, allowed have a ticket, valid have one that has not expired,
 	// denied have none, and free have room for a task, withheld ones included. roomFor is
-	// the number of tasks that fit on those that are allowed and not withheld.
-	registered, usable, allowed, valid, denied, free, withheld, roomFor int
-	requestsInFlight, heldPlacements                                    int
-	retryIn                                                             time.Duration
+	// the number of tasks that fit on those that are allowed and not withheld. Registered
+	// workers of evacuated data centres count as evacuated.
+	registered, evacuated, usable, allowed, valid, denied, free, withheld, roomFor int
+	requestsInFlight, heldPlacements                                               int
+	retryIn                                                                        time.Duration
 }
 
 // longWaits describes the ready steps that have waited the longest beyond their
@@ -70,6 +71,9 @@
 		for _, worker := range v.Workers() {
 			if worker.Usable() && worker.Service == rs.queue.Service && worker.HasLabel(rs.step.Label) {
 				w.registered++
+				if v.IsEvacuated(worker.DataCentre) {
+					w.evacuated++
+				}
 			}
 		}
 	})
@@ -120,7 +124,7 @@
 	for _, w := range waits {
 		t.leader.Logger.Warn("step waits beyond its objective", logging.Step("plan"), logging.Job(w.key.Job), "occurrence", w.key.Occurrence, "step_index", w.key.Step,
 			"reason", w.reason.String(), "waited_ms", w.waited.Milliseconds(), "objective_ms", w.objective.Milliseconds(), "gang", w.gang, "tasks", w.tasks, "within_limit", w.tasksWithinLimit,
-			slog.Group("workers", "registered", w.registered, "usable", w.usable, "allowed", w.allowed, "valid", w.valid, "denied", w.denied, "free", w.free, "withheld", w.withheld, "room_for", w.roomFor),
+			slog.Group("workers", "registered", w.registered, "evacuated", w.evacuated, "usable", w.usable, "allowed", w.allowed, "valid", w.valid, "denied", w.denied, "free", w.free, "withheld", w.withheld, "room_for", w.roomFor),
 			slog.Group("advice", "in_flight", w.requestsInFlight, "held", w.heldPlacements, "retry_in_ms", w.retryIn.Milliseconds(), "callers", known, "idle", idle, "avoided", avoided))
 	}
 }
