dispatch, platform: workers that are slow after their start

After an evacuation has been stopped, workers may be cold: they report cold_left_ms, for how long they remain slow. The leader ignored it, gave them urgent work first because their learned speed was good, and learned their slow runs as the speed of worker and queue.

The leader's term keeps until when an incarnation is cold; it is no part of the replicated state, which would change with each report. Work that prefers fast workers uses cold ones after all others with a valid ticket. The run time of a task that began on a cold worker is not learned.

--- a/internal/dispatch/candidate.go
+++ b/internal/dispatch/candidate.go
@@ -29,6 +29,8 @@
 	// lost now. busy is set if the worker has attempts.
 	leaseRemaining time.Duration
 	busy           bool
+	// cold is set while the worker is slow after its start.
+	cold bool
 	// serves is set if tasks with a response time target run on the worker.
 	// fillerLoad is the size of the fillers that this plan has placed on it.
 	serves     bool
@@ -120,6 +122,7 @@
 		p.candidates = append(p.candidates, &candidate{
 			id: id, born: w.Born, service: w.Service, worker: w, free: w.Free(), reservedFor: t.reserved[id],
 			leaseRemaining: s.leaseRemaining(p.now), busy: len(w.Attempts) > 0, serves: s.serving(), isolatedFor: s.unsettledSuspect(w, p.now),
+			cold: t.cold.isCold(incarnation{id, w.Born}, p.now),
 		})
 	}
 	p.candidates = t.stats.assess(p.candidates, p.now)
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -286,6 +286,9 @@
 // recordEnd adds an ended attempt to the worker's statistics.
 func (s *session) recordEnd(e *ListedEnd, now time.Duration) {
 	took := s.runTimeOf(&e.AttemptEnd, now)
+	if s.t.cold.isCold(incarnation{s.target.ID, s.born}, now-took) {
+		took = 0 // its run time says nothing about the speed of the worker once it is warm
+	}
 	if e.Outcome == cell.EndedFailed {
 		s.t.recordFailure(s.target.ID, e.Task, now)
 	}
--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -38,6 +38,9 @@
 	// reservedCost makes urgent work use workers that are reserved for a gang only
 	// after all others.
 	reservedCost = 5
+	// coldWorkerCost makes urgent work use workers that are slow after their start only after
+	// all others, also those that are 6.5 times slower than the mean or reserved for a gang.
+	coldWorkerCost = 8
 	// expiredTicketCost ranks workers with a valid ticket before all others.
 	expiredTicketCost = 10
 	// maxReservedGangs is how many gangs that do not fit have room reserved for them, and
@@ -209,9 +212,13 @@
 	if rs.step.Filler {
 		value = factor + c.fillerCost(rs)
 	}
-	if !rs.step.Filler && rs.queue.Priority > 0 && p.now+time.Duration(slowMargin*factor*float64(rs.remaining)) < rs.deadline {
+	switch {
+	case rs.step.Filler:
+	case rs.queue.Priority > 0 && p.now+time.Duration(slowMargin*factor*float64(rs.remaining)) < rs.deadline:
 		// The work is in time even here: prefer the slowest such worker.
 		value = 2 - factor + spareCapacityCost*spare - 2
+	case c.cold:
+		value += coldWorkerCost
 	}
 	value += faultyWorkerCost * c.faultProbability
 	if c.mixesLeaseLengths(rs) {
--- a/internal/dispatch/ready.go
+++ b/internal/dispatch/ready.go
@@ -140,7 +140,7 @@
 	})
 }
 
-// forgetEndedData drops the data of jobs that have ended, once every endedDataInterval.
+// forgetEndedData drops the data of jobs and workers that have ended, once every endedDataInterval.
 func (t *term) forgetEndedData(now time.Duration) {
 	if now-t.endedDataForgotten < endedDataInterval {
 		return
@@ -158,6 +158,7 @@
 		maps.DeleteFunc(t.preemptions, func(k cell.TaskKey, _ int) bool { return ended(k.Job) })
 		maps.DeleteFunc(t.stalls, func(k cell.TaskKey, _ taskStalls) bool { return ended(k.Job) })
 		t.stats.forget(ended)
+		t.forgetCold(v)
 	})
 }
 
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -285,6 +285,7 @@
 	if inOrder := t.observeReport(r); !changed || !inOrder {
 		if inOrder {
 			t.confirmRecord(r, arrived)
+			t.observeCold(r, arrived)
 		}
 		return &cellapi.Reply{Verdict: cell.Accepted}, false
 	}
@@ -297,6 +298,7 @@
 		return t.leader.failure(err), true
 	}
 	t.confirmRecord(r, arrived)
+	t.observeCold(r, arrived)
 	t.logCrashes(result)
 	t.leader.Logger.Info("worker registered", logging.Step("register"), logging.Peer(r.ID), "address", r.Address, "born", r.Born, "draining", r.Draining)
 	return &cellapi.Reply{Verdict: cell.Accepted}, true
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -42,6 +42,8 @@
 	recordsInherited  bool
 	advice            *adviceBroker
 	stats             *workerStats
+	// cold holds until when workers are slow after their start.
+	cold coldWorkers
 	// wall is the wall-clock time that the control processes agree on.
 	wall *wallClock
 	// reserved maps a worker to the gang for which the last plan reserved it. Only
