cellnode: a leader refuses commands that may have waited during its pause

A process refuses an operator's command without a version just after it was paused, but only at its public address. A leader that is paused for less than an election still leads afterwards; a command in its peer socket, whose sender has given up, could be carried out after a later one that it acknowledges.

Calls of other processes get the same refusal from a leader. A process that does not lead answers that it does not, so that it is not taken for the leader.

--- a/internal/cellapi/client_test.go
+++ b/internal/cellapi/client_test.go
@@ -107,6 +107,7 @@
 		{"cancel", cancel, []cell.Verdict{cell.NoConfiguration, cell.NoQueue, cell.BadKey, noVerdict, ofLaterRelease}},
 		{"configure", configure, []cell.Verdict{cell.Invalid, noVerdict, ofLaterRelease}},
 		{"start wave", startWave, []cell.Verdict{cell.Invalid, noVerdict, ofLaterRelease}},
+		{"evacuate", &Call{Evacuate: &cell.Evacuate{DataCentre: "a", Active: true}}, []cell.Verdict{cell.Invalid, noVerdict, ofLaterRelease}},
 	} {
 		for _, verdict := range c.verdicts {
 			t.Run(c.name+"/"+verdict.String(), func(t *testing.T) {
@@ -141,6 +142,7 @@
 		{"cancel", &Call{Cancel: &request}, cell.Accepted},
 		{"cancel of a job that does not exist", &Call{Cancel: &request}, cell.NoJob},
 		{"configure", &Call{Configure: &cell.Configuration{Version: 1}}, cell.Accepted},
+		{"stop of an evacuation", &Call{Evacuate: &cell.Evacuate{DataCentre: "a"}}, cell.Accepted},
 		{"status", &Call{Status: &request}, cell.NoQueue},
 		{"read configuration", &Call{ReadConfiguration: &ReadConfiguration{}}, cell.NoConfiguration},
 		{"read wave", &Call{ReadWave: &ReadWave{Number: 1}}, cell.NoWave},
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -215,7 +215,7 @@
 func (n *Node) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(peerv1.RaftServicePathPrefix, n.raft.Handler())
-	mux.Handle("/", cellapi.Handler(n.leader, n.config.Adviser))
+	mux.Handle("/", cellapi.Handler(peerService{n}, n.config.Adviser))
 	return mux
 }
 
@@ -232,6 +232,22 @@
 	return n.client.Do(ctx, c)
 }
 
+// peerService answers the calls that other processes pass on.
+type peerService struct{ n *Node }
+
+// Do implements cellapi.Service. It refuses the same commands as Node.Do if this process leads:
+// without an election during the pause it still does, and a command that waited in its socket
+// may be older than others that it answers.
+func (s peerService) Do(ctx context.Context, c *cellapi.Call) *cellapi.Reply {
+	if c.HasNoVersion() && s.n.config.Pauses.JustResumed() {
+		if _, leads := s.n.leader.Log.Lease(); !leads {
+			return &cellapi.Reply{NotLeader: true}
+		}
+		return &cellapi.Reply{Refused: cellapi.RefusedAfterPause}
+	}
+	return s.n.leader.Do(ctx, c)
+}
+
 // SetSeeds replaces the seeds after the settings have changed.
 func (n *Node) SetSeeds(seeds []string) { n.client.SetSeeds(seeds) }
 
