--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -77,6 +77,10 @@
 		l.Logger.Info("wave of upkeep", logging.Step("start wave"), "wave", c.StartWave.Number, "machines", len(c.StartWave.Machines), "bound", c.StartWave.MaxDown,
 			"duration_ms", c.StartWave.DurationMS, "verdict", r.Verdict.String(), "unknown", r.Unknown)
 		return r, true
+	case c.Evacuate != nil:
+		r := l.commit(ctx, t, &cell.Command{Evacuate: c.Evacuate}, nil)
+		l.Logger.Info("evacuation", logging.Step("evacuate"), "data_centre", c.Evacuate.DataCentre, "active", c.Evacuate.Active, "verdict", r.Verdict.String(), "unknown", r.Unknown)
+		return r, true
 	case c.ReadWave != nil:
 		return l.waveState(c.ReadWave), false
 	case c.AnnounceAdviceCaller != nil:
@@ -281,6 +285,7 @@
 	if inOrder := t.observeReport(r); !changed || !inOrder {
 		if inOrder {
 			t.confirmRecord(r, arrived)
+			t.observeCold(r, arrived)
 		}
 		return &cellapi.Reply{Verdict: cell.Accepted}, false
 	}
@@ -293,6 +298,7 @@
 		return t.leader.failure(err), true
 	}
 	t.confirmRecord(r, arrived)
+	t.observeCold(r, arrived)
 	t.logCrashes(result)
 	t.leader.Logger.Info("worker registered", logging.Step("register"), logging.Peer(r.ID), "address", r.Address, "born", r.Born, "draining", r.Draining)
 	return &cellapi.Reply{Verdict: cell.Accepted}, true
