--- /dev/null
+++ b/internal/intake/limits.go
@@ -0,0 +1,19 @@
+package intake
+
+import "time"
+
+// Limits bound the connections of a server.
+type Limits struct {
+	// MaxHeaderBytes is the maximum size of the head of a request in bytes.
+	MaxHeaderBytes int
+	// HeaderTimeout is how long a client may take to send the head of a request.
+	HeaderTimeout time.Duration
+	// BodyTimeout is how long a client may send no further byte of a body.
+	BodyTimeout time.Duration
+	// IdleTimeout is how long an idle connection is kept, 0 for no limit.
+	IdleTimeout time.Duration
+}
+
+// DefaultLimits are reached by no client within the limits that a site states: heads of 16 KiB
+// (sites may state more), 3 s for a head and 15 s idle.
+var DefaultLimits = Limits{MaxHeaderBytes: 64 << 10, HeaderTimeout: 10 * time.Second, BodyTimeout: 30 * time.Second, IdleTimeout: time.Minute}
