intake: tests; an account is charged from the first progress on

Cause: Open registered the account before its owner had stored it, so that the connection could be closed through an owner that did not know its account yet; TestConcurrentAccountsStayWithinBudget showed it under the race detector. Change: Open only creates the account, the first Progress registers it. Result: go test -race -count=3 ./internal/intake passes.

--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -23,16 +23,14 @@
 	gone bool
 }
 
-// Open returns the account of a new connection, which counts as one with an incomplete request.
-// close must close the connection. An internal connection is charged, but never closed to make
+// Open returns the account of a new connection. close must close the connection; it may be called
+// from the first call of Progress on. An internal connection is charged, but never closed to make
 // room for others.
 func (b *Budget) Open(close func(), internal bool) *Account {
 	if b == nil {
 		return nil
 	}
-	a := &Account{budget: b, close: close, internal: internal}
-	a.Progress()
-	return a
+	return &Account{budget: b, close: close, internal: internal}
 }
 
 // Progress records that the connection has received a part of a request that is incomplete.
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -12,8 +12,14 @@
 	BodyTimeout time.Duration
 	// IdleTimeout is how long an idle connection is kept, 0 for no limit.
 	IdleTimeout time.Duration
+	// WriteTimeout bounds each write of a response, so that a client that never reads does not hold
+	// its connection. It is not http.Server.WriteTimeout, which includes the time for the body of
+	// the request.
+	WriteTimeout time.Duration
 }
 
 // DefaultLimits are reached by no client within the limits that a site states: heads of 16 KiB
 // (sites may state more), 3 s for a head and 15 s idle.
-var DefaultLimits = Limits{MaxHeaderBytes: 64 << 10, HeaderTimeout: 10 * time.Second, BodyTimeout: 30 * time.Second, IdleTimeout: time.Minute}
+var DefaultLimits = Limits{
+	MaxHeaderBytes: 64 << 10, HeaderTimeout: 10 * time.Second, BodyTimeout: 30 * time.Second, IdleTimeout: time.Minute, WriteTimeout: 30 * time.Second,
+}
