httpserver, lg-gateway, lg-cell: connections within a budget, with time limits

Change: a wrapped net.Conn charges heads to the budget and sets the time limits; bodies are charged by handlers that hold them. Servers of lg-gateway and lg-cell speak HTTP/1.1 only; the settings request_memory, max_header, header_timeout, body_timeout, idle_timeout and write_timeout bound their public address. A full descriptor part closes idle connections first, then the request that has stalled longest. A connection that was picked for closing counts as gone at once, and one that was closed before as no room. lg-entry and lg-control get the default limits of heads, bodies and writes.

--- a/cmd/lg-cell/main.go
+++ b/cmd/lg-cell/main.go
@@ -14,6 +14,7 @@
 	"laburnumgrade/internal/config"
 	"laburnumgrade/internal/descriptor"
 	"laburnumgrade/internal/dispatch"
+	"laburnumgrade/internal/intake"
 	"laburnumgrade/internal/logging"
 	"laburnumgrade/internal/pause"
 	"laburnumgrade/internal/port"
@@ -102,7 +103,11 @@
 		c.PublicAddress.String():        platform.ControlHandler(node, logger),
 		c.PeerAddress.String():          node.Handler(),
 		c.Process.AdminAddress.String(): telemetry.Metrics,
-	}, descriptors.Part("accepted", shareForAccepted))
+	}, process.Intake{
+		Public: c.PublicAddress.String(), Limits: c.RequestLimits,
+		Budget: intake.NewBudget(c.RequestMemoryBytes, logger, telemetry.Scope),
+		Part:   descriptors.Part("accepted", shareForAccepted),
+	})
 	if err != nil {
 		return err
 	}
--- a/cmd/lg-gateway/main.go
+++ b/cmd/lg-gateway/main.go
@@ -14,6 +14,7 @@
 	"laburnumgrade/internal/config"
 	"laburnumgrade/internal/descriptor"
 	"laburnumgrade/internal/gateway"
+	"laburnumgrade/internal/intake"
 	"laburnumgrade/internal/logging"
 	"laburnumgrade/internal/pause"
 	"laburnumgrade/internal/port"
@@ -63,7 +64,11 @@
 		c.ReadinessAddress.String():     platform.ReadinessHandler(g.Ready),
 		c.Process.AdminAddress.String(): telemetry.Metrics,
 		c.PeerAddress.String():          cellapi.Handler(nil, adviser.NewQueue(platform.NewAdviser(c.AdviceAddress.String(), peers), logger, telemetry.Scope)),
-	}, descriptors.Part("accepted", shareForAccepted))
+	}, process.Intake{
+		Public: c.PublicAddress.String(), Limits: c.RequestLimits,
+		Budget: intake.NewBudget(c.RequestMemoryBytes, logger, telemetry.Scope),
+		Part:   descriptors.Part("accepted", shareForAccepted),
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/adapter/httpserver/idle.go
+++ b/internal/adapter/httpserver/idle.go
@@ -33,15 +33,31 @@
 	}
 }
 
-// closeOldest closes up to n connections, those first that were idle the longest.
+// closeOldest closes up to n connections, those first that were idle the longest. Each of them
+// counts as gone at once, since the server reports the end of a connection only later. Those that
+// were closed already made no room and don't count.
 func (i *idleConnections) closeOldest(n int) {
-	i.mu.Lock()
-	var oldest []net.Conn
-	for e := i.order.Front(); e != nil && len(oldest) < n; e = e.Next() {
-		oldest = append(oldest, e.Value.(net.Conn))
+	for n > 0 {
+		c := i.takeOldest()
+		if c == nil {
+			return
+		}
+		if c.Close() == nil {
+			n--
+		}
 	}
-	i.mu.Unlock()
-	for _, c := range oldest {
-		_ = c.Close()
+}
+
+// takeOldest removes the connection that was idle the longest, and returns nil if there is none.
+func (i *idleConnections) takeOldest() net.Conn {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	e := i.order.Front()
+	if e == nil {
+		return nil
 	}
+	c := e.Value.(net.Conn)
+	i.order.Remove(e)
+	delete(i.elements, c)
+	return c
 }
--- a/internal/adapter/httpserver/server.go
+++ b/internal/adapter/httpserver/server.go
@@ -12,11 +12,10 @@
 	"github.com/pkg/errors"
 
 	"laburnumgrade/internal/descriptor"
+	"laburnumgrade/internal/intake"
 )
 
 const (
-	// readHeaderTimeout bounds how long a client may take to send its headers.
-	readHeaderTimeout = 10 * time.Second
 	// abandonTimeout is how long handlers may take to answer once their contexts
 	// were cancelled at the end of a shutdown.
 	abandonTimeout = 500 * time.Millisecond
@@ -25,7 +24,23 @@
 	closedIdleDivisor = 16
 )
 
-// Server is an HTTP server for HTTP/1.1 and for HTTP/2 without TLS (h2c).
+// Options are the options of a server.
+type Options struct {
+	intake.Limits
+	// Part bounds the connections, nil for no bound. While it is full, the server closes those
+	// that were idle the longest.
+	Part *descriptor.Part
+	// Budget bounds the memory of requests that were not yet answered, nil for no bound. The server
+	// charges their heads; handlers charge bodies with intake.ReadBody. It applies to HTTP/1 only.
+	Budget *intake.Budget
+	// Internal is set for a server of the system's own processes. Its connections are not closed
+	// to make room for others, and the heads of its requests are not charged.
+	Internal bool
+	// HTTP2 is set if the server also serves HTTP/2 without TLS (h2c).
+	HTTP2 bool
+}
+
+// Server is an HTTP server for HTTP/1.1 and, if its options say so, HTTP/2 without TLS.
 type Server struct {
 	server   *http.Server
 	listener net.Listener
@@ -38,33 +53,37 @@
 }
 
 // Start listens on the address (IP address and port) and serves requests in the
-// background. It closes no idle connections.
+// background, over HTTP/2 without TLS as well. It closes no idle connections.
 func Start(address string, handler http.Handler) (*Server, error) {
-	return StartWithin(address, handler, nil, 0)
+	limits := intake.DefaultLimits
+	limits.IdleTimeout = 0
+	return StartWithin(address, handler, Options{Limits: limits, HTTP2: true})
 }
 
-// StartWithin is Start for a server whose connections are within the part. It closes
-// those that were idle for idleTimeout and, while the part is full, those that were idle
-// the longest. An idleTimeout of 0 means none.
-func StartWithin(address string, handler http.Handler, part *descriptor.Part, idleTimeout time.Duration) (*Server, error) {
+// StartWithin is Start with options.
+func StartWithin(address string, handler http.Handler, o Options) (*Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
-	l = part.Listen(l)
+	l = &listener{o.Part.Listen(l), &o}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
+	protocols.SetUnencryptedHTTP2(o.HTTP2)
 	base, abandon := context.WithCancel(context.Background())
 	s := &Server{listener: l, failed: make(chan error, 1), abandon: abandon}
 	s.server = &http.Server{
-		Handler: s.track(handler), Protocols: protocols, ReadHeaderTimeout: readHeaderTimeout,
-		BaseContext: func(net.Listener) context.Context { return base }, IdleTimeout: idleTimeout,
+		Handler: s.track(receive(handler)), Protocols: protocols,
+		MaxHeaderBytes: o.MaxHeaderBytes, ReadHeaderTimeout: o.HeaderTimeout, IdleTimeout: o.IdleTimeout,
+		BaseContext: func(net.Listener) context.Context { return base }, ConnContext: withConn, ConnState: observe,
 	}
-	if part != nil {
+	if o.Part != nil {
 		idle := newIdleConnections()
-		s.server.ConnState = idle.observe
-		part.OnFull(func() { idle.closeOldest(max(1, part.Size()/closedIdleDivisor)) })
+		s.server.ConnState = func(c net.Conn, state http.ConnState) {
+			observe(c, state)
+			idle.observe(c, state)
+		}
+		o.Part.OnFull(func() { idle.closeOldest(max(1, o.Part.Size()/closedIdleDivisor)) })
 	}
 	go s.serve()
 	return s, nil
--- a/internal/adapter/httpserver/server_test.go
+++ b/internal/adapter/httpserver/server_test.go
@@ -18,7 +18,7 @@
 func TestIdleConnectionsMakeRoomForNewClients(t *testing.T) {
 	budget := descriptor.NewBudget(descriptor.ForFiles+64, 0, slog.New(slog.DiscardHandler), tally.NoopScope)
 	part := budget.Part("accepted", 0.5)
-	s, err := StartWithin("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }), part, 0)
+	s, err := StartWithin("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }), Options{Part: part})
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = s.Shutdown(context.Background()) })
 	get := func(client *http.Client) {
--- a/internal/config/cell.go
+++ b/internal/config/cell.go
@@ -6,6 +6,8 @@
 	"os"
 	"strings"
 	"time"
+
+	"laburnumgrade/internal/intake"
 )
 
 // Bounds and defaults of the settings of a cell's processes.
@@ -28,6 +30,21 @@
 	defaultReservedDescriptors = 200
 	minMemoryBytes             = 16 << 20
 	maxMemoryBytes             = 1 << 40
+	// minRequestMemoryBytes is the least budget with which bodies of 256 KiB are accepted.
+	minRequestMemoryBytes = 1 << 20
+	// requestMemoryDivisor sets the default of request_memory, an eighth of the memory: a
+	// buffered byte costs up to three bytes of heap before the garbage collector runs, and the
+	// rest of the process needs half of the memory.
+	requestMemoryDivisor = 8
+	// defaultRequestMemoryBytes applies if the memory is not limited.
+	defaultRequestMemoryBytes = 64 << 20
+	// minHeader, minTimeout and minIdle exceed the limits that sites state: heads of 16 KiB, 3 s
+	// for a head, 15 s idle.
+	minHeader     = 16 << 10
+	maxHeader     = 1 << 20
+	minTimeout    = 3 * time.Second
+	minIdle       = 15 * time.Second
+	maxConnection = 10 * time.Minute
 )
 
 // CellCommon holds the settings that lg-cell and lg-gateway have in common.
@@ -52,6 +69,10 @@
 	// MemoryBytes is how much memory the process may use before it is killed, 0 if that is
 	// not limited.
 	MemoryBytes int64
+	// RequestMemoryBytes bounds the bytes of requests that were received and not yet answered.
+	RequestMemoryBytes int64
+	// RequestLimits bound the connections at the public address.
+	RequestLimits intake.Limits
 }
 
 // Gateway holds the settings of lg-gateway.
@@ -126,9 +147,37 @@
 	if least := c.ReservedDescriptors + minDescriptors; c.Descriptors > 0 && c.Descriptors < least && r.valid("limits.descriptors", "limits.reserved_descriptors") {
 		r.fault("limits", "descriptors", fmt.Sprint(c.Descriptors), fmt.Sprintf("0 or at least %d, %d more than reserved_descriptors", least, minDescriptors))
 	}
+	c.RequestMemoryBytes = readRequestMemory(r, c.MemoryBytes)
+	c.RequestLimits = readRequestLimits(r)
 	return c
 }
 
+// readRequestMemory reads request_memory for a process with the memory, 0 if that is not
+// limited.
+func readRequestMemory(r *reader, memory int64) int64 {
+	defaultValue := int64(defaultRequestMemoryBytes)
+	if memory > 0 {
+		defaultValue = memory / requestMemoryDivisor
+	}
+	bytes := optional(r, "limits", "request_memory", memoryKind(minRequestMemoryBytes, maxMemoryBytes), defaultValue)
+	if memory > 0 && bytes > memory/2 && r.valid("limits.memory", "limits.request_memory") {
+		r.fault("limits", "request_memory", FormatBytes(bytes), "at most half of memory")
+	}
+	return bytes
+}
+
+// readRequestLimits reads the bounds of connections.
+func readRequestLimits(r *reader) intake.Limits {
+	d := intake.DefaultLimits
+	return intake.Limits{
+		MaxHeaderBytes: int(optional(r, "limits", "max_header", memoryKind(minHeader, maxHeader), int64(d.MaxHeaderBytes))),
+		HeaderTimeout:  optional(r, "limits", "header_timeout", durationKind(minTimeout, maxConnection), d.HeaderTimeout),
+		BodyTimeout:    optional(r, "limits", "body_timeout", durationKind(minTimeout, maxConnection), d.BodyTimeout),
+		IdleTimeout:    optional(r, "limits", "idle_timeout", durationKind(minIdle, maxConnection), d.IdleTimeout),
+		WriteTimeout:   optional(r, "limits", "write_timeout", durationKind(minTimeout, maxConnection), d.WriteTimeout),
+	}
+}
+
 // ReadGateway reads and checks the settings file of lg-gateway.
 func ReadGateway(path string) (*Gateway, error) {
 	text, err := os.ReadFile(path)
@@ -207,6 +256,12 @@
 	if c.MemoryBytes > 0 {
 		p.key("memory", FormatBytes(c.MemoryBytes))
 	}
+	p.key("request_memory", FormatBytes(c.RequestMemoryBytes))
+	p.key("max_header", FormatBytes(int64(c.RequestLimits.MaxHeaderBytes)))
+	p.key("header_timeout", c.RequestLimits.HeaderTimeout)
+	p.key("body_timeout", c.RequestLimits.BodyTimeout)
+	p.key("idle_timeout", c.RequestLimits.IdleTimeout)
+	p.key("write_timeout", c.RequestLimits.WriteTimeout)
 }
 
 // String returns the settings as an INI text that ParseGateway accepts.
--- a/internal/process/serve.go
+++ b/internal/process/serve.go
@@ -14,22 +14,48 @@
 
 	"laburnumgrade/internal/adapter/httpserver"
 	"laburnumgrade/internal/descriptor"
+	"laburnumgrade/internal/intake"
 	"laburnumgrade/internal/logging"
 )
 
 // Servers are the HTTP servers of a process.
 type Servers []*httpserver.Server
 
-// idleTimeout is how long an idle connection is kept. It exceeds that of cellapi's
-// clients, so that they do not send on a connection that is about to be closed.
-const idleTimeout = time.Minute
+// internalIdleTimeout is how long an idle connection of another process of the system is kept.
+// It exceeds that of cellapi's clients, so that they do not send on a connection that is about
+// to be closed.
+const internalIdleTimeout = time.Minute
 
-// StartServers starts one server for each address. Their connections are within the
-// part. If one fails to start, those already started are stopped.
-func StartServers(handlers map[string]http.Handler, part *descriptor.Part) (Servers, error) {
+// Intake bounds what the servers of a process receive. The zero value has no bounds.
+type Intake struct {
+	// Public is the address of the server for clients outside the system; the other addresses
+	// serve its own processes.
+	Public string
+	// Limits bound the connections of the server at Public.
+	Limits intake.Limits
+	// Budget bounds the memory of requests, and Part the connections, of all servers.
+	Budget *intake.Budget
+	Part   *descriptor.Part
+}
+
+// options returns the options of the server at the address.
+func (in *Intake) options(address string) httpserver.Options {
+	o := httpserver.Options{Limits: in.Limits, Part: in.Part, Budget: in.Budget}
+	if address != in.Public {
+		o.Internal, o.Limits = true, intake.DefaultLimits
+		o.IdleTimeout = internalIdleTimeout
+	}
+	return o
+}
+
+// StartServers starts one server for each address, for HTTP/1.1 only. While the part is full,
+// they close idle connections first, and if there are none, the connection that has gone
+// longest without progress among those with an incomplete request. If a server fails to start,
+// those already started are stopped.
+func StartServers(handlers map[string]http.Handler, in Intake) (Servers, error) {
 	var servers Servers
 	for address, handler := range handlers {
-		s, err := httpserver.StartWithin(address, handler, part, idleTimeout)
+		s, err := httpserver.StartWithin(address, handler, in.options(address))
 		if err != nil {
 			stopped := make(chan struct{})
 			close(stopped)
@@ -38,6 +64,11 @@
 		}
 		servers = append(servers, s)
 	}
+	in.Part.OnFull(func() {
+		if in.Part.Open() >= in.Part.Size() { // the servers had no idle connections
+			in.Budget.CloseStalled()
+		}
+	})
 	return servers, nil
 }
 
