--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	GOBIN=$(CURDIR)/bin go install golang.org/x/tools/gopls@v0.23.0
 
 # Packages with goroutines are tested under the race detector as well.
-RACE = ./internal/adapter/... ./internal/cellnode ./internal/dispatch ./internal/logging ./platform ./internal/control ./internal/entry ./internal/follower ./internal/host ./internal/hlc ./internal/lease ./internal/replica ./internal/routing ./internal/timeline
+RACE = ./internal/adapter/... ./internal/cellnode ./internal/dispatch ./internal/intake ./internal/logging ./internal/process ./platform ./internal/control ./internal/entry ./internal/follower ./internal/host ./internal/hlc ./internal/lease ./internal/replica ./internal/routing ./internal/timeline
 
 # Tests and subtests that KNOWN-RED.txt lists are passed over; all others count.
 KNOWN_RED = $(shell sed -n 's/^- \(Test[A-Za-z0-9_/]*\):.*/^\1$$/p' KNOWN-RED.txt | sed 's|/|$$/^|g' | paste -sd '|' -)
