intake: blocks of bodies are used again

Cause: blocks of bodies that are refused or cut off pile up until the garbage collector runs. Change: blocks of 16 KiB come from a pool and go back to it.

--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 )
 
 const (
@@ -13,6 +14,18 @@
 	maxBlockBytes = 16 << 10
 )
 
+// blockPool holds blocks of maxBlockBytes that are not in use. Without it, the blocks of bodies
+// that are refused or cut off pile up until the garbage collector runs.
+var blockPool = sync.Pool{New: func() any { return new([maxBlockBytes]byte) }}
+
+// newBlock returns an empty block for a body of which length bytes were read.
+func newBlock(length int) []byte {
+	if length >= maxBlockBytes {
+		return blockPool.Get().(*[maxBlockBytes]byte)[:0]
+	}
+	return make([]byte, 0, max(length, minBlockBytes))
+}
+
 // Body is a body that was read into memory. Its blocks are joined when it is decoded, because
 // one that grows would hold up to three times its length while it is copied.
 type Body struct {
@@ -32,7 +45,7 @@
 	for {
 		last := len(b.blocks) - 1
 		if last < 0 || len(b.blocks[last]) == cap(b.blocks[last]) {
-			b.blocks = append(b.blocks, make([]byte, 0, min(max(b.length, minBlockBytes), maxBlockBytes)))
+			b.blocks = append(b.blocks, newBlock(b.length))
 			last++
 		}
 		block := b.blocks[last]
@@ -41,6 +54,7 @@
 		b.length += n
 		if n > 0 {
 			if err := account.Charge(int64(n)); err != nil {
+				b.drop()
 				return nil, err
 			}
 		}
@@ -48,11 +62,22 @@
 			return b, nil
 		}
 		if err != nil {
+			b.drop()
 			return nil, err
 		}
 	}
 }
 
+// drop gives the blocks back.
+func (b *Body) drop() {
+	for _, block := range b.blocks {
+		if cap(block) == maxBlockBytes {
+			blockPool.Put((*[maxBlockBytes]byte)(block[:maxBlockBytes]))
+		}
+	}
+	b.blocks = nil
+}
+
 // Len returns the length in bytes.
 func (b *Body) Len() int { return b.length }
 
@@ -65,6 +90,7 @@
 		case b.budget.decoding <- struct{}{}:
 			defer func() { <-b.budget.decoding }()
 		case <-ctx.Done():
+			b.drop()
 			return ctx.Err()
 		}
 	}
@@ -72,6 +98,6 @@
 	for _, block := range b.blocks {
 		data = append(data, block...)
 	}
-	b.blocks = nil
+	b.drop()
 	return decode(data)
 }
