replica: TestSlowApplyDoesNotCostLeadership waits for both followers

The test expects that the follower whose status it checks follows the leader. A leader holds a lease as soon as one of two followers has answered, so the other one may not have received a message of the new term when the test begins: nothing guarantees what it assumed, and the code is not at fault. The test now waits for both followers before it stalls a state machine; what it checks from then on is unchanged.

--- a/internal/replica/apply_test.go
+++ b/internal/replica/apply_test.go
@@ -78,13 +78,17 @@
 	return c, machines
 }
 
-// followers returns the two replicas other than the leader.
+// followers returns the two replicas other than the leader. It waits until both follow the
+// leader: the lease needs the answer of one of them only, so that the other may not have
+// received a message of the new term yet.
 func (c *cluster) followers(leader *Replica) (*Replica, *Replica) {
 	var found []*Replica
 	for _, r := range c.all() {
-		if r != leader {
-			found = append(found, r)
+		if r == leader {
+			continue
 		}
+		wait(c.t, r.cfg.ID+" does not follow the leader", func() bool { return r.Status().Leader == leader.cfg.ID })
+		found = append(found, r)
 	}
 	return found[0], found[1]
 }
