--- a/internal/cellapi/client.go
+++ b/internal/cellapi/client.go
@@ -91,6 +91,12 @@
 	return &Client{http: NewHTTPClient(idleConnectionsPerPeer, part), logger: logger, seeds: seeds}
 }
 
+// NewClientOver returns a client that sends its requests over a transport, for simulations of
+// a network.
+func NewClientOver(transport http.RoundTripper, seeds []string, logger *slog.Logger) *Client {
+	return &Client{http: &http.Client{Transport: transport}, logger: logger, seeds: seeds}
+}
+
 // SetSeeds replaces the seeds after the settings have changed.
 func (c *Client) SetSeeds(seeds []string) {
 	c.mu.Lock()
--- a/internal/cellapi/refusal_random_test.go
+++ b/internal/cellapi/refusal_random_test.go
@@ -375,9 +375,7 @@
 	background.Go(func() { g.run(ctx) })
 	f := &refusals{replies: map[string][]*cellapi.Reply{}}
 	for range 2 {
-		gateway := cellapi.NewClient(addresses, nil, logger)
-		gateway.SetTransport(n)
-		f.gateways = append(f.gateways, gateway)
+		f.gateways = append(f.gateways, cellapi.NewClientOver(n, addresses, logger))
 	}
 	between := func(from, to time.Duration) time.Duration {
 		return from + time.Duration(random.Int64N(int64(to-from)))
