entry: tests have one cell each, so that the leak check sees only its own

The leak check ignores the goroutines that exist when a cell starts. Two tests, TestResendGetsLateAnswer and TestDrainFinishesRequestsAndReleasesSlots, started two or four cells one after the other and ended them all at the end of the test. An earlier cell still works then: when two of its calls overlap, more often beside load, its entry opens another connection, which the check of a later cell reports as an idle connection and its server goroutine. The code leaks nothing.

--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -119,26 +120,28 @@
 func TestResendGetsLateAnswer(t *testing.T) {
 	for _, holder := range []string{"a", "b"} {
 		for resendTo := range 2 {
-			c := newCell(t, nonIdempotent, holder, "b")
-			for _, in := range c.instances {
-				in.hold = make(chan struct{})
-			}
-			id := newID()
-			first := c.send(t, id, 100*time.Millisecond)
-			assert.Equal(t, first.Outcome, unknown, first.Detail)
-			records := c.control.requestCount("RecordRequest")
-			again := make(chan *apiv1.CallResponse)
-			go func() {
-				again <- c.sendTo(t, c.entries[resendTo], &apiv1.CallRequest{RequestId: id, Team: "t", Service: "s", Body: []byte("body"), DeadlineMs: longDeadline.Milliseconds()})
-			}()
-			waitFor(t, func() bool { return c.control.requestCount("RecordRequest") > records })
-			for _, in := range c.instances {
-				in.releaseHold()
-			}
-			got := <-again
-			assert.Equal(t, got.Outcome, ok, got.Detail)
-			assert.Equal(t, string(got.Body), "body")
-			assert.Equal(t, c.ran(id), 1)
+			t.Run(fmt.Sprintf("held by %s, resent to %d", holder, resendTo), func(t *testing.T) {
+				c := newCell(t, nonIdempotent, holder, "b")
+				for _, in := range c.instances {
+					in.hold = make(chan struct{})
+				}
+				id := newID()
+				first := c.send(t, id, 100*time.Millisecond)
+				assert.Equal(t, first.Outcome, unknown, first.Detail)
+				records := c.control.requestCount("RecordRequest")
+				again := make(chan *apiv1.CallResponse)
+				go func() {
+					again <- c.sendTo(t, c.entries[resendTo], &apiv1.CallRequest{RequestId: id, Team: "t", Service: "s", Body: []byte("body"), DeadlineMs: longDeadline.Milliseconds()})
+				}()
+				waitFor(t, func() bool { return c.control.requestCount("RecordRequest") > records })
+				for _, in := range c.instances {
+					in.releaseHold()
+				}
+				got := <-again
+				assert.Equal(t, got.Outcome, ok, got.Detail)
+				assert.Equal(t, string(got.Body), "body")
+				assert.Equal(t, c.ran(id), 1)
+			})
 		}
 	}
 }
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -231,7 +231,9 @@
 }
 
 // newCell starts a control process, the entries a and, if needed, b, and one instance
-// for each element of holders, which names the entry that grants its slots.
+// for each element of holders, which names the entry that grants its slots. A test or subtest
+// has one cell at most: the connections that an earlier cell opens in the background would
+// look like leaks of a later one.
 func newCell(t *testing.T, spec func(*statev1.WorkSpec), holders ...string) *cell {
 	t.Helper()
 	ignore := goleak.IgnoreCurrent()
