entry: the port of an instance that does not listen stays bound

Two cases of TestCallOutcomesUnderFaults close the server of an instance and expect that nothing answers at its address. Nothing guarantees that: another process, such as another copy of these tests, may get the free port, and its instance then answers "ok" or 404. The expected outcomes are unchanged.

--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -57,8 +57,8 @@
 		{"non-idempotent: call failed", nonIdempotent, []string{"a"}, 9, func(c *cell) {
 			c.instances[0].answer = func(r *apiv1.InvokeResponse) { r.Outcome = failed }
 		}, failed, "", 1, failed, 1},
-		{"non-idempotent: instance does not listen", nonIdempotent, []string{"a"}, 0, func(c *cell) { c.instances[0].server.Close() }, notRun, "call instance (peer i0", 0, notRun, 0},
-		{"non-idempotent: one of two does not listen", nonIdempotent, []string{"a", "a"}, 0, func(c *cell) { c.instances[0].server.Close() }, ok, "", 1, ok, 1},
+		{"non-idempotent: instance does not listen", nonIdempotent, []string{"a"}, 0, func(c *cell) { c.instances[0].stopListening() }, notRun, "call instance (peer i0", 0, notRun, 0},
+		{"non-idempotent: one of two does not listen", nonIdempotent, []string{"a", "a"}, 0, func(c *cell) { c.instances[0].stopListening() }, ok, "", 1, ok, 1},
 		{"non-idempotent: grant lost before recording", nonIdempotent, []string{"a"}, 0, func(c *cell) { c.control.setFaults("RecordRequest", requestLost, delivered) }, ok, "", 1, ok, 1},
 		{"non-idempotent: grant reply lost", nonIdempotent, []string{"a"}, 0, func(c *cell) { c.control.setFaults("RecordRequest", replyLost, delivered) }, ok, "", 1, ok, 1},
 		{"non-idempotent: leader hangs", nonIdempotent, []string{"a"}, 0, func(c *cell) {
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,7 +13,9 @@
 
 	"connectrpc.com/connect"
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sys/unix"
 	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
 
 	"laburnumgrade/gen/apiv1"
 	"laburnumgrade/gen/apiv1/apiv1connect"
@@ -217,6 +220,7 @@
 // fakeInstance answers each call with the body of the call.
 type fakeInstance struct {
 	*faultInjector
+	t      *testing.T
 	id     string
 	server *httptest.Server
 	// answer modifies the correct answer; nil leaves it as it is.
@@ -239,7 +243,7 @@
 }
 
 func newFakeInstance(t *testing.T, id string) *fakeInstance {
-	in := &fakeInstance{faultInjector: newFaultInjector(), id: id, runs: map[string]int{}}
+	in := &fakeInstance{faultInjector: newFaultInjector(), t: t, id: id, runs: map[string]int{}}
 	mux := http.NewServeMux()
 	mux.Handle(apiv1connect.NewInstanceServiceHandler(in))
 	in.server = httptest.NewServer(in.handler(mux))
@@ -248,6 +252,21 @@
 	return in
 }
 
+// stopListening closes the server and keeps its port bound, so that no other process, such as
+// another run of these tests, listens on it and answers the calls.
+func (in *fakeInstance) stopListening() {
+	address := in.server.Listener.Addr().(*net.TCPAddr)
+	in.server.Close()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	assert.NilError(in.t, err)
+	in.t.Cleanup(func() { _ = unix.Close(fd) })
+	// Closed connections may still occupy the port; with SO_REUSEADDR set only while the
+	// socket is bound, another process cannot share it.
+	assert.NilError(in.t, unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1))
+	assert.NilError(in.t, unix.Bind(fd, &unix.SockaddrInet4{Port: address.Port, Addr: [4]byte(address.IP.To4())}))
+	assert.NilError(in.t, unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 0))
+}
+
 func (in *fakeInstance) Invoke(_ context.Context, r *connect.Request[apiv1.InvokeRequest]) (*connect.Response[apiv1.InvokeResponse], error) {
 	m := r.Msg
 	in.mu.Lock()
