--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -56,8 +57,8 @@
 		{"non-idempotent: call failed", nonIdempotent, []string{"a"}, 9, func(c *cell) {
 			c.instances[0].answer = func(r *apiv1.InvokeResponse) { r.Outcome = failed }
 		}, failed, "", 1, failed, 1},
-		{"non-idempotent: instance does not listen", nonIdempotent, []string{"a"}, 0, func(c *cell) { c.instances[0].server.Close() }, notRun, "call instance (peer i0", 0, notRun, 0},
-		{"non-idempotent: one of two does not listen", nonIdempotent, []string{"a", "a"}, 0, func(c *cell) { c.instances[0].server.Close() }, ok, "", 1, ok, 1},
+		{"non-idempotent: instance does not listen", nonIdempotent, []string{"a"}, 0, func(c *cell) { c.instances[0].stopListening() }, notRun, "call instance (peer i0", 0, notRun, 0},
+		{"non-idempotent: one of two does not listen", nonIdempotent, []string{"a", "a"}, 0, func(c *cell) { c.instances[0].stopListening() }, ok, "", 1, ok, 1},
 		{"non-idempotent: grant lost before recording", nonIdempotent, []string{"a"}, 0, func(c *cell) { c.control.setFaults("RecordRequest", requestLost, delivered) }, ok, "", 1, ok, 1},
 		{"non-idempotent: grant reply lost", nonIdempotent, []string{"a"}, 0, func(c *cell) { c.control.setFaults("RecordRequest", replyLost, delivered) }, ok, "", 1, ok, 1},
 		{"non-idempotent: leader hangs", nonIdempotent, []string{"a"}, 0, func(c *cell) {
@@ -119,26 +120,28 @@
 func TestResendGetsLateAnswer(t *testing.T) {
 	for _, holder := range []string{"a", "b"} {
 		for resendTo := range 2 {
-			c := newCell(t, nonIdempotent, holder, "b")
-			for _, in := range c.instances {
-				in.hold = make(chan struct{})
-			}
-			id := newID()
-			first := c.send(t, id, 100*time.Millisecond)
-			assert.Equal(t, first.Outcome, unknown, first.Detail)
-			records := c.control.requestCount("RecordRequest")
-			again := make(chan *apiv1.CallResponse)
-			go func() {
-				again <- c.sendTo(t, c.entries[resendTo], &apiv1.CallRequest{RequestId: id, Team: "t", Service: "s", Body: []byte("body"), DeadlineMs: longDeadline.Milliseconds()})
-			}()
-			waitFor(t, func() bool { return c.control.requestCount("RecordRequest") > records })
-			for _, in := range c.instances {
-				in.releaseHold()
-			}
-			got := <-again
-			assert.Equal(t, got.Outcome, ok, got.Detail)
-			assert.Equal(t, string(got.Body), "body")
-			assert.Equal(t, c.ran(id), 1)
+			t.Run(fmt.Sprintf("held by %s, resent to %d", holder, resendTo), func(t *testing.T) {
+				c := newCell(t, nonIdempotent, holder, "b")
+				for _, in := range c.instances {
+					in.hold = make(chan struct{})
+				}
+				id := newID()
+				first := c.send(t, id, 100*time.Millisecond)
+				assert.Equal(t, first.Outcome, unknown, first.Detail)
+				records := c.control.requestCount("RecordRequest")
+				again := make(chan *apiv1.CallResponse)
+				go func() {
+					again <- c.sendTo(t, c.entries[resendTo], &apiv1.CallRequest{RequestId: id, Team: "t", Service: "s", Body: []byte("body"), DeadlineMs: longDeadline.Milliseconds()})
+				}()
+				waitFor(t, func() bool { return c.control.requestCount("RecordRequest") > records })
+				for _, in := range c.instances {
+					in.releaseHold()
+				}
+				got := <-again
+				assert.Equal(t, got.Outcome, ok, got.Detail)
+				assert.Equal(t, string(got.Body), "body")
+				assert.Equal(t, c.ran(id), 1)
+			})
 		}
 	}
 }
