disk: a full disk leaves the storage usable

Cause: an append that failed with ENOSPC or EDQUOT made the storage unusable, and the process ended. A rename that failed for lack of space did the same. The log was read whole at the start, in a buffer that grows beside the decoded entries.

Change: an append that fails for lack of space truncates the log to its last good length, syncs, and returns port.ErrNotStored; the state in memory has only what is synced. A failed rename for lack of space is ErrNotStored as well. Other errors, and every failed sync of the log or folder, end the storage as before. Temporary files of a crash are emptied when the folder is opened. The log is read record by record.

--- a/internal/adapter/disk/errors.go
+++ b/internal/adapter/disk/errors.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"syscall"
 )
 
 // ErrIdentityMissing is returned if the data folder has no identity file,
@@ -30,9 +31,10 @@
 }
 
 // IOError reports a failed operation on a file or folder, for example a write
-// to a full disk. After a failed write or sync the content of the file is
-// unknown, so the storage does not write to it again. When the folder is opened
-// after a restart, the checksums show which records are intact.
+// to a full disk. After a failed sync, or a write that failed for another reason
+// than lack of space, the content of the file is unknown, so the storage does not
+// write to it again. When the folder is opened after a restart, the checksums show
+// which records are intact.
 type IOError struct {
 	File string
 	// Step is the operation that failed, such as "open", "write" or "sync".
@@ -46,6 +48,12 @@
 // Unwrap returns the error of the operating system.
 func (e *IOError) Unwrap() error { return e.Err }
 
+// isNoSpace reports whether an operation failed because the disk or the quota is full. Nothing
+// but the new data is affected then.
+func isNoSpace(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+}
+
 // IdentityError reports a data folder that belongs to another group.
 type IdentityError struct {
 	Group, WantGroup string
--- a/internal/adapter/disk/memory.go
+++ b/internal/adapter/disk/memory.go
@@ -2,6 +2,9 @@
 
 import (
 	"sync"
+	"sync/atomic"
+
+	"google.golang.org/protobuf/proto"
 
 	"laburnumgrade/gen/peerv1"
 )
@@ -13,6 +16,8 @@
 	closed   bool
 	state    logState
 	snapshot *peerv1.RaftSnapshot
+	// logBytes and snapshotBytes are the results of Size.
+	logBytes, snapshotBytes atomic.Int64
 }
 
 // NewMemory returns an empty storage.
@@ -39,6 +44,9 @@
 		m.closed = true
 		return err
 	}
+	for _, e := range entries {
+		m.logBytes.Add(int64(proto.Size(e)))
+	}
 	if hard != nil {
 		m.state.hard = hard
 	}
@@ -54,9 +62,18 @@
 	}
 	m.snapshot = snapshot
 	m.state.compactTo(snapshot)
+	kept := int64(0)
+	for _, e := range m.state.entries {
+		kept += int64(proto.Size(e))
+	}
+	m.logBytes.Store(kept)
+	m.snapshotBytes.Store(int64(proto.Size(snapshot)))
 	return nil
 }
 
+// Size implements port.LogStorage. The result has no overhead for records.
+func (m *Memory) Size() (log, snapshot int64) { return m.logBytes.Load(), m.snapshotBytes.Load() }
+
 // Durable implements port.LogStorage.
 func (m *Memory) Durable() bool { return false }
 
--- a/internal/adapter/disk/record.go
+++ b/internal/adapter/disk/record.go
@@ -1,9 +1,11 @@
 package disk
 
 import (
+	"bufio"
 	"encoding/binary"
 	"hash/crc32"
 	"io"
+	"slices"
 )
 
 // recordHeaderBytes is the length of a record's header: the payload length, the
@@ -25,18 +27,27 @@
 	return append(buffer, payload...)
 }
 
-// parseRecords calls apply for each record and returns the length of the intact
-// prefix. Reading ends without an error at a torn tail: a last record that is
+// readRecords calls apply for each record of a file of size bytes and returns the length of
+// the intact prefix. It holds one record at a time, since a log may be larger than the memory
+// that is left; apply must not keep the payload. Reading ends without an error at a torn tail: a last record that is
 // incomplete, or that is complete but has a wrong payload checksum because its
 // content did not reach the disk before a crash. A wrong checksum that is
 // followed by more data is reported as a *CorruptError.
-func parseRecords(file string, data []byte, apply func(payload []byte) error) (int64, error) {
-	offset := int64(0)
-	for int(offset) < len(data) {
-		rest := data[offset:]
-		payload, reason := parseRecord(rest)
+func readRecords(file string, f io.Reader, size int64, apply func(payload []byte) error) (int64, error) {
+	reader := bufio.NewReader(io.LimitReader(f, size))
+	var data []byte
+	for offset := int64(0); offset < size; offset += int64(len(data)) {
+		var err error
+		if data, err = readRecord(reader, data[:0], size-offset); err != nil {
+			return offset, &IOError{File: file, Step: "read", Err: err}
+		}
+		payload, reason := parseRecord(data)
 		if reason != "" {
-			if isTornTail(rest) {
+			torn, err := isTornTail(data, reader, size-offset)
+			if err != nil {
+				return offset, &IOError{File: file, Step: "read", Err: err}
+			}
+			if torn {
 				return offset, nil
 			}
 			return offset, &CorruptError{File: file, Offset: offset, Reason: reason}
@@ -44,9 +55,27 @@
 		if err := apply(payload); err != nil {
 			return offset, &CorruptError{File: file, Offset: offset, Reason: err.Error()}
 		}
-		offset += recordHeaderBytes + int64(len(payload))
 	}
-	return offset, nil
+	return size, nil
+}
+
+// readRecord reads the next record into the buffer. rest is what is left of the file. The
+// result is shorter than a record if the file ends in it or the header is not valid.
+func readRecord(reader io.Reader, buffer []byte, rest int64) ([]byte, error) {
+	buffer, err := readMore(reader, buffer, min(rest, recordHeaderBytes))
+	if err != nil || len(buffer) < recordHeaderBytes || !headerValid(buffer) {
+		return buffer, err
+	}
+	length := int64(binary.LittleEndian.Uint32(buffer))
+	return readMore(reader, buffer, min(rest-recordHeaderBytes, length))
+}
+
+// readMore appends the next n bytes to the buffer.
+func readMore(reader io.Reader, buffer []byte, n int64) ([]byte, error) {
+	have := len(buffer)
+	buffer = slices.Grow(buffer, int(n))[:have+int(n)]
+	_, err := io.ReadFull(reader, buffer[have:])
+	return buffer, err
 }
 
 // parseRecord returns the payload of the record at the start of data, or the
@@ -76,21 +105,32 @@
 // isTornTail reports whether the unreadable rest of a file was left by a crash
 // during the last write. It was if the header is incomplete, if the header is
 // valid and its record reaches or passes the end of the file, or if the rest is
-// all zeros: a file system may extend a file before it writes the content.
-func isTornTail(rest []byte) bool {
-	if len(rest) < recordHeaderBytes {
-		return true
+// all zeros: a file system may extend a file before it writes the content. data is
+// what readRecord has read of the rest, and reader has what follows.
+func isTornTail(data []byte, reader io.Reader, rest int64) (bool, error) {
+	if len(data) < recordHeaderBytes {
+		return true, nil
 	}
-	if headerValid(rest) {
-		length := int64(binary.LittleEndian.Uint32(rest))
-		return recordHeaderBytes+length >= int64(len(rest))
+	if headerValid(data) {
+		length := int64(binary.LittleEndian.Uint32(data))
+		return recordHeaderBytes+length >= rest, nil
 	}
-	for _, b := range rest {
-		if b != 0 {
-			return false
+	buffer := make([]byte, 4096)
+	for {
+		for _, b := range data {
+			if b != 0 {
+				return false, nil
+			}
+		}
+		n, err := reader.Read(buffer)
+		if err == io.EOF && n == 0 {
+			return true, nil
+		}
+		if err != nil && err != io.EOF {
+			return false, err
 		}
+		data = buffer[:n]
 	}
-	return true
 }
 
 // readAll reads a file of the data folder, at most 4*maxRecordBytes of it.
--- a/internal/adapter/disk/storage.go
+++ b/internal/adapter/disk/storage.go
@@ -5,6 +5,7 @@
 	"io"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 
 	"google.golang.org/protobuf/proto"
 
@@ -17,6 +18,9 @@
 	walFile      = "wal"
 	snapshotFile = "snapshot"
 	tempSuffix   = ".tmp"
+	// maxKeptBuffer is the size in bytes up to which Append keeps its buffers: entries of
+	// configurations have 1.5 MB and are rare, all others a few kilobytes.
+	maxKeptBuffer = 256 << 10
 )
 
 // Storage is a port.LogStorage that keeps its files in one data folder.
@@ -32,17 +36,24 @@
 	snapshot *peerv1.RaftSnapshot
 	// wal is nil if it could not be opened again after it was replaced.
 	wal File
+	// walDiverges is set while the log file holds entries that a snapshot of another history
+	// replaced. Entries after that snapshot do not follow them, so they must not be appended.
+	walDiverges bool
 	// payload and record are buffers that Append reuses.
 	payload []byte
 	record  []byte
+	// logBytes is the length of the intact records in the log file, and snapshotBytes that
+	// of the snapshot file.
+	logBytes, snapshotBytes atomic.Int64
 }
 
 // Create initializes the folder for a new replica of the group and opens it.
 // The id must never have been used before. Existing log and snapshot files are
-// overwritten.
+// overwritten. The error wraps port.ErrNotStored if the disk is full; the call may then be
+// repeated.
 func Create(files FileSystem, folder, group, id string) (*Storage, error) {
 	if err := files.MakeFolder(folder); err != nil {
-		return nil, &IOError{File: folder, Step: "create folder", Err: err}
+		return nil, markNoSpace(&IOError{File: folder, Step: "create folder", Err: err})
 	}
 	s := &Storage{files: files, folder: folder, id: id}
 	if err := s.replaceFile(snapshotFile, nil); err != nil {
@@ -74,6 +85,9 @@
 	if err := s.readIdentity(group); err != nil {
 		return nil, err
 	}
+	if err := s.emptyTemps(); err != nil {
+		return nil, err
+	}
 	if err := s.readSnapshot(); err != nil {
 		return nil, err
 	}
@@ -111,6 +125,30 @@
 	return nil
 }
 
+// emptyTemps frees the space of temporary files that a crash has left, which a full disk needs.
+func (s *Storage) emptyTemps() error {
+	for _, name := range []string{snapshotFile, walFile} {
+		path := s.path(name) + tempSuffix
+		if exists, err := s.files.Exists(path); err != nil {
+			return &IOError{File: path, Step: "read", Err: err}
+		} else if !exists {
+			continue
+		}
+		f, err := s.files.Open(path)
+		if err != nil {
+			return &IOError{File: path, Step: "open", Err: err}
+		}
+		err = f.Truncate(0)
+		if closeErr := f.Close(); err == nil {
+			err = closeErr
+		}
+		if err != nil {
+			return &IOError{File: path, Step: "truncate", Err: err}
+		}
+	}
+	return nil
+}
+
 // readSingleRecord decodes a file that holds one record. Such a file is written
 // and synced under a temporary name before it is renamed, so an incomplete
 // record in it is corruption and not a torn tail.
@@ -146,6 +184,7 @@
 	if size == 0 {
 		return nil // no snapshot was taken yet
 	}
+	s.snapshotBytes.Store(size)
 	s.snapshot = &peerv1.RaftSnapshot{}
 	return s.readSingleRecord(path, s.snapshot)
 }
@@ -160,11 +199,14 @@
 		return &IOError{File: path, Step: "open", Err: err}
 	}
 	s.wal = f
-	data, err := readAll(f)
+	size, err := f.Seek(0, io.SeekEnd)
+	if err == nil {
+		_, err = f.Seek(0, io.SeekStart)
+	}
 	if err != nil {
-		return &IOError{File: path, Step: "read", Err: err}
+		return &IOError{File: path, Step: "seek", Err: err}
 	}
-	intact, err := parseRecords(path, data, s.state.replay)
+	intact, err := readRecords(path, f, size, s.state.replay)
 	if err != nil {
 		return err
 	}
@@ -176,18 +218,15 @@
 		return &CorruptError{File: s.path(snapshotFile), Reason: "older than the log"}
 	}
 	if s.snapshot != nil {
-		s.state.compactTo(s.snapshot)
+		s.walDiverges = !s.state.compactTo(s.snapshot)
 	}
-	if intact < int64(len(data)) {
-		if err := f.Truncate(intact); err != nil {
-			return &IOError{File: path, Step: "truncate", Err: err}
-		}
-		if err := f.Sync(); err != nil {
-			return &IOError{File: path, Step: "sync", Err: err}
+	s.logBytes.Store(intact)
+	if intact < size {
+		if err := s.truncateWAL(); err != nil {
+			return err
 		}
-	}
-	if _, err := f.Seek(intact, io.SeekStart); err != nil {
-		return &IOError{File: path, Step: "seek", Err: err}
+	} else if err := s.seekWAL(); err != nil {
+		return err
 	}
 	if s.state.baseIndex == base {
 		return nil
@@ -198,6 +237,27 @@
 	return nil // the file still holds all entries
 }
 
+// truncateWAL drops what follows the intact records of the log file. It needs no space. The
+// sync makes sure that no torn record comes back before a later one after a crash.
+func (s *Storage) truncateWAL() error {
+	path := s.path(walFile)
+	if err := s.wal.Truncate(s.logBytes.Load()); err != nil {
+		return &IOError{File: path, Step: "truncate", Err: err}
+	}
+	if err := s.wal.Sync(); err != nil {
+		return &IOError{File: path, Step: "sync", Err: err}
+	}
+	return s.seekWAL()
+}
+
+// seekWAL sets the position of the next write after the intact records.
+func (s *Storage) seekWAL() error {
+	if _, err := s.wal.Seek(s.logBytes.Load(), io.SeekStart); err != nil {
+		return &IOError{File: s.path(walFile), Step: "seek", Err: err}
+	}
+	return nil
+}
+
 // Load implements port.LogStorage.
 func (s *Storage) Load() (*peerv1.RaftHardState, *peerv1.RaftSnapshot, []*peerv1.RaftEntry, error) {
 	s.mu.Lock()
@@ -219,21 +279,55 @@
 }
 
 func (s *Storage) append(hard *peerv1.RaftHardState, entries []*peerv1.RaftEntry) error {
+	if err := s.state.check(entries); err != nil {
+		return err
+	}
+	if s.walDiverges && len(entries) > 0 {
+		if err := s.rewriteWAL(); err != nil {
+			return err
+		}
+	}
 	payload, err := appendParts(s.payload[:0], hard, entries)
 	if err != nil {
 		return err
 	}
-	s.payload = payload
-	s.record = appendRecord(s.record[:0], payload)
-	if err := s.state.putAll(entries); err != nil {
+	record := appendRecord(s.record[:0], payload)
+	if cap(record) <= maxKeptBuffer {
+		s.payload, s.record = payload, record
+	}
+	if err := s.appendToWAL(record); err != nil {
 		return err
 	}
+	// The state has only what is synced, because it is written again on compaction.
 	if hard != nil {
 		s.state.hard = hard
 	}
-	return writeAndSync(s.wal, s.path(walFile), s.record)
+	return s.state.putAll(entries)
+}
+
+// appendToWAL writes a record to the log file and syncs it. If the write fails for lack of
+// space, the part that was written is dropped, and the error wraps port.ErrNotStored.
+func (s *Storage) appendToWAL(record []byte) error {
+	path := s.path(walFile)
+	if err := write(s.wal, path, record); err != nil {
+		if !isNoSpace(err) {
+			return err
+		}
+		if truncateErr := s.truncateWAL(); truncateErr != nil {
+			return errors.Join(truncateErr, err)
+		}
+		return notStored(err)
+	}
+	if err := s.wal.Sync(); err != nil {
+		return &IOError{File: path, Step: "sync", Err: err}
+	}
+	s.logBytes.Add(int64(len(record)))
+	return nil
 }
 
+// Size implements port.LogStorage.
+func (s *Storage) Size() (log, snapshot int64) { return s.logBytes.Load(), s.snapshotBytes.Load() }
+
 // SaveSnapshot implements port.LogStorage.
 func (s *Storage) SaveSnapshot(snapshot *peerv1.RaftSnapshot) error {
 	s.mu.Lock()
@@ -249,11 +343,15 @@
 	if err != nil {
 		return err
 	}
-	if err := s.replaceFile(snapshotFile, appendRecord(nil, payload)); err != nil {
+	record := appendRecord(nil, payload)
+	if err := s.replaceFile(snapshotFile, record); err != nil {
 		return err
 	}
+	s.snapshotBytes.Store(int64(len(record)))
 	s.snapshot = snapshot
-	s.state.compactTo(snapshot)
+	if !s.state.compactTo(snapshot) {
+		s.walDiverges = true
+	}
 	return s.rewriteWAL()
 }
 
@@ -270,18 +368,23 @@
 	// The replaced file is closed first, so that the next steps have a descriptor.
 	s.wal.Close()
 	s.wal = nil
-	if err := s.publish(walFile); err != nil {
-		return err
+	publishErr := s.publish(walFile)
+	if publishErr != nil && !errors.Is(publishErr, port.ErrNotStored) {
+		return publishErr
 	}
 	wal, err := s.files.Open(s.path(walFile))
 	if err != nil {
 		return &IOError{File: s.path(walFile), Step: "open", Err: err}
 	}
 	s.wal = wal
-	if _, err := s.wal.Seek(0, io.SeekEnd); err != nil {
-		return &IOError{File: s.path(walFile), Step: "seek", Err: err}
+	if publishErr == nil {
+		s.logBytes.Store(int64(len(data)))
+		s.walDiverges = false
 	}
-	return nil
+	if err := s.seekWAL(); err != nil {
+		return err
+	}
+	return publishErr
 }
 
 // replaceFile replaces a file of the folder atomically: it writes and syncs the
@@ -306,7 +409,12 @@
 		f.Close()
 		return notStored(&IOError{File: path, Step: "truncate", Err: err})
 	}
-	err = writeAndSync(f, path, data)
+	err = write(f, path, data)
+	if err == nil {
+		if syncErr := f.Sync(); syncErr != nil {
+			err = &IOError{File: path, Step: "sync", Err: syncErr}
+		}
+	}
 	if err != nil {
 		_ = f.Truncate(0) // a full disk needs the space
 	}
@@ -319,11 +427,13 @@
 	return nil
 }
 
-// publish gives a file that writeTemp has written its name, and syncs the folder.
+// publish gives a file that writeTemp has written its name, and syncs the folder. The error
+// wraps port.ErrNotStored if the folder has no space for the rename.
 func (s *Storage) publish(name string) error {
 	path := s.path(name)
 	if err := s.files.Rename(path+tempSuffix, path); err != nil {
-		return &IOError{File: path, Step: "rename", Err: err}
+		_ = s.emptyTemps() // a full disk needs the space
+		return markNoSpace(&IOError{File: path, Step: "rename", Err: err})
 	}
 	if err := s.files.SyncFolder(s.folder); err != nil {
 		return &IOError{File: s.folder, Step: "sync", Err: err}
@@ -334,7 +444,15 @@
 // notStored marks an error after which all that was stored is still there.
 func notStored(err error) error { return errors.Join(port.ErrNotStored, err) }
 
-func writeAndSync(f File, path string, data []byte) error {
+// markNoSpace marks an error with notStored if it is due to a full disk.
+func markNoSpace(err error) error {
+	if isNoSpace(err) {
+		return notStored(err)
+	}
+	return err
+}
+
+func write(f File, path string, data []byte) error {
 	n, err := f.Write(data)
 	if err == nil && n < len(data) {
 		err = io.ErrShortWrite
@@ -342,9 +460,6 @@
 	if err != nil {
 		return &IOError{File: path, Step: "write", Err: err}
 	}
-	if err := f.Sync(); err != nil {
-		return &IOError{File: path, Step: "sync", Err: err}
-	}
 	return nil
 }
 
--- a/internal/adapter/disk/wal.go
+++ b/internal/adapter/disk/wal.go
@@ -37,6 +37,18 @@
 
 func (l *logState) lastIndex() uint64 { return l.baseIndex + uint64(len(l.entries)) }
 
+// check returns an error if entries cannot be passed to putAll.
+func (l *logState) check(entries []*peerv1.RaftEntry) error {
+	last := l.lastIndex()
+	for _, e := range entries {
+		if e.Index <= l.baseIndex || e.Index > last+1 {
+			return fmt.Errorf("entry %d does not follow entries %d to %d", e.Index, l.baseIndex, last)
+		}
+		last = e.Index
+	}
+	return nil
+}
+
 // put adds an entry and drops those with the same or a higher index. It returns an
 // error if the entry does not follow the log without a gap.
 func (l *logState) put(e *peerv1.RaftEntry) error {
@@ -66,10 +78,10 @@
 // compactTo drops the entries that a snapshot replaces and makes the snapshot
 // the base of the log. Later entries are kept only if the entry at the
 // snapshot's index has the snapshot's term; otherwise the log diverges from the
-// committed history and all its entries are dropped.
-func (l *logState) compactTo(s *peerv1.RaftSnapshot) {
+// committed history and all its entries are dropped. It returns whether they were kept.
+func (l *logState) compactTo(s *peerv1.RaftSnapshot) (keep bool) {
 	index, term := s.GetIndex(), s.GetTerm()
-	keep := index == l.baseIndex && term == l.baseTerm
+	keep = index == l.baseIndex && term == l.baseTerm
 	if index > l.baseIndex && index <= l.lastIndex() {
 		keep = l.entries[index-l.baseIndex-1].Term == term
 	}
@@ -79,6 +91,7 @@
 		l.entries = nil
 	}
 	l.baseIndex, l.baseTerm = index, term
+	return keep
 }
 
 func (l *logState) copyEntries() []*peerv1.RaftEntry {
--- a/internal/port/interfaces.go
+++ b/internal/port/interfaces.go
@@ -43,9 +43,9 @@
 	Leader() (id, address string)
 }
 
-// ErrNotStored is wrapped by an error of LogStorage.SaveSnapshot that leaves the storage
-// usable, as when a temporary file cannot be opened or written. The call may be repeated.
-var ErrNotStored = errors.New("the snapshot was not stored")
+// ErrNotStored is wrapped by an error of LogStorage that leaves the storage usable, as when
+// the disk is full or a temporary file cannot be opened. The call may be repeated.
+var ErrNotStored = errors.New("the data was not stored")
 
 // LogStorage keeps a replica's log, hard state and last snapshot. A call that
 // returns an error other than ErrNotStored leaves the storage unusable: the replica must
@@ -55,11 +55,15 @@
 	// after the index of the snapshot.
 	Load() (*peerv1.RaftHardState, *peerv1.RaftSnapshot, []*peerv1.RaftEntry, error)
 	// Append stores the hard state, if it is not nil, and the entries, and syncs
-	// once. The entries replace all stored entries with the same or a higher index.
+	// once. The entries replace all stored entries with the same or a higher index. After
+	// ErrNotStored the storage is as it was before the call.
 	Append(hard *peerv1.RaftHardState, entries []*peerv1.RaftEntry) error
 	// SaveSnapshot stores a snapshot and drops the entries it covers. After ErrNotStored
 	// all that was stored before is still there.
 	SaveSnapshot(snapshot *peerv1.RaftSnapshot) error
+	// Size returns the bytes of the log, replaced entries included, and of the newest
+	// snapshot. It does not wait for other calls.
+	Size() (log, snapshot int64)
 	// Durable reports whether the storage survives the end of the process.
 	Durable() bool
 	Close() error
