raft: a Ready that cannot be stored can be tried again

Cause: the caller could only end the replica when it could not store a Ready, and the entries that are kept for lagging followers were bounded by their number alone: 2,000 configurations of 1.5 MB are 3 GB.

Change: Unstored takes back a Ready. The node drops the messages that depend on it, no longer leads or campaigns, and offers the same state again. TickUnstored forgets a silent leader meanwhile. RetainedBytes bounds the kept entries.

--- a/internal/raft/config.go
+++ b/internal/raft/config.go
@@ -62,6 +62,8 @@
 	// RetainedEntries is the number of entries before a snapshot that are kept in
 	// memory for followers that lag behind, so that they need no snapshot.
 	RetainedEntries uint64
+	// RetainedBytes bounds the size of these entries in bytes; 0 means no bound.
+	RetainedBytes int64
 	// Seed is the seed of the random election timeouts.
 	Seed uint64
 	// Now is the current monotonic time.
--- a/internal/raft/log.go
+++ b/internal/raft/log.go
@@ -121,9 +121,12 @@
 }
 
 // compact records a new snapshot and drops the entries before it, except for the
-// last retained ones.
-func (l *entryLog) compact(s *peerv1.RaftSnapshot, retained uint64) {
+// last retained ones, of at most maxBytes unless that is 0.
+func (l *entryLog) compact(s *peerv1.RaftSnapshot, retained uint64, maxBytes int64) {
 	l.snapshot = s
+	if maxBytes > 0 {
+		retained = min(retained, l.countBack(s.Index, maxBytes))
+	}
 	if s.Index <= l.prevIndex+retained {
 		return
 	}
@@ -133,6 +136,19 @@
 	l.prevIndex, l.prevTerm = prev, term
 }
 
+// countBack returns how many of the entries up to index fit into maxBytes, counted from the
+// last one.
+func (l *entryLog) countBack(index uint64, maxBytes int64) uint64 {
+	count := uint64(0)
+	for i := index; i > l.prevIndex; i-- {
+		if maxBytes -= int64(len(l.entries[i-l.first()].Data)); maxBytes < 0 {
+			break
+		}
+		count++
+	}
+	return count
+}
+
 // cloneMembership returns a copy of the membership; an empty one for nil.
 func cloneMembership(m *peerv1.RaftMembership) *peerv1.RaftMembership {
 	if m == nil {
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -20,6 +20,7 @@
 	now             time.Duration
 	log             *entryLog
 	retainedEntries uint64
+	retainedBytes   int64
 	// memberships holds the membership of the snapshot, followed by those of the
 	// later entries of the log.
 	memberships []membershipAt
@@ -60,6 +61,7 @@
 		now:             c.Now,
 		log:             newEntryLog(c.Snapshot, c.Entries),
 		retainedEntries: c.RetainedEntries,
+		retainedBytes:   c.RetainedBytes,
 		rng:             rand.New(rand.NewPCG(c.Seed, 0x6c67)),
 		storedHardState: c.HardState,
 	}
@@ -168,7 +170,7 @@
 }
 
 // Ready returns what the caller must store, send and apply; see type Ready. The caller
-// must call Advance when it has done so. Until then it may call only StepHeartbeat,
+// must call Advance when it has done so, or Unstored if it could not store it. Until then it may call only StepHeartbeat,
 // UrgentMessages and, on a leader, Tick.
 func (n *Node) Ready() Ready {
 	if n.role == Leader {
@@ -246,6 +248,35 @@
 	}
 }
 
+// Unstored must be called instead of Advance if the caller could not store the last Ready and
+// has carried out none of what follows; the storage holds no other entries than before. The
+// next Ready has the same state to store. The messages are dropped, because they tell of state
+// that is not stored; Raft tolerates that. A leader or candidate becomes a follower: it cannot
+// count itself towards a commit or its own vote, and others may have a disk that has space.
+//
+// Until the state is stored, the caller calls StepHeartbeat, UrgentMessages and TickUnstored,
+// but neither Tick, which may campaign, nor Step.
+func (n *Node) Unstored() {
+	r := n.currentReady
+	n.currentReady = Ready{}
+	n.receivedSnapshot = r.Snapshot
+	n.immediateMessages, n.messages = nil, nil
+	if n.role != Follower {
+		n.becomeFollower(n.term, "")
+	}
+}
+
+// TickUnstored handles the passing of one tick interval while the last Ready is not stored. The
+// node does not campaign, but forgets a silent leader.
+func (n *Node) TickUnstored(now time.Duration) {
+	n.setNow(now)
+	n.ticksElapsed++
+	if n.ticksElapsed >= n.electionTimeoutTicks {
+		n.leader = ""
+		n.resetElectionTimeout()
+	}
+}
+
 // Applied confirms that the state machine has applied the log up to index, from the
 // snapshots and entries of handled Readys. It may be called with a lower index than
 // before, which has no effect.
@@ -277,9 +308,9 @@
 }
 
 // Compact drops the entries that a stored snapshot covers, except for the last
-// Config.RetainedEntries.
+// Config.RetainedEntries and RetainedBytes.
 func (n *Node) Compact(s *peerv1.RaftSnapshot) {
-	n.log.compact(s, n.retainedEntries)
+	n.log.compact(s, n.retainedEntries, n.retainedBytes)
 	n.compactMemberships(s.Index)
 }
 
--- a/internal/raft/node_test.go
+++ b/internal/raft/node_test.go
@@ -28,11 +28,11 @@
 }
 
 // TestInvariantsUnderRandomFaults runs three or five replicas, with and without
-// disks, through random faults. It guards against two leaders in a term, differing
+// disks, through random faults, full disks among them. It guards against two leaders in a term, differing
 // logs, loss of committed entries, two valid leases at the same time and a lease
 // holder that lacks a commit.
 func TestInvariantsUnderRandomFaults(t *testing.T) {
-	var elections, transfers, replaced, commands, committed int
+	var elections, transfers, replaced, commands, committed, unstored int
 	rapid.Check(t, func(t *rapid.T) {
 		voters := rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "voters")
 		c := newSimCluster(t, voters, rapid.IntRange(0, 3).Draw(t, "diskless"))
@@ -41,13 +41,14 @@
 		c.healAndCheckLiveness()
 		elections += c.elections
 		transfers += c.transfers
+		unstored += c.unstored
 		replaced += c.membershipChanges
 		commands += c.commands
 		committed += len(c.committed)
 	})
-	t.Logf("%d elections, %d transfers, %d membership changes, %d commands, %d entries committed",
-		elections, transfers, replaced, commands, committed)
-	if elections < 100 || transfers == 0 || replaced == 0 || committed < 1000 {
+	t.Logf("%d elections, %d transfers, %d membership changes, %d commands, %d entries committed, %d Readys not stored",
+		elections, transfers, replaced, commands, committed, unstored)
+	if elections < 100 || transfers == 0 || replaced == 0 || committed < 1000 || unstored < 100 {
 		t.Error("the histories exercise too little")
 	}
 }
@@ -80,6 +81,9 @@
 		"pause": func(t *rapid.T) {
 			anyNode(t).pausedUntil = c.now + time.Duration(rapid.IntRange(50, 1500).Draw(t, "ms"))*time.Millisecond
 		},
+		"full": func(t *rapid.T) {
+			anyNode(t).fullUntil = c.now + time.Duration(rapid.IntRange(50, 3000).Draw(t, "ms"))*time.Millisecond
+		},
 		"crash": func(t *rapid.T) {
 			s := anyNode(t)
 			if !s.up || !s.disk && !c.mayLoseState(s.id) {
@@ -182,7 +186,7 @@
 	c.lossRate, c.maxDelay, c.maxApply = 0, 5*time.Millisecond, 0
 	for _, id := range c.ids() {
 		s := c.nodes[id]
-		s.pausedUntil = 0
+		s.pausedUntil, s.fullUntil = 0, 0
 		if !s.up {
 			c.boot(s, c.initial)
 		}
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -21,9 +21,12 @@
 	up          bool
 	pausedUntil time.Duration
 	crashAt     crashPoint
-	rate        float64 // of its clock, relative to true time
-	offset      time.Duration
-	nextTick    time.Duration // local time
+	// Until fullUntil nothing can be stored; unstored is set until the next try after it.
+	fullUntil time.Duration
+	unstored  bool
+	rate      float64 // of its clock, relative to true time
+	offset    time.Duration
+	nextTick  time.Duration // local time
 	// hard, snapshot and entries are the stored state.
 	hard     *peerv1.RaftHardState
 	snapshot *peerv1.RaftSnapshot
@@ -91,6 +94,7 @@
 	commands          int // number of proposed commands
 	elections         int
 	transfers         int
+	unstored          int // number of Readys that could not be stored
 	membershipChanges int
 }
 
@@ -124,6 +128,7 @@
 func (c *simCluster) boot(s *simNode, m *peerv1.RaftMembership) {
 	c.load(s, m)
 	s.up, s.crashAt, s.commit = true, crashNever, 0
+	s.unstored = false
 	s.applied = s.snapshot.GetIndex()
 	s.handedOut, s.confirmed = s.applied, s.applied
 	s.applying, s.encoded = nil, nil
@@ -178,8 +183,7 @@
 			c.runStateMachine(s)
 			if s.up && c.local(s) >= s.nextTick {
 				s.nextTick = c.local(s) + TickInterval
-				s.node.Tick(c.local(s))
-				c.handleReady(s)
+				c.tick(s)
 			}
 		}
 		c.checkLeases()
@@ -210,7 +214,25 @@
 	return [2]string{min(a, b), max(a, b)}
 }
 
+// tick passes a tick to a node. A node that could not store a Ready tries again.
+func (c *simCluster) tick(s *simNode) {
+	if s.unstored {
+		s.node.TickUnstored(c.local(s))
+	} else {
+		s.node.Tick(c.local(s))
+	}
+	c.handleReady(s)
+}
+
 func (c *simCluster) step(s *simNode, m *peerv1.RaftMessage) {
+	if s.up && s.unstored {
+		if m.Type == peerv1.RaftMessage_HEARTBEAT {
+			s.node.StepHeartbeat(c.local(s), m)
+		}
+		c.transmit(s.node.UrgentMessages())
+		c.checkNode(s)
+		return
+	}
 	if s.up {
 		s.node.Step(c.local(s), m)
 		c.handleReady(s)
@@ -232,6 +254,14 @@
 			c.crash(s)
 			return
 		}
+		if c.now < s.fullUntil && (r.HardState != nil || r.Snapshot != nil) {
+			s.node.Unstored()
+			s.unstored = true
+			c.unstored++
+			c.checkNode(s)
+			return
+		}
+		s.unstored = false
 		c.store(s, r)
 		if s.crashAt == crashAfterStore && r.HardState != nil {
 			c.crash(s)
