--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -254,9 +254,12 @@
 // that is not stored; Raft tolerates that. A leader or candidate becomes a follower: it cannot
 // count itself towards a commit or its own vote, and others may have a disk that has space.
 //
+// The result is the committed entries that are stored and were not handed out. The caller passes
+// them to the state machine: a snapshot that covers them may make space.
+//
 // Until the state is stored, the caller calls StepHeartbeat, UrgentMessages and TickUnstored,
 // but neither Tick, which may campaign, nor Step.
-func (n *Node) Unstored() {
+func (n *Node) Unstored() []*peerv1.RaftEntry {
 	r := n.currentReady
 	n.currentReady = Ready{}
 	n.receivedSnapshot = r.Snapshot
@@ -264,6 +267,12 @@
 	if n.role != Follower {
 		n.becomeFollower(n.term, "")
 	}
+	if n.receivedSnapshot != nil {
+		return nil // the state machine has to restore it first
+	}
+	committed := n.log.slice(n.log.handedOut+1, min(n.log.commit, n.log.stable), maxInt)
+	n.log.handedOut += uint64(len(committed))
+	return committed
 }
 
 // TickUnstored handles the passing of one tick interval while the last Ready is not stored. The
--- a/internal/raft/node_test.go
+++ b/internal/raft/node_test.go
@@ -298,3 +298,59 @@
 	assert.Assert(t, r.HardState == nil)
 	assert.Equal(t, len(r.ImmediateMessages), 1)
 }
+
+// Guards against a vote or an acknowledgement of entries that leaves the node although it could
+// not be stored, and against state that is not offered again.
+func TestUnstoredStateIsOfferedAgain(t *testing.T) {
+	n := New(Config{ID: "a.1", Membership: votersOf("a.1", "b.1", "c.1")})
+	n.Step(0, &peerv1.RaftMessage{Type: peerv1.RaftMessage_VOTE, From: "b.1", To: "a.1", Term: 3, Generation: 1})
+	assert.Equal(t, len(n.Ready().Messages), 1)
+	n.Unstored()
+	r := n.Ready()
+	assert.Equal(t, len(r.Messages)+len(r.ImmediateMessages), 0)
+	assert.Equal(t, r.HardState.Vote, "b.1")
+	n.Advance()
+
+	entries := message(peerv1.RaftMessage_APPEND, 3)
+	entries.Entries = []*peerv1.RaftEntry{{Index: 1, Term: 3}, {Index: 2, Term: 3}}
+	entries.Commit = 1
+	n.Step(0, entries)
+	assert.Equal(t, len(n.Ready().Messages), 1)
+	assert.Equal(t, len(n.Unstored()), 0, "handed out entries that are not stored")
+	r = n.Ready()
+	assert.Equal(t, len(r.Messages), 0)
+	assert.Equal(t, len(r.Entries), 2)
+	assert.Equal(t, len(r.CommittedEntries), 1)
+}
+
+// Guards against a leader that counts itself towards a commit of entries that it could not
+// store, and one that goes on leading or campaigns.
+func TestLeaderThatCannotStoreFollows(t *testing.T) {
+	n := New(Config{ID: "a.1", Membership: votersOf("a.1")})
+	for i := 1; n.Status().Role != Leader; i++ {
+		n.Tick(time.Duration(i) * TickInterval)
+	}
+	for i := range 5 * electionTicksMax {
+		if r := n.Ready(); i%10 == 0 && r.HardState == nil {
+			t.Fatal("the state is not offered again")
+		}
+		n.Unstored()
+		n.TickUnstored(time.Minute + time.Duration(i)*TickInterval)
+		assert.Equal(t, n.Status().Role, Follower)
+		assert.Equal(t, n.Status().CommitIndex, uint64(0))
+	}
+}
+
+// Guards against entries that are kept for lagging followers by their number alone and do not
+// fit in the memory.
+func TestRetainedEntriesAreBoundedByBytes(t *testing.T) {
+	for bytes, kept := range map[int64]uint64{0: 5, 350: 3, 1000: 5, 99: 0} {
+		l := newEntryLog(nil, nil)
+		for i := range uint64(8) {
+			l.entries = append(l.entries, &peerv1.RaftEntry{Index: i + 1, Term: 1, Data: make([]byte, 100)})
+		}
+		l.compact(&peerv1.RaftSnapshot{Index: 7, Term: 1}, 5, bytes)
+		assert.Equal(t, l.prevIndex, 7-kept, "%d bytes", bytes)
+		assert.Equal(t, l.last(), uint64(8))
+	}
+}
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -255,7 +255,7 @@
 			return
 		}
 		if c.now < s.fullUntil && (r.HardState != nil || r.Snapshot != nil) {
-			s.node.Unstored()
+			c.handOut(s, Ready{CommittedEntries: s.node.Unstored()})
 			s.unstored = true
 			c.unstored++
 			c.checkNode(s)
