--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -14,9 +14,8 @@
 	// behind before no more are accepted. Entries that are not applied cannot be compacted.
 	maxUnappliedEntries = 16_384
 	// snapshotRetryDelay is the delay after a snapshot that could not be stored until the
-	// next one is encoded, and receivedRetryDelay that until a received one is stored again.
+	// next one is encoded.
 	snapshotRetryDelay = time.Second
-	receivedRetryDelay = 100 * time.Millisecond
 )
 
 // applier calls the state machine on a goroutine of its own, because a call may take
@@ -180,7 +179,9 @@
 	}
 	err := r.write(func() error { return r.cfg.Storage.SaveSnapshot(s) })
 	if errors.Is(err, port.ErrNotStored) {
-		r.log.Warn("snapshot not stored, tried again later", "index", s.Index, "err", err)
+		if !r.full { // else it is known that the disk is full
+			r.log.Warn("snapshot not stored, tried again later", "index", s.Index, "err", err)
+		}
 		r.snapshotRetryAt = r.cfg.Clock.Now() + snapshotRetryDelay
 		return nil
 	}
@@ -188,7 +189,8 @@
 		return port.AtStep("store snapshot", "", err)
 	}
 	r.node.Compact(s)
-	r.snapshotIndex = s.Index
+	r.recordSnapshot(s.Index)
+	r.storeRetryAt = 0 // compaction may have made space
 	return nil
 }
 
@@ -218,32 +220,36 @@
 	r.applier.enqueue(t)
 }
 
-// storeReceived stores a snapshot of another replica. Without it the replica cannot go on,
-// so it tries until it succeeds or the replica is stopped.
-func (r *Replica) storeReceived(s *peerv1.RaftSnapshot) error {
-	for {
-		err := r.cfg.Storage.SaveSnapshot(s)
-		if !errors.Is(err, port.ErrNotStored) {
-			return err
-		}
-		r.log.Warn("received snapshot not stored, tried again", "index", s.Index, "err", err)
-		select {
-		case <-r.stopRequested:
-			return err
-		case <-time.After(receivedRetryDelay):
-		}
-	}
+// recordSnapshot records that a snapshot was stored and the log was compacted.
+func (r *Replica) recordSnapshot(index uint64) {
+	r.snapshotIndex = index
+	r.compactedBytes, _ = r.cfg.Storage.Size()
 }
 
-// maybeRequestSnapshot requests a snapshot if Config.SnapshotThreshold entries were
-// applied since the last one, and not shortly after one that could not be stored.
+// maybeRequestSnapshot requests a snapshot if one is due, and not shortly after one that could
+// not be stored.
 func (r *Replica) maybeRequestSnapshot() {
-	if r.cfg.Clock.Now() < r.snapshotRetryAt {
-		return
-	}
-	if r.encoding || r.node.Status().AppliedIndex < r.snapshotIndex+r.cfg.SnapshotThreshold {
+	if r.encoding || r.cfg.Clock.Now() < r.snapshotRetryAt || !r.snapshotDue() {
 		return
 	}
 	r.encoding = true
 	r.applier.enqueue(applyTask{encode: true})
 }
+
+// snapshotDue reports whether Config.SnapshotThreshold entries were applied since the last
+// snapshot, or the log has grown by Config.MaxLogBytes since it was compacted, or the disk is
+// full and compaction may make space.
+//
+// The log must also have grown by the size of the last snapshot, so that a state larger than
+// MaxLogBytes is not written for each entry. With M for MaxLogBytes, S for the size of a
+// snapshot and F for what is appended while one is taken, the log has at most max(M, S) + 2F
+// bytes. Beside it there are a snapshot and either its replacement, S, or that of the log, F.
+func (r *Replica) snapshotDue() bool {
+	applied := r.node.Status().AppliedIndex
+	if applied >= r.snapshotIndex+r.cfg.SnapshotThreshold {
+		return true
+	}
+	log, snapshot := r.cfg.Storage.Size()
+	grown := log-r.compactedBytes >= max(r.cfg.MaxLogBytes, snapshot)
+	return applied > r.snapshotIndex && (grown || r.full)
+}
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -14,6 +14,11 @@
 const (
 	// defaultSnapshotThreshold is in entries.
 	defaultSnapshotThreshold = 10_000
+	// defaultMaxLogBytes is an eighth of the smallest disk of a control process, 128 MB. The
+	// log, a snapshot and the replacement of one of them stay under half of it.
+	defaultMaxLogBytes = 16 << 20
+	// storeRetryDelay is the delay after state that could not be stored until the next try.
+	storeRetryDelay = time.Second
 	// maxQueuedProposals and maxQueuedMessages limit the queue for the next turn. A
 	// turn takes the whole queue.
 	maxQueuedProposals = 16_384
@@ -26,9 +31,9 @@
 // ErrStopped is returned by calls on a replica that has stopped.
 var ErrStopped = errors.New("the replica is stopped")
 
-// ErrOverloaded means that the proposal queue is full or that the state machine lags too
-// far behind. The command was not proposed.
-var ErrOverloaded = errors.New("too many commands are queued or not yet applied")
+// ErrOverloaded means that the proposal queue is full, that the state machine lags too
+// far behind or that the log cannot be extended. The command was not proposed.
+var ErrOverloaded = errors.New("too many commands are queued or not yet applied, or the disk is full")
 
 // ErrTransferFailed means that the transfer of leadership has ended and this replica
 // still leads.
@@ -76,6 +81,10 @@
 	// 10,000 if 0. Half as many entries are kept in memory for followers that lag
 	// behind.
 	SnapshotThreshold uint64
+	// MaxLogBytes is the growth of the stored log after which a snapshot is taken, 16 MiB
+	// if 0. If the last snapshot is larger, its size counts instead. Half as many bytes are
+	// kept in memory for followers that lag behind.
+	MaxLogBytes int64
 	// BatchDelay is the time for which a proposal waits for further ones to be
 	// committed in the same batch; 0 means that it does not wait.
 	BatchDelay time.Duration
@@ -93,6 +102,9 @@
 	if c.SnapshotThreshold == 0 {
 		c.SnapshotThreshold = defaultSnapshotThreshold
 	}
+	if c.MaxLogBytes == 0 {
+		c.MaxLogBytes = defaultMaxLogBytes
+	}
 	if c.Logger == nil {
 		c.Logger = slog.New(slog.DiscardHandler)
 	}
@@ -115,4 +127,8 @@
 	// Match holds, by member id, the highest index known to be stored at the
 	// member; nil unless the replica leads.
 	Match map[string]uint64
+	// Full is set while the replica cannot store its state, as on a full disk.
+	Full bool
+	// LogBytes is the size of the stored log.
+	LogBytes int64
 }
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -125,7 +125,7 @@
 		if !p.claimed.CompareAndSwap(false, true) {
 			continue
 		}
-		if unapplied+uint64(len(batch)) >= maxUnappliedEntries {
+		if r.full || unapplied+uint64(len(batch)) >= maxUnappliedEntries {
 			p.finish(nil, ErrOverloaded)
 			continue
 		}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -34,9 +35,17 @@
 	// snapshotRetryAt is the earliest time of the next snapshot after one that could not
 	// be stored.
 	snapshotRetryAt time.Duration
-	waiters         map[uint64]*proposal // proposals in the log that are not handed out, by index
-	role            raft.Role            // as last seen by recordRole
-	ticks           <-chan time.Time
+	// compactedBytes is the size of the stored log after its last compaction, 0 since the
+	// start of the replica.
+	compactedBytes int64
+	// full is set while the state of the core cannot be stored, fullSince is since when, and
+	// storeRetryAt when it is tried again.
+	full         bool
+	fullSince    time.Duration
+	storeRetryAt time.Duration
+	waiters      map[uint64]*proposal // proposals in the log that are not handed out, by index
+	role         raft.Role            // as last seen by recordRole
+	ticks        <-chan time.Time
 }
 
 // queue holds the input for the next turn.
@@ -54,6 +63,8 @@
 	leaderSince time.Duration
 	hasLease    bool
 	unapplied   uint64 // see Replica.unapplied
+	full        bool
+	logBytes    int64
 }
 
 var _ port.ReplicatedLog = (*Replica)(nil)
@@ -93,7 +104,7 @@
 		waiters:       map[uint64]*proposal{},
 		node: raft.New(raft.Config{
 			ID: c.ID, Membership: c.Membership, HardState: hard, Snapshot: snapshot, Entries: entries,
-			RetainedEntries: c.SnapshotThreshold / 2, Seed: seed, Now: c.Clock.Now(),
+			RetainedEntries: c.SnapshotThreshold / 2, RetainedBytes: c.MaxLogBytes / 2, Seed: seed, Now: c.Clock.Now(),
 		}),
 	}
 	r.publish()
@@ -199,23 +210,19 @@
 		return q.applied.err
 	}
 	r.node.Applied(q.applied.index)
-	if tick {
-		r.node.Tick(now)
-	}
-	lagging := r.view.Load().unapplied >= maxUnappliedEntries
-	for _, m := range q.messages {
-		// The leader sends lost appends again, and heartbeats are still answered.
-		if lagging && m.Type == peerv1.RaftMessage_APPEND {
-			continue
-		}
-		r.node.Step(now, m)
+	if r.full {
+		r.stepWhileFull(now, tick, q.messages)
+	} else {
+		r.step(now, tick, q.messages)
 	}
 	for _, call := range q.calls {
 		call()
 	}
 	r.proposeBatch(q.proposals)
-	if err := r.handleReadys(); err != nil {
-		return err
+	if !r.full || now >= r.storeRetryAt {
+		if err := r.handleReadys(); err != nil {
+			return err
+		}
 	}
 	if err := r.storeEncoded(q.applied); err != nil {
 		return err
@@ -224,6 +231,21 @@
 	return nil
 }
 
+// step passes a tick, if the flag is set, and the messages to the core.
+func (r *Replica) step(now time.Duration, tick bool, messages []*peerv1.RaftMessage) {
+	if tick {
+		r.node.Tick(now)
+	}
+	lagging := r.view.Load().unapplied >= maxUnappliedEntries
+	for _, m := range messages {
+		// The leader sends lost appends again, and heartbeats are still answered.
+		if lagging && m.Type == peerv1.RaftMessage_APPEND {
+			continue
+		}
+		r.node.Step(now, m)
+	}
+}
+
 // handleReadys handles Readys until the core has nothing left to do.
 func (r *Replica) handleReadys() error {
 	for {
@@ -235,9 +257,15 @@
 		if ready.Empty() {
 			return nil
 		}
-		if err := r.handleReady(&ready); err != nil {
+		err := r.handleReady(&ready)
+		if errors.Is(err, port.ErrNotStored) {
+			r.recordFull(err)
+			return nil
+		}
+		if err != nil {
 			return err
 		}
+		r.recordSpace()
 		r.node.Advance()
 	}
 }
@@ -251,7 +279,7 @@
 	}
 	r.send(ready.Messages)
 	if ready.Snapshot != nil {
-		r.snapshotIndex = ready.Snapshot.Index
+		r.recordSnapshot(ready.Snapshot.Index)
 	}
 	r.handOut(ready.Snapshot, ready.CommittedEntries)
 	return nil
@@ -266,7 +294,7 @@
 				return port.AtStep("append to log", "", err)
 			}
 		}
-		if err := r.storeReceived(ready.Snapshot); err != nil {
+		if err := r.cfg.Storage.SaveSnapshot(ready.Snapshot); err != nil {
 			return port.AtStep("store snapshot", "", err)
 		}
 		hard = nil
@@ -288,6 +316,8 @@
 	v := &view{status: r.node.Status()}
 	v.leaseUntil, v.leaderSince, v.hasLease = r.node.Lease()
 	v.unapplied = r.unapplied(&v.status)
+	v.full = r.full
+	v.logBytes, _ = r.cfg.Storage.Size()
 	r.view.Store(v)
 }
 
@@ -351,11 +381,13 @@
 
 // Status returns a snapshot of the state of the replica and its group.
 func (r *Replica) Status() Status {
-	s := r.view.Load().status
+	v := r.view.Load()
+	s := v.status
 	return Status{
 		ID: s.ID, Role: s.Role, Term: s.Term, Generation: s.Generation, Leader: s.Leader,
 		CommitIndex: s.CommitIndex, AppliedIndex: s.AppliedIndex,
 		Voters: s.Membership.GetVoters(), Learners: s.Membership.GetLearners(), Match: s.Match,
+		Full: v.full, LogBytes: v.logBytes,
 	}
 }
 
