cellnode, config: bound of the log, start on a full disk, gauges

Cause: the bound of the log was fixed, a process that started on a full disk with an empty data folder ended and was started over and over, and an operator saw a full disk only in the log.

Change: setting [disk] max_log of lg-cell (1MiB to 1GiB, default 16MiB). lg-cell and lg-control wait for space when they create a data folder or start a replica, and report disk_full and log_bytes (lg-control by group).

--- a/cmd/lg-cell/main.go
+++ b/cmd/lg-cell/main.go
@@ -70,6 +70,8 @@
 	clock := port.NewBootClock()
 	pauses := pause.New(clock)
 	go pauses.Run(nodeCtx)
+	// A signal ends the start, which waits while the disk is full.
+	stopAfterFunc := context.AfterFunc(ctx, stopNode)
 	node, err := cellnode.Start(nodeCtx, cellnode.Config{
 		Name:          c.Process.Name,
 		DataCentre:    c.Process.DataCentre,
@@ -78,6 +80,7 @@
 		PublicAddress: c.PublicAddress.String(),
 		Seeds:         c.Seeds,
 		Folder:        c.DataFolder,
+		MaxLogBytes:   c.MaxLogBytes,
 		Bootstrap:     c.Bootstrap,
 		Clock:         clock,
 		Workers:       platform.NewWorkers(descriptors.Part("workers", shareForWorkers)),
@@ -95,6 +98,7 @@
 		Logger: logger,
 		Scope:  telemetry.Scope,
 	})
+	stopAfterFunc()
 	if err != nil {
 		return err
 	}
--- a/cmd/lg-control/node.go
+++ b/cmd/lg-control/node.go
@@ -58,6 +58,7 @@
 		Client:    p.Client,
 		Clock:     p.Clock,
 		Logger:    p.Logger,
+		Scope:     p.Scope,
 	})}
 	incarnation := time.Now().UnixNano()
 	serverConfig := control.Config{
--- a/internal/adapter/disk/full_test.go
+++ b/internal/adapter/disk/full_test.go
@@ -1,14 +1,18 @@
 package disk
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"runtime"
 	"syscall"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -297,3 +301,34 @@
 	allocated := after.TotalAlloc - before.TotalAlloc
 	assert.Assert(t, allocated < (count+8)*entryBytes, "%d bytes allocated for entries of %d", allocated, count*entryBytes)
 }
+
+// Guards against a process that ends when it starts on a full disk, and against one that waits
+// for space although something else is wrong or it is to end.
+func TestStartWaitsForSpaceOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fs := &faultFS{name: walFile + tempSuffix, step: "write", err: syscall.ENOSPC}
+		folder := t.TempDir()
+		create := func() error {
+			s, err := Create(fs, folder, "g", "a.1")
+			if err == nil {
+				err = s.Close()
+			}
+			return err
+		}
+		logger := slog.New(slog.DiscardHandler)
+		began := time.Now()
+		time.AfterFunc(5*time.Second, func() { fs.step = "" })
+		assert.NilError(t, RetryWhileFull(t.Context(), logger, create))
+		assert.Assert(t, time.Since(began) >= 5*time.Second && time.Since(began) <= 6*time.Second)
+
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		fs.step = "write"
+		assert.ErrorIs(t, RetryWhileFull(ctx, logger, create), syscall.ENOSPC)
+
+		fs.err = syscall.EACCES
+		began = time.Now()
+		assert.ErrorIs(t, RetryWhileFull(t.Context(), logger, create), syscall.EACCES)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+	})
+}
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -31,8 +31,8 @@
 const (
 	group = "cell"
 	// snapshotThreshold is the number of log entries after which a snapshot is taken. It
-	// bounds the log on a disk of 128 MB: entries have at most a few kilobytes, apart
-	// from configurations of up to some hundred.
+	// bounds the time in which the log is applied at the start; Config.MaxLogBytes bounds the
+	// disk, since entries have a few kilobytes and configurations up to 1.5 MB.
 	snapshotThreshold = 4000
 	// batchDelay is the time in which proposals are collected for one round to the
 	// followers. Each round has a fixed cost in bytes between data centres; a commit
@@ -56,6 +56,8 @@
 	Seeds []string
 	// Folder is the data folder.
 	Folder string
+	// MaxLogBytes is replica.Config.MaxLogBytes.
+	MaxLogBytes int64
 	// Bootstrap allows a process with an empty data folder to bootstrap the group, if its own
 	// address is a seed.
 	Bootstrap bool
@@ -96,8 +98,8 @@
 	storage       *timedStorage
 }
 
-// Start opens or creates the replica and starts the node. Its background work ends with
-// the context; the replica runs until Stop.
+// Start opens or creates the replica and starts the node. It waits while the disk is full. Its
+// background work ends with the context; the replica runs until Stop.
 func Start(ctx context.Context, c Config) (*Node, error) {
 	n := &Node{config: c, raft: peer.NewRaftServer(), client: cellapi.NewClient(c.Seeds, c.Peers, c.Logger)}
 	n.announcements.byName = map[string]membership.Candidate{}
@@ -107,7 +109,7 @@
 			n.leader.Applied(command)
 		}
 	})
-	opened, id, initial, err := n.openStorage()
+	opened, id, initial, err := n.openStorage(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -135,7 +137,7 @@
 		Logger: c.Logger,
 		Scope:  c.Scope,
 	})
-	n.replica, err = replica.Start(replica.Config{
+	rc := replica.Config{
 		Group:             group,
 		ID:                id,
 		Address:           c.PeerAddress,
@@ -146,8 +148,14 @@
 		Clock:             c.Clock,
 		Logger:            c.Logger,
 		SnapshotThreshold: snapshotThreshold,
+		MaxLogBytes:       c.MaxLogBytes,
+		Scope:             c.Scope,
 		BatchDelay:        batchDelay,
 		Supersedes:        supersedes,
+	}
+	err = disk.RetryWhileFull(ctx, c.Logger, func() (err error) {
+		n.replica, err = replica.Start(rc)
+		return err
 	})
 	if err != nil {
 		return nil, err
@@ -174,7 +182,7 @@
 // derives the same membership without communication. The id of a bootstrapping replica
 // ends in #0 and is used only once: a process that lost its disk gets another id and
 // joins the group.
-func (n *Node) openStorage() (port.LogStorage, string, *peerv1.RaftMembership, error) {
+func (n *Node) openStorage(ctx context.Context) (port.LogStorage, string, *peerv1.RaftMembership, error) {
 	folder := filepath.Join(n.config.Folder, group)
 	bootstrapID := n.config.PeerAddress + "#0"
 	s, err := disk.Open(disk.OS{}, folder, group)
@@ -190,7 +198,11 @@
 	if n.config.Bootstrap && slices.Contains(n.config.Seeds, n.config.PeerAddress) {
 		id, initial = bootstrapID, n.initialMembership()
 	}
-	created, err := disk.Create(disk.OS{}, folder, group, id)
+	var created *disk.Storage
+	err = disk.RetryWhileFull(ctx, n.config.Logger, func() (err error) {
+		created, err = disk.Create(disk.OS{}, folder, group, id)
+		return err
+	})
 	return created, id, initial, port.AtStep("create data folder", "", err)
 }
 
--- a/internal/config/cell.go
+++ b/internal/config/cell.go
@@ -28,6 +28,12 @@
 	defaultReservedDescriptors = 200
 	minMemoryBytes             = 16 << 20
 	maxMemoryBytes             = 1 << 40
+	// minMaxLogBytes leaves room for some hundred entries of a few kilobytes. maxMaxLogBytes
+	// is the size up to which a log is rewritten as one record. defaultMaxLogBytes is an
+	// eighth of the smallest disk, 128 MB.
+	minMaxLogBytes     = 1 << 20
+	maxMaxLogBytes     = 1 << 30
+	defaultMaxLogBytes = 16 << 20
 )
 
 // CellCommon holds the settings that lg-cell and lg-gateway have in common.
@@ -69,6 +75,9 @@
 	PublicAddress netip.AddrPort
 	// DataFolder holds the replicated state.
 	DataFolder string
+	// MaxLogBytes is the growth of the log in the data folder after which it is replaced by a
+	// snapshot.
+	MaxLogBytes int64
 	// Bootstrap is set only for the first start of the whole cell.
 	Bootstrap bool
 	// MaxLease is the longest lease that a worker may be given.
@@ -170,6 +179,7 @@
 		CellCommon:        readCommon(r),
 		PublicAddress:     required(r, "listen", "public", addressKind()),
 		DataFolder:        required(r, "disk", "folder", folderKind),
+		MaxLogBytes:       optional(r, "disk", "max_log", memoryKind(minMaxLogBytes, maxMaxLogBytes), defaultMaxLogBytes),
 		Bootstrap:         optional(r, "cell", "bootstrap", yesNoKind, false),
 		MaxLease:          optional(r, "cell", "max_lease", durationKind(time.Second, maxLease), defaultMaxLease),
 		EndedJobRetention: optional(r, "cell", "keep_ended", durationKind(time.Second, maxEndedJobRetention), defaultEndedJobRetention),
@@ -241,6 +251,7 @@
 	p.key("peer", c.PeerAddress)
 	p.section("disk")
 	p.key("folder", c.DataFolder)
+	p.key("max_log", FormatBytes(c.MaxLogBytes))
 	p.cellLimits(&c.CellCommon)
 	return p.String()
 }
--- a/internal/config/cell_test.go
+++ b/internal/config/cell_test.go
@@ -42,6 +42,11 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, c.Seeds, []string{"10.1.0.20:7420", "10.2.0.18:7420", "10.3.0.38:7420"})
 	assert.Assert(t, c.Bootstrap && c.MaxLease == 6*time.Second && c.EndedJobRetention == 2*time.Minute && c.RemoteFactor == 3)
+	assert.Equal(t, c.MaxLogBytes, int64(16<<20))
+	small, err := ParseCell("f", []byte(strings.Replace(cellSettings, "[disk]\n", "[disk]\nmax_log = 2MiB\n", 1)))
+	assert.NilError(t, err)
+	assert.Equal(t, small.MaxLogBytes, int64(2<<20))
+	assert.Assert(t, strings.Contains(small.String(), "max_log = 2MiB"))
 	assert.Assert(t, c.ToleratedVMs == 2 && c.ToleratedDataCentres == 1)
 	assert.Assert(t, c.Descriptors == 4096 && c.ReservedDescriptors == 200 && c.MemoryBytes == 336<<20)
 	again, err := ParseCell("f", []byte(c.String()))
@@ -53,7 +58,7 @@
 func TestParseCellFaults(t *testing.T) {
 	for _, change := range [][2]string{
 		{"seeds = ", "seeds = host:1,"}, {"bootstrap = yes", "bootstrap = perhaps"}, {"folder = /data", "folder = data"},
-		{"max_lease = 6000ms", "max_lease = 6000"}, {"[disk]", "[disc]"}, {"peer = 10.1.0.20:7420", "peer = 10.1.0.20:0"}, {"advice = ", "advise = "},
+		{"max_lease = 6000ms", "max_lease = 6000"}, {"[disk]", "[disc]"}, {"[disk]", "[disk]\nmax_log = 2"}, {"[disk]", "[disk]\nmax_log = 1023KiB"}, {"[disk]", "[disk]\nmax_log = 2GiB"}, {"peer = 10.1.0.20:7420", "peer = 10.1.0.20:0"}, {"advice = ", "advise = "},
 		{"descriptors = 4096", "descriptors = 200"}, {"descriptors = 4096", "descriptors = -1"}, {"memory = 336MiB", "memory = 336"}, {"memory = 336MiB", "memory = 1MiB"}, {"descriptors = 4096", "reserved_descriptors = many"},
 		{"tolerated_vms = 2", "tolerated_vms = 9"}, {"tolerated_vms = 2", "tolerated_vms = -1"}, {"tolerated_vms = 2", "tolerated_vms = two"}, {"tolerated_vms = 2", "tolerated_data_centres = 9"},
 	} {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
 
 	"laburnumgrade/gen/peerv1"
 	"laburnumgrade/internal/adapter/disk"
@@ -43,6 +44,8 @@
 	Client    *http.Client
 	Clock     port.Clock
 	Logger    *slog.Logger
+	// Scope receives the gauges of the replicas with the tag group; nil for none.
+	Scope tally.Scope
 }
 
 // Host runs the replicas of one process.
@@ -93,7 +96,7 @@
 
 // Run starts the replica and returns when it has stopped. The replica continues from
 // its data folder if that holds state; otherwise it bootstraps the group or joins it,
-// see mayBootstrap. initialNames are the names of the processes that the settings list
+// see mayBootstrap. It waits while the disk is full. initialNames are the names of the processes that the settings list
 // for the group. Run returns nil when the context ends, and an error if the replica
 // cannot be started or fails.
 func (h *Host) Run(ctx context.Context, r *ReplicaHandle, initialNames []string, machine port.StateMachine) error {
@@ -106,7 +109,11 @@
 		if bootstrapping, err = h.mayBootstrap(ctx, r.group, initialNames); err != nil {
 			return nil
 		}
-		if storage, id, err = h.create(r.group, bootstrapping); err != nil {
+		err = disk.RetryWhileFull(ctx, h.cfg.Logger, func() (err error) {
+			storage, id, err = h.create(r.group, bootstrapping)
+			return err
+		})
+		if err != nil {
 			return err
 		}
 	}
@@ -114,10 +121,17 @@
 		Group: r.group, ID: id, Address: h.cfg.Address, Storage: storage, StateMachine: machine,
 		Transport: h.transport, Clock: h.cfg.Clock, Logger: h.cfg.Logger, Supersedes: supersedes,
 	}
+	if h.cfg.Scope != nil {
+		rc.Scope = h.cfg.Scope.Tagged(map[string]string{"group": r.group})
+	}
 	if bootstrapping {
 		rc.Membership = &peerv1.RaftMembership{Voters: []*peerv1.RaftReplica{{Id: id, Address: h.cfg.Address}}}
 	}
-	started, err := replica.Start(rc)
+	var started *replica.Replica
+	err = disk.RetryWhileFull(ctx, h.cfg.Logger, func() (err error) {
+		started, err = replica.Start(rc)
+		return err
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"laburnumgrade/gen/peerv1"
 	"laburnumgrade/internal/port"
 	"laburnumgrade/internal/raft"
@@ -85,6 +87,8 @@
 	// if 0. If the last snapshot is larger, its size counts instead. Half as many bytes are
 	// kept in memory for followers that lag behind.
 	MaxLogBytes int64
+	// Scope receives the gauges log_bytes and disk_full; nil for none.
+	Scope tally.Scope
 	// BatchDelay is the time for which a proposal waits for further ones to be
 	// committed in the same batch; 0 means that it does not wait.
 	BatchDelay time.Duration
@@ -105,6 +109,9 @@
 	if c.MaxLogBytes == 0 {
 		c.MaxLogBytes = defaultMaxLogBytes
 	}
+	if c.Scope == nil {
+		c.Scope = tally.NoopScope
+	}
 	if c.Logger == nil {
 		c.Logger = slog.New(slog.DiscardHandler)
 	}
--- a/internal/replica/doc.go
+++ b/internal/replica/doc.go
@@ -8,4 +8,7 @@
 // owns the state machine. Heartbeats are also sent and answered while the state is being
 // stored. A slow state machine or disk therefore delays no heartbeats. Other
 // goroutines read a view of the core that is published in each turn.
+//
+// While the disk is full, the replica neither leads nor campaigns, and tells others only what
+// it has stored; see file full.go.
 package replica
--- a/internal/replica/full_test.go
+++ b/internal/replica/full_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"laburnumgrade/gen/peerv1"
@@ -67,6 +68,16 @@
 	return n, err
 }
 
+// gauge returns the value of a gauge that a replica of the group has set.
+func gauge(scope tally.TestScope, name string) float64 {
+	for _, g := range scope.Snapshot().Gauges() {
+		if g.Name() == name {
+			return g.Value()
+		}
+	}
+	return -1
+}
+
 // newSmallCluster returns a cluster whose storages are on small file systems, by id.
 func newSmallCluster(t testing.TB, config func(*Config, *smallFS), ids ...string) (*cluster, map[string]*smallFS) {
 	folder, disks := t.TempDir(), map[string]*smallFS{}
@@ -247,11 +258,14 @@
 }
 
 // Guards against a command that is queued while the log cannot be extended and gets another
-// answer than that it was not proposed, and against a replica that never tries again.
+// answer than that it was not proposed, against a replica that never tries again, and against
+// gauges that do not show it.
 func TestQueuedCommandOnFullDiskIsRefused(t *testing.T) {
 	t.Parallel()
-	c, disks := newSmallCluster(t, nil, "a.1")
+	scope := tally.NewTestScope("", nil)
+	c, disks := newSmallCluster(t, func(cfg *Config, _ *smallFS) { cfg.Scope = scope }, "a.1")
 	l := c.leader()
+	assert.Equal(t, gauge(scope, "disk_full"), 0.0)
 	disks["a.1"].full.Store(true)
 	_, err := l.Propose(context.Background(), []byte("0"))
 	var unknown *OutcomeUnknownError
@@ -262,8 +276,11 @@
 	assert.NilError(t, l.enqueue(queued))
 	_, err = l.awaitProposal(context.Background(), queued)
 	assert.ErrorIs(t, err, ErrOverloaded)
+	assert.Equal(t, gauge(scope, "disk_full"), 1.0)
+	assert.Assert(t, gauge(scope, "log_bytes") > 0)
 	disks["a.1"].full.Store(false)
 	c.propose(1, 3)
+	assert.Equal(t, gauge(scope, "disk_full"), 0.0)
 	c.waitCommands("a.1", 3)
 	assert.NilError(t, l.Err())
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"laburnumgrade/gen/peerv1"
 	"laburnumgrade/internal/port"
 	"laburnumgrade/internal/raft"
@@ -43,9 +45,11 @@
 	full         bool
 	fullSince    time.Duration
 	storeRetryAt time.Duration
-	waiters      map[uint64]*proposal // proposals in the log that are not handed out, by index
-	role         raft.Role            // as last seen by recordRole
-	ticks        <-chan time.Time
+	// fullGauge is 1 while full is set; logGauge is the size of the stored log in bytes.
+	fullGauge, logGauge tally.Gauge
+	waiters             map[uint64]*proposal // proposals in the log that are not handed out, by index
+	role                raft.Role            // as last seen by recordRole
+	ticks               <-chan time.Time
 }
 
 // queue holds the input for the next turn.
@@ -102,6 +106,8 @@
 		done:          make(chan struct{}),
 		snapshotIndex: snapshot.GetIndex(),
 		waiters:       map[uint64]*proposal{},
+		fullGauge:     c.Scope.Gauge("disk_full"),
+		logGauge:      c.Scope.Gauge("log_bytes"),
 		node: raft.New(raft.Config{
 			ID: c.ID, Membership: c.Membership, HardState: hard, Snapshot: snapshot, Entries: entries,
 			RetainedEntries: c.SnapshotThreshold / 2, RetainedBytes: c.MaxLogBytes / 2, Seed: seed, Now: c.Clock.Now(),
@@ -319,6 +325,12 @@
 	v.full = r.full
 	v.logBytes, _ = r.cfg.Storage.Size()
 	r.view.Store(v)
+	r.logGauge.Update(float64(v.logBytes))
+	if r.full {
+		r.fullGauge.Update(1)
+	} else {
+		r.fullGauge.Update(0)
+	}
 }
 
 // unapplied returns the number of entries that the state machine lacks. On a leader those
