--- a/internal/adapter/disk/full_test.go
+++ b/internal/adapter/disk/full_test.go
@@ -308,7 +308,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		fs := &faultFS{name: walFile + tempSuffix, step: "write", err: syscall.ENOSPC}
 		folder := t.TempDir()
+		began := time.Now()
 		create := func() error {
+			if time.Since(began) >= 5*time.Second {
+				fs.step = ""
+			}
 			s, err := Create(fs, folder, "g", "a.1")
 			if err == nil {
 				err = s.Close()
@@ -316,14 +320,12 @@
 			return err
 		}
 		logger := slog.New(slog.DiscardHandler)
-		began := time.Now()
-		time.AfterFunc(5*time.Second, func() { fs.step = "" })
 		assert.NilError(t, RetryWhileFull(t.Context(), logger, create))
 		assert.Assert(t, time.Since(began) >= 5*time.Second && time.Since(began) <= 6*time.Second)
 
 		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 		defer cancel()
-		fs.step = "write"
+		fs.step, began = "write", time.Now()
 		assert.ErrorIs(t, RetryWhileFull(ctx, logger, create), syscall.ENOSPC)
 
 		fs.err = syscall.EACCES
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -229,9 +229,14 @@
 // maybeRequestSnapshot requests a snapshot if one is due, and not shortly after one that could
 // not be stored.
 func (r *Replica) maybeRequestSnapshot() {
-	if r.encoding || r.cfg.Clock.Now() < r.snapshotRetryAt || !r.snapshotDue() {
+	now := r.cfg.Clock.Now()
+	if r.encoding || now < r.snapshotRetryAt || !r.snapshotDue() {
 		return
 	}
+	if r.full {
+		// A snapshot that is older than a received one is dropped and would be due at once.
+		r.snapshotRetryAt = now + snapshotRetryDelay
+	}
 	r.encoding = true
 	r.applier.enqueue(applyTask{encode: true})
 }
--- a/internal/replica/full_test.go
+++ b/internal/replica/full_test.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -101,6 +102,10 @@
 	return c, disks
 }
 
+// callInterval is the time between two commands of a caller. Syncs take real time but none of
+// the simulated one, so a shorter interval would make the tests slow.
+const callInterval = 50 * time.Millisecond
+
 // caller proposes commands one after another at the leader, if there is one, and records which
 // were acknowledged.
 type caller struct {
@@ -119,7 +124,7 @@
 	l := &caller{c: c, cancel: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(l.done)
-		for ; ctx.Err() == nil; time.Sleep(time.Millisecond) {
+		for ; ctx.Err() == nil; time.Sleep(callInterval) {
 			for _, r := range c.all() {
 				if _, valid := r.Lease(); valid {
 					l.propose(ctx, r)
@@ -206,55 +211,61 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			c, disks := newSmallCluster(t, nil, "a.1", "b.1", "c.1")
-			leader := c.leader()
-			calls := startCaller(c)
-			wait(t, "no command is acknowledged", func() bool { return calls.acknowledgedSince(time.Time{}) })
-
-			var full []*Replica
-			if tc.leader {
-				full = append(full, leader)
-			}
-			first, second := c.followers(leader)
-			full = append(full, []*Replica{first, second}[:tc.followers]...)
-			for _, r := range full {
-				disks[r.cfg.ID].full.Store(true)
-			}
-			began := time.Now()
-			if len(full) == 1 {
-				wait(t, "the quorum does not serve", func() bool {
-					return calls.acknowledgedSince(time.Now().Add(-time.Second)) && time.Since(began) > 2*time.Second
-				})
-			} else {
-				time.Sleep(2 * time.Second)
-				assert.Assert(t, !calls.acknowledgedSince(began), "acknowledged without a quorum that can store")
-			}
-			for _, r := range full {
-				assert.Assert(t, r.Status().Full, "%s is not full", r.cfg.ID)
-				assert.Assert(t, r.Status().Role != raft.Leader, "%s leads", r.cfg.ID)
-			}
-			if !tc.leader {
-				_, valid := leader.Lease()
-				assert.Assert(t, valid, "the leader has lost its lease, with which it serves reads")
-			}
+			synctest.Test(t, func(t *testing.T) { checkFullDisks(t, tc.leader, tc.followers) })
+		})
+	}
+}
 
-			for _, r := range full {
-				disks[r.cfg.ID].full.Store(false)
-			}
-			returned := time.Now()
-			wait(t, "the service does not return", func() bool { return calls.acknowledgedSince(returned) })
-			t.Logf("served %v after space returned", time.Since(returned))
-			calls.stop()
-			for _, r := range c.all() {
-				assert.NilError(t, r.Err())
-				wait(t, r.cfg.ID+" is still full", func() bool { return !r.Status().Full })
-			}
-			calls.checkKept()
-			c.restartAll()
-			c.leader()
-			calls.checkKept()
+// checkFullDisks fills the disks of the leader, if leaderFull is set, and of a number of
+// followers for two seconds.
+func checkFullDisks(t *testing.T, leaderFull bool, followers int) {
+	c, disks := newSmallCluster(t, nil, "a.1", "b.1", "c.1")
+	leader := c.leader()
+	calls := startCaller(c)
+	wait(t, "no command is acknowledged", func() bool { return calls.acknowledgedSince(time.Time{}) })
+
+	var full []*Replica
+	if leaderFull {
+		full = append(full, leader)
+	}
+	first, second := c.followers(leader)
+	full = append(full, []*Replica{first, second}[:followers]...)
+	for _, r := range full {
+		disks[r.cfg.ID].full.Store(true)
+	}
+	began := time.Now()
+	if len(full) == 1 {
+		wait(t, "the quorum does not serve", func() bool {
+			return calls.acknowledgedSince(time.Now().Add(-time.Second)) && time.Since(began) > 2*time.Second
 		})
+	} else {
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, !calls.acknowledgedSince(began), "acknowledged without a quorum that can store")
+	}
+	for _, r := range full {
+		assert.Assert(t, r.Status().Full, "%s is not full", r.cfg.ID)
+		assert.Assert(t, r.Status().Role != raft.Leader, "%s leads", r.cfg.ID)
+	}
+	if !leaderFull {
+		_, valid := leader.Lease()
+		assert.Assert(t, valid, "the leader has lost its lease, with which it serves reads")
 	}
+
+	for _, r := range full {
+		disks[r.cfg.ID].full.Store(false)
+	}
+	returned := time.Now()
+	wait(t, "the service does not return", func() bool { return calls.acknowledgedSince(returned) })
+	t.Logf("served %v after space returned", time.Since(returned))
+	calls.stop()
+	for _, r := range c.all() {
+		assert.NilError(t, r.Err())
+		wait(t, r.cfg.ID+" is still full", func() bool { return !r.Status().Full })
+	}
+	calls.checkKept()
+	c.restartAll()
+	c.leader()
+	calls.checkKept()
 }
 
 // Guards against a command that is queued while the log cannot be extended and gets another
@@ -262,27 +273,29 @@
 // gauges that do not show it.
 func TestQueuedCommandOnFullDiskIsRefused(t *testing.T) {
 	t.Parallel()
-	scope := tally.NewTestScope("", nil)
-	c, disks := newSmallCluster(t, func(cfg *Config, _ *smallFS) { cfg.Scope = scope }, "a.1")
-	l := c.leader()
-	assert.Equal(t, gauge(scope, "disk_full"), 0.0)
-	disks["a.1"].full.Store(true)
-	_, err := l.Propose(context.Background(), []byte("0"))
-	var unknown *OutcomeUnknownError
-	assert.Assert(t, errors.As(err, &unknown), "error %v", err)
-	_, valid := l.Lease()
-	assert.Assert(t, !valid)
-	queued := newProposal([]byte("x"))
-	assert.NilError(t, l.enqueue(queued))
-	_, err = l.awaitProposal(context.Background(), queued)
-	assert.ErrorIs(t, err, ErrOverloaded)
-	assert.Equal(t, gauge(scope, "disk_full"), 1.0)
-	assert.Assert(t, gauge(scope, "log_bytes") > 0)
-	disks["a.1"].full.Store(false)
-	c.propose(1, 3)
-	assert.Equal(t, gauge(scope, "disk_full"), 0.0)
-	c.waitCommands("a.1", 3)
-	assert.NilError(t, l.Err())
+	synctest.Test(t, func(t *testing.T) {
+		scope := tally.NewTestScope("", nil)
+		c, disks := newSmallCluster(t, func(cfg *Config, _ *smallFS) { cfg.Scope = scope }, "a.1")
+		l := c.leader()
+		assert.Equal(t, gauge(scope, "disk_full"), 0.0)
+		disks["a.1"].full.Store(true)
+		_, err := l.Propose(context.Background(), []byte("0"))
+		var unknown *OutcomeUnknownError
+		assert.Assert(t, errors.As(err, &unknown), "error %v", err)
+		_, valid := l.Lease()
+		assert.Assert(t, !valid)
+		queued := newProposal([]byte("x"))
+		assert.NilError(t, l.enqueue(queued))
+		_, err = l.awaitProposal(context.Background(), queued)
+		assert.ErrorIs(t, err, ErrOverloaded)
+		assert.Equal(t, gauge(scope, "disk_full"), 1.0)
+		assert.Assert(t, gauge(scope, "log_bytes") > 0)
+		disks["a.1"].full.Store(false)
+		c.propose(1, 3)
+		assert.Equal(t, gauge(scope, "disk_full"), 0.0)
+		c.waitCommands("a.1", 3)
+		assert.NilError(t, l.Err())
+	})
 }
 
 // countMachine is a state machine whose state is the number of commands, encoded with size
@@ -308,23 +321,25 @@
 // snapshots get half.
 func TestLogOfLargeEntriesStaysBounded(t *testing.T) {
 	t.Parallel()
-	const entryBytes, count, maxUsed = 1_500_000, 60, 64_000_000
-	machine := &countMachine{size: entryBytes}
-	c, disks := newSmallCluster(t, func(cfg *Config, _ *smallFS) {
-		cfg.SnapshotThreshold = 4000
-		cfg.StateMachine = machine
-	}, "a.1")
-	l := c.leader()
-	most := int64(0)
-	for i := range count {
-		_, err := l.Propose(context.Background(), make([]byte, entryBytes))
-		assert.NilError(t, err)
-		most = max(most, disks["a.1"].used())
-		assert.Assert(t, most <= maxUsed, "%d bytes on disk after %d entries", most, i+1)
-	}
-	t.Logf("at most %d bytes on disk", most)
-	s := l.view.Load().status
-	assert.Assert(t, s.LastIndex-s.FirstIndex < count/2, "%d entries in memory", s.LastIndex-s.FirstIndex)
+	synctest.Test(t, func(t *testing.T) {
+		const entryBytes, count, maxUsed = 1_500_000, 60, 64_000_000
+		machine := &countMachine{size: entryBytes}
+		c, disks := newSmallCluster(t, func(cfg *Config, _ *smallFS) {
+			cfg.SnapshotThreshold = 4000
+			cfg.StateMachine = machine
+		}, "a.1")
+		l := c.leader()
+		most := int64(0)
+		for i := range count {
+			_, err := l.Propose(context.Background(), make([]byte, entryBytes))
+			assert.NilError(t, err)
+			most = max(most, disks["a.1"].used())
+			assert.Assert(t, most <= maxUsed, "%d bytes on disk after %d entries", most, i+1)
+		}
+		t.Logf("at most %d bytes on disk", most)
+		s := l.view.Load().status
+		assert.Assert(t, s.LastIndex-s.FirstIndex < count/2, "%d entries in memory", s.LastIndex-s.FirstIndex)
+	})
 }
 
 // countingStorage counts the snapshots.
@@ -342,97 +357,105 @@
 // against a log that grows beyond the size of such a state.
 func TestSnapshotLargerThanLogIsNotTakenForEachEntry(t *testing.T) {
 	t.Parallel()
-	const stateBytes, entryBytes, count = 400_000, 10_000, 400
-	var storage *countingStorage
-	c, _ := newSmallCluster(t, func(cfg *Config, _ *smallFS) {
-		storage = &countingStorage{LogStorage: cfg.Storage}
-		cfg.Storage = storage
-		cfg.SnapshotThreshold = 10 * count
-		cfg.MaxLogBytes = 5 * entryBytes
-		cfg.StateMachine = &countMachine{size: stateBytes}
-	}, "a.1")
-	l := c.leader()
-	most := int64(0)
-	for range count {
-		_, err := l.Propose(context.Background(), make([]byte, entryBytes))
-		assert.NilError(t, err)
-		most = max(most, l.Status().LogBytes)
-	}
-	// The first snapshot is due after MaxLogBytes, one is of the initial membership.
-	limit := int64(count*entryBytes/stateBytes + 3)
-	assert.Assert(t, storage.snapshots.Load() > 3 && storage.snapshots.Load() <= limit, "%d snapshots", storage.snapshots.Load())
-	assert.Assert(t, most <= 2*stateBytes, "log of %d bytes", most)
+	synctest.Test(t, func(t *testing.T) {
+		const stateBytes, entryBytes, count = 400_000, 10_000, 400
+		var storage *countingStorage
+		c, _ := newSmallCluster(t, func(cfg *Config, _ *smallFS) {
+			storage = &countingStorage{LogStorage: cfg.Storage}
+			cfg.Storage = storage
+			cfg.SnapshotThreshold = 10 * count
+			cfg.MaxLogBytes = 5 * entryBytes
+			cfg.StateMachine = &countMachine{size: stateBytes}
+		}, "a.1")
+		l := c.leader()
+		most := int64(0)
+		for range count {
+			_, err := l.Propose(context.Background(), make([]byte, entryBytes))
+			assert.NilError(t, err)
+			most = max(most, l.Status().LogBytes)
+		}
+		// The first snapshot is due after MaxLogBytes, one is of the initial membership.
+		limit := int64(count*entryBytes/stateBytes + 3)
+		assert.Assert(t, storage.snapshots.Load() > 3 && storage.snapshots.Load() <= limit, "%d snapshots", storage.snapshots.Load())
+		assert.Assert(t, most <= 2*stateBytes, "log of %d bytes", most)
+	})
 }
 
 // Guards against a log that stays long because a follower lags, and against a follower that
 // does not catch up after the entries that it lacks were dropped.
 func TestLaggingFollowerOfLargeEntriesGetsSnapshot(t *testing.T) {
 	t.Parallel()
-	const entryBytes, count, maxLog = 10_000, 100, 100_000
-	c, disks := newSmallCluster(t, func(cfg *Config, _ *smallFS) {
-		cfg.SnapshotThreshold = 10 * count
-		cfg.MaxLogBytes = maxLog
-		cfg.StateMachine = &countMachine{size: 100}
-	}, "a.1", "b.1", "c.1")
-	l := c.leader()
-	behind, other := c.followers(l)
-	c.net.setCut(behind.cfg.ID, true)
-	for range count {
-		_, err := l.Propose(context.Background(), make([]byte, entryBytes))
-		assert.NilError(t, err)
-	}
-	for _, r := range []*Replica{l, other} {
-		wait(t, r.cfg.ID+" has not compacted its log", func() bool { return disks[r.cfg.ID].used() < 3*maxLog })
-	}
-	s := l.view.Load().status
-	assert.Assert(t, (s.LastIndex-s.FirstIndex)*entryBytes < 3*maxLog, "%d entries in memory", s.LastIndex-s.FirstIndex)
-	c.net.setCut(behind.cfg.ID, false)
-	wait(t, "the follower does not catch up", func() bool { return behind.Status().AppliedIndex >= s.LastIndex })
+	synctest.Test(t, func(t *testing.T) {
+		const entryBytes, count, maxLog = 10_000, 100, 100_000
+		c, disks := newSmallCluster(t, func(cfg *Config, _ *smallFS) {
+			cfg.SnapshotThreshold = 10 * count
+			cfg.MaxLogBytes = maxLog
+			cfg.StateMachine = &countMachine{size: 100}
+		}, "a.1", "b.1", "c.1")
+		l := c.leader()
+		behind, other := c.followers(l)
+		c.net.setCut(behind.cfg.ID, true)
+		for range count {
+			_, err := l.Propose(context.Background(), make([]byte, entryBytes))
+			assert.NilError(t, err)
+		}
+		for _, r := range []*Replica{l, other} {
+			wait(t, r.cfg.ID+" has not compacted its log", func() bool { return disks[r.cfg.ID].used() < 3*maxLog })
+		}
+		s := l.view.Load().status
+		assert.Assert(t, (s.LastIndex-s.FirstIndex)*entryBytes < 3*maxLog, "%d entries in memory", s.LastIndex-s.FirstIndex)
+		c.net.setCut(behind.cfg.ID, false)
+		wait(t, "the follower does not catch up", func() bool { return behind.Status().AppliedIndex >= s.LastIndex })
+	})
 }
 
 // Guards against a group that waits for space although compaction of its own log makes it.
 func TestCompactionMakesSpaceOnFullDisk(t *testing.T) {
 	t.Parallel()
-	const entryBytes = 1000
-	c, disks := newSmallCluster(t, func(cfg *Config, fs *smallFS) {
-		fs.limit = 50 * entryBytes
-		cfg.SnapshotThreshold = 100_000
-		cfg.StateMachine = &countMachine{}
-	}, "a.1", "b.1", "c.1")
-	served := 0
-	for began := time.Now(); served < 120; {
-		assert.Assert(t, time.Since(began) < 30*time.Second, "%d commands served", served)
-		l := c.leader()
-		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
-		if _, err := l.Propose(ctx, make([]byte, entryBytes)); err == nil {
-			served++
+	synctest.Test(t, func(t *testing.T) {
+		const entryBytes = 1000
+		c, disks := newSmallCluster(t, func(cfg *Config, fs *smallFS) {
+			fs.limit = 50 * entryBytes
+			cfg.SnapshotThreshold = 100_000
+			cfg.StateMachine = &countMachine{}
+		}, "a.1", "b.1", "c.1")
+		served := 0
+		for began := time.Now(); served < 120; {
+			assert.Assert(t, time.Since(began) < 30*time.Second, "%d commands served", served)
+			l := c.leader()
+			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+			if _, err := l.Propose(ctx, make([]byte, entryBytes)); err == nil {
+				served++
+			}
+			cancel()
 		}
-		cancel()
-	}
-	for _, r := range c.all() {
-		assert.NilError(t, r.Err())
-		assert.Assert(t, disks[r.cfg.ID].used() <= disks[r.cfg.ID].limit)
-	}
+		for _, r := range c.all() {
+			assert.NilError(t, r.Err())
+			assert.Assert(t, disks[r.cfg.ID].used() <= disks[r.cfg.ID].limit)
+		}
+	})
 }
 
 // Guards against a full follower that receives a snapshot and neither answers heartbeats, so
 // that the leader loses its lease, nor stores the snapshot later.
 func TestReceivedSnapshotOnFullDisk(t *testing.T) {
 	t.Parallel()
-	c, disks := newSmallCluster(t, nil, "a.1", "b.1", "c.1")
-	l := c.leader()
-	behind, other := c.followers(l)
-	c.net.setCut(behind.cfg.ID, true)
-	c.propose(0, 200)
-	disks[behind.cfg.ID].full.Store(true)
-	c.net.setCut(behind.cfg.ID, false)
-	wait(t, "the follower is not full", func() bool { return behind.Status().Full })
-	c.net.setCut(other.cfg.ID, true)
-	checkLeadership(t, l, behind)
-	c.net.setCut(other.cfg.ID, false)
-	disks[behind.cfg.ID].full.Store(false)
-	c.propose(200, 201)
-	c.waitCommands(behind.cfg.ID, 201)
-	assert.NilError(t, behind.Err())
-	assert.Assert(t, slices.Contains(c.all(), behind))
+	synctest.Test(t, func(t *testing.T) {
+		c, disks := newSmallCluster(t, nil, "a.1", "b.1", "c.1")
+		l := c.leader()
+		behind, other := c.followers(l)
+		c.net.setCut(behind.cfg.ID, true)
+		c.propose(0, 200)
+		disks[behind.cfg.ID].full.Store(true)
+		c.net.setCut(behind.cfg.ID, false)
+		wait(t, "the follower is not full", func() bool { return behind.Status().Full })
+		c.net.setCut(other.cfg.ID, true)
+		checkLeadership(t, l, behind)
+		c.net.setCut(other.cfg.ID, false)
+		disks[behind.cfg.ID].full.Store(false)
+		c.propose(200, 201)
+		c.waitCommands(behind.cfg.ID, 201)
+		assert.NilError(t, behind.Err())
+		assert.Assert(t, slices.Contains(c.all(), behind))
+	})
 }
