--- a/cmd/lg-cell/main.go
+++ b/cmd/lg-cell/main.go
@@ -71,6 +71,8 @@
 	clock := port.NewBootClock()
 	pauses := pause.New(clock)
 	go pauses.Run(nodeCtx)
+	// A signal ends the start, which waits while the disk is full.
+	stopAfterFunc := context.AfterFunc(ctx, stopNode)
 	node, err := cellnode.Start(nodeCtx, cellnode.Config{
 		Name:          c.Process.Name,
 		DataCentre:    c.Process.DataCentre,
@@ -79,6 +81,7 @@
 		PublicAddress: c.PublicAddress.String(),
 		Seeds:         c.Seeds,
 		Folder:        c.DataFolder,
+		MaxLogBytes:   c.MaxLogBytes,
 		Bootstrap:     c.Bootstrap,
 		Clock:         clock,
 		Workers:       platform.NewWorkers(descriptors.Part("workers", shareForWorkers)),
@@ -96,6 +99,7 @@
 		Logger: logger,
 		Scope:  telemetry.Scope,
 	})
+	stopAfterFunc()
 	if err != nil {
 		return err
 	}
--- a/internal/config/cell.go
+++ b/internal/config/cell.go
@@ -45,6 +45,12 @@
 	minTimeout    = 3 * time.Second
 	minIdle       = 15 * time.Second
 	maxConnection = 10 * time.Minute
+	// minMaxLogBytes leaves room for some hundred entries of a few kilobytes. maxMaxLogBytes
+	// is the size up to which a log is rewritten as one record. defaultMaxLogBytes is an
+	// eighth of the smallest disk, 128 MB.
+	minMaxLogBytes     = 1 << 20
+	maxMaxLogBytes     = 1 << 30
+	defaultMaxLogBytes = 16 << 20
 )
 
 // CellCommon holds the settings that lg-cell and lg-gateway have in common.
@@ -90,6 +96,9 @@
 	PublicAddress netip.AddrPort
 	// DataFolder holds the replicated state.
 	DataFolder string
+	// MaxLogBytes is the growth of the log in the data folder after which it is replaced by a
+	// snapshot.
+	MaxLogBytes int64
 	// Bootstrap is set only for the first start of the whole cell.
 	Bootstrap bool
 	// MaxLease is the longest lease that a worker may be given.
@@ -219,6 +228,7 @@
 		CellCommon:        readCommon(r),
 		PublicAddress:     required(r, "listen", "public", addressKind()),
 		DataFolder:        required(r, "disk", "folder", folderKind),
+		MaxLogBytes:       optional(r, "disk", "max_log", memoryKind(minMaxLogBytes, maxMaxLogBytes), defaultMaxLogBytes),
 		Bootstrap:         optional(r, "cell", "bootstrap", yesNoKind, false),
 		MaxLease:          optional(r, "cell", "max_lease", durationKind(time.Second, maxLease), defaultMaxLease),
 		EndedJobRetention: optional(r, "cell", "keep_ended", durationKind(time.Second, maxEndedJobRetention), defaultEndedJobRetention),
@@ -296,6 +306,7 @@
 	p.key("peer", c.PeerAddress)
 	p.section("disk")
 	p.key("folder", c.DataFolder)
+	p.key("max_log", FormatBytes(c.MaxLogBytes))
 	p.cellLimits(&c.CellCommon)
 	return p.String()
 }
--- a/internal/raft/node_test.go
+++ b/internal/raft/node_test.go
@@ -28,11 +28,11 @@
 }
 
 // TestInvariantsUnderRandomFaults runs three or five replicas, with and without
-// disks, through random faults. It guards against two leaders in a term, differing
+// disks, through random faults, full disks among them. It guards against two leaders in a term, differing
 // logs, loss of committed entries, two valid leases at the same time and a lease
 // holder that lacks a commit.
 func TestInvariantsUnderRandomFaults(t *testing.T) {
-	var elections, transfers, replaced, commands, committed int
+	var elections, transfers, replaced, commands, committed, unstored int
 	rapid.Check(t, func(t *rapid.T) {
 		voters := rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "voters")
 		c := newSimCluster(t, voters, rapid.IntRange(0, 3).Draw(t, "diskless"))
@@ -41,13 +41,14 @@
 		c.healAndCheckLiveness()
 		elections += c.elections
 		transfers += c.transfers
+		unstored += c.unstored
 		replaced += c.membershipChanges
 		commands += c.commands
 		committed += len(c.committed)
 	})
-	t.Logf("%d elections, %d transfers, %d membership changes, %d commands, %d entries committed",
-		elections, transfers, replaced, commands, committed)
-	if elections < 100 || transfers == 0 || replaced == 0 || committed < 1000 {
+	t.Logf("%d elections, %d transfers, %d membership changes, %d commands, %d entries committed, %d Readys not stored",
+		elections, transfers, replaced, commands, committed, unstored)
+	if elections < 100 || transfers == 0 || replaced == 0 || committed < 1000 || unstored < 100 {
 		t.Error("the histories exercise too little")
 	}
 }
@@ -80,6 +81,9 @@
 		"pause": func(t *rapid.T) {
 			anyNode(t).pausedUntil = c.now + time.Duration(rapid.IntRange(50, 1500).Draw(t, "ms"))*time.Millisecond
 		},
+		"full": func(t *rapid.T) {
+			anyNode(t).fullUntil = c.now + time.Duration(rapid.IntRange(50, 3000).Draw(t, "ms"))*time.Millisecond
+		},
 		"crash": func(t *rapid.T) {
 			s := anyNode(t)
 			if !s.up || !s.disk && !c.mayLoseState(s.id) {
@@ -182,7 +186,7 @@
 	c.lossRate, c.maxDelay, c.maxApply = 0, 5*time.Millisecond, 0
 	for _, id := range c.ids() {
 		s := c.nodes[id]
-		s.pausedUntil = 0
+		s.pausedUntil, s.fullUntil = 0, 0
 		if !s.up {
 			c.boot(s, c.initial)
 		}
@@ -294,3 +298,59 @@
 	assert.Assert(t, r.HardState == nil)
 	assert.Equal(t, len(r.ImmediateMessages), 1)
 }
+
+// Guards against a vote or an acknowledgement of entries that leaves the node although it could
+// not be stored, and against state that is not offered again.
+func TestUnstoredStateIsOfferedAgain(t *testing.T) {
+	n := New(Config{ID: "a.1", Membership: votersOf("a.1", "b.1", "c.1")})
+	n.Step(0, &peerv1.RaftMessage{Type: peerv1.RaftMessage_VOTE, From: "b.1", To: "a.1", Term: 3, Generation: 1})
+	assert.Equal(t, len(n.Ready().Messages), 1)
+	n.Unstored()
+	r := n.Ready()
+	assert.Equal(t, len(r.Messages)+len(r.ImmediateMessages), 0)
+	assert.Equal(t, r.HardState.Vote, "b.1")
+	n.Advance()
+
+	entries := message(peerv1.RaftMessage_APPEND, 3)
+	entries.Entries = []*peerv1.RaftEntry{{Index: 1, Term: 3}, {Index: 2, Term: 3}}
+	entries.Commit = 1
+	n.Step(0, entries)
+	assert.Equal(t, len(n.Ready().Messages), 1)
+	assert.Equal(t, len(n.Unstored()), 0, "handed out entries that are not stored")
+	r = n.Ready()
+	assert.Equal(t, len(r.Messages), 0)
+	assert.Equal(t, len(r.Entries), 2)
+	assert.Equal(t, len(r.CommittedEntries), 1)
+}
+
+// Guards against a leader that counts itself towards a commit of entries that it could not
+// store, and one that goes on leading or campaigns.
+func TestLeaderThatCannotStoreFollows(t *testing.T) {
+	n := New(Config{ID: "a.1", Membership: votersOf("a.1")})
+	for i := 1; n.Status().Role != Leader; i++ {
+		n.Tick(time.Duration(i) * TickInterval)
+	}
+	for i := range 5 * electionTicksMax {
+		if r := n.Ready(); i%10 == 0 && r.HardState == nil {
+			t.Fatal("the state is not offered again")
+		}
+		n.Unstored()
+		n.TickUnstored(time.Minute + time.Duration(i)*TickInterval)
+		assert.Equal(t, n.Status().Role, Follower)
+		assert.Equal(t, n.Status().CommitIndex, uint64(0))
+	}
+}
+
+// Guards against entries that are kept for lagging followers by their number alone and do not
+// fit in the memory.
+func TestRetainedEntriesAreBoundedByBytes(t *testing.T) {
+	for bytes, kept := range map[int64]uint64{0: 5, 350: 3, 1000: 5, 99: 0} {
+		l := newEntryLog(nil, nil)
+		for i := range uint64(8) {
+			l.entries = append(l.entries, &peerv1.RaftEntry{Index: i + 1, Term: 1, Data: make([]byte, 100)})
+		}
+		l.compact(&peerv1.RaftSnapshot{Index: 7, Term: 1}, 5, bytes)
+		assert.Equal(t, l.prevIndex, 7-kept, "%d bytes", bytes)
+		assert.Equal(t, l.last(), uint64(8))
+	}
+}
