dispatch: a plan over many steps ends before advice expires

Cause: a plan goes through all ready steps.

Change: a plan ends after 250 ms. The next one begins with the first 128 steps by rank and those with valid advice, then goes on where the last one ended.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -143,6 +143,7 @@
 	readySteps := steps
 	if len(steps) > 0 {
 		t.completeReadySteps(steps, p.now, use)
+		steps = t.window.arrange(steps, t.advice.stepsInService(p.now))
 		t.addCandidates(workers, p)
 		p.victims = t.newVictimFinder(p)
 		p.releases = func(c *candidate) []reservation.Release { return t.releasesOf(c, p.now) }
@@ -153,6 +154,7 @@
 		p.holdRenewals(steps)
 	}
 	var total time.Duration
+	began := t.leader.Clock.Now()
 	for {
 		steps = p.planNext(steps, use.below(maxPlanSlice))
 		t.reserved, t.isolation = p.reserved, p.isolation
@@ -160,7 +162,8 @@
 			return use.spent()
 		}
 		total += use.spent()
-		if len(steps) == 0 {
+		if len(steps) == 0 || len(p.counted) >= firstSteps && t.leader.Clock.Now()-began >= maxPlanTime {
+			t.window.cut(steps)
 			break
 		}
 		if !t.pause(planPause(use.spent())) || !t.leads() {
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -51,6 +51,9 @@
 	reserved map[string]cell.StepKey
 	// attemptCopies is shared by the plans. Only the planner's goroutine uses it.
 	attemptCopies attemptCopies
+	// window is what plans look at when there are more steps than one can. Only the planner's
+	// goroutine uses it.
+	window planWindow
 	// housekeepingAt is when sessions and unwanted attempts were last looked for. Only the
 	// planner's goroutine uses it.
 	housekeepingAt time.Duration
