dispatch, lg-cell: submissions are refused while the cell is overloaded

Callers saw: 1 of 1,000 submissions refused while thousands of accepted jobs were never completed.

Change: the leader derives capacity, free room and backlog from its state every 200 ms, measures what it starts and how late its goroutines run, and asks internal/overload about each submission that is allowed and not known. It decides when no other command of the job is being committed, so the refusal is true. Setting [cell] admission, counters and two log lines.

The earlier TestOverloadedAdviceStartsGangs offers more than the advice service bears and now runs with admission off; what it asserts is unchanged.

--- a/cmd/lg-cell/main.go
+++ b/cmd/lg-cell/main.go
@@ -89,6 +89,7 @@
 		Machines:      newMachines(c, peers),
 		Peers:         peers,
 		Pauses:        pauses,
+		AdmitAll:      !c.Admission,
 		Bounds: dispatch.Bounds{
 			MaxLease:          c.MaxLease,
 			EndedJobRetention: c.EndedJobRetention,
--- a/internal/cell/request.go
+++ b/internal/cell/request.go
@@ -98,6 +98,13 @@
 	return s.configIndex.find(queuePath{j.Host, j.Prefix}, j.Queue)
 }
 
+// Route returns the queue of an authorized request and the team that sent it, nil and empty if
+// the request is not allowed.
+func (v *View) Route(r *Request) (q *Queue, team string) {
+	q, _, team, _ = v.s.authorize(r)
+	return q, team
+}
+
 // IsQueue reports whether the path is that of a queue itself and not of a job.
 func (v *View) IsQueue(r *Request) bool {
 	q, rest := v.s.configIndex.resolve(r.Host, r.Path)
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -70,6 +70,8 @@
 	Adviser  cellapi.Adviser
 	// Peers bounds the connections to other processes of the cell.
 	Peers *descriptor.Part
+	// AdmitAll accepts every job that is allowed, whatever the load of the cell is.
+	AdmitAll bool
 	// Pauses detects pauses of the process.
 	Pauses *pause.Detector
 	Bounds dispatch.Bounds
@@ -133,9 +135,10 @@
 			// different ones.
 			return cmp.Or(n.announced.address(c.Clock.Now()), n.client.AnsweringLeader(announcedLeaderTTL))
 		},
-		Bounds: c.Bounds,
-		Logger: c.Logger,
-		Scope:  c.Scope,
+		Bounds:   c.Bounds,
+		AdmitAll: c.AdmitAll,
+		Logger:   c.Logger,
+		Scope:    c.Scope,
 	})
 	rc := replica.Config{
 		Group:             group,
--- a/internal/config/cell.go
+++ b/internal/config/cell.go
@@ -117,6 +117,8 @@
 	// RemoteFactor is the ratio of the run time of a task outside the rack of its
 	// data to its run time inside.
 	RemoteFactor float64
+	// Admission is set if jobs that are not expected to be complete in time are refused.
+	Admission bool
 	// ToleratedVMs and ToleratedDataCentres are how many control VMs, or data centres,
 	// may be lost at the same time, disks included. The larger one determines the number
 	// of voters.
@@ -235,6 +237,7 @@
 		MachinesAddress:   optional(r, "cell", "machines", addressKind(), netip.AddrPort{}),
 		HolderLease:       optional(r, "cell", "holder_lease", durationKind(0, maxLease), defaultHolderLease),
 		MinServingTime:    optional(r, "cell", "notice", durationKind(0, maxLease), defaultMinServingTime),
+		Admission:         optional(r, "cell", "admission", yesNoKind, true),
 		RemoteFactor:      optional(r, "cell", "remote_factor", fractionKind(1, maxRemoteFactor), 1),
 
 		ToleratedVMs:         int(optional(r, "cell", "tolerated_vms", wholeKind(0, maxTolerated), defaultTolerated)),
@@ -301,6 +304,7 @@
 	}
 	p.key("holder_lease", c.HolderLease)
 	p.key("notice", c.MinServingTime)
+	p.key("admission", yesNo(c.Admission))
 	p.section("listen")
 	p.key("public", c.PublicAddress)
 	p.key("peer", c.PeerAddress)
--- a/internal/config/cell_test.go
+++ b/internal/config/cell_test.go
@@ -50,6 +50,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, small.MaxLogBytes, int64(2<<20))
 	assert.Assert(t, strings.Contains(small.String(), "max_log = 2MiB"))
+	assert.Assert(t, c.Admission)
 	assert.Assert(t, c.ToleratedVMs == 2 && c.ToleratedDataCentres == 1)
 	assert.Assert(t, c.Descriptors == 4096 && c.ReservedDescriptors == 200 && c.MemoryBytes == 336<<20)
 	assert.Assert(t, c.RequestMemoryBytes == 42<<20 && c.RequestLimits == intake.DefaultLimits)
@@ -95,7 +96,7 @@
 		{"seeds = ", "seeds = host:1,"}, {"bootstrap = yes", "bootstrap = perhaps"}, {"folder = /data", "folder = data"},
 		{"max_lease = 6000ms", "max_lease = 6000"}, {"[disk]", "[disc]"}, {"[disk]", "[disk]\nmax_log = 2"}, {"[disk]", "[disk]\nmax_log = 1023KiB"}, {"[disk]", "[disk]\nmax_log = 2GiB"}, {"peer = 10.1.0.20:7420", "peer = 10.1.0.20:0"}, {"advice = ", "advise = "},
 		{"descriptors = 4096", "descriptors = 200"}, {"descriptors = 4096", "descriptors = -1"}, {"memory = 336MiB", "memory = 336"}, {"memory = 336MiB", "memory = 1MiB"}, {"descriptors = 4096", "reserved_descriptors = many"},
-		{"tolerated_vms = 2", "tolerated_vms = 9"}, {"tolerated_vms = 2", "tolerated_vms = -1"}, {"tolerated_vms = 2", "tolerated_vms = two"}, {"tolerated_vms = 2", "tolerated_data_centres = 9"},
+		{"tolerated_vms = 2", "admission = sometimes"}, {"tolerated_vms = 2", "tolerated_vms = 9"}, {"tolerated_vms = 2", "tolerated_vms = -1"}, {"tolerated_vms = 2", "tolerated_vms = two"}, {"tolerated_vms = 2", "tolerated_data_centres = 9"},
 		{"memory = 336MiB", "memory = 336MiB\nrequest_memory = 169MiB"}, {"memory = 336MiB", "request_memory = 1000KiB"}, {"memory = 336MiB", "request_memory = 8"},
 		{"memory = 336MiB", "max_header = 8KiB"}, {"memory = 336MiB", "max_header = 2MiB"}, {"memory = 336MiB", "header_timeout = 2s"}, {"memory = 336MiB", "header_timeout = 10"},
 		{"memory = 336MiB", "body_timeout = 0s"}, {"memory = 336MiB", "idle_timeout = 14s"}, {"memory = 336MiB", "write_timeout = 11m"},
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -12,6 +12,7 @@
 	"laburnumgrade/internal/cell"
 	"laburnumgrade/internal/cellapi"
 	"laburnumgrade/internal/logging"
+	"laburnumgrade/internal/overload"
 	"laburnumgrade/internal/port"
 )
 
@@ -52,8 +53,10 @@
 	OnLeader        func(*cellapi.AnnounceLeader)
 	AnnouncedLeader func() string
 	Bounds          Bounds
-	Logger          *slog.Logger
-	Scope           tally.Scope
+	// AdmitAll accepts every job that is allowed, whatever the load of the cell is.
+	AdmitAll bool
+	Logger   *slog.Logger
+	Scope    tally.Scope
 }
 
 // Bounds are the time limits and factors from the settings of the site.
@@ -120,6 +123,8 @@
 	// adviceDeferred the requests for advice that it could not give to any process.
 	waiting        [waitReasons]tally.Gauge
 	adviceDeferred tally.Gauge
+	// refusedSubmissions counts the submissions that the load does not allow, by reason.
+	refusedSubmissions [overload.Reasons]tally.Counter
 	// withdrawals is the number of jobs that were cancelled before they were submitted.
 	withdrawals tally.Gauge
 	// evacuatedDataCentres is the number of evacuated data centres in the state of this
@@ -148,6 +153,9 @@
 		plan: scope.Histogram("cell_plan", buckets), planLock: scope.Histogram("cell_plan_lock", buckets),
 		adviceDeferred: scope.Gauge("cell_advice_deferred"),
 	}
+	for reason := range overload.Reasons {
+		m.refusedSubmissions[reason] = scope.Tagged(map[string]string{"reason": reason.String()}).Counter("cell_refused_submissions")
+	}
 	for reason := range waitReasons {
 		m.waiting[reason] = scope.Tagged(map[string]string{"reason": reason.String()}).Gauge("cell_waiting_steps")
 	}
--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -70,7 +70,7 @@
 	)
 	f := &ticketAdvisers{share: 40, idleAt: map[string]time.Time{}}
 	terms := cell.AdviceTerms{DecideMS: 430, PerWorkerMS: 6.2, ValidityMS: 2000}
-	runCellWith(t, 0, func(c *Config) { c.AdviceClient = f }, func(b *testCell) {
+	runCellWith(t, 0, func(c *Config) { c.AdviceClient, c.AdmitAll = f, true }, func(b *testCell) {
 		b.do(&cellapi.Call{Configure: &cell.Configuration{
 			Version: 2, Services: []cell.Service{{Name: service}},
 			Queues: []cell.Queue{{Name: "q", Host: "h", Prefix: queuePath, Service: service, TimeoutMS: 1000, MaxFailures: 3, ObjectiveMS: 3000, Stretch: 1, Public: true, Advice: &terms}},
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -317,8 +317,12 @@
 		}
 		found = true
 		o.Spec = j.Spec
-		if step := &j.Steps[p.Task.Step]; !step.Daemon {
-			expected = expectedDuration(step.EstimateMS, ratios.of(queueName(v, j)))
+		step, ratio := &j.Steps[p.Task.Step], ratios.of(queueName(v, j))
+		if !step.Daemon {
+			expected = expectedDuration(step.EstimateMS, ratio)
+		}
+		if q := v.QueueOf(j); q != nil {
+			t.load.taskStarted(j.Team, q.Priority, waitingTasks(step, ratio, 1))
 		}
 		o.Checkpoint = j.Occurrences[p.Task.Occurrence][p.Task.Step].Tasks[p.Task.Index].Checkpoint
 		if q := v.QueueOf(j); q != nil && q.Advice != nil {
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -160,10 +160,19 @@
 		l.Logger.Info("submission answered from the state", logging.Step("submit"), logging.Job(jobID(c.Path)), "host", c.Host, "path", c.Path, "known", known, "exists", exists, "verdict", verdict.String(), "configuration", l.configurationVersion())
 		return l.submissionReply(verdict), false
 	}
+	var refused *cellapi.Reply
 	r = l.commit(ctx, t, &cell.Command{Submit: c}, func() (any, bool) {
 		l.Store.View(func(v *cell.View) { verdict, known = submissionVerdict(v, &c.Request) })
-		return verdict, known || verdict == cell.Withdrawn
+		if known || verdict == cell.Withdrawn {
+			return verdict, true
+		}
+		// No earlier submission of the job is being committed, so a refusal is true.
+		refused = t.load.admit(c)
+		return verdict, refused != nil
 	})
+	if refused != nil {
+		return refused, false
+	}
 	if r.Verdict == cell.Withdrawn {
 		r = l.submissionReply(cell.Withdrawn)
 	}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -44,6 +44,8 @@
 	stats             *workerStats
 	// cold holds until when workers are slow after their start.
 	cold coldWorkers
+	// load decides on submissions.
+	load *loadWatch
 	// wall is the wall-clock time that the control processes agree on.
 	wall *wallClock
 	// reserved maps a worker to the gang for which the last plan reserved it. Only
@@ -138,6 +140,7 @@
 		stats:          newWorkerStats(),
 	}
 	t.advice = newAdviceBroker(t)
+	t.load = newLoadWatch(t)
 	return t
 }
 
@@ -181,6 +184,7 @@
 func (t *term) run() {
 	t.spawn(t.forgetEndedJobs)
 	t.spawn(t.runUpkeep)
+	t.spawn(t.load.run)
 	ticker := time.NewTicker(maxPlanInterval)
 	defer ticker.Stop()
 	for t.isCurrent() {
