--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -44,6 +44,8 @@
 	stats             *workerStats
 	// cold holds until when workers are slow after their start.
 	cold coldWorkers
+	// load decides on submissions.
+	load *loadWatch
 	// wall is the wall-clock time that the control processes agree on.
 	wall *wallClock
 	// reserved maps a worker to the gang for which the last plan reserved it. Only
@@ -51,6 +53,9 @@
 	reserved map[string]cell.StepKey
 	// attemptCopies is shared by the plans. Only the planner's goroutine uses it.
 	attemptCopies attemptCopies
+	// window is what plans look at when there are more steps than one can. Only the planner's
+	// goroutine uses it.
+	window planWindow
 	// housekeepingAt is when sessions and unwanted attempts were last looked for. Only the
 	// planner's goroutine uses it.
 	housekeepingAt time.Duration
@@ -135,6 +140,7 @@
 		stats:          newWorkerStats(),
 	}
 	t.advice = newAdviceBroker(t)
+	t.load = newLoadWatch(t)
 	return t
 }
 
@@ -178,6 +184,7 @@
 func (t *term) run() {
 	t.spawn(t.forgetEndedJobs)
 	t.spawn(t.runUpkeep)
+	t.spawn(t.load.run)
 	ticker := time.NewTicker(maxPlanInterval)
 	defer ticker.Stop()
 	for t.isCurrent() {
