--- a/internal/cell/configuration.go
+++ b/internal/cell/configuration.go
@@ -80,8 +80,8 @@
 	Standby         bool
 }
 
-// Team is a customer. Its clients use its keys. Weight is stored; the scheduler does not
-// use it.
+// Team is a customer. Its clients use its keys. Weight is its share against other teams
+// while the cell is overloaded.
 type Team struct {
 	Name   string
 	Keys   []string
--- a/internal/cell/evacuation.go
+++ b/internal/cell/evacuation.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"strings"
-	"unicode"
 	"unicode/utf8"
 )
 
@@ -28,8 +27,10 @@
 // path.
 func (c *Evacuate) Valid() bool {
 	name := c.DataCentre
+	// Beyond ASCII all characters are allowed: which of them are printable depends on the
+	// release of the Unicode tables, and all replicas have to decide alike.
 	return name != "" && len(name) <= maxDataCentreBytes && utf8.ValidString(name) &&
-		!strings.ContainsFunc(name, func(r rune) bool { return r == '/' || unicode.IsSpace(r) || !unicode.IsPrint(r) })
+		!strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r == '\x7f' || r == '/' })
 }
 
 // evacuate starts or stops the evacuation of a data centre. One that is in force, or not in
--- a/internal/cellapi/message.go
+++ b/internal/cellapi/message.go
@@ -88,8 +88,8 @@
 	Pending *int `cbor:"3,keyasint,omitempty"`
 	// Complete is set if the requested wave is complete.
 	Complete bool `cbor:"12,keyasint,omitempty"`
-	// RetryAfterMS is after how many milliseconds a submission with the verdict
-	// cell.Withdrawn may be accepted if it is repeated, 0 for other verdicts.
+	// RetryAfterMS is after how many milliseconds a submission that was refused, or has the
+	// verdict cell.Withdrawn, may be accepted if it is repeated; 0 if that is not known.
 	RetryAfterMS int64 `cbor:"13,keyasint,omitempty"`
 	// Source is the configuration in force, byte for byte as the operator sent it.
 	Source []byte `cbor:"4,keyasint,omitempty"`
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -125,6 +125,8 @@
 	adviceDeferred tally.Gauge
 	// refusedSubmissions counts the submissions that the load does not allow, by reason.
 	refusedSubmissions [overload.Reasons]tally.Counter
+	// overloaded is 1 while submissions are judged.
+	overloaded tally.Gauge
 	// withdrawals is the number of jobs that were cancelled before they were submitted.
 	withdrawals tally.Gauge
 	// evacuatedDataCentres is the number of evacuated data centres in the state of this
@@ -152,6 +154,7 @@
 		adviceWait: scope.Histogram("cell_advice_wait", buckets), adviceDelay: scope.Histogram("cell_advice_delay", buckets),
 		plan: scope.Histogram("cell_plan", buckets), planLock: scope.Histogram("cell_plan_lock", buckets),
 		adviceDeferred: scope.Gauge("cell_advice_deferred"),
+		overloaded:     scope.Gauge("cell_overloaded"),
 	}
 	for reason := range overload.Reasons {
 		m.refusedSubmissions[reason] = scope.Tagged(map[string]string{"reason": reason.String()}).Counter("cell_refused_submissions")
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +27,12 @@
 	servedWeight = 0.08
 	// loadReportInterval is how often refusals are logged.
 	loadReportInterval = time.Second
+	// minJudgedTerm is the age of a term from which submissions are judged: the average of what
+	// is started covers some seconds.
+	minJudgedTerm = 5 * time.Second
+	// refusalTime is how long a refused submission stays refused. Its client comes back after
+	// a second at the earliest; an attempt that was held up on its way arrives before.
+	refusalTime = 900 * time.Millisecond
 )
 
 // refusalKey identifies refusals that are counted together.
@@ -44,19 +52,26 @@
 	// overloaded is set while submissions are judged.
 	overloaded bool
 	startRate  overload.StartRate
-	// started is the work started since the load was derived, by priority, and served the
-	// average for each second.
-	started, served map[int]overload.Work
-	refusals        map[refusalKey]int
-	reportedAt      time.Duration
+	// started is the work started since the load was derived, and served the average for each
+	// second.
+	started, served map[overload.Class]overload.Work
+	// refusedUntil has the jobs that were refused lately by their path. An earlier attempt of
+	// the same submission that arrives late must not be accepted then.
+	refusedUntil map[string]time.Duration
+	refusals     map[refusalKey]int
+	reportedAt   time.Duration
 }
 
 func newLoadWatch(t *term) *loadWatch {
-	return &loadWatch{t: t, started: map[int]overload.Work{}, served: map[int]overload.Work{}, refusals: map[refusalKey]int{}}
+	return &loadWatch{
+		t: t, started: map[overload.Class]overload.Work{}, served: map[overload.Class]overload.Work{},
+		refusedUntil: map[string]time.Duration{}, refusals: map[refusalKey]int{},
+	}
 }
 
 // run derives the load and measures the lateness until the term ends.
 func (w *loadWatch) run() {
+	defer w.t.leader.metrics.setOverloaded(false)
 	w.refresh(loadInterval)
 	derivedAt := w.t.leader.Clock.Now()
 	for due := derivedAt + latenessInterval; w.t.pause(max(0, due-w.t.leader.Clock.Now())); due = w.t.leader.Clock.Now() + latenessInterval {
@@ -79,40 +94,54 @@
 	load := w.t.deriveLoad()
 	now := w.t.leader.Clock.Now()
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	for p := range w.started {
-		w.served[p] = w.served[p].Add(overload.Work{}) // so that each priority has an average
-	}
-	for p, average := range w.served {
-		current := w.started[p].Scale(1 / elapsed.Seconds())
-		w.served[p] = average.Add(current.Sub(average).Scale(servedWeight))
-	}
-	clear(w.started)
-	load.Served, load.StartsPerSecond = w.served, w.startRate.PerSecond()
+	w.averageServed(elapsed)
+	load.Served, load.StartsPerSecond = maps.Clone(w.served), w.startRate.PerSecond()
 	w.load = load
-	if overloaded := load.Overloaded(w.overloaded); overloaded != w.overloaded {
-		w.overloaded = overloaded
+	maps.DeleteFunc(w.refusedUntil, func(_ string, until time.Duration) bool { return until < now })
+	// What a new leader has started shows nothing before its average has filled.
+	overloaded := now-w.t.began >= minJudgedTerm && load.Overloaded(w.overloaded)
+	changed := overloaded != w.overloaded
+	w.overloaded = overloaded
+	var refusals map[refusalKey]int
+	due, late := now-w.reportedAt >= loadReportInterval, w.startRate.Lateness()
+	if due {
+		w.reportedAt, refusals, w.refusals = now, w.refusals, map[refusalKey]int{}
+	}
+	w.mu.Unlock()
+	if changed {
+		w.t.leader.metrics.setOverloaded(overloaded)
 		w.t.leader.Logger.Warn("overload of the cell changed", logging.Step("admit"), "overloaded", overloaded)
 	}
-	if now-w.reportedAt >= loadReportInterval {
-		w.reportedAt = now
-		w.report()
+	if due {
+		w.report(load, refusals, overloaded, late)
 	}
 }
 
-// report logs the refusals since the last report. The caller holds w.mu.
-func (w *loadWatch) report() {
-	waits := map[int]int64{}
-	for p := range w.load.Backlog {
-		waits[p] = w.load.Wait(p).Milliseconds()
+// averageServed adds the work started in the elapsed time to the averages. The caller holds
+// w.mu.
+func (w *loadWatch) averageServed(elapsed time.Duration) {
+	for c := range w.started {
+		if _, known := w.served[c]; !known {
+			w.served[c] = overload.Work{}
+		}
 	}
-	for k, n := range w.refusals {
+	for c, average := range w.served {
+		current := w.started[c].Scale(1 / elapsed.Seconds())
+		w.served[c] = average.Add(current.Sub(average).Scale(servedWeight))
+	}
+	clear(w.started)
+}
+
+// report logs the refusals since the last report, and the load while the cell is overloaded or
+// its leader late.
+func (w *loadWatch) report(load *overload.Load, refusals map[refusalKey]int, overloaded bool, late time.Duration) {
+	for k, n := range refusals {
 		w.t.leader.Logger.Warn("submissions refused", logging.Step("admit"), "team", k.team, "queue", k.queue, "reason", k.reason.String(), "count", n)
 	}
-	if w.overloaded || w.startRate.Lateness() > latenessInterval {
-		w.t.leader.Logger.Warn("cell is loaded", logging.Step("admit"), "wait_ms", waits, "starts_per_second", fmt.Sprintf("%.0f", w.load.StartsPerSecond), "free", w.load.Free.MilliCPU, "capacity", w.load.Capacity.MilliCPU, "late_ms", w.startRate.Lateness().Milliseconds())
+	if overloaded || late > latenessInterval {
+		w.t.leader.Logger.Warn("cell is loaded", logging.Step("admit"), "starts_per_second", fmt.Sprintf("%.0f", load.StartsPerSecond),
+			"free", load.Free.MilliCPU, "capacity", load.Capacity.MilliCPU, "late_ms", late.Milliseconds())
 	}
-	clear(w.refusals)
 }
 
 // admit decides on a submission that is allowed and not known. It returns nil if the job is
@@ -128,72 +157,101 @@
 		queue, judged = q.Name, true
 		j = w.t.demandOf(&c.Job, q, team)
 	})
-	if !judged {
+	if !judged || w.t.leader.AdmitAll {
 		return nil
 	}
+	now := w.t.leader.Clock.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.load == nil || w.t.leader.AdmitAll {
+	if w.load == nil {
 		return nil
 	}
+	if until, refused := w.refusedUntil[c.Host+c.Path]; refused && now < until {
+		return &cellapi.Reply{Refused: "the submission was refused before", RetryAfterMS: (until - now).Milliseconds()}
+	}
 	if !w.overloaded {
-		w.load.Add(j.Team, j.Priority, j.Waiting)
+		w.load.Add(j.Team, j.Class, j.Waiting)
 		return nil
 	}
 	d := w.load.Admit(&j, rand.Float64())
 	if d.Reason != overload.None {
 		w.refusals[refusalKey{j.Team, queue, d.Reason}]++
+		w.refusedUntil[c.Host+c.Path] = now + refusalTime
 		w.t.leader.metrics.refusedSubmissions[d.Reason].Inc(1)
 		return &cellapi.Reply{Refused: d.Reason.String(), RetryAfterMS: d.RetryAfter.Milliseconds()}
 	}
-	w.load.Add(j.Team, j.Priority, j.Waiting)
+	w.load.Add(j.Team, j.Class, j.Waiting)
 	return nil
 }
 
 // taskStarted records the start of a task of a team.
-func (w *loadWatch) taskStarted(team string, priority int, task overload.Waiting) {
+func (w *loadWatch) taskStarted(team string, c overload.Class, task overload.Waiting) {
 	w.starts.Add(1)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.started[priority] = w.started[priority].Add(task.Work)
+	w.started[c] = w.started[c].Add(task.Work)
 	if w.load != nil {
-		w.load.Remove(team, priority, task)
+		w.load.Remove(team, c, task)
 	}
 }
 
 // isJudged reports whether a job has an objective from its submission on: it is neither
 // scheduled nor without an end.
-func isJudged(s *cell.Submission) bool {
-	for i := range s.Steps {
-		if s.Steps[i].Daemon {
-			return false
-		}
-	}
-	return s.Schedule.Times == 0
+func isJudged(s *cell.Submission) bool { return s.Schedule.Times == 0 && hasEnd(s.Steps) }
+
+// hasEnd reports whether all steps come to an end.
+func hasEnd(steps []cell.Step) bool {
+	return !slices.ContainsFunc(steps, func(s cell.Step) bool { return s.Daemon })
 }
 
 // demandOf returns what a submission to a queue asks for.
 func (t *term) demandOf(s *cell.Submission, q *cell.Queue, team string) overload.Job {
 	ratio := t.stats.queueRatioOf(q.Name)
-	j := overload.Job{Team: team, Priority: q.Priority}
+	j := overload.Job{Team: team}
 	for i := range s.Steps {
-		step := &s.Steps[i]
-		j.Waiting = j.Waiting.Add(waitingTasks(step, ratio, step.Count))
-	}
-	for _, rest := range remainingDurations(&cell.Job{Steps: s.Steps}, ratio) {
-		j.Chain = max(j.Chain, rest)
+		j.Waiting = j.Waiting.Add(waitingTasks(&s.Steps[i], ratio, s.Steps[i].Count))
 	}
-	j.Objective = time.Duration(float64(j.Chain)*q.Stretch) + time.Duration(q.ObjectiveMS)*time.Millisecond
+	j.Chain, j.Objective = chainAndObjective(s.Steps, q, ratio)
+	j.Class = overload.ClassOf(q.Priority, j.Objective-j.Chain)
 	return j
 }
 
+// chainAndObjective returns the expected duration of the longest chain of steps, and the time in
+// which a job of the steps should be complete.
+func chainAndObjective(steps []cell.Step, q *cell.Queue, ratio float64) (chain, objective time.Duration) {
+	chain = slices.Max(remainingDurations(&cell.Job{Steps: steps}, ratio))
+	return chain, objectiveOf(chain, q)
+}
+
+// objectiveOf returns the time in which a job with a chain of steps should be complete.
+func objectiveOf(chain time.Duration, q *cell.Queue) time.Duration {
+	return time.Duration(float64(chain)*q.Stretch) + time.Duration(q.ObjectiveMS)*time.Millisecond
+}
+
+// classOf returns the class of a job in the order in which work starts.
+func classOf(j *cell.Job, q *cell.Queue, ratio float64) overload.Class {
+	chain, objective := chainAndObjective(j.Steps, q, ratio)
+	return overload.ClassOf(q.Priority, objective-chain)
+}
+
+// setOverloaded updates the gauge of overload.
+func (m *leaderMetrics) setOverloaded(overloaded bool) {
+	value := 0.0
+	if overloaded {
+		value = 1
+	}
+	m.overloaded.Update(value)
+}
+
 // deriveLoad derives capacity and backlog from the replicated state.
 func (t *term) deriveLoad() *overload.Load {
 	load := overload.NewLoad()
-	ratios, now := t.stats.queueRatios(), t.leader.Clock.Now()
+	ratios := t.stats.queueRatios()
 	t.leader.Store.View(func(v *cell.View) {
 		for _, w := range v.Workers() {
-			if w.Usable() && t.usableSession(w.ID, w.Born, now) != nil {
+			// Workers that do not answer for a moment count: after a change of the leader all
+			// of them have to answer first.
+			if w.Usable() && !v.IsEvacuated(w.DataCentre) {
 				load.Capacity = load.Capacity.Add(w.Capacity)
 				load.Free = load.Free.Add(w.Free().Max(structs.Resources{}))
 			}
@@ -209,8 +267,9 @@
 			if j.State != cell.Active {
 				continue
 			}
-			if q := v.QueueOf(j); q != nil {
-				load.Add(j.Team, q.Priority, unstartedWork(j, ratios.of(q.Name)))
+			if q := v.QueueOf(j); q != nil && hasEnd(j.Steps) {
+				ratio := ratios.of(q.Name)
+				load.Add(j.Team, classOf(j, q, ratio), unstartedWork(j, ratio))
 			}
 		}
 	})
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -155,15 +155,18 @@
 	}
 	var total time.Duration
 	began := t.leader.Clock.Now()
+	joined := 0 // how many of the steps have joined the plan and precede those that it had
 	for {
+		before := len(steps)
 		steps = p.planNext(steps, use.below(maxPlanSlice))
+		joined = max(0, joined-(before-len(steps)))
 		t.reserved, t.isolation = p.reserved, p.isolation
 		if !t.carryOut(p, use) {
 			return use.spent()
 		}
 		total += use.spent()
 		if len(steps) == 0 || len(p.counted) >= firstSteps && t.leader.Clock.Now()-began >= maxPlanTime {
-			t.window.cut(steps)
+			t.window.record(steps[joined:])
 			break
 		}
 		if !t.pause(planPause(use.spent())) || !t.leads() {
@@ -172,7 +175,9 @@
 		use = newProcessorUse(t.leader.Clock)
 		p.beginSlice(t.leader.Clock.Now())
 		t.withholdUnusable(p)
-		steps = append(t.urgentSteps(p, steps[0], use), steps...)
+		urgent := t.urgentSteps(p, steps[0], use)
+		steps = append(urgent, steps...)
+		joined += len(urgent)
 	}
 	t.leader.metrics.plan.RecordDuration(total)
 	t.logWaits(t.longWaits(p, readySteps))
@@ -309,6 +314,7 @@
 	t.mu.Unlock()
 	var expected time.Duration
 	ratios := t.stats.queueRatios()
+	started := func() {} // a job without a queue belongs to no class
 	found, current := false, s.recordIsCurrent(t.leader.Clock.Now())
 	t.leader.Store.View(func(v *cell.View) {
 		j, w := v.Job(p.Task.Job), v.Worker(p.Worker)
@@ -321,11 +327,13 @@
 		if !step.Daemon {
 			expected = expectedDuration(step.EstimateMS, ratio)
 		}
-		if q := v.QueueOf(j); q != nil {
-			t.load.taskStarted(j.Team, q.Priority, waitingTasks(step, ratio, 1))
-		}
 		o.Checkpoint = j.Occurrences[p.Task.Occurrence][p.Task.Step].Tasks[p.Task.Index].Checkpoint
-		if q := v.QueueOf(j); q != nil && q.Advice != nil {
+		q := v.QueueOf(j)
+		if q == nil {
+			return
+		}
+		started = func() { t.load.taskStarted(j.Team, classOf(j, q, ratio), waitingTasks(step, ratio, 1)) }
+		if q.Advice != nil {
 			o.Ticket = t.advice.ticket(p.Task.StepKey, p.Worker)
 		}
 	})
@@ -339,6 +347,7 @@
 		})
 		return
 	}
+	started()
 	t.leader.metrics.wait.RecordDuration(t.leader.Clock.Now() - firstSeen)
 	t.leader.Logger.Info("task planned", logging.Step("plan"), logging.Job(p.Task.Job), "task", position(p.Task), "run", p.Run, logging.Peer(p.Worker),
 		"since_seen_ms", (t.leader.Clock.Now() - firstSeen).Milliseconds(), "factor", t.stats.factorOf(p.Worker), "saved", o.Checkpoint != "")
--- a/internal/dispatch/ready.go
+++ b/internal/dispatch/ready.go
@@ -169,7 +169,7 @@
 	if !known {
 		times.firstSeen = now
 	}
-	times.objective = time.Duration(float64(slices.Max(rest))*q.Stretch) + time.Duration(q.ObjectiveMS)*time.Millisecond
+	times.objective = objectiveOf(slices.Max(rest), q)
 	times.daemon = slices.ContainsFunc(j.Steps, func(s cell.Step) bool { return s.Daemon })
 	t.times[k.OccurrenceKey()] = times
 	return times
--- a/internal/dispatch/window.go
+++ b/internal/dispatch/window.go
@@ -18,17 +18,15 @@
 
 // planWindow selects the steps that a plan begins with if the last one did not reach all.
 type planWindow struct {
-	// next is the step that the last plan would have looked at next; it is valid if wasCut is
-	// set.
-	next   cell.StepKey
-	wasCut bool
+	// unreached holds the steps that the last plan has not reached, in its order.
+	unreached []cell.StepKey
 }
 
-// cut records the steps that a plan has not reached.
-func (w *planWindow) cut(rest []*readyStep) {
-	w.wasCut = len(rest) > 0
-	if w.wasCut {
-		w.next = rest[0].key
+// record records the steps that a plan has not reached.
+func (w *planWindow) record(rest []*readyStep) {
+	w.unreached = w.unreached[:0]
+	for _, rs := range rest {
+		w.unreached = append(w.unreached, rs.key)
 	}
 }
 
@@ -36,20 +34,25 @@
 // order of rank. If the last plan was cut short, the first steps are followed by those in
 // service, which could use what they were told, then by those from where it ended.
 func (w *planWindow) arrange(readySteps []*readyStep, inService map[cell.StepKey]time.Duration) []*readyStep {
-	if !w.wasCut || len(readySteps) <= firstSteps {
+	if len(w.unreached) == 0 || len(readySteps) <= firstSteps {
 		return readySteps
 	}
 	list, rest := slices.Clone(readySteps[:firstSteps]), make([]*readyStep, 0, len(readySteps)-firstSteps)
-	from := 0
+	places := map[cell.StepKey]int{}
 	for _, rs := range readySteps[firstSteps:] {
-		if _, served := inService[rs.key]; served {
+		if _, advised := inService[rs.key]; advised {
 			list = append(list, rs)
 			continue
 		}
-		if rs.key == w.next {
-			from = len(rest)
-		}
+		places[rs.key] = len(rest)
 		rest = append(rest, rs)
 	}
+	from := 0
+	for _, key := range w.unreached {
+		if place, present := places[key]; present {
+			from = place
+			break
+		}
+	}
 	return slices.Concat(list, rest[from:], rest[:from])
 }
--- a/internal/overload/admission.go
+++ b/internal/overload/admission.go
@@ -9,10 +9,13 @@
 
 const (
 	// maxBacklog is the time for the whole backlog from which a cell counts as overloaded, and
-	// calmBacklog that below which it no longer does. A shorter crest is left to the order of
-	// the queues: clients rather have late work than none.
+	// calmBacklog that below which it no longer does. A shorter peak is left to the order of
+	// the queues: clients prefer late work to none.
 	maxBacklog  = 15 * time.Second
 	calmBacklog = 5 * time.Second
+	// maxJudgedSpare is the class of time to spare, 16 s, up to which a backlog makes a cell
+	// overloaded.
+	maxJudgedSpare = 4
 	// usableShare is the share of the workers' capacity that can be used at a time: tasks do
 	// not fill workers exactly.
 	usableShare = 0.75
@@ -36,12 +39,30 @@
 	retrySpread = 1.5
 )
 
+// Class is work that competes for the same turn: the same priority, where 0 comes first, and
+// about the same time to spare. Within a priority the work with less time to spare starts first.
+type Class struct {
+	Priority int
+	// Spare is the binary logarithm of the seconds to spare, rounded.
+	Spare int
+}
+
+// ClassOf returns the class of work of a priority with a time to spare.
+func ClassOf(priority int, spare time.Duration) Class {
+	const shortest = 0.125 // seconds
+	return Class{priority, int(math.Round(math.Log2(max(shortest, spare.Seconds()))))}
+}
+
+// before reports whether work of the class c starts before that of o, or at the same time.
+func (c Class) before(o Class) bool {
+	return c.Priority < o.Priority || c.Priority == o.Priority && c.Spare <= o.Spare
+}
+
 // Job is a submission to decide on.
 type Job struct {
-	Team string
-	// Priority is that of its queue; 0 comes first.
-	Priority int
-	Waiting  Waiting
+	Team    string
+	Class   Class
+	Waiting Waiting
 	// Chain is the expected run time of its longest chain of steps, and Objective the time in
 	// which it should be complete.
 	Chain     time.Duration
@@ -54,8 +75,8 @@
 	Weight float64
 	// Limit is the most that it may have running; a dimension of 0 is unlimited.
 	Limit structs.Resources
-	// Backlog is its accepted work that has not started, by priority.
-	Backlog map[int]Waiting
+	// Backlog is its accepted work that has not started.
+	Backlog map[Class]Waiting
 }
 
 // Waiting is accepted work that has not started.
@@ -77,33 +98,44 @@
 	// StartsPerSecond is what the leader can bear, infinite if that is not known.
 	StartsPerSecond float64
 	// Backlog is the accepted work that has not started, and Served what has been started each
-	// second lately, both by priority.
-	Backlog map[int]Waiting
-	Served  map[int]Work
+	// second lately.
+	Backlog map[Class]Waiting
+	Served  map[Class]Work
 	Teams   map[string]*Team
 }
 
 // NewLoad returns a load without capacity, backlog and teams.
 func NewLoad() *Load {
-	return &Load{StartsPerSecond: math.Inf(1), Backlog: map[int]Waiting{}, Served: map[int]Work{}, Teams: map[string]*Team{}}
+	return &Load{StartsPerSecond: math.Inf(1), Backlog: map[Class]Waiting{}, Served: map[Class]Work{}, Teams: map[string]*Team{}}
 }
 
 // Add adds accepted work of a team.
-func (l *Load) Add(team string, priority int, w Waiting) {
-	l.Backlog[priority] = l.Backlog[priority].Add(w)
+func (l *Load) Add(team string, c Class, w Waiting) { l.change(team, c, w) }
+
+// Remove removes work of a team that has started. No more than there is is removed: the load
+// may have been derived after the start.
+func (l *Load) Remove(team string, c Class, w Waiting) { l.change(team, c, w.negative()) }
+
+func (l *Load) change(team string, c Class, w Waiting) {
+	l.Backlog[c] = l.Backlog[c].Add(w).atLeastNone()
 	t := l.Teams[team]
 	if t == nil {
 		t = &Team{}
 		l.Teams[team] = t
 	}
 	if t.Backlog == nil {
-		t.Backlog = map[int]Waiting{}
+		t.Backlog = map[Class]Waiting{}
 	}
-	t.Backlog[priority] = t.Backlog[priority].Add(w)
+	t.Backlog[c] = t.Backlog[c].Add(w).atLeastNone()
 }
 
-// Remove removes work of a team that has started.
-func (l *Load) Remove(team string, priority int, w Waiting) { l.Add(team, priority, w.negative()) }
+// atLeastNone returns w without negative amounts, and none if no start is left of it.
+func (w Waiting) atLeastNone() Waiting {
+	if w.Work.Starts < 0.5 {
+		return Waiting{}
+	}
+	return Waiting{w.Work.Max(Work{}), w.Size.Max(structs.Resources{})}
+}
 
 // Reason is why a job is refused.
 type Reason uint8
@@ -132,83 +164,143 @@
 	RetryAfter time.Duration
 }
 
-// Overloaded reports whether the whole backlog takes too long. before is the last result.
+// Overloaded reports whether the work that starts before that of some class, and the class
+// itself, takes too long. before is the last result.
 func (l *Load) Overloaded(before bool) bool {
+	limit := maxBacklog
+	if before {
+		limit = calmBacklog
+	}
+	for c, w := range l.Backlog {
+		// Work that has more time to spare than the limit is not held up by a backlog of that
+		// length, whatever there is of it.
+		if w.Work.Starts > 0 && c.Spare <= maxJudgedSpare && l.backlogTime(c) > limit {
+			return true
+		}
+	}
+	return false
+}
+
+// backlogTime returns the time that the work up to a class takes at the rate at which work was
+// started lately, at least half of the usable capacity.
+func (l *Load) backlogTime(c Class) time.Duration {
 	var backlog, served Work
-	for _, w := range l.Backlog {
-		backlog = backlog.Add(w.Work)
+	for o, w := range l.Backlog {
+		if o.before(c) {
+			backlog = backlog.Add(w.Work)
+		}
 	}
 	for _, w := range l.Served {
 		served = served.Add(w)
 	}
 	rate := resourceRate(l.Capacity).Scale(usableShare * leastTotalShare).Max(served)
 	rate.Starts = l.StartsPerSecond
-	limit := maxBacklog
-	if before {
-		limit = calmBacklog
-	}
-	return backlog.longest(rate) > limit
+	return backlog.longest(rate)
 }
 
-// Admit decides on a job while the cell is overloaded. random is in [0, 1) and spreads the clients that are refused.
+// Admit decides on a job while the cell is overloaded. random is in [0, 1) and spreads the
+// clients that are refused.
 func (l *Load) Admit(j *Job, random float64) Decision {
-	slack := j.Objective - j.Chain
+	slack := max(0, j.Objective-j.Chain)
 	if wait := l.limitWait(j); wait > slack {
 		return refuse(TeamLimit, wait, slack, random)
 	}
-	wait, reason, share := l.Wait(j.Priority), NoRoom, waitShare
+	wait, reason, share := l.Wait(j), NoRoom, waitShare
 	if wait > 0 && l.beyondShare(j) {
 		reason, share = BeyondShare, excessWaitShare
 	}
-	if most := time.Duration(share * float64(max(0, slack))); wait > most {
+	if most := time.Duration(share * float64(slack)); wait > most {
 		return refuse(reason, wait, most, random)
 	}
 	return Decision{Wait: wait}
 }
 
 func refuse(reason Reason, wait, slack time.Duration, random float64) Decision {
-	excess := min(max(wait-max(0, slack), minRetry), maxRetry)
-	return Decision{Reason: reason, Wait: wait, RetryAfter: time.Duration(float64(excess) * (1 + (retrySpread-1)*random))}
+	after := time.Duration(float64(max(wait-slack, minRetry)) * (1 + (retrySpread-1)*random))
+	if after > maxRetry {
+		after = time.Duration(float64(maxRetry) * (1 - (1-1/retrySpread)*random))
+	}
+	return Decision{Reason: reason, Wait: wait, RetryAfter: after}
 }
 
-// Wait returns how long work of a priority waits until it starts. Where the work that waits
-// fits on what is free, it waits for nothing but its turn. Otherwise the wait is, by Little's
-// law, what waits divided by what is started each second, whatever bounds the latter: room,
-// advice, limits or higher priorities.
-func (l *Load) Wait(priority int) time.Duration {
+// Wait returns how long a job waits until it starts. Where the work that starts before it fits
+// on what is free, it waits for nothing but its turn. Otherwise the wait is, by Little's law,
+// what waits of its priority before it divided by what is started of the priority each second,
+// whatever bounds the latter: room, advice, limits or other priorities. Only what the job itself
+// needs counts.
+func (l *Load) Wait(j *Job) time.Duration {
 	var ahead Waiting
-	for p, w := range l.Backlog {
-		if p <= priority {
-			ahead = ahead.Add(w)
+	var own, served Work
+	for c, w := range l.Backlog {
+		if !c.before(j.Class) {
+			continue
+		}
+		ahead = ahead.Add(w)
+		if c.Priority == j.Class.Priority {
+			own = own.Add(w.Work)
+		}
+	}
+	for c, w := range l.Served {
+		if c.Priority == j.Class.Priority {
+			served = served.Add(w)
 		}
 	}
 	starts := Work{Starts: ahead.Work.Starts}.longest(Work{Starts: l.StartsPerSecond})
-	if unusable := scale(l.Capacity, 1-usableShare); ahead.Size.Fits(l.Free.Sub(unusable)) {
+	if unusable := scale(l.Capacity, 1-usableShare); j.Waiting.only(ahead.Size).Fits(l.Free.Sub(unusable)) {
 		return starts
 	}
-	rate := resourceRate(l.Capacity).Scale(usableShare * leastShare).Max(l.Served[priority])
-	own := l.Backlog[priority].Work
+	rate := resourceRate(l.Capacity).Scale(usableShare * leastShare).Max(served)
+	own = j.Waiting.onlyWork(own)
 	own.Starts = 0
 	return max(starts, own.longest(rate))
 }
 
+// only returns the dimensions of a size that w needs.
+func (w Waiting) only(size structs.Resources) structs.Resources {
+	if w.Size.MilliCPU == 0 {
+		size.MilliCPU = 0
+	}
+	if w.Size.MemoryBytes == 0 {
+		size.MemoryBytes = 0
+	}
+	if w.Size.Accelerators == 0 {
+		size.Accelerators = 0
+	}
+	return size
+}
+
+// onlyWork is only for work.
+func (w Waiting) onlyWork(work Work) Work {
+	if w.Size.MilliCPU == 0 {
+		work.CoreSeconds = 0
+	}
+	if w.Size.MemoryBytes == 0 {
+		work.GiBSeconds = 0
+	}
+	if w.Size.Accelerators == 0 {
+		work.AcceleratorSeconds = 0
+	}
+	return work
+}
+
 func scale(r structs.Resources, f float64) structs.Resources {
 	return structs.Resources{MilliCPU: int64(f * float64(r.MilliCPU)), MemoryBytes: int64(f * float64(r.MemoryBytes)), Accelerators: int64(f * float64(r.Accelerators))}
 }
 
-// limitWait returns the time until the team's backlog, up to the priority of the job, should
-// have started within the team's limit.
+// limitWait returns the time until the team's backlog, up to the class of the job, should have
+// started within the team's limit.
 func (l *Load) limitWait(j *Job) time.Duration {
 	t := l.Teams[j.Team]
 	if t == nil || t.Limit.IsZero() {
 		return 0
 	}
 	var ahead Work
-	for p, w := range t.Backlog {
-		if p <= j.Priority {
+	for c, w := range t.Backlog {
+		if c.before(j.Class) {
 			ahead = ahead.Add(w.Work)
 		}
 	}
+	ahead = j.Waiting.onlyWork(ahead)
 	rate := resourceRate(t.Limit)
 	for _, d := range []*float64{&rate.CoreSeconds, &rate.GiBSeconds, &rate.AcceleratorSeconds} {
 		if *d == 0 {
@@ -220,22 +312,22 @@
 }
 
 // beyondShare reports whether the team has more than its share of the backlog of the job's
-// priority, against the weights of the teams that have some. The job itself does not count:
-// one wide job of a team that has none waiting may be more than a share.
+// class, against the weights of the teams that have some. The job itself does not count: one
+// wide job of a team that has none waiting may be more than a share.
 func (l *Load) beyondShare(j *Job) bool {
 	t := l.Teams[j.Team]
-	if t == nil || t.Weight <= 0 {
+	if t == nil || t.Weight <= 0 || t.Backlog[j.Class].Work.Starts == 0 {
 		return false
 	}
 	weights := t.Weight
 	for name, other := range l.Teams {
-		if name != j.Team && other.Backlog[j.Priority] != (Waiting{}) {
+		if name != j.Team && other.Weight > 0 && other.Backlog[j.Class].Work.Starts > 0 {
 			weights += other.Weight
 		}
 	}
 	if weights == t.Weight {
 		return false
 	}
-	fair := l.Backlog[j.Priority].Work.CoreSeconds * t.Weight / weights
-	return t.Backlog[j.Priority].Work.CoreSeconds > shareMargin*fair
+	fair := l.Backlog[j.Class].Work.CoreSeconds * t.Weight / weights
+	return t.Backlog[j.Class].Work.CoreSeconds > shareMargin*fair
 }
--- a/internal/overload/work.go
+++ b/internal/overload/work.go
@@ -50,13 +50,14 @@
 	return Work{max(w.CoreSeconds, o.CoreSeconds), max(w.GiBSeconds, o.GiBSeconds), max(w.AcceleratorSeconds, o.AcceleratorSeconds), max(w.Starts, o.Starts)}
 }
 
-// longest returns the largest of the times that the dimensions of the work take at a rate.
-// Work in a dimension whose rate is not positive takes longer than any objective.
+// longest returns the largest of the times that the dimensions of the work take at a rate. A
+// dimension without a rate does not count: no worker has it, and what waits for it holds up
+// nothing else.
 func (w Work) longest(rate Work) time.Duration {
 	seconds := 0.0
 	for _, d := range [...][2]float64{{w.CoreSeconds, rate.CoreSeconds}, {w.GiBSeconds, rate.GiBSeconds}, {w.AcceleratorSeconds, rate.AcceleratorSeconds}, {w.Starts, rate.Starts}} {
 		switch {
-		case d[0] <= 0:
+		case d[0] <= 0 || d[1] <= 0:
 		case d[1]*maxWait.Seconds() <= d[0]:
 			return maxWait
 		default:
