--- a/cmd/lg-cell/main.go
+++ b/cmd/lg-cell/main.go
@@ -105,7 +105,7 @@
 		return err
 	}
 	servers, err := process.StartServers(map[string]http.Handler{
-		c.PublicAddress.String():        platform.ControlHandler(node, logger),
+		c.PublicAddress.String():        pauses.Handler(platform.ControlHandler(node, logger)),
 		c.PeerAddress.String():          node.Handler(),
 		c.Process.AdminAddress.String(): telemetry.Metrics,
 	}, process.Intake{
--- a/cmd/lg-gateway/main.go
+++ b/cmd/lg-gateway/main.go
@@ -60,7 +60,7 @@
 	pauses := pause.New(port.NewBootClock())
 	g := gateway.New(client, c.PeerAddress.String(), pauses, logger)
 	servers, err := process.StartServers(map[string]http.Handler{
-		c.PublicAddress.String():        platform.ClientHandler(g, logger, telemetry.Scope),
+		c.PublicAddress.String():        pauses.Handler(platform.ClientHandler(g, logger, telemetry.Scope)),
 		c.ReadinessAddress.String():     platform.ReadinessHandler(g.Ready),
 		c.Process.AdminAddress.String(): telemetry.Metrics,
 		c.PeerAddress.String():          cellapi.Handler(nil, adviser.NewQueue(platform.NewAdviser(c.AdviceAddress.String(), peers), logger, telemetry.Scope)),
--- a/internal/adapter/disk/retry.go
+++ b/internal/adapter/disk/retry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"time"
 
@@ -17,8 +18,8 @@
 func RetryWhileFull(ctx context.Context, logger *slog.Logger, call func() error) error {
 	for first := true; ; first = false {
 		err := call()
-		if !isNoSpace(err) {
-			return err
+		if !isNoSpace(err) || errors.Is(err, ErrUnusable) {
+			return err // a storage that is unusable stays so until it is opened again
 		}
 		if first {
 			logger.Error("start waits for space on the disk", logging.Step("start replica"), logging.Error(err))
--- a/internal/adapter/httpserver/conn.go
+++ b/internal/adapter/httpserver/conn.go
@@ -99,14 +99,15 @@
 		c.phase = readingHead
 	}
 	now := c.phase
+	if now != complete {
+		c.account.Progress() // under the lock, so that it is not called after Complete
+	}
 	c.mu.Unlock()
-	switch {
-	case now == complete: // the beginning of the next request; net/http holds at most 4 KiB of it
-	case now == readingHead && c.countHeads:
-		c.account.Progress()
-		return c.account.Charge(int64(len(data)+bytesPerHeaderLine*bytes.Count(data, []byte{'\n'}))) == nil
-	default:
-		c.account.Progress()
+	// What comes after a complete request is the beginning of the next one, of which net/http
+	// holds at most 4 KiB.
+	if now == readingHead && c.countHeads {
+		head, _, _ := bytes.Cut(data, []byte("\r\n\r\n")) // a body may follow in the same read
+		return c.account.Charge(int64(len(data)+bytesPerHeaderLine*bytes.Count(head, []byte{'\n'}))) == nil
 	}
 	return true
 }
@@ -121,6 +122,15 @@
 	return c.Conn.Write(p)
 }
 
+// CloseWrite closes the writing side, as net/http does before it closes a connection that a
+// client still sends on.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	err := c.Conn.Close()
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -238,7 +238,7 @@
 // it refuses commands without a version: they may have waited since before the pause, and the
 // operator may have sent others since.
 func (n *Node) Do(ctx context.Context, c *cellapi.Call) *cellapi.Reply {
-	if c.HasNoVersion() && n.config.Pauses.JustResumed() {
+	if c.HasNoVersion() && n.config.Pauses.MayHaveWaited(ctx) {
 		return &cellapi.Reply{Refused: cellapi.RefusedAfterPause}
 	}
 	if r := n.leader.Do(ctx, c); !r.NotLeader {
--- a/internal/config/cell.go
+++ b/internal/config/cell.go
@@ -38,7 +38,7 @@
 	requestMemoryDivisor = 8
 	// defaultRequestMemoryBytes applies if the memory is not limited.
 	defaultRequestMemoryBytes = 64 << 20
-	// minHeader, minTimeout and minIdle exceed the limits that sites state: heads of 16 KiB, 3 s
+	// minHeader, minTimeout and minIdle are the limits that sites state: heads of 16 KiB, 3 s
 	// for a head, 15 s idle.
 	minHeader     = 16 << 10
 	maxHeader     = 1 << 20
--- a/internal/descriptor/part.go
+++ b/internal/descriptor/part.go
@@ -222,6 +222,14 @@
 	closed sync.Once
 }
 
+// CloseWrite closes the writing side of a TCP connection.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	err := c.Conn.Close()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,7 +68,7 @@
 	if g.isolated.Load() {
 		return &cellapi.Reply{Refused: "cut off from most control processes"}
 	}
-	if c.Submit != nil && g.pauses.JustResumed() {
+	if c.Submit != nil && g.pauses.MayHaveWaited(ctx) {
 		return &cellapi.Reply{Refused: cellapi.RefusedAfterPause}
 	}
 	return g.client.Do(ctx, c)
--- a/internal/pause/detector_test.go
+++ b/internal/pause/detector_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,6 +34,24 @@
 	assert.Assert(t, !(*Detector)(nil).JustResumed())
 }
 
+// Guards against a request whose head came just after a pause and whose body came so late that
+// it is taken for a new one.
+func TestRequestStaysMarkedUntilItsBodyHasCome(t *testing.T) {
+	clock := &manualClock{}
+	d := New(clock)
+	waited := false
+	handler := d.Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		clock.now += afterPause
+		waited = d.MayHaveWaited(r.Context())
+	}))
+	request := httptest.NewRequest(http.MethodPost, "/", nil)
+	clock.now += minPause
+	handler.ServeHTTP(httptest.NewRecorder(), request)
+	assert.Assert(t, waited)
+	handler.ServeHTTP(httptest.NewRecorder(), request)
+	assert.Assert(t, !waited)
+}
+
 // Guards against requests that are refused because no request has come for a while.
 func TestIdleProcessIsNotPaused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -169,6 +169,15 @@
 	return nil
 }
 
+// UncommittedBytes returns the size of the entries beyond the commit index in bytes.
+func (n *Node) UncommittedBytes() int64 {
+	bytes := int64(0)
+	for i := max(n.log.commit, n.log.prevIndex) + 1; i <= n.log.last(); i++ {
+		bytes += int64(len(n.log.entries[i-n.log.first()].Data))
+	}
+	return bytes
+}
+
 // Ready returns what the caller must store, send and apply; see type Ready. The caller
 // must call Advance when it has done so, or Unstored if it could not store it. Until then it may call only StepHeartbeat,
 // UrgentMessages and, on a leader, Tick.
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -119,16 +119,21 @@
 	}
 	status := r.node.Status()
 	unapplied := r.unapplied(&status)
+	// While no majority can store, entries only pile up.
+	uncommitted := r.node.UncommittedBytes()
 	var batch []*proposal
 	var commands [][]byte
 	for _, p := range queued {
 		if !p.claimed.CompareAndSwap(false, true) {
 			continue
 		}
-		if r.full || unapplied+uint64(len(batch)) >= maxUnappliedEntries {
+		size := int64(len(p.command))
+		tooLarge := r.cfg.MaxLogBytes > 0 && uncommitted > 0 && uncommitted+size > r.cfg.MaxLogBytes
+		if r.full || tooLarge || unapplied+uint64(len(batch)) >= maxUnappliedEntries {
 			p.finish(nil, ErrOverloaded)
 			continue
 		}
+		uncommitted += size
 		batch = append(batch, p)
 		commands = append(commands, p.command)
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -11,6 +11,8 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"google.golang.org/protobuf/proto"
+
 	"laburnumgrade/gen/peerv1"
 	"laburnumgrade/internal/port"
 	"laburnumgrade/internal/raft"
@@ -296,7 +298,11 @@
 	hard := ready.HardState
 	if ready.Snapshot != nil {
 		if hard != nil {
-			if err := r.cfg.Storage.Append(hard, nil); err != nil {
+			// Without the commit index: the log below it may differ from what the snapshot
+			// replaces, and a restart must not apply it if the snapshot cannot be stored.
+			withoutCommit := proto.Clone(hard).(*peerv1.RaftHardState)
+			withoutCommit.Commit = 0
+			if err := r.cfg.Storage.Append(withoutCommit, nil); err != nil {
 				return port.AtStep("append to log", "", err)
 			}
 		}
