overload: judged only from a backlog of 30 s on, shares by priority

Change: a cell counts as overloaded from 30 s of backlog on until it is below 10 s, and shares are those of the priority again.

--- a/internal/overload/admission.go
+++ b/internal/overload/admission.go
@@ -11,8 +11,8 @@
 	// maxBacklog is the time for the whole backlog from which a cell counts as overloaded, and
 	// calmBacklog that below which it no longer does. A shorter peak is left to the order of
 	// the queues: clients prefer late work to none.
-	maxBacklog  = 15 * time.Second
-	calmBacklog = 5 * time.Second
+	maxBacklog  = 30 * time.Second
+	calmBacklog = 10 * time.Second
 	// maxJudgedSpare is the class of time to spare, 16 s, up to which a backlog makes a cell
 	// overloaded.
 	maxJudgedSpare = 4
@@ -312,22 +312,37 @@
 }
 
 // beyondShare reports whether the team has more than its share of the backlog of the job's
-// class, against the weights of the teams that have some. The job itself does not count: one
+// priority, against the weights of the teams that have some. The job itself does not count: one
 // wide job of a team that has none waiting may be more than a share.
 func (l *Load) beyondShare(j *Job) bool {
 	t := l.Teams[j.Team]
-	if t == nil || t.Weight <= 0 || t.Backlog[j.Class].Work.Starts == 0 {
+	if t == nil || t.Weight <= 0 {
 		return false
 	}
-	weights := t.Weight
+	own := t.waiting(j.Class.Priority)
+	if own.Starts == 0 {
+		return false
+	}
+	weights, all := t.Weight, own.CoreSeconds
 	for name, other := range l.Teams {
-		if name != j.Team && other.Weight > 0 && other.Backlog[j.Class].Work.Starts > 0 {
+		if name == j.Team || other.Weight <= 0 {
+			continue
+		}
+		if w := other.waiting(j.Class.Priority); w.Starts > 0 {
 			weights += other.Weight
+			all += w.CoreSeconds
 		}
 	}
-	if weights == t.Weight {
-		return false
+	return weights > t.Weight && own.CoreSeconds > shareMargin*all*t.Weight/weights
+}
+
+// waiting returns the team's backlog of a priority.
+func (t *Team) waiting(priority int) Work {
+	var sum Work
+	for c, w := range t.Backlog {
+		if c.Priority == priority {
+			sum = sum.Add(w.Work)
+		}
 	}
-	fair := l.Backlog[j.Class].Work.CoreSeconds * t.Weight / weights
-	return t.Backlog[j.Class].Work.CoreSeconds > shareMargin*fair
+	return sum
 }
