--- a/internal/adapter/disk/record.go
+++ b/internal/adapter/disk/record.go
@@ -29,10 +29,10 @@
 
 // readRecords calls apply for each record of a file of size bytes and returns the length of
 // the intact prefix. It holds one record at a time, since a log may be larger than the memory
-// that is left; apply must not keep the payload. Reading ends without an error at a torn tail: a last record that is
-// incomplete, or that is complete but has a wrong payload checksum because its
-// content did not reach the disk before a crash. A wrong checksum that is
-// followed by more data is reported as a *CorruptError.
+// that is left; apply must not keep the payload. Reading ends without an error at a torn tail:
+// a last record that is incomplete, or that is complete but has a wrong payload checksum
+// because its content did not reach the disk before a crash. A wrong checksum that is followed
+// by more data is reported as a *CorruptError.
 func readRecords(file string, f io.Reader, size int64, apply func(payload []byte) error) (int64, error) {
 	reader := bufio.NewReader(io.LimitReader(f, size))
 	var data []byte
--- a/internal/cell/withdrawal.go
+++ b/internal/cell/withdrawal.go
@@ -24,8 +24,8 @@
 	LastIndex uint64 `cbor:"1,keyasint,omitempty"`
 }
 
-// withdrawalKey identifies a withdrawal by the queue's present name. Team is empty for a public queue, where each client
-// may cancel each job.
+// withdrawalKey identifies a withdrawal by the queue's present name. Team is empty for a
+// public queue, where each client may cancel each job.
 type withdrawalKey struct{ team, queue, job string }
 
 func newWithdrawalKey(q *Queue, team, job string) withdrawalKey {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -94,11 +94,11 @@
 	return r
 }
 
-// Run starts the replica and returns when it has stopped. The replica continues from
-// its data folder if that holds state; otherwise it bootstraps the group or joins it,
-// see mayBootstrap. It waits while the disk is full. initialNames are the names of the processes that the settings list
-// for the group. Run returns nil when the context ends, and an error if the replica
-// cannot be started or fails.
+// Run starts the replica and returns when it has stopped. The replica continues from its data
+// folder if that holds state; otherwise it bootstraps the group or joins it, see mayBootstrap.
+// It waits while the disk is full. initialNames are the names of the processes that the
+// settings list for the group. Run returns nil when the context ends, and an error if the
+// replica cannot be started or fails.
 func (h *Host) Run(ctx context.Context, r *ReplicaHandle, initialNames []string, machine port.StateMachine) error {
 	storage, id, err := h.open(r.group)
 	if err != nil {
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -178,9 +178,9 @@
 	return bytes
 }
 
-// Ready returns what the caller must store, send and apply; see type Ready. The caller
-// must call Advance when it has done so, or Unstored if it could not store it. Until then it may call only StepHeartbeat,
-// UrgentMessages and, on a leader, Tick.
+// Ready returns what the caller must store, send and apply; see type Ready. The caller must
+// call Advance when it has done so, or Unstored if it could not store it. Until then it may
+// call only StepHeartbeat, UrgentMessages and, on a leader, Tick.
 func (n *Node) Ready() Ready {
 	if n.role == Leader {
 		for _, id := range n.otherMembers() {
