dispatch: two tests keep the cost of their clock, one does not share a planner

The time of a plan is now a field of the term that this test and TestPlanEndsWithFailedCommit set to an hour; both have their old clock and are otherwise as before.

--- a/internal/dispatch/evacuation_test.go
+++ b/internal/dispatch/evacuation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -222,7 +223,12 @@
 		b.submit(jobID1, cell.Step{Count: 1, Size: structs.Resources{MilliCPU: 1 << 30}})
 		time.Sleep(100 * time.Millisecond)
 		b.reportAll()
-		term := b.leader.currentTerm()
+		// Another term with the same sessions: the planner of this one goes on.
+		current := b.leader.currentTerm()
+		term := newTerm(t.Context(), b.leader, current.number, current.began)
+		current.mu.Lock()
+		term.sessions = maps.Clone(current.sessions)
+		current.mu.Unlock()
 		p := &planner{now: b.leader.Clock.Now(), byID: map[string]*candidate{}, headroom: map[string]structs.Resources{}}
 		_, workers := term.copyInputs(p)
 		term.addCandidates(workers, p)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -165,7 +165,7 @@
 			return use.spent()
 		}
 		total += use.spent()
-		if len(steps) == 0 || len(p.counted) >= firstSteps && t.leader.Clock.Now()-began >= maxPlanTime {
+		if len(steps) == 0 || len(p.counted) >= firstSteps && t.leader.Clock.Now()-began >= t.planTime {
 			t.window.record(steps[joined:])
 			break
 		}
--- a/internal/dispatch/plan_load_test.go
+++ b/internal/dispatch/plan_load_test.go
@@ -192,7 +192,7 @@
 // answer, because a long plan uses the workers that were usable when it began.
 func TestLaterSlicesSkipWorkersThatBecameUnusable(t *testing.T) {
 	// A slice has at most 20 steps, since the clock advances with each.
-	const readySteps, placeable, tick = 600, 30 * 4, 100 * time.Microsecond
+	const readySteps, placeable, tick = 600, 30 * 4, time.Millisecond
 	for name, change := range map[string]func(t *term, s *session){
 		"avoided": func(t *term, s *session) { s.avoid(t.leader.Clock.Now(), time.Hour) },
 		"cordoned": func(t *term, s *session) {
@@ -204,6 +204,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				term := newLoadedTerm(t, readySteps, 40)
+				term.planTime = time.Hour // with this clock it would end before it places anything
 				var unusable atomic.Bool
 				term.leader.Workers = &watchedWorkers{onFirstStart: func() {
 					for _, s := range term.sessions {
@@ -233,12 +234,13 @@
 func TestPlanEndsWithFailedCommit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		term := newLoadedTerm(t, 600, 40)
+		term.planTime = time.Hour // with this clock it would end before it places anything
 		commits := 0
 		term.leader.Log = &hookedLog{term.leader.Log, func(*cell.Command) bool {
 			commits++
 			return false
 		}}
-		term.leader.Clock = &costlyClock{Clock: term.leader.Clock, tick: 100 * time.Microsecond}
+		term.leader.Clock = &costlyClock{Clock: term.leader.Clock, tick: time.Millisecond}
 		term.planOnce()
 		assert.Equal(t, commits, 1)
 	})
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -53,6 +53,8 @@
 	reserved map[string]cell.StepKey
 	// attemptCopies is shared by the plans. Only the planner's goroutine uses it.
 	attemptCopies attemptCopies
+	// planTime is how long a plan may take until the next one begins.
+	planTime time.Duration
 	// window is what plans look at when there are more steps than one can. Only the planner's
 	// goroutine uses it.
 	window planWindow
@@ -138,6 +140,7 @@
 		lastStopOrder:  map[stopKey]time.Duration{},
 		attemptCopies:  attemptCopies{},
 		stats:          newWorkerStats(),
+		planTime:       maxPlanTime,
 	}
 	t.advice = newAdviceBroker(t)
 	t.load = newLoadWatch(t)
