lg-cell, cellnode: the replicated log has descriptors of its own

Callers saw nothing accepted or started for seconds, and work of minutes before late, after a burst of 5 times the usual submissions: the leader lost its leadership although its processor was idle. Raft's transport shared the part, and with the part full its idle connections were closed too.

The log now has a part of its own, 2% of the connections (77 on a control process with 4,096 descriptors; a process uses two or three for each other replica), taken from the part of calls to other processes. The new test elects a leader while that part is full; with the transport on the shared part no node leads within 20 s.

--- a/cmd/lg-cell/main.go
+++ b/cmd/lg-cell/main.go
@@ -27,11 +27,14 @@
 const shutdownTimeout = time.Second
 
 // Shares of the descriptors by use. Workers are called by the leader alone, often several
-// times at once; they and the gateways keep a connection to it for their reports.
+// times at once; they and the gateways keep a connection to it for their reports. The
+// replicated log has a share of its own: a leader that cannot send heartbeats because calls
+// to other processes use all descriptors loses its leadership.
 const (
-	shareForWorkers  = 0.55
-	shareForAccepted = 0.33
-	shareForPeers    = 0.12
+	shareForWorkers   = 0.55
+	shareForAccepted  = 0.33
+	shareForPeers     = 0.10
+	shareForConsensus = 0.02
 )
 
 // maxLogLinesPerSecond bounds the log. It leaves room for three lines for each of
@@ -88,6 +91,7 @@
 		Adviser:       adviser.NewQueue(platform.NewAdviser(c.AdviceAddress.String(), peers), logger, telemetry.Scope),
 		Machines:      newMachines(c, peers),
 		Peers:         peers,
+		Consensus:     descriptors.Part("consensus", shareForConsensus),
 		Pauses:        pauses,
 		AdmitAll:      !c.Admission,
 		Bounds: dispatch.Bounds{
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -68,8 +68,9 @@
 	// Machines is nil if there is no machine service.
 	Machines dispatch.Machines
 	Adviser  cellapi.Adviser
-	// Peers bounds the connections to other processes of the cell.
-	Peers *descriptor.Part
+	// Peers bounds the connections to other processes of the cell, except those of the
+	// replicated log, which Consensus bounds.
+	Peers, Consensus *descriptor.Part
 	// AdmitAll accepts every job that is allowed, whatever the load of the cell is.
 	AdmitAll bool
 	// Pauses detects pauses of the process.
@@ -105,7 +106,7 @@
 func Start(ctx context.Context, c Config) (*Node, error) {
 	n := &Node{config: c, raft: peer.NewRaftServer(), client: cellapi.NewClient(c.Seeds, c.Peers, c.Logger)}
 	n.announcements.byName = map[string]membership.Candidate{}
-	n.transport = peer.NewRaftTransport(cellapi.NewHTTPClient(idleConnectionsPerPeer, c.Peers), membership.ProcessName, c.Logger)
+	n.transport = peer.NewRaftTransport(cellapi.NewHTTPClient(idleConnectionsPerPeer, c.Consensus), membership.ProcessName, c.Logger)
 	store := cell.NewStore(func(command *cell.Command) {
 		if n.leader != nil {
 			n.leader.Applied(command)
@@ -175,9 +176,10 @@
 	return n, nil
 }
 
-// idleConnectionsPerPeer is the maximum number of idle connections to another control
-// process: one for the log and some for calls.
-const idleConnectionsPerPeer = 8
+// idleConnectionsPerPeer is the maximum number of idle connections of the replicated log to
+// another control process: one for snapshots, one for other messages, and one that was opened
+// while these were in use.
+const idleConnectionsPerPeer = 3
 
 // openStorage opens or creates the storage of the replica. It returns the storage, the
 // replica's id and, if the replica bootstraps the group, the initial membership of the
--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -19,6 +19,7 @@
 	"laburnumgrade/gen/peerv1"
 	"laburnumgrade/internal/cell"
 	"laburnumgrade/internal/cellapi"
+	"laburnumgrade/internal/descriptor"
 	"laburnumgrade/internal/dispatch"
 	"laburnumgrade/internal/port"
 )
@@ -43,6 +44,8 @@
 	seeds map[int][]int
 	// dataCentres holds the data centre of each node; nil if they have none.
 	dataCentres []string
+	// peers and consensus bound the connections of each node, if they are set.
+	peers, consensus func() *descriptor.Part
 }
 
 // runningNode is a node with its HTTP server.
@@ -111,7 +114,12 @@
 			seeds = append(seeds, s.addresses[seed])
 		}
 	}
+	var peers, consensus *descriptor.Part
+	if s.peers != nil {
+		peers, consensus = s.peers(), s.consensus()
+	}
 	node, err := Start(ctx, Config{
+		Peers: peers, Consensus: consensus,
 		PeerAddress: s.addresses[i], PublicAddress: "public-" + s.addresses[i], Seeds: seeds, Folder: s.folders[i], Bootstrap: bootstrap, Tolerance: s.tolerance, DataCentre: dataCentre,
 		Clock: port.NewBootClock(), Adviser: noAdviser{}, Bounds: dispatch.Bounds{EndedJobRetention: time.Hour, MaxLease: 6 * time.Second, RemoteFactor: 2},
 		Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
