dispatch: requests for advice in flight are bounded, urgent steps before others

Under a burst each caller of the advice service was given requests for 0.9 s ahead, 49 callers up to thousands of them: each takes a connection, and the answers for urgent steps (7 ms of service) came after 590 to 750 ms behind those of batch steps (113 ms), which then waited for room until the advice expired and asked again.

Requests in flight are at most half of the connections to other processes, those for steps that are not of the most urgent queues at most half of that, and a caller gets such requests for 200 ms ahead only. What no process can take is noted separately for both, so a full queue of the others does not end requests for urgent steps.

Both new tests fail without the bounds.

--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -40,6 +40,9 @@
 	batchDelay = 5 * time.Millisecond
 	// transferTimeout is the timeout of a leadership transfer.
 	transferTimeout = time.Second
+	// adviceShareDivisor sets the share of the connections to other processes that requests
+	// for advice may use at a time, one in adviceShareDivisor.
+	adviceShareDivisor = 2
 )
 
 // Config is the configuration of a node.
@@ -136,10 +139,11 @@
 			// different ones.
 			return cmp.Or(n.announced.address(c.Clock.Now()), n.client.AnsweringLeader(announcedLeaderTTL))
 		},
-		Bounds:   c.Bounds,
-		AdmitAll: c.AdmitAll,
-		Logger:   c.Logger,
-		Scope:    c.Scope,
+		Bounds:            c.Bounds,
+		MaxAdviceRequests: c.Peers.Size() / adviceShareDivisor,
+		AdmitAll:          c.AdmitAll,
+		Logger:            c.Logger,
+		Scope:             c.Scope,
 	})
 	rc := replica.Config{
 		Group:             group,
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -20,6 +20,13 @@
 	// answer to a request that waits longer may arrive when its step is no longer
 	// the first in order.
 	maxCallerBacklog = 900 * time.Millisecond
+	// maxPatientBacklog is maxCallerBacklog for work that is not of the most urgent queues. A
+	// caller that is full of their requests would answer urgent ones late, and answers
+	// that are obtained long before there is room expire.
+	maxPatientBacklog = 200 * time.Millisecond
+	// patientShareDivisor sets how many of the requests in flight may be for such work, one
+	// in patientShareDivisor.
+	patientShareDivisor = 2
 	// ticketMargin is the remaining validity that a ticket needs when a start is
 	// planned: the commit and the order take some milliseconds.
 	ticketMargin = 150 * time.Millisecond
@@ -56,6 +63,9 @@
 	mu sync.Mutex
 	// callers holds the processes by peer address.
 	callers map[string]*caller
+	// inFlight and patientInFlight count the requests without an answer, all and those for
+	// work that is not of the most urgent queues.
+	inFlight, patientInFlight int
 	// steps holds the advice for steps. Plans share the values, so each change replaces
 	// the value.
 	steps map[cell.StepKey]*stepAdvice
@@ -271,7 +281,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.t.leader.Clock.Now()
+	if !b.mayStart(q) {
+		return false
+	}
 	maxWait := maxCallerBacklog
+	if q.patient {
+		maxWait = maxPatientBacklog
+	}
 	if q.onlyIfIdle {
 		maxWait = 0
 	}
@@ -279,6 +295,7 @@
 	if r == nil {
 		return false // requested again by a later plan
 	}
+	b.count(q, 1)
 	expected := b.callers[r.peer].idleAt(now) - now
 	var changed stepAdvice
 	if s := b.steps[q.step]; s != nil {
@@ -294,6 +311,24 @@
 	return true
 }
 
+// mayStart reports whether the bounds of the requests in flight allow a further one. The
+// method's caller holds b.mu.
+func (b *adviceBroker) mayStart(q *adviceRequest) bool {
+	most := b.t.leader.MaxAdviceRequests
+	if most == 0 {
+		return true
+	}
+	return b.inFlight < most && (!q.patient || b.patientInFlight < most/patientShareDivisor)
+}
+
+// count changes the number of requests in flight. The method's caller holds b.mu.
+func (b *adviceBroker) count(q *adviceRequest, change int) {
+	b.inFlight += change
+	if q.patient {
+		b.patientInFlight += change
+	}
+}
+
 // queryService sends a request through the process that it was given to and records the
 // answer. expected is the expected time until the answer.
 func (b *adviceBroker) queryService(r *callerRequest, q *adviceRequest, expected time.Duration) {
@@ -314,6 +349,7 @@
 		b.t.leader.metrics.adviceErrors.Inc(1)
 	}
 	b.mu.Lock()
+	b.count(q, -1)
 	changed := *b.steps[q.step]
 	changed.inFlight--
 	if changed.inFlight == 0 {
--- a/internal/dispatch/advice_plan.go
+++ b/internal/dispatch/advice_plan.go
@@ -75,7 +75,8 @@
 // mayRequest reports whether a process may be free for a request for advice on a step, as
 // far as earlier requests of this plan have shown.
 func (p *planner) mayRequest(rs *readyStep, advice *stepAdvice) bool {
-	if !p.noCaller.long && !p.noCaller.short {
+	none := p.noCallerFor(rs)
+	if !none.long && !none.short {
 		return true
 	}
 	fewest := 1
@@ -85,7 +86,18 @@
 			fewest = maxAdviceWorkers / 2 // requests of equal size
 		}
 	}
-	return !p.noCaller.short && (!p.noCaller.long || rs.queue.Advice.Cost(fewest) < longCallCost)
+	return !none.short && (!none.long || rs.queue.Advice.Cost(fewest) < longCallCost)
+}
+
+// isUrgent reports whether a step is of one of the most urgent queues.
+func (p *planner) isUrgent(rs *readyStep) bool { return rs.queue.Priority <= p.mostUrgent }
+
+// noCallerFor returns what is known of the processes that can take requests for a step.
+func (p *planner) noCallerFor(rs *readyStep) *noCaller {
+	if p.isUrgent(rs) {
+		return &p.noCaller
+	}
+	return &p.noPatientCaller
 }
 
 // queryMore requests advice on further workers for a step that lacks room for a number of
@@ -274,7 +286,7 @@
 	requests := (len(workers) + size - 1) / size
 	for i := range requests {
 		part := workers[len(workers)*i/requests : len(workers)*(i+1)/requests]
-		q := &adviceRequest{step: rs.key, queue: rs.queue.Name, workers: part, terms: *rs.queue.Advice, heldPlacements: held}
+		q := &adviceRequest{step: rs.key, queue: rs.queue.Name, workers: part, terms: *rs.queue.Advice, heldPlacements: held, patient: !p.isUrgent(rs)}
 		if i == 0 {
 			q.stops = stops
 		}
@@ -287,10 +299,10 @@
 		if q.onlyIfIdle {
 			continue
 		}
-		if q.terms.Cost(len(part)) >= longCallCost {
-			p.noCaller.long = true
-		} else {
-			p.noCaller.long, p.noCaller.short = true, true
+		none := p.noCallerFor(rs)
+		none.long = true
+		if q.terms.Cost(len(part)) < longCallCost {
+			none.short = true
 		}
 	}
 }
--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -198,3 +198,59 @@
 	assert.Equal(t, b.chooseCaller(0, cost, maxCallerBacklog).peer, "c")
 	assert.Equal(t, b.chooseCaller(0, cost, 0).peer, "a", "the only one that is idle")
 }
+
+// Load: more steps ask for advice than the service can answer, those of batch queues first.
+// Guards against requests that use all connections to other processes, and against urgent
+// steps that wait for the requests of others.
+func TestRequestsInFlightLeaveRoomForUrgentSteps(t *testing.T) {
+	const most, callers = 8, 20
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		terms := cell.AdviceTerms{DecideMS: 100}
+		f := &fakeAdvisers{terms: terms, idleAt: map[string]time.Time{}}
+		l := New(Config{Log: &fakeLog{}, Clock: port.NewSystemClock(), AdviceClient: f, MaxAdviceRequests: most, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope})
+		term := newTerm(ctx, l, 1, 0)
+		for i := range callers {
+			peer := fmt.Sprint("p", i)
+			term.advice.announce(peer, l.Clock.Now())
+			term.advice.callers[peer].answering = true
+		}
+		accepted := func(patient bool) (n int) {
+			for i := range 10 * most {
+				if term.advice.request(&adviceRequest{step: cell.StepKey{Job: fmt.Sprint(patient, i)}, terms: terms, patient: patient}) {
+					n++
+				}
+			}
+			return n
+		}
+		assert.Equal(t, accepted(true), most/patientShareDivisor)
+		assert.Equal(t, accepted(false), most-most/patientShareDivisor)
+		time.Sleep(time.Second)
+		for i := range callers {
+			term.advice.announce(fmt.Sprint("p", i), l.Clock.Now())
+		}
+		assert.Equal(t, accepted(false), most, "all have ended")
+		cancel()
+		term.wait()
+	})
+}
+
+// Guards against urgent steps whose answer comes late because callers have long queues of
+// requests for others.
+func TestPatientRequestsLeaveCallersShortQueues(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		terms := cell.AdviceTerms{DecideMS: 100}
+		f := &fakeAdvisers{terms: terms, idleAt: map[string]time.Time{}}
+		l := New(Config{Log: &fakeLog{}, Clock: port.NewSystemClock(), AdviceClient: f, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope})
+		term := newTerm(ctx, l, 1, 0)
+		term.advice.announce("p", l.Clock.Now())
+		term.advice.callers["p"].answering = true
+		for i := range 20 {
+			term.advice.request(&adviceRequest{step: cell.StepKey{Job: fmt.Sprint(i)}, terms: terms, patient: true})
+		}
+		assert.Assert(t, term.advice.callers["p"].idleAt(l.Clock.Now())-l.Clock.Now() <= maxPatientBacklog+100*time.Millisecond)
+		cancel()
+		term.wait()
+	})
+}
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -53,6 +53,9 @@
 	OnLeader        func(*cellapi.AnnounceLeader)
 	AnnouncedLeader func() string
 	Bounds          Bounds
+	// MaxAdviceRequests bounds the requests for advice in flight, 0 for no bound. Each takes a
+	// connection to another process.
+	MaxAdviceRequests int
 	// AdmitAll accepts every job that is allowed, whatever the load of the cell is.
 	AdmitAll bool
 	Logger   *slog.Logger
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -24,6 +25,8 @@
 	heldPlacements []cell.Placement
 	// stops are the attempts whose preemption makes room for the held placements.
 	stops []victim
+	// patient is set if the step is not of one of the most urgent queues.
+	patient bool
 	// onlyIfIdle is set if the request is given only to a process without others: it
 	// saves the step a wait, but must not make other steps wait.
 	onlyIfIdle bool
@@ -78,6 +81,10 @@
 	return [waitReasons]string{"placed", "advice", "renewal", "retry", "room", "limit", "crashes", "evacuated"}[r]
 }
 
+// noCaller is set once no process could take a request: long for one of at least longCallCost,
+// short for a shorter one.
+type noCaller struct{ long, short bool }
+
 // planner holds the inputs and the result of one planning round. It reads no clock
 // and does no I/O.
 type planner struct {
@@ -91,9 +98,11 @@
 	advice   func(cell.StepKey) *stepAdvice
 	// request makes a request for advice. It returns false if no process can take it now.
 	request func(*adviceRequest) bool
-	// noCaller is set once no process could take a request: in noCaller.long one of at
-	// least longCallCost, in noCaller.short a shorter one.
-	noCaller struct{ long, short bool }
+	// noCaller and noPatientCaller tell that no process could take a request for a step of the
+	// most urgent queues, or for others.
+	noCaller, noPatientCaller noCaller
+	// mostUrgent is the priority of the most urgent queues.
+	mostUrgent int
 	// groups holds the candidates by service and label, and full the kinds of tasks for
 	// which no worker has room; both are filled as needed.
 	groups map[groupKey][]*candidate
@@ -242,6 +251,7 @@
 	t.leader.Store.View(func(v *cell.View) {
 		began := t.leader.Clock.Now()
 		readySteps = copyReadySteps(v, allQueues)
+		p.mostUrgent = mostUrgentPriority(v.Configuration())
 		// A task that starts again later requests new advice, since by then other
 		// workers have free capacity.
 		t.advice.retainSteps(v.Ready())
@@ -264,16 +274,24 @@
 	}
 }
 
+// mostUrgentPriority returns the priority of the most urgent queues of a configuration.
+func mostUrgentPriority(c *cell.Configuration) int {
+	most := math.MaxInt
+	if c != nil {
+		for i := range c.Queues {
+			most = min(most, c.Queues[i].Priority)
+		}
+	}
+	return most
+}
+
 // urgentSteps returns the steps of the most urgent queues that are ready now, in the order
 // of their rank, if the next step of a plan is less urgent: since the plan began such steps
 // have become ready or have got advice, and they would wait for all that is left of it.
 func (t *term) urgentSteps(p *planner, next *readyStep, use *processorUse) []*readyStep {
 	var steps []*readyStep
 	t.leader.Store.View(func(v *cell.View) {
-		most := next.queue.Priority
-		for _, q := range v.Configuration().Queues {
-			most = min(most, q.Priority)
-		}
+		most := mostUrgentPriority(v.Configuration())
 		if next.step.Daemon || next.queue.Priority == most && !next.overdue {
 			return
 		}
