cell, dispatch: the time at which a job was accepted is kept in the state

After a change of the leader during a burst nearly all urgent jobs were late for the rest of the load: a leader counted the time of each job from when it first saw it, so a new one took thousands of jobs that were overdue for new and served them, in order of acceptance, before those that could still be in time. The leader now writes the time of acceptance (median of the clocks of the control processes) into the submission, and a later leader counts from it. Jobs that an earlier release accepted have none and count as before; an earlier release ignores the field.

--- a/internal/cell/command.go
+++ b/internal/cell/command.go
@@ -39,6 +39,9 @@
 type Submit struct {
 	Request
 	Job Submission `cbor:"10,keyasint,omitempty"`
+	// AcceptedMS is the Unix time in milliseconds at which the leader accepted the job, 0 if an
+	// earlier release did.
+	AcceptedMS int64 `cbor:"11,keyasint,omitempty"`
 }
 
 // Register records what a worker reports about itself.
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -141,6 +141,8 @@
 	MaxFailures int `cbor:"Attempts"`
 	// Accepted is the log index of the submission.
 	Accepted uint64
+	// AcceptedMS is Submit.AcceptedMS.
+	AcceptedMS int64 `cbor:",omitempty"`
 	// Started is set once an attempt of any task was committed.
 	Started bool
 	// Begun is set once it is known in the state that an attempt of any task has started:
--- a/internal/cell/request.go
+++ b/internal/cell/request.go
@@ -159,7 +159,7 @@
 	}
 	j := &Job{
 		ID: id, Queue: q.Name, Host: q.Host, Prefix: q.Prefix, Team: team, Spec: c.Job.Spec, Steps: c.Job.Steps, Schedule: c.Job.Schedule,
-		MaxFailures: q.MaxFailures, Accepted: index,
+		MaxFailures: q.MaxFailures, Accepted: index, AcceptedMS: c.AcceptedMS,
 	}
 	if j.Schedule.Times == 0 {
 		j.openOccurrence()
--- a/internal/dispatch/ready.go
+++ b/internal/dispatch/ready.go
@@ -167,7 +167,7 @@
 func (t *term) timesOf(k cell.StepKey, j *cell.Job, q *cell.Queue, rest []time.Duration, now time.Duration) jobTiming {
 	times, known := t.times[k.OccurrenceKey()]
 	if !known {
-		times.firstSeen = now
+		times.firstSeen = t.acceptedAt(j, now)
 	}
 	times.objective = objectiveOf(slices.Max(rest), q)
 	times.daemon = slices.ContainsFunc(j.Steps, func(s cell.Step) bool { return s.Daemon })
@@ -175,6 +175,21 @@
 	return times
 }
 
+// acceptedAt returns when a job that this leader has not seen before was accepted. Another
+// leader may have accepted it: if its time counted anew, a new leader would serve all that was
+// late before jobs that can still be in time.
+func (t *term) acceptedAt(j *cell.Job, now time.Duration) time.Duration {
+	if j.AcceptedMS == 0 || j.Schedule.Times > 0 {
+		return now
+	}
+	return now - time.Duration(max(0, t.wall.unixMS(now)-j.AcceptedMS))*time.Millisecond
+}
+
+// isOverdue reports whether a job has missed its objective by so much that it is served last.
+func (j jobTiming) isOverdue(now time.Duration) bool {
+	return !j.daemon && j.objective > 0 && now > j.firstSeen+overdueFactor*j.objective
+}
+
 // trueFirst is a comparison function that orders true before false.
 func trueFirst(a, b bool) int {
 	switch {
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -161,7 +161,9 @@
 		return l.submissionReply(verdict), false
 	}
 	var refused *cellapi.Reply
-	r = l.commit(ctx, t, &cell.Command{Submit: c}, func() (any, bool) {
+	accepted := *c
+	accepted.AcceptedMS = t.wall.unixMS(l.Clock.Now())
+	r = l.commit(ctx, t, &cell.Command{Submit: &accepted}, func() (any, bool) {
 		l.Store.View(func(v *cell.View) { verdict, known = submissionVerdict(v, &c.Request) })
 		if known || verdict == cell.Withdrawn {
 			return verdict, true
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -101,7 +101,8 @@
 
 // jobTiming is the timing of an occurrence of an active job.
 type jobTiming struct {
-	// firstSeen is when this leader first saw a ready step of the occurrence.
+	// firstSeen is when this leader first saw a ready step of the occurrence, or when an
+	// earlier leader accepted the job.
 	firstSeen time.Duration
 	// objective is the time after firstSeen within which the job should be
 	// complete.
