overload, dispatch: a delay is seen by what jobs have waited; overdue work holds up no new job

Callers saw urgent jobs accepted and late for the whole peak, then nearly all refused for ten seconds after it, while 20 to 50% of the cores were free and the leader's loop was late by 10 ms. Two causes: the backlog held up a new job on paper that in fact is served before it (work past three times its objective), and a wait for anything but room was not seen.

Overdue work is a class of its own now, which counts for the backlog of the cell but not as work ahead of a job. A priority counts as delayed once its jobs have waited beyond their time to spare for a second, whatever the cause; its submissions are then judged although workers are free.

--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -130,6 +130,8 @@
 	refusedSubmissions [overload.Reasons]tally.Counter
 	// overloaded is 1 while submissions are judged.
 	overloaded tally.Gauge
+	// delayedPriorities is the number of priorities in which jobs wait beyond their time.
+	delayedPriorities tally.Gauge
 	// withdrawals is the number of jobs that were cancelled before they were submitted.
 	withdrawals tally.Gauge
 	// evacuatedDataCentres is the number of evacuated data centres in the state of this
@@ -156,8 +158,9 @@
 		commit: scope.Histogram("cell_commit", buckets), wait: scope.Histogram("cell_wait", buckets),
 		adviceWait: scope.Histogram("cell_advice_wait", buckets), adviceDelay: scope.Histogram("cell_advice_delay", buckets),
 		plan: scope.Histogram("cell_plan", buckets), planLock: scope.Histogram("cell_plan_lock", buckets),
-		adviceDeferred: scope.Gauge("cell_advice_deferred"),
-		overloaded:     scope.Gauge("cell_overloaded"),
+		adviceDeferred:    scope.Gauge("cell_advice_deferred"),
+		overloaded:        scope.Gauge("cell_overloaded"),
+		delayedPriorities: scope.Gauge("cell_delayed_priorities"),
 	}
 	for reason := range overload.Reasons {
 		m.refusedSubmissions[reason] = scope.Tagged(map[string]string{"reason": reason.String()}).Counter("cell_refused_submissions")
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -52,6 +52,10 @@
 	// overloaded is set while submissions are judged.
 	overloaded bool
 	startRate  overload.StartRate
+	// delays finds the priorities in which jobs wait beyond their time, delayed is its last
+	// result.
+	delays  overload.Delays
+	delayed map[int]bool
 	// started is the work started since the load was derived, and served the average for each
 	// second.
 	started, served map[overload.Class]overload.Work
@@ -91,15 +95,22 @@
 
 // refresh derives the load from the state.
 func (w *loadWatch) refresh(elapsed time.Duration) {
-	load := w.t.deriveLoad()
 	now := w.t.leader.Clock.Now()
+	load := w.t.deriveLoad(now)
 	w.mu.Lock()
 	w.averageServed(elapsed)
 	load.Served, load.StartsPerSecond = maps.Clone(w.served), w.startRate.PerSecond()
 	w.load = load
 	maps.DeleteFunc(w.refusedUntil, func(_ string, until time.Duration) bool { return until < now })
 	// What a new leader has started shows nothing before its average has filled.
-	overloaded := now-w.t.began >= minJudgedTerm && load.Overloaded(w.overloaded)
+	mayJudge := now-w.t.began >= minJudgedTerm
+	overloaded := mayJudge && load.Overloaded(w.overloaded)
+	load.Delayed = w.delays.Observe(load, now)
+	if !mayJudge {
+		clear(load.Delayed)
+	}
+	delayedChanged := !maps.Equal(load.Delayed, w.delayed)
+	w.delayed = load.Delayed
 	changed := overloaded != w.overloaded
 	w.overloaded = overloaded
 	var refusals map[refusalKey]int
@@ -112,6 +123,10 @@
 		w.t.leader.metrics.setOverloaded(overloaded)
 		w.t.leader.Logger.Warn("overload of the cell changed", logging.Step("admit"), "overloaded", overloaded)
 	}
+	if delayedChanged {
+		w.t.leader.Logger.Warn("priorities in which jobs wait beyond their time changed", logging.Step("admit"), "priorities", slices.Sorted(maps.Keys(load.Delayed)))
+		w.t.leader.metrics.delayedPriorities.Update(float64(len(load.Delayed)))
+	}
 	if due {
 		w.report(load, refusals, overloaded, late)
 	}
@@ -169,7 +184,7 @@
 	if until, refused := w.refusedUntil[c.Host+c.Path]; refused && now < until {
 		return &cellapi.Reply{Refused: "the submission was refused before", RetryAfterMS: (until - now).Milliseconds()}
 	}
-	if !w.overloaded {
+	if !w.overloaded && !w.load.Delayed[j.Class.Priority] {
 		w.load.Add(j.Team, j.Class, j.Waiting)
 		return nil
 	}
@@ -229,7 +244,10 @@
 }
 
 // classOf returns the class of a job in the order in which work starts.
-func classOf(j *cell.Job, q *cell.Queue, ratio float64) overload.Class {
+func classOf(j *cell.Job, q *cell.Queue, ratio float64, timing jobTiming, now time.Duration) overload.Class {
+	if timing.isOverdue(now) {
+		return overload.Overdue
+	}
 	chain, objective := chainAndObjective(j.Steps, q, ratio)
 	return overload.ClassOf(q.Priority, objective-chain)
 }
@@ -244,9 +262,12 @@
 }
 
 // deriveLoad derives capacity and backlog from the replicated state.
-func (t *term) deriveLoad() *overload.Load {
+func (t *term) deriveLoad(now time.Duration) *overload.Load {
 	load := overload.NewLoad()
 	ratios := t.stats.queueRatios()
+	t.mu.Lock()
+	times := maps.Clone(t.times)
+	t.mu.Unlock()
 	t.leader.Store.View(func(v *cell.View) {
 		for _, w := range v.Workers() {
 			// Workers that do not answer for a moment count: after a change of the leader all
@@ -267,9 +288,16 @@
 			if j.State != cell.Active {
 				continue
 			}
-			if q := v.QueueOf(j); q != nil && hasEnd(j.Steps) {
-				ratio := ratios.of(q.Name)
-				load.Add(j.Team, classOf(j, q, ratio), unstartedWork(j, ratio))
+			q := v.QueueOf(j)
+			if q == nil || !hasEnd(j.Steps) {
+				continue
+			}
+			ratio := ratios.of(q.Name)
+			timing, known := times[cell.OccurrenceKey{Job: j.ID}]
+			class := classOf(j, q, ratio, timing, now)
+			load.Add(j.Team, class, unstartedWork(j, ratio))
+			if known && !j.Started && j.Schedule.Times == 0 {
+				load.AddWait(class, now-timing.firstSeen)
 			}
 		}
 	})
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -328,7 +328,7 @@
 	// afterwards does not make the order valid for longer after a change of the state.
 	decidedAt := t.leader.Clock.Now()
 	t.mu.Lock()
-	firstSeen := t.times[p.Task.OccurrenceKey()].firstSeen
+	timing := t.times[p.Task.OccurrenceKey()]
 	t.mu.Unlock()
 	var expected time.Duration
 	ratios := t.stats.queueRatios()
@@ -350,7 +350,9 @@
 		if q == nil {
 			return
 		}
-		started = func() { t.load.taskStarted(j.Team, classOf(j, q, ratio), waitingTasks(step, ratio, 1)) }
+		started = func() {
+			t.load.taskStarted(j.Team, classOf(j, q, ratio, timing, decidedAt), waitingTasks(step, ratio, 1))
+		}
 		if q.Advice != nil {
 			o.Ticket = t.advice.ticket(p.Task.StepKey, p.Worker)
 		}
@@ -366,9 +368,9 @@
 		return
 	}
 	started()
-	t.leader.metrics.wait.RecordDuration(t.leader.Clock.Now() - firstSeen)
+	t.leader.metrics.wait.RecordDuration(t.leader.Clock.Now() - timing.firstSeen)
 	t.leader.Logger.Info("task planned", logging.Step("plan"), logging.Job(p.Task.Job), "task", position(p.Task), "run", p.Run, logging.Peer(p.Worker),
-		"since_seen_ms", (t.leader.Clock.Now() - firstSeen).Milliseconds(), "factor", t.stats.factorOf(p.Worker), "saved", o.Checkpoint != "")
+		"since_seen_ms", (t.leader.Clock.Now() - timing.firstSeen).Milliseconds(), "factor", t.stats.factorOf(p.Worker), "saved", o.Checkpoint != "")
 	s.expectAttempt(attemptKey{p.Task, p.Run}, expected)
 	t.spawn(func() { s.start(o, decidedAt) })
 }
--- a/internal/overload/admission.go
+++ b/internal/overload/admission.go
@@ -47,12 +47,21 @@
 	Spare int
 }
 
+// Overdue is the class of work that has missed its objective by so much that it is served after
+// everything else.
+var Overdue = Class{Priority: math.MaxInt, Spare: math.MaxInt}
+
 // ClassOf returns the class of work of a priority with a time to spare.
 func ClassOf(priority int, spare time.Duration) Class {
 	const shortest = 0.125 // seconds
 	return Class{priority, int(math.Round(math.Log2(max(shortest, spare.Seconds()))))}
 }
 
+// spare returns the time to spare of the class.
+func (c Class) spare() time.Duration {
+	return time.Duration(math.Exp2(float64(c.Spare)) * float64(time.Second))
+}
+
 // before reports whether work of the class c starts before that of o, or at the same time.
 func (c Class) before(o Class) bool {
 	return c.Priority < o.Priority || c.Priority == o.Priority && c.Spare <= o.Spare
@@ -102,11 +111,27 @@
 	Backlog map[Class]Waiting
 	Served  map[Class]Work
 	Teams   map[string]*Team
+	// Waits holds how long the jobs of a class have waited of which nothing has started.
+	Waits map[Class]Wait
+	// Delayed holds the priorities in which jobs wait beyond their time, whatever the cause.
+	Delayed map[int]bool
+}
+
+// Wait is how long a number of jobs have waited, added up.
+type Wait struct {
+	Jobs int
+	Sum  time.Duration
+}
+
+// AddWait adds a job of which nothing has started.
+func (l *Load) AddWait(c Class, waited time.Duration) {
+	w := l.Waits[c]
+	l.Waits[c] = Wait{w.Jobs + 1, w.Sum + waited}
 }
 
 // NewLoad returns a load without capacity, backlog and teams.
 func NewLoad() *Load {
-	return &Load{StartsPerSecond: math.Inf(1), Backlog: map[Class]Waiting{}, Served: map[Class]Work{}, Teams: map[string]*Team{}}
+	return &Load{StartsPerSecond: math.Inf(1), Backlog: map[Class]Waiting{}, Served: map[Class]Work{}, Teams: map[string]*Team{}, Waits: map[Class]Wait{}, Delayed: map[int]bool{}}
 }
 
 // Add adds accepted work of a team.
@@ -173,8 +198,9 @@
 	}
 	for c, w := range l.Backlog {
 		// Work that has more time to spare than the limit is not held up by a backlog of that
-		// length, whatever there is of it.
-		if w.Work.Starts > 0 && c.Spare <= maxJudgedSpare && l.backlogTime(c) > limit {
+		// length, whatever there is of it. Overdue work holds up nothing, but has to be completed
+		// all the same.
+		if w.Work.Starts > 0 && (c.Spare <= maxJudgedSpare || c == Overdue) && l.backlogTime(c) > limit {
 			return true
 		}
 	}
@@ -186,7 +212,7 @@
 func (l *Load) backlogTime(c Class) time.Duration {
 	var backlog, served Work
 	for o, w := range l.Backlog {
-		if o.before(c) {
+		if o == c || c != Overdue && o.before(c) {
 			backlog = backlog.Add(w.Work)
 		}
 	}
@@ -224,7 +250,7 @@
 }
 
 // Wait returns how long a job waits until it starts. Where the work that starts before it fits
-// on what is free, it waits for nothing but its turn. Otherwise the wait is, by Little's law,
+// on what is free, and the jobs of its priority are not delayed by something else, it waits for nothing but its turn. Otherwise the wait is, by Little's law,
 // what waits of its priority before it divided by what is started of the priority each second,
 // whatever bounds the latter: room, advice, limits or other priorities. Only what the job itself
 // needs counts.
@@ -246,7 +272,8 @@
 		}
 	}
 	starts := Work{Starts: ahead.Work.Starts}.longest(Work{Starts: l.StartsPerSecond})
-	if unusable := scale(l.Capacity, 1-usableShare); j.Waiting.only(ahead.Size).Fits(l.Free.Sub(unusable)) {
+	unusable := scale(l.Capacity, 1-usableShare)
+	if !l.Delayed[j.Class.Priority] && j.Waiting.only(ahead.Size).Fits(l.Free.Sub(unusable)) {
 		return starts
 	}
 	rate := resourceRate(l.Capacity).Scale(usableShare * leastShare).Max(served)
