cellapi: three calls of a process look for the leader, the others wait until it is known

A client now lets three calls search; the others wait for their result, and are refused truly if their time ends before. A process that failed a call is left out of the search for a second while others may know the leader.

TestFewCallsLookForLeader: at most 78 attempts in the same second.

--- a/internal/cellapi/client.go
+++ b/internal/cellapi/client.go
@@ -38,6 +38,13 @@
 	idleTimeout = 30 * time.Second
 	// idleConnectionsPerPeer is the maximum number of idle connections to one process.
 	idleConnectionsPerPeer = 32
+	// maxSearches is the number of calls of a client that look for the leader at a time. If
+	// all did, some hundred processes that have lost the leader would call each control
+	// process thousands of times a second.
+	maxSearches = 3
+	// avoidTime is how long a process that failed a call is left out while others may know the
+	// leader: each call to a process that is cut off takes attemptTimeout.
+	avoidTime = time.Second
 )
 
 // NewHTTPClient returns a client whose connections fail if the peer stops acknowledging.
@@ -71,6 +78,8 @@
 type Client struct {
 	http   *http.Client
 	logger *slog.Logger
+	// searches has an element for each call that looks for the leader.
+	searches chan struct{}
 
 	mu      sync.Mutex
 	seeds   []string
@@ -82,19 +91,30 @@
 	answeringLeader string
 	// next counts the calls to processes in turn while the leader is not known.
 	next int
+	// leaderKnown is closed and replaced when presumedLeader is set.
+	leaderKnown chan struct{}
+	// failedAt is when the processes failed a call last that have not answered since.
+	failedAt map[string]time.Time
 	// lastReply is when a leader answered last.
 	lastReply time.Time
 }
 
 // NewClient returns a client. seeds are the peer addresses of some control processes.
 func NewClient(seeds []string, part *descriptor.Part, logger *slog.Logger) *Client {
-	return &Client{http: NewHTTPClient(idleConnectionsPerPeer, part), logger: logger, seeds: seeds}
+	return newClient(NewHTTPClient(idleConnectionsPerPeer, part), seeds, logger)
 }
 
 // NewClientOver returns a client that sends its requests over a transport, for simulations of
 // a network.
 func NewClientOver(transport http.RoundTripper, seeds []string, logger *slog.Logger) *Client {
-	return &Client{http: &http.Client{Transport: transport}, logger: logger, seeds: seeds}
+	return newClient(&http.Client{Transport: transport}, seeds, logger)
+}
+
+func newClient(client *http.Client, seeds []string, logger *slog.Logger) *Client {
+	return &Client{
+		http: client, logger: logger, seeds: seeds, searches: make(chan struct{}, maxSearches),
+		leaderKnown: make(chan struct{}), failedAt: map[string]time.Time{},
+	}
 }
 
 // SetSeeds replaces the seeds after the settings have changed.
@@ -181,26 +201,69 @@
 // emptyCall is the encoding of a Call without a field, which has no effect.
 var emptyCall = []byte{0xa0}
 
-// nextAddress returns the address to call next: the presumed leader or, without one, the
-// known processes in turn. known is the number of known processes.
-func (c *Client) nextAddress() (address string, known int) {
+// nextAddress returns the address to call next: the presumed leader or, without one, the known
+// processes in turn. Only maxSearches calls look for the leader at a time, the others wait until
+// it is known; searches is set for the former, which call endSearch. known is the number of known
+// processes. The address is empty if the context ended, or if known is 0.
+func (c *Client) nextAddress(ctx context.Context) (address string, known int, searches bool) {
+	for {
+		c.mu.Lock()
+		leader, leaderKnown, known := c.presumedLeader, c.leaderKnown, len(c.addresses())
+		c.mu.Unlock()
+		if leader != "" || known == 0 {
+			return leader, known, false
+		}
+		select {
+		case c.searches <- struct{}{}:
+			return c.searchAddress()
+		case <-leaderKnown:
+		case <-ctx.Done():
+			return "", known, false
+		}
+	}
+}
+
+// searchAddress returns the address that a call that looks for the leader calls next.
+func (c *Client) searchAddress() (address string, known int, searches bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	all := c.addresses()
-	if c.presumedLeader != "" {
-		return c.presumedLeader, len(all)
+	if c.presumedLeader != "" || len(all) == 0 {
+		c.endSearch()
+		return c.presumedLeader, len(all), false
 	}
-	if len(all) == 0 {
-		return "", 0
+	now := time.Now()
+	for range all {
+		c.next++
+		address = all[c.next%len(all)]
+		if failed, ok := c.failedAt[address]; !ok || now.Sub(failed) > avoidTime {
+			break
+		}
+	}
+	return address, len(all), true
+}
+
+// endSearch lets another call look for the leader.
+func (c *Client) endSearch() { <-c.searches }
+
+// presume sets the presumed leader. The caller holds the lock.
+func (c *Client) presume(address string) {
+	if c.presumedLeader == "" && address != "" { // calls may be waiting
+		close(c.leaderKnown)
+		c.leaderKnown = make(chan struct{})
 	}
-	c.next++
-	return all[c.next%len(all)], len(all)
+	c.presumedLeader = address
 }
 
 // recordResult updates the presumed leader after a call to an address.
 func (c *Client) recordResult(address string, r *Reply, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if err != nil {
+		c.failedAt[address] = time.Now()
+	} else {
+		delete(c.failedAt, address)
+	}
 	switch {
 	case err != nil:
 		if c.presumedLeader == address {
@@ -213,10 +276,11 @@
 	case r.NotLeader:
 		c.presumedLeader = ""
 		if r.Leader != address {
-			c.presumedLeader = r.Leader
+			c.presume(r.Leader)
 		}
 	default:
-		c.presumedLeader, c.lastReply = address, time.Now()
+		c.presume(address)
+		c.lastReply = time.Now()
 		if c.answeringLeader != address {
 			c.logger.Info("leader found", logging.Step("call"), logging.Peer(address), "before", c.answeringLeader)
 			c.answeringLeader = address
@@ -247,9 +311,14 @@
 	}
 	unknownReason := ""
 	for tries := 1; ; tries++ {
-		address, known := c.nextAddress()
+		address, known, searches := c.nextAddress(ctx)
 		if address == "" {
-			r := combine(call, Reply{Refused: "no control process is known"}, unknownReason)
+			reason := "no control process is known"
+			if known > 0 {
+				reason = "no leader was found in time"
+			}
+			r := combine(call, Reply{Refused: reason}, unknownReason)
+			r.Tries = tries - 1
 			return &r
 		}
 		var r Reply
@@ -263,6 +332,9 @@
 			unknownReason = r.Unknown
 			c.forgetLeader(address)
 		case err == nil && !r.NotLeader:
+			if searches {
+				c.endSearch()
+			}
 			r = combine(call, r, unknownReason)
 			r.AnsweredBy, r.Tries, r.EarlierUnknown = address, tries, unknownReason
 			return &r
@@ -275,6 +347,9 @@
 		if tries%max(1, known) == 0 || r.NotLeader || r.Unknown != "" {
 			Pause(ctx, roundDelay)
 		}
+		if searches {
+			c.endSearch()
+		}
 		if ctx.Err() != nil {
 			if unknownReason != "" {
 				return &Reply{Unknown: unknownReason, AnsweredBy: address, Tries: tries}
--- a/internal/cellapi/client_test.go
+++ b/internal/cellapi/client_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -334,3 +335,74 @@
 		})
 	}
 }
+
+// Load: hundreds of calls while no process leads. Guards against calls that each look for the
+// leader, so that all processes which have lost it keep the control processes busy, and against
+// calls that are not sent to the leader once it is known.
+func TestFewCallsLookForLeader(t *testing.T) {
+	const calls, processes = 300, 4
+	var leads atomic.Bool
+	var asked atomic.Int64
+	var seeds []string
+	for i := range processes {
+		address, _ := startServer(t, func(context.Context) *Reply {
+			if i == 0 && leads.Load() {
+				return &Reply{Verdict: cell.Accepted}
+			}
+			asked.Add(1)
+			return &Reply{NotLeader: true}
+		})
+		seeds = append(seeds, address)
+	}
+	c := NewClient(seeds, nil, discardLogger)
+	var accepted atomic.Int64
+	var running sync.WaitGroup
+	for range calls {
+		running.Go(func() {
+			if c.Do(contextWithTimeout(t, 20*time.Second), statusCall).Verdict == cell.Accepted {
+				accepted.Add(1)
+			}
+		})
+	}
+	const silence = time.Second
+	time.Sleep(silence)
+	found := asked.Load()
+	leads.Store(true)
+	running.Wait()
+	assert.Equal(t, accepted.Load(), int64(calls))
+	assert.Assert(t, found <= int64(maxSearches*(silence/roundDelay+1)), "%d calls were answered without a leader", found)
+}
+
+// Guards against a search that is held up by processes which do not answer: each call to one
+// takes its whole time limit.
+func TestSearchLeavesOutSilentProcesses(t *testing.T) {
+	silent := func(ctx context.Context) *Reply {
+		<-ctx.Done()
+		return &Reply{}
+	}
+	var leads atomic.Bool
+	var seeds []string
+	var silentServices []*fakeService
+	for range 4 {
+		address, service := startServer(t, silent)
+		seeds, silentServices = append(seeds, address), append(silentServices, service)
+	}
+	leader, _ := startServer(t, func(context.Context) *Reply {
+		if leads.Load() {
+			return &Reply{Verdict: cell.Accepted}
+		}
+		return &Reply{NotLeader: true}
+	})
+	c := NewClient(append(seeds, leader), nil, discardLogger)
+	for range 3 * maxSearches {
+		go c.Do(contextWithTimeout(t, 10*time.Second), statusCall)
+	}
+	time.Sleep(2 * attemptTimeout)
+	leads.Store(true)
+	assert.Equal(t, c.Do(contextWithTimeout(t, 10*time.Second), statusCall).Verdict, cell.Accepted)
+	calls := int64(0)
+	for _, s := range silentServices {
+		calls += s.calls.Load()
+	}
+	assert.Assert(t, calls <= 2*int64(len(silentServices)), "%d calls to silent processes", calls)
+}
