--- a/test/deployment/deployment.go
+++ b/test/deployment/deployment.go
@@ -47,10 +47,31 @@
 // Settings are the limits of the processes by program.
 type Settings struct {
 	Cell, Gateway Limits
+	// Workers are three that report often if Count is 0.
+	Workers Workers
+	// Advice is the address of the advice service, empty if there is none.
+	Advice string
+	// Env is added to the environment of the control processes.
+	Env []string
 }
 
+// Workers describes the stand-ins for workers.
+type Workers struct {
+	Count          int
+	MilliCPU       int64
+	ReportInterval time.Duration
+}
+
+// defaultWorkers report often, so that they follow a change of the leader quickly.
+var defaultWorkers = Workers{Count: 3, MilliCPU: 64000, ReportInterval: 300 * time.Millisecond}
+
+// MaxWorkers is the maximum number of stand-ins for workers, which share four ports.
+const MaxWorkers = 4 * workersPerPort
+
+const workersPerPort = 100
+
 // Defaults are ample limits.
-var Defaults = Settings{Cell: Limits{MemoryMiB: 280, Descriptors: 4096}, Gateway: Limits{MemoryMiB: 280, Descriptors: 4096}}
+var Defaults = Settings{Cell: Limits{MemoryMiB: 280, Descriptors: 4096}, Gateway: Limits{MemoryMiB: 280, Descriptors: 4096}, Workers: defaultWorkers}
 
 // configuration takes the version, the host of the queue and the key of the team.
 const configuration = `{"version":%d,` +
@@ -109,6 +130,7 @@
 	Limits Limits
 
 	program, settings, log string
+	env                    []string
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
@@ -124,6 +146,7 @@
 	defer out.Close()
 	cmd := exec.Command(p.program, "--settings", p.settings)
 	cmd.Stdout, cmd.Stderr = out, out
+	cmd.Env = append(os.Environ(), p.env...)
 	// The processes, which may be stopped, end with a test that times out.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
@@ -160,7 +183,7 @@
 	return found
 }
 
-// Deployment is a cell of three control processes, two gateways and three workers.
+// Deployment is a cell of three control processes, two gateways and workers.
 type Deployment struct {
 	Cells    []*Process
 	Gateways []*Process
@@ -188,7 +211,7 @@
 
 // freeNetwork returns the first three bytes of loopback addresses and the first of five
 // ports that are free on them.
-func freeNetwork(t *testing.T) (network string, base int) {
+func freeNetwork(t testing.TB) (network string, base int) {
 	for range 50 {
 		network, base = fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), rand.IntN(250)), 20000+rand.IntN(8000)
 		if portsFree(network, base) {
@@ -223,7 +246,10 @@
 
 // Deploy starts the processes, from the folder of the programs, and the workers, and sends
 // the first configuration. All end with the test.
-func Deploy(t *testing.T, programs string, limits Settings) *Deployment {
+func Deploy(t testing.TB, programs string, limits Settings) *Deployment {
+	if limits.Workers.Count == 0 {
+		limits.Workers = defaultWorkers
+	}
 	network, base := freeNetwork(t)
 	d := &Deployment{
 		began: time.Now(), starts: map[string][]Start{},
@@ -233,17 +259,23 @@
 	t.Cleanup(d.Kept.CloseIdleConnections)
 	folder := t.TempDir()
 	seeds := fmt.Sprintf("%[1]s1:%[2]d,%[1]s2:%[2]d,%[1]s3:%[2]d", network, base)
-	add := func(program, settings string, limits Limits, i, last, disk int) *Process {
+	add := func(program, settings string, own Limits, i, last, disk int) *Process {
 		name := fmt.Sprintf("%s-%d", program, i)
 		p := &Process{
-			Name: name, Limits: limits, program: filepath.Join(programs, program), settings: filepath.Join(folder, name+".ini"), log: filepath.Join(folder, name+".log"),
+			Name: name, Limits: own, program: filepath.Join(programs, program), settings: filepath.Join(folder, name+".ini"), log: filepath.Join(folder, name+".log"),
 			Public: fmt.Sprintf("%s%d:%d", network, last, base),
 		}
 		var place any = filepath.Join(folder, name)
 		if disk == 0 {
 			place = base + 2
 		}
-		text := fmt.Sprintf(settings, name, "zone-"+string(rune('a'+i-1)), fmt.Sprintf("%s%d", network, last), seeds, base, base+1, place, base+3, limits.Descriptors, limits.MemoryMiB)
+		text := fmt.Sprintf(settings, name, "zone-"+string(rune('a'+i-1)), fmt.Sprintf("%s%d", network, last), seeds, base, base+1, place, base+3, own.Descriptors, own.MemoryMiB)
+		if program == "lg-cell" {
+			p.env = limits.Env
+			if limits.Advice != "" {
+				text = strings.Replace(text, "[cell]\n", "[cell]\nadvice = "+limits.Advice+"\n", 1)
+			}
+		}
 		assert.NilError(t, os.WriteFile(p.settings, []byte(text), 0o600))
 		return p
 	}
@@ -257,21 +289,21 @@
 		assert.NilError(t, p.Start())
 		t.Cleanup(func() { <-p.Signal(syscall.SIGKILL) })
 	}
-	for i := 1; i <= 3; i++ {
-		startWorker(t, d, i, fmt.Sprintf("%s%d:%d", network, 100+i, base))
+	for i := 1; i <= limits.Workers.Count; i++ {
+		startWorker(t, d, i, fmt.Sprintf("%s%d:%d", network, 100+i%workersPerPort, base+i/workersPerPort), limits.Workers)
 	}
 	d.Configure(t, FirstHost, FirstKey)
 	return d
 }
 
 // Configure sends a new configuration until it is acknowledged.
-func (d *Deployment) Configure(t *testing.T, host, key string) {
+func (d *Deployment) Configure(t testing.TB, host, key string) {
 	d.Version++
 	d.SendConfiguration(t, d.Version, host, key)
 }
 
 // SendConfiguration sends a configuration until it is acknowledged.
-func (d *Deployment) SendConfiguration(t *testing.T, version int64, host, key string) {
+func (d *Deployment) SendConfiguration(t testing.TB, version int64, host, key string) {
 	body := fmt.Sprintf(configuration, version, host, key)
 	acknowledged := Await(30*time.Second, func() bool {
 		for _, c := range d.Cells {
--- a/test/deployment/worker.go
+++ b/test/deployment/worker.go
@@ -17,21 +17,21 @@
 )
 
 const (
-	heartbeatInterval = 300 * time.Millisecond
-	maxLeaseMS        = 6000
-	maxListedEnds     = 500
+	maxLeaseMS    = 6000
+	maxListedEnds = 500
 )
 
-// heartbeat takes the address, the data centre, the clock in ms, the number and the Unix
-// time of the start in ms.
+// heartbeat takes the address, the data centre, the processor in thousandths of a core, the clock
+// in ms, the number and the Unix time of the start in ms.
 const heartbeat = `{"service":"huvo11a","addr":"%s","zone":"%s","version":"v1","slots":8,"state":"ready","cold_left_ms":0,` +
-	`"capacity":{"cpu":64000,"mem_mb":131072,"gpu":0},"labels":["a","r1-3"],"clock_ms":%d,"seq":%d,"born":%d}`
+	`"capacity":{"cpu":%d,"mem_mb":131072,"gpu":0},"labels":["a","r1-3"],"clock_ms":%d,"seq":%d,"born":%d}`
 
 // worker is a stand-in for a worker. The spec of a task is its duration in ms.
 type worker struct {
 	d                     *Deployment
 	id, address, dataZone string
 	began                 time.Time
+	settings              Workers
 
 	mu      sync.Mutex
 	fence   uint64
@@ -43,11 +43,11 @@
 	event   chan struct{} // closed when a task ends
 }
 
-func startWorker(t *testing.T, d *Deployment, i int, address string) {
+func startWorker(t testing.TB, d *Deployment, i int, address string, settings Workers) {
 	l, err := net.Listen("tcp", address)
 	assert.NilError(t, err)
 	w := &worker{
-		d: d, id: fmt.Sprintf("i-%08x", 0x7f3a91c0+i), address: address, dataZone: "zone-" + string(rune('a'+i-1)), began: time.Now(),
+		d: d, id: fmt.Sprintf("i-%08x", 0x7f3a91c0+i), address: address, dataZone: "zone-" + string(rune('a'+(i-1)%3)), began: time.Now(), settings: settings,
 		running: map[string]uint32{}, highest: map[string]uint32{}, event: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
@@ -73,7 +73,7 @@
 		if address == "" {
 			address = w.d.Cells[n%len(w.d.Cells)].Public
 		}
-		body := fmt.Sprintf(heartbeat, w.address, w.dataZone, w.clock(), n, w.began.UnixMilli())
+		body := fmt.Sprintf(heartbeat, w.address, w.dataZone, w.settings.MilliCPU, w.clock(), n, w.began.UnixMilli())
 		response, err := client.Post("http://"+address+"/instances/"+w.id+"/heartbeat", "application/json", bytes.NewReader([]byte(body)))
 		address = ""
 		if err != nil {
@@ -89,7 +89,7 @@
 			w.d.mu.Unlock()
 		}
 		_ = response.Body.Close()
-		time.Sleep(heartbeatInterval)
+		time.Sleep(w.settings.ReportInterval)
 	}
 }
 
