lg-cell: fewer garbage collections while there is memory

The leader of 350 workers has about 30 MB of live data and allocates 50 KB for each start, so at the default percentage of 100 it collected once a second and spent a tenth of its processor time on it, although its memory limit is nine times the live data. process.PaceCollector lets the heap grow to half of the memory limit, to at most five times the live data, and adapts the percentage after each collection. The limit of the runtime remains as it was.

--- a/cmd/lg-cell/main.go
+++ b/cmd/lg-cell/main.go
@@ -67,6 +67,7 @@
 	telemetry := process.NewTelemetry(c.Process, maxLogLinesPerSecond)
 	logger := telemetry.Logger
 	process.LimitMemory(c.MemoryBytes)
+	process.PaceCollector(c.MemoryBytes)
 	descriptors := descriptor.NewBudget(c.Descriptors, c.ReservedDescriptors, logger, telemetry.Scope)
 	peers := descriptors.Part("peers", shareForPeers)
 	nodeCtx, stopNode := context.WithCancel(context.Background())
