disk: an appended entry does not copy the log in memory

Each Append of the storage copied the slice of all entries in memory, up to 4000, because the first entry of a call was put as if it replaced others. The slice is now clipped only if the entry does replace some.

--- a/internal/adapter/disk/wal.go
+++ b/internal/adapter/disk/wal.go
@@ -56,12 +56,14 @@
 		return fmt.Errorf("entry %d does not follow entries %d to %d", e.Index, l.baseIndex, l.lastIndex())
 	}
 	kept := e.Index - l.baseIndex - 1
-	l.entries = append(l.entries[:kept:kept], e)
+	if kept < uint64(len(l.entries)) {
+		l.entries = l.entries[:kept:kept] // the entries after it are not overwritten
+	}
+	l.entries = append(l.entries, e)
 	return nil
 }
 
-// putAll adds entries in order. Only the first may replace others, so the rest
-// is appended without copying.
+// putAll adds entries in order. Only the first may replace others.
 func (l *logState) putAll(entries []*peerv1.RaftEntry) error {
 	for i, e := range entries {
 		if i == 0 || e.Index != l.lastIndex()+1 {
