dispatch: a plan computes and allocates less for each worker

For each plan and worker the leader took three locks more than once, allocated a candidate of its own, grew a map and computed a power. Candidates are now allocated together, the average ratio is computed with each sample, and usableSession takes two locks. workerState makes no map of targets if the worker has no serving tasks. Decisions are as before.

--- a/internal/dispatch/candidate.go
+++ b/internal/dispatch/candidate.go
@@ -113,19 +113,25 @@
 
 // addCandidates adds the workers that can be used now to a plan, sorted by ID.
 func (t *term) addCandidates(workers []*cell.Worker, p *planner) {
+	all := make([]candidate, 0, len(workers)) // one allocation for all
+	p.candidates = slices.Grow(p.candidates, len(workers))
 	for _, w := range workers {
 		id := w.ID
 		s := t.usableSession(id, w.Born, p.now)
 		if s == nil {
 			continue
 		}
-		p.candidates = append(p.candidates, &candidate{
+		all = append(all, candidate{
 			id: id, born: w.Born, service: w.Service, worker: w, free: w.Free(), reservedFor: t.reserved[id],
 			leaseRemaining: s.leaseRemaining(p.now), busy: len(w.Attempts) > 0, serves: s.serving(), isolatedFor: s.unsettledSuspect(w, p.now),
 			cold: t.cold.isCold(incarnation{id, w.Born}, p.now),
 		})
+		p.candidates = append(p.candidates, &all[len(all)-1])
 	}
 	p.candidates = t.stats.assess(p.candidates, p.now)
+	if len(p.byID) == 0 {
+		p.byID = make(map[string]*candidate, len(p.candidates))
+	}
 	for _, c := range p.candidates {
 		p.byID[c.id] = c
 	}
@@ -135,7 +141,10 @@
 // usableSession returns the session of an incarnation of a worker that may get new attempts,
 // nil if it may not.
 func (t *term) usableSession(worker string, born int64, now time.Duration) *session {
-	if s := t.session(worker, born); s != nil && s.usable(now) && !t.isCordoned(worker) {
+	t.mu.Lock()
+	s, cordoned := t.sessions[worker], t.cordoned[worker]
+	t.mu.Unlock()
+	if s != nil && s.born == born && !cordoned && s.usable(now) {
 		return s
 	}
 	return nil
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -40,11 +40,13 @@
 		}
 		r.gone, r.departing, r.acknowledgedEnd, r.hasLosses = w.Gone, w.Departing, w.LastEnd, len(w.Lost) > 0
 		r.attempts = make(map[cell.TaskKey]cell.Attempt, len(w.Attempts))
-		r.targets = map[cell.TaskKey]int64{}
 		for k, a := range w.Attempts {
 			r.attempts[k] = a
 			r.hasFillers = r.hasFillers || a.Filler
 			if j := v.Job(k.Job); j != nil && j.State == cell.Active && j.Steps[k.Step].TailLatencyTargetMS > 0 {
+				if r.targets == nil {
+					r.targets = map[cell.TaskKey]int64{}
+				}
 				r.targets[k] = j.Steps[k.Step].TailLatencyTargetMS
 			}
 		}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -194,11 +194,11 @@
 
 // usable reports whether the worker may get new attempts.
 func (s *session) usable(now time.Duration) bool {
-	if !s.recordIsCurrent(now) {
-		return false
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.recordConfirmed || now-s.recordAt >= maxRecordAge {
+		return false
+	}
 	silent := s.lastUnanswered > s.lastAnswered
 	return !s.replaced && s.clock.known && !s.failing && !silent && now >= s.avoidUntil && now-s.lastContact < maxReportSilence
 }
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -304,13 +304,6 @@
 	}
 }
 
-// isCordoned reports whether a worker gets no new attempts because of upkeep.
-func (t *term) isCordoned(worker string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.cordoned[worker]
-}
-
 // attemptsOn returns the attempts on a worker and those of them that are serving
 // tasks whose step limits how many may be unavailable.
 func (t *term) attemptsOn(worker string) (attempts map[cell.TaskKey]cell.Attempt, serving []cell.TaskKey) {
--- a/internal/dispatch/worker_stats.go
+++ b/internal/dispatch/worker_stats.go
@@ -43,6 +43,9 @@
 	samples   int
 	longTerm  float64
 	shortTerm float64
+	// current is the average ratio. It is computed with each sample because each plan reads it
+	// for all workers.
+	current float64
 }
 
 func (a *average) add(ratio float64) {
@@ -50,17 +53,19 @@
 	a.samples++
 	a.longTerm += (v - a.longTerm) * max(1/float64(a.samples), minSampleWeight)
 	a.shortTerm += (v - a.shortTerm) * max(1/float64(a.samples), recentSampleWeight)
+	if a.shortTerm > a.longTerm+slowdownThreshold {
+		a.current = math.Exp(a.shortTerm)
+		return
+	}
+	a.current = math.Exp(a.longTerm)
 }
 
 // ratio returns the average ratio, 1 if there are no samples.
 func (a *average) ratio() float64 {
-	if a == nil {
+	if a == nil || a.samples == 0 {
 		return 1
 	}
-	if a.shortTerm > a.longTerm+slowdownThreshold {
-		return math.Exp(a.shortTerm)
-	}
-	return math.Exp(a.longTerm)
+	return a.current
 }
 
 func newWorkerStats() *workerStats {
