--- a/test/startcost/testdata/profile.go
+++ b/test/startcost/testdata/profile.go
@@ -7,8 +7,8 @@
 	"syscall"
 )
 
-// init makes SIGUSR1 start a processor profile, written to the file that START_PROFILE names with
-// the process id appended, and SIGUSR2 end it.
+// init makes SIGUSR1 start a processor profile, written to the file that START_PROFILE names, and
+// SIGUSR2 end it and write a profile of the allocations beside it.
 func init() {
 	path := os.Getenv("START_PROFILE")
 	if path == "" {
@@ -20,6 +20,9 @@
 		for s := range signals {
 			if s == syscall.SIGUSR2 {
 				pprof.StopCPUProfile()
+				if out, err := os.Create(path + ".allocs"); err == nil {
+					_ = pprof.Lookup("allocs").WriteTo(out, 0)
+				}
 				continue
 			}
 			out, err := os.Create(path)
