dispatch: replays of overload with the cost of the leader's processor

The replays took no time for what the leader computes, so they could not show a leader that is too slow, and none changed the leader or lost workers.

Decisions, commits, calls and submissions now take time of one simulated processor, which serves them in the order in which they begin. The planner charges its decisions through processorUse.simulate, which is nil outside tests.

--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -82,6 +82,8 @@
 	Config
 	wake    chan struct{}
 	metrics leaderMetrics
+	// simulateUse is processorUse.simulate of the planner; nil outside tests.
+	simulateUse func(u *processorUse, timed, decided int)
 
 	mu sync.Mutex
 	// term is the current term, nil while the process does not lead.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -133,7 +133,7 @@
 // the state, so that steps of lower rank do not take what has become free for others in the
 // meantime. It returns the processor time that the last slice has used.
 func (t *term) planOnce() time.Duration {
-	use := newProcessorUse(t.leader.Clock)
+	use := t.newProcessorUse()
 	p := &planner{
 		now: t.leader.Clock.Now(), byID: map[string]*candidate{}, headroom: map[string]structs.Resources{}, advice: t.advice.snapshot, request: t.advice.request, allowedShare: t.advice.allowedShare,
 		offRackFactor: t.leader.Bounds.RemoteFactor, isolation: t.isolation, plan: plan{reserved: map[string]cell.StepKey{}},
@@ -172,7 +172,7 @@
 		if !t.pause(planPause(use.spent())) || !t.leads() {
 			return 0
 		}
-		use = newProcessorUse(t.leader.Clock)
+		use = t.newProcessorUse()
 		p.beginSlice(t.leader.Clock.Now())
 		t.withholdUnusable(p)
 		urgent := t.urgentSteps(p, steps[0], use)
--- a/internal/dispatch/processor_use.go
+++ b/internal/dispatch/processor_use.go
@@ -28,6 +28,9 @@
 	// used is the time until the last call of stop or yield; resumed is when the
 	// computation began or continued after it.
 	used, resumed time.Duration
+	// simulate, if not nil, takes the processor time of steps that were timed or decided on:
+	// in simulated time computing takes none.
+	simulate func(u *processorUse, timed, decided int)
 }
 
 // newProcessorUse starts a measurement.
@@ -35,6 +38,20 @@
 	return &processorUse{clock: clock, resumed: clock.Now()}
 }
 
+// newProcessorUse starts a measurement for the planner of the term.
+func (t *term) newProcessorUse() *processorUse {
+	u := newProcessorUse(t.leader.Clock)
+	u.simulate = t.leader.simulateUse
+	return u
+}
+
+// did records that steps were timed or decided on.
+func (u *processorUse) did(timed, decided int) {
+	if u.simulate != nil {
+		u.simulate(u, timed, decided)
+	}
+}
+
 // stop interrupts the measurement until resume is called.
 func (u *processorUse) stop() { u.used = u.spent() }
 
@@ -53,9 +70,11 @@
 // spent returns the time used so far.
 func (u *processorUse) spent() time.Duration { return u.used + u.clock.Now() - u.resumed }
 
-// below returns a function that yields and reports whether less than a limit was used.
+// below returns a function that is called after each decision. It yields and reports whether
+// less than a limit was used.
 func (u *processorUse) below(limit time.Duration) func() bool {
 	return func() bool {
+		u.did(0, 1)
 		u.yield()
 		return u.used < limit
 	}
--- a/internal/dispatch/ready.go
+++ b/internal/dispatch/ready.go
@@ -125,6 +125,7 @@
 			rs.overdue = since > times.firstSeen+overdueFactor*times.objective && !rs.step.Daemon
 		}
 		t.mu.Unlock()
+		use.did(len(batch), 0)
 		use.yield()
 	}
 	sortByRank(readySteps)
--- a/internal/dispatch/replay_result_test.go
+++ b/internal/dispatch/replay_result_test.go
@@ -18,12 +18,15 @@
 	durations [][]time.Duration // by step and task
 	coreWork  float64
 	gang      bool
+	team      int
+	refused   bool
 	ended     time.Duration // 0 if it has not
 }
 
 // replayResult is what became of the jobs of a class.
 type replayResult struct {
 	jobs, inTime, late     int
+	refused                int
 	worth, earned          float64
 	waits                  []time.Duration
 	largest, largestServed int
@@ -57,6 +60,9 @@
 		r.gangSteps += len(j.durations)
 	}
 	r.worth += worth
+	if j.refused {
+		r.refused++
+	}
 	took := j.ended - j.submitted
 	if j.ended > 0 {
 		r.waits = append(r.waits, took)
@@ -82,14 +88,15 @@
 
 // addUp adds the counts of another result.
 func (r *replayResult) addUp(o *replayResult) {
-	r.jobs, r.inTime, r.late = r.jobs+o.jobs, r.inTime+o.inTime, r.late+o.late
+	r.jobs, r.inTime, r.late, r.refused = r.jobs+o.jobs, r.inTime+o.inTime, r.late+o.late, r.refused+o.refused
 	r.largest, r.largestServed = r.largest+o.largest, r.largestServed+o.largestServed
+	r.worth, r.earned, r.waits = r.worth+o.worth, r.earned+o.earned, slices.Sorted(slices.Values(slices.Concat(r.waits, o.waits)))
 	r.gangSteps, r.adviceCost = r.gangSteps+o.gangSteps, r.adviceCost+o.adviceCost
 }
 
 // String describes the result in one line.
 func (r *replayResult) String() string {
-	return fmt.Sprintf("jobs %d in time %.3f late %.3f earned %.3f largest tenth served %.3f of all %.3f p50 %v p95 %v", r.jobs, r.share(r.inTime), r.share(r.late),
+	return fmt.Sprintf("jobs %d in time %.3f late %.3f refused %.3f earned %.3f largest tenth served %.3f of all %.3f p50 %v p95 %v", r.jobs, r.share(r.inTime), r.share(r.late), r.share(r.refused),
 		r.earned/r.worth, float64(r.largestServed)/float64(max(1, r.largest)), r.share(r.inTime+r.late), quantile(r.waits, 0.5), quantile(r.waits, 0.95))
 }
 
--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -15,13 +15,15 @@
 	"laburnumgrade/internal/structs"
 )
 
-// delayedLog is a log whose commits take a time.
+// delayedLog is a log whose commits take a time, also of the leader's processor.
 type delayedLog struct {
 	*fakeLog
 	commitTime time.Duration
+	processor  *simulatedProcessor
 }
 
 func (l *delayedLog) Propose(ctx context.Context, command []byte) (any, error) {
+	l.processor.compute(l.processor.costs.commit + time.Duration(len(command))*l.processor.costs.commitByte)
 	time.Sleep(l.commitTime)
 	return l.fakeLog.Propose(ctx, command)
 }
@@ -32,10 +34,12 @@
 	// classOf returns the class of a job.
 	classOf func(job string) *loadClass
 	// costOf is what the calls for each class have cost.
-	costOf map[string]time.Duration
+	costOf    map[string]time.Duration
+	processor *simulatedProcessor
 }
 
 func (f *replayAdvisers) Ask(ctx context.Context, peer string, q *cellapi.AdviceRequest) *cellapi.AdviceReply {
+	f.processor.compute(f.processor.costs.call)
 	idleAt, class := f.queue(peer, q), f.classOf(q.Step.Job)
 	f.mu.Lock()
 	f.costOf[class.name] += time.Duration(q.CostMS) * time.Millisecond
@@ -73,14 +77,17 @@
 	// and announceInterval how often processes announce themselves and workers report.
 	observeInterval  = 20 * time.Millisecond
 	announceInterval = 500 * time.Millisecond
-	// replayFinishTime is how long a replay goes on after the last arrival.
-	replayFinishTime = 15 * time.Second
+	// resubmitInterval is how often a job is submitted again while there is no leader.
+	resubmitInterval = 100 * time.Millisecond
 )
 
 // replayRun is one replay of a load pattern.
 type replayRun struct {
-	pattern  *loadPattern
-	random   *rand.Rand
+	pattern   *loadPattern
+	random    *rand.Rand
+	processor *simulatedProcessor
+	// added is for the jobs that loadPattern.addedJobs adds: the others remain the same.
+	added    *rand.Rand
 	cell     *testCell
 	advisers *replayAdvisers
 	began    time.Time
@@ -97,25 +104,43 @@
 // replay plays a load pattern on a leader in simulated time and returns the results by
 // class.
 func replay(t *testing.T, pattern *loadPattern) map[string]*replayResult {
-	r := &replayRun{pattern: pattern, random: rand.New(rand.NewPCG(pattern.seed, 1)), jobs: map[string]*replayedJob{}}
+	r := newReplayRun(t, pattern)
+	return r.results(func(*replayedJob) bool { return true })
+}
+
+// newReplayRun plays a load pattern on a leader in simulated time.
+func newReplayRun(t *testing.T, pattern *loadPattern) *replayRun {
+	r := &replayRun{
+		pattern: pattern, random: rand.New(rand.NewPCG(pattern.seed, 1)), added: rand.New(rand.NewPCG(pattern.seed, 2)), jobs: map[string]*replayedJob{},
+		processor: &simulatedProcessor{costs: pattern.processor},
+	}
 	r.advisers = &replayAdvisers{
-		ticketAdvisers: ticketAdvisers{idleAt: map[string]time.Time{}}, costOf: map[string]time.Duration{},
+		ticketAdvisers: ticketAdvisers{idleAt: map[string]time.Time{}}, costOf: map[string]time.Duration{}, processor: r.processor,
 		classOf: func(job string) *loadClass { return r.job(job).class },
 	}
 	change := func(c *Config) {
-		c.AdviceClient, c.Log = r.advisers, &delayedLog{c.Log.(*fakeLog), pattern.commitTime}
-		c.AdmitAll = true // the patterns measure what becomes of all work
+		c.AdviceClient, c.Log = r.advisers, &delayedLog{c.Log.(*fakeLog), pattern.commitTime, r.processor}
+		c.Workers = &costlyWorkers{c.Workers, r.processor}
+		c.AdmitAll = !pattern.admission
 	}
 	runCellWith(t, 0, change, func(b *testCell) {
 		r.cell = b
+		b.leader.simulateUse = r.processor.plannerUse()
 		b.fleet.outcomeOf, b.fleet.durationOf = r.outcomeOf, r.durationOf
 		r.configure()
 		r.registerWorkers()
 		r.play()
 	})
+	return r
+}
+
+// results returns the results of the selected jobs by class.
+func (r *replayRun) results(selected func(*replayedJob) bool) map[string]*replayResult {
 	byClass := map[string][]*replayedJob{}
 	for _, j := range r.jobs {
-		byClass[j.class.name] = append(byClass[j.class.name], j)
+		if selected(j) {
+			byClass[j.class.name] = append(byClass[j.class.name], j)
+		}
 	}
 	results := map[string]*replayResult{}
 	for name, list := range byClass {
@@ -170,7 +195,7 @@
 		sum += weight(i)
 		r.teamWeights = append(r.teamWeights, sum)
 	}
-	capacity := float64(r.pattern.workers * workerCores * 1000)
+	capacity := float64(r.pattern.workers * r.pattern.workerCores * 1000)
 	for i := range r.pattern.teams {
 		limit := structs.Resources{MilliCPU: int64(weight(i) / sum * r.pattern.limitFactor * capacity)}
 		c.Teams = append(c.Teams, cell.Team{Name: fmt.Sprint("team", i), Keys: []string{fmt.Sprint("key", i)}, Weight: 1, Limit: limit})
@@ -178,11 +203,11 @@
 	r.cell.do(&cellapi.Call{Configure: c})
 }
 
-// pickKey returns the key of a team, which is drawn by weight.
-func (r *replayRun) pickKey() string {
+// pickTeam returns the number of a team, which is drawn by weight.
+func (r *replayRun) pickTeam() int {
 	x := r.random.Float64() * r.teamWeights[len(r.teamWeights)-1]
 	i, _ := slices.BinarySearch(r.teamWeights, x)
-	return fmt.Sprint("key", min(i, r.pattern.teams-1))
+	return min(i, r.pattern.teams-1)
 }
 
 func (r *replayRun) registerWorkers() {
@@ -191,7 +216,7 @@
 		r.cell.fleet.add(id, 1)
 		c := firstReport(id, 1, i)
 		c.Report.Address = fmt.Sprintf("10.0.%d.%d:80", i/250, i%250)
-		c.Report.Capacity = structs.Resources{MilliCPU: workerCores * 1000, MemoryBytes: workerGiB << 30}
+		c.Report.Capacity = structs.Resources{MilliCPU: int64(r.pattern.workerCores) * 1000, MemoryBytes: int64(r.pattern.workerGiB) << 30}
 		r.cell.do(c)
 	}
 }
@@ -203,14 +228,17 @@
 		r.next = append(r.next, r.interval(&r.pattern.classes[i], 1))
 	}
 	defer r.submissions.Wait()
+	for _, e := range r.pattern.events {
+		r.submissions.Go(func() {
+			time.Sleep(e.at)
+			e.do(r)
+		})
+	}
 	announced := -announceInterval
-	for now := time.Duration(0); now < r.pattern.length+replayFinishTime; now = time.Since(r.began) {
+	for now := time.Duration(0); now < r.pattern.length+r.pattern.finish; now = time.Since(r.began) {
 		if now-announced >= announceInterval {
 			announced = now
-			for i := range r.pattern.callers {
-				r.cell.leader.currentTerm().advice.announce(fmt.Sprintf("p%03d", i), r.cell.leader.Clock.Now())
-			}
-			r.cell.reportAll()
+			r.announce()
 		}
 		r.submitDue(now)
 		r.observe()
@@ -218,6 +246,18 @@
 	}
 }
 
+// announce announces the callers and reports the workers, if there is a leader.
+func (r *replayRun) announce() {
+	t := r.cell.leader.currentTerm()
+	if t == nil {
+		return
+	}
+	for i := range r.pattern.callers {
+		t.advice.announce(fmt.Sprintf("p%03d", i), r.cell.leader.Clock.Now())
+	}
+	r.cell.reportAll()
+}
+
 // interval returns the time between two arrivals of a class whose rate is raised by a factor.
 func (r *replayRun) interval(class *loadClass, factor float64) time.Duration {
 	return time.Duration(r.random.ExpFloat64() / (class.perSecond * factor) * float64(time.Second))
@@ -228,20 +268,57 @@
 	for i := range r.pattern.classes {
 		class := &r.pattern.classes[i]
 		for r.next[i] <= now && now < r.pattern.length {
-			id := fmt.Sprintf("%016x", r.random.Uint64())
-			job, steps := class.newJob(r.random)
-			job.submitted = now
-			r.mu.Lock()
-			r.jobs[id] = job
-			r.mu.Unlock()
-			request := cell.Request{Host: "h", Path: "/" + class.name + "/" + id, Key: r.pickKey()}
-			call := &cellapi.Call{Submit: &cell.Submit{Request: request, Job: cell.Submission{ID: id, Spec: "s", Steps: steps}}}
-			r.submissions.Go(func() { r.cell.do(call) })
+			team := r.submitJob(class, now, r.random, r.pickTeam)
+			if r.pattern.addedJobs != nil {
+				for range r.pattern.addedJobs(team, now) {
+					r.submitJob(class, now, r.added, func() int { return team })
+				}
+			}
 			r.next[i] += r.interval(class, r.pattern.rate(class.name, now))
 		}
 	}
 }
 
+// submitJob submits a job of a class and returns its team.
+func (r *replayRun) submitJob(class *loadClass, now time.Duration, random *rand.Rand, pickTeam func() int) (team int) {
+	id := fmt.Sprintf("%016x", random.Uint64())
+	job, steps := class.newJob(random, r.pattern.workerCores)
+	job.submitted = now
+	r.mu.Lock()
+	r.jobs[id] = job
+	r.mu.Unlock()
+	team = pickTeam()
+	job.team = team
+	request := cell.Request{Host: "h", Path: "/" + class.name + "/" + id, Key: fmt.Sprint("key", team)}
+	call := &cellapi.Call{Submit: &cell.Submit{Request: request, Job: cell.Submission{ID: id, Spec: "s", Steps: steps}}}
+	r.submissions.Go(func() { r.submit(job, call) })
+	return team
+}
+
+// submit submits a job, again and again while there is no leader.
+func (r *replayRun) submit(job *replayedJob, call *cellapi.Call) {
+	for time.Since(r.began) < r.pattern.length+r.pattern.finish {
+		r.processor.compute(r.processor.costs.submission)
+		reply := r.cell.leader.Do(r.cell.t.Context(), call)
+		switch {
+		case reply.Refused != "" && r.pattern.admission:
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			job.refused = true
+			return
+		case reply.Refused != "" || !reply.NotLeader && reply.Unknown == "" && reply.Verdict != cell.Accepted:
+			r.cell.t.Errorf("submission was answered %+v", reply)
+			return
+		case !reply.NotLeader && reply.Unknown == "":
+			return
+		case len(r.pattern.events) == 0:
+			r.cell.t.Errorf("submission was answered %+v although the leader does not change", reply)
+			return
+		}
+		time.Sleep(resubmitInterval)
+	}
+}
+
 // observe records the jobs that are complete.
 func (r *replayRun) observe() {
 	r.cell.store.View(func(v *cell.View) {
@@ -254,3 +331,15 @@
 		}
 	})
 }
+
+// crashWorkers makes the first workers vanish with all that runs on them.
+func (r *replayRun) crashWorkers(count int) {
+	f := r.cell.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.onCrash = func(string) {}
+	for i := range count {
+		id := fmt.Sprintf("w%03d", i)
+		f.crash(id, f.workers[id])
+	}
+}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -195,7 +195,7 @@
 			t.pause(leadershipPollInterval) // the lease may be regained before another process leads
 			continue
 		}
-		use := newProcessorUse(t.leader.Clock)
+		use := t.newProcessorUse()
 		if now := t.leader.Clock.Now(); now >= t.housekeepingAt+housekeepingInterval || !t.isSynced() {
 			t.housekeepingAt = now
 			t.syncSessions()
