dispatch: work with time to spare gives way on a busy leader

Cause: with the urgent queue at 2.5 times its rate the leader's processor is saturated. The planner let others run after each millisecond and then waited for all of them, so that a plan that used 45 ms took 720 ms. At the same time it went on starting tasks of lower priority whose jobs had seconds to spare, and each start delayed the urgent jobs further.

Change: the planner measures how long it waits for its turn. On a busy processor it computes for half of that time, at most one slice, before it lets others run. When eight turns would take a quarter of the time that the most urgent jobs have to spare, steps of lower priorities give way until half of their own time to spare is left. Gangs, daemons and steps with advice do not give way. The metric of waiting steps has the reason "turn".

--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -83,7 +83,7 @@
 	wake    chan struct{}
 	metrics leaderMetrics
 	// simulateUse is processorUse.simulate of the planner; nil outside tests.
-	simulateUse func(u *processorUse, timed, decided int)
+	simulateUse func(u *processorUse, timed int, decided *readyStep)
 
 	mu sync.Mutex
 	// term is the current term, nil while the process does not lead.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -70,12 +70,14 @@
 	waitsForCrashes
 	// waitsForEvacuation means that the step fits only on workers of evacuated data centres.
 	waitsForEvacuation
+	// waitsForTurn means that the step gives way while the leader is late.
+	waitsForTurn
 	waitReasons
 )
 
 // String returns the name of the reason in metrics.
 func (r waitReason) String() string {
-	return [waitReasons]string{"placed", "advice", "renewal", "retry", "room", "limit", "crashes", "evacuated"}[r]
+	return [waitReasons]string{"placed", "advice", "renewal", "retry", "room", "limit", "crashes", "evacuated", "turn"}[r]
 }
 
 // planner holds the inputs and the result of one planning round. It reads no clock
@@ -125,6 +127,8 @@
 	isolation    isolation
 	crashedSteps map[cell.StepKey]bool
 	isolating    bool
+	// decided, if not nil, is called for each step that was decided on.
+	decided func(*readyStep)
 	plan
 }
 
@@ -138,12 +142,16 @@
 		now: t.leader.Clock.Now(), byID: map[string]*candidate{}, headroom: map[string]structs.Resources{}, advice: t.advice.snapshot, request: t.advice.request, allowedShare: t.advice.allowedShare,
 		offRackFactor: t.leader.Bounds.RemoteFactor, isolation: t.isolation, plan: plan{reserved: map[string]cell.StepKey{}},
 	}
+	p.decided = func(rs *readyStep) { use.did(0, rs) }
 	t.forgetEndedData(p.now)
 	steps, workers := t.copyInputs(p)
 	readySteps := steps
 	if len(steps) > 0 {
+		use.waitTurn()
 		t.completeReadySteps(steps, p.now, use)
-		steps = t.window.arrange(steps, t.advice.stepsInService(p.now))
+		t.turnDelay.observe(use.delay)
+		inService := t.advice.stepsInService(p.now)
+		steps = t.window.arrange(t.withoutGivingWay(p, steps, inService), inService)
 		t.addCandidates(workers, p)
 		p.victims = t.newVictimFinder(p)
 		p.releases = func(c *candidate) []reservation.Release { return t.releasesOf(c, p.now) }
@@ -386,6 +394,9 @@
 		}
 		p.recordShutOut(rs)
 		p.countWait(rs)
+		if p.decided != nil {
+			p.decided(rs)
+		}
 		if !mayContinue() {
 			return readySteps[i+1:]
 		}
--- a/internal/dispatch/processor_use_test.go
+++ b/internal/dispatch/processor_use_test.go
@@ -103,3 +103,13 @@
 	}
 	return jobs
 }
+
+// Guards against a planner that gets a millisecond in each turn on a busy processor, so that all
+// starts wait for it, and against one that holds the processor for longer than a slice.
+func TestPlannerComputesLongerOnBusyProcessor(t *testing.T) {
+	for delay, expected := range map[time.Duration]time.Duration{
+		0: yieldInterval, time.Millisecond: yieldInterval, 10 * time.Millisecond: 5 * time.Millisecond, time.Second: maxPlanSlice,
+	} {
+		assert.Equal(t, (&processorUse{delay: delay}).yieldAfter(), expected, "delay %v", delay)
+	}
+}
--- a/internal/dispatch/ready.go
+++ b/internal/dispatch/ready.go
@@ -38,6 +38,9 @@
 	duration time.Duration
 	// deadline is when the job should be complete to meet its objective.
 	deadline time.Duration
+	// spare is what the objective of the job leaves beside the expected duration of what
+	// remains.
+	spare time.Duration
 	// shortLease is set if the job needs a short lease; its tasks are placed apart
 	// from others.
 	shortLease bool
@@ -116,6 +119,7 @@
 			rs.duration = expectedDuration(rs.step.EstimateMS, ratios.of(rs.queue.Name))
 			rs.shortLease = times.needsShortLease()
 			rs.deadline = times.firstSeen + times.objective
+			rs.spare = max(0, times.objective-rs.remaining)
 			rs.late = now+rs.remaining > rs.deadline
 			since, served := inService[rs.key]
 			if !served {
@@ -125,7 +129,7 @@
 			rs.overdue = since > times.firstSeen+overdueFactor*times.objective && !rs.step.Daemon
 		}
 		t.mu.Unlock()
-		use.did(len(batch), 0)
+		use.did(len(batch), nil)
 		use.yield()
 	}
 	sortByRank(readySteps)
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -58,6 +58,8 @@
 	// window is what plans look at when there are more steps than one can. Only the planner's
 	// goroutine uses it.
 	window planWindow
+	// turnDelay is that of the plans. Only the planner's goroutine uses it.
+	turnDelay turnDelay
 	// housekeepingAt is when sessions and unwanted attempts were last looked for. Only the
 	// planner's goroutine uses it.
 	housekeepingAt time.Duration
