--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -73,12 +73,14 @@
 	waitsForCrashes
 	// waitsForEvacuation means that the step fits only on workers of evacuated data centres.
 	waitsForEvacuation
+	// waitsForTurn means that the step gives way while the leader is late.
+	waitsForTurn
 	waitReasons
 )
 
 // String returns the name of the reason in metrics.
 func (r waitReason) String() string {
-	return [waitReasons]string{"placed", "advice", "renewal", "retry", "room", "limit", "crashes", "evacuated"}[r]
+	return [waitReasons]string{"placed", "advice", "renewal", "retry", "room", "limit", "crashes", "evacuated", "turn"}[r]
 }
 
 // noCaller is set once no process could take a request: long for one of at least longCallCost,
@@ -134,6 +136,8 @@
 	isolation    isolation
 	crashedSteps map[cell.StepKey]bool
 	isolating    bool
+	// decided, if not nil, is called for each step that was decided on.
+	decided func(*readyStep)
 	plan
 }
 
@@ -142,17 +146,21 @@
 // the state, so that steps of lower rank do not take what has become free for others in the
 // meantime. It returns the processor time that the last slice has used.
 func (t *term) planOnce() time.Duration {
-	use := newProcessorUse(t.leader.Clock)
+	use := t.newProcessorUse()
 	p := &planner{
 		now: t.leader.Clock.Now(), byID: map[string]*candidate{}, headroom: map[string]structs.Resources{}, advice: t.advice.snapshot, request: t.advice.request, allowedShare: t.advice.allowedShare,
 		offRackFactor: t.leader.Bounds.RemoteFactor, isolation: t.isolation, plan: plan{reserved: map[string]cell.StepKey{}},
 	}
+	p.decided = func(rs *readyStep) { use.did(0, rs) }
 	t.forgetEndedData(p.now)
 	steps, workers := t.copyInputs(p)
 	readySteps := steps
 	if len(steps) > 0 {
+		use.waitTurn()
 		t.completeReadySteps(steps, p.now, use)
-		steps = t.window.arrange(steps, t.advice.stepsInService(p.now))
+		t.turnDelay.observe(use.delay)
+		inService := t.advice.stepsInService(p.now)
+		steps = t.window.arrange(t.withoutGivingWay(p, steps, inService), inService)
 		t.addCandidates(workers, p)
 		p.victims = t.newVictimFinder(p)
 		p.releases = func(c *candidate) []reservation.Release { return t.releasesOf(c, p.now) }
@@ -181,7 +189,7 @@
 		if !t.pause(planPause(use.spent())) || !t.leads() {
 			return 0
 		}
-		use = newProcessorUse(t.leader.Clock)
+		use = t.newProcessorUse()
 		p.beginSlice(t.leader.Clock.Now())
 		t.withholdUnusable(p)
 		urgent := t.urgentSteps(p, steps[0], use)
@@ -406,6 +414,9 @@
 		}
 		p.recordShutOut(rs)
 		p.countWait(rs)
+		if p.decided != nil {
+			p.decided(rs)
+		}
 		if !mayContinue() {
 			return readySteps[i+1:]
 		}
