dispatch: the replay of the largest gangs judges every job in its time

Cause of the failure of TestReplayLargestGangs: the replay ended 15 s after the last arrival, but a job counts as served up to three times its objective, which is 20 to 46 s for the largest gangs. Gangs that still had time counted as not served, most of them large. Eight of the 52 largest also exceed the limit of their team and can never start.

Change: the test has a replay of its own. Jobs are counted as before if they arrive in the first 34 s, but the load goes on until 60 s and the replay until 160 s, so that each job is judged in its time and while others compete with it. Jobs that exceed their team's limit do not count, neither among the largest nor among all. The factor of 0.8 stays.

TestReplayGangsAmongSmallTasks keeps its replay and its bounds.

--- a/internal/dispatch/replay_gangs_test.go
+++ b/internal/dispatch/replay_gangs_test.go
@@ -9,20 +9,9 @@
 	"gotest.tools/v3/assert"
 )
 
-// gangsAmongSmallTasks replays a load in which large gangs arrive faster than the fleet can
-// run them while small tasks of lower priority fill it, and returns the results for the
-// queue of the gangs, of the small tasks and of urgent jobs, added up over some seeds. The
-// replays are made once for all tests.
-func gangsAmongSmallTasks(t *testing.T) (gangs, small, urgent *replayResult) {
-	gangsReplayed.Do(func() { gangsReplayResults = replayGangs(t) })
-	return gangsReplayResults["gangs"], gangsReplayResults["batch"], gangsReplayResults["urgent"]
-}
-
-var (
-	gangsReplayed      sync.Once
-	gangsReplayResults map[string]*replayResult
-)
-
+// replayGangs replays a load in which large gangs arrive faster than the fleet can run them
+// while small tasks of lower priority fill it, and returns the results by queue, added up over
+// some seeds.
 func replayGangs(t *testing.T) map[string]*replayResult {
 	var mu sync.Mutex
 	sums := map[string]*replayResult{"gangs": {}, "batch": {}, "urgent": {}}
@@ -48,7 +37,8 @@
 // about ever more workers: the first request names three times what a gang needs, in
 // three calls, and its tickets are renewed once.
 func TestReplayGangsAmongSmallTasks(t *testing.T) {
-	gangs, small, urgent := gangsAmongSmallTasks(t)
+	results := replayGangs(t)
+	gangs, small, urgent := results["gangs"], results["batch"], results["urgent"]
 	t.Logf("gangs in time %.3f, advice %v for each step; small served %.3f; urgent in time %.3f", gangs.share(gangs.inTime), gangs.adviceCost/time.Duration(gangs.gangSteps), small.share(small.inTime+small.late), urgent.share(urgent.inTime))
 	assert.Check(t, gangs.share(gangs.inTime) >= 0.67)
 	assert.Check(t, small.share(small.inTime+small.late) >= 0.8)
@@ -57,9 +47,30 @@
 	assert.Check(t, gangs.adviceCost <= time.Duration(gangs.gangSteps)*askedOnce, "advice cost %v for %d steps of gangs", gangs.adviceCost, gangs.gangSteps)
 }
 
-// Guards against the largest gangs being served less often than the others.
+// Guards against the largest gangs being served less often than the others. A job is judged
+// three times its objective after its submission, up to two minutes for the largest, and other
+// jobs arrive for half a minute after the last one that counts. Jobs that exceed the limit of
+// their team do not count.
 func TestReplayLargestGangs(t *testing.T) {
-	gangs, _, _ := gangsAmongSmallTasks(t)
+	var mu sync.Mutex
+	gangs := &replayResult{}
+	t.Run("replay", func(t *testing.T) {
+		for seed := range 3 {
+			t.Run(fmt.Sprint("seed ", seed+1), func(t *testing.T) {
+				t.Parallel()
+				pattern := fullFleet(270, uint64(seed+1)).surge()
+				counted := pattern.length
+				pattern.length, pattern.finish = 60*time.Second, 100*time.Second
+				r := newReplayRun(t, pattern)
+				result := r.results(func(j *replayedJob) bool { return j.submitted < counted && !j.exceedsLimit })["gangs"]
+				t.Log(result)
+				mu.Lock()
+				defer mu.Unlock()
+				gangs.addUp(result)
+			})
+		}
+	})
 	largest := float64(gangs.largestServed) / float64(gangs.largest)
+	t.Logf("%.3f of the largest tenth are served, %.3f of all", largest, gangs.share(gangs.inTime+gangs.late))
 	assert.Check(t, largest >= 0.8*gangs.share(gangs.inTime+gangs.late), "%.3f of the largest tenth are served, %.3f of all", largest, gangs.share(gangs.inTime+gangs.late))
 }
--- a/internal/dispatch/replay_result_test.go
+++ b/internal/dispatch/replay_result_test.go
@@ -20,7 +20,10 @@
 	gang      bool
 	team      int
 	refused   bool
-	ended     time.Duration // 0 if it has not
+	// exceedsLimit is set if a step is a gang that exceeds its team's limit, so that it never
+	// starts.
+	exceedsLimit bool
+	ended        time.Duration // 0 if it has not
 }
 
 // replayResult is what became of the jobs of a class.
--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -95,6 +95,8 @@
 	// weights of the teams up to each.
 	next        []time.Duration
 	teamWeights []float64
+	// limits are those of the teams.
+	limits      []structs.Resources
 	submissions sync.WaitGroup
 
 	mu   sync.Mutex
@@ -198,6 +200,7 @@
 	capacity := float64(r.pattern.workers * r.pattern.workerCores * 1000)
 	for i := range r.pattern.teams {
 		limit := structs.Resources{MilliCPU: int64(weight(i) / sum * r.pattern.limitFactor * capacity)}
+		r.limits = append(r.limits, limit)
 		c.Teams = append(c.Teams, cell.Team{Name: fmt.Sprint("team", i), Keys: []string{fmt.Sprint("key", i)}, Weight: 1, Limit: limit})
 	}
 	r.cell.do(&cellapi.Call{Configure: c})
@@ -289,6 +292,9 @@
 	r.mu.Unlock()
 	team = pickTeam()
 	job.team = team
+	job.exceedsLimit = slices.ContainsFunc(steps, func(s cell.Step) bool {
+		return s.Gang && int64(s.Count)*s.Size.MilliCPU > r.limits[team].MilliCPU
+	})
 	request := cell.Request{Host: "h", Path: "/" + class.name + "/" + id, Key: fmt.Sprint("key", team)}
 	call := &cellapi.Call{Submit: &cell.Submit{Request: request, Job: cell.Submission{ID: id, Spec: "s", Steps: steps}}}
 	r.submissions.Go(func() { r.submit(job, call) })
