dispatch: a plan sorts the workers only if they have changed

Each plan copied the records of all workers in the order of a map and sorted the candidates by id. The records are now copied in the order of the ids, which is kept from plan to plan, so the sort finds them in order.

--- a/internal/dispatch/candidate.go
+++ b/internal/dispatch/candidate.go
@@ -60,8 +60,12 @@
 
 // attemptCopies holds copies of the attempts of workers by their records. Plans share them
 // as long as the attempts do not change, since copying all for each plan would be a large
-// part of its cost.
-type attemptCopies map[*cell.Worker]attemptCopy
+// part of its cost. The zero value is ready to use.
+type attemptCopies struct {
+	byRecord map[*cell.Worker]attemptCopy
+	// ids are the ids of all workers of the last plan in order.
+	ids []string
+}
 
 type attemptCopy struct {
 	changes  uint64
@@ -69,32 +73,60 @@
 }
 
 // of returns a copy of the attempts of a worker, which the caller does not modify.
-func (a attemptCopies) of(w *cell.Worker) map[cell.TaskKey]cell.Attempt {
-	known, ok := a[w]
+func (a *attemptCopies) of(w *cell.Worker) map[cell.TaskKey]cell.Attempt {
+	known, ok := a.byRecord[w]
 	if !ok || known.changes != w.AttemptChanges() {
 		known = attemptCopy{w.AttemptChanges(), maps.Clone(w.Attempts)}
-		a[w] = known
+		a.byRecord[w] = known
 	}
 	return known.attempts
 }
 
-// copyWorkers returns copies of the records of the usable workers in no order.
-func (a attemptCopies) copyWorkers(v *cell.View) []*cell.Worker {
-	if len(a) > 2*len(v.Workers()) {
-		clear(a) // most of them are of records that were replaced
+// inOrder returns the records of the workers sorted by their ids. It sorts them only if the ids
+// are not those of the last plan.
+func (a *attemptCopies) inOrder(workers map[string]*cell.Worker) []*cell.Worker {
+	list := make([]*cell.Worker, 0, len(workers))
+	if len(a.ids) == len(workers) {
+		for _, id := range a.ids {
+			w := workers[id]
+			if w == nil {
+				break
+			}
+			list = append(list, w)
+		}
+		if len(list) == len(workers) {
+			return list
+		}
+	}
+	a.ids = slices.Sorted(maps.Keys(workers))
+	list = list[:0]
+	for _, id := range a.ids {
+		list = append(list, workers[id])
+	}
+	return list
+}
+
+// copyWorkers returns copies of the records of the usable workers, sorted by their ids.
+func (a *attemptCopies) copyWorkers(v *cell.View) []*cell.Worker {
+	if a.byRecord == nil {
+		a.byRecord = map[*cell.Worker]attemptCopy{}
+	}
+	if len(a.byRecord) > 2*len(v.Workers()) {
+		clear(a.byRecord) // most of them are of records that were replaced
 	}
 	copies := make([]cell.Worker, 0, len(v.Workers()))
-	list := make([]*cell.Worker, 0, len(v.Workers()))
-	for _, w := range v.Workers() {
+	list := a.inOrder(v.Workers())
+	usable := list[:0]
+	for _, w := range list {
 		if !w.Usable() {
 			continue
 		}
 		copies = append(copies, *w)
 		c := &copies[len(copies)-1]
 		c.Attempts = a.of(w)
-		list = append(list, c)
+		usable = append(usable, c)
 	}
-	return list
+	return usable
 }
 
 // setAsideEvacuated removes the workers of evacuated data centres from those of a plan.
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -141,7 +141,6 @@
 		wall:           newWallClock(),
 		cordoned:       map[string]bool{},
 		lastStopOrder:  map[stopKey]time.Duration{},
-		attemptCopies:  attemptCopies{},
 		stats:          newWorkerStats(),
 		planTime:       maxPlanTime,
 	}
