--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build gen gopls lint test model demo faults load scale bench slopes
+.PHONY: build gen gopls lint test model demo faults load scale bench startcost slopes
 
 build:
 	go build -o bin/ ./cmd/...
@@ -57,5 +57,9 @@
 bench:
 	go run ./test/bench
 
+# Processor time of the leader for each start of a task; see the flags in test/startcost.
+startcost:
+	go test ./test/startcost -run '^$$' -bench Start -benchtime 1x
+
 slopes:
 	go run ./test/bench --case slopes
--- a/test/startcost/parts_test.go
+++ b/test/startcost/parts_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
 )
 
 // part is a part of the work of a start and the functions by which stacks are recognized. The
@@ -105,3 +106,31 @@
 		fmt.Printf("%-26s %8v %5.1f%%\n", name, times[name], 100*float64(times[name])/float64(total))
 	}
 }
+
+// Guards against samples of a profile that count for the wrong part or not at all.
+func TestDivide(t *testing.T) {
+	const traces = `File: lg-cell
+Type: cpu
+-----------+-------------------------------------------------------
+      30ms   encoding/json.Unmarshal
+             laburnumgrade/platform.(*Workers).RenewLease
+             laburnumgrade/internal/dispatch.(*session).renewLease
+-----------+-------------------------------------------------------
+     1.20s   runtime.mallocgc
+             log/slog.(*Logger).Info
+             laburnumgrade/internal/dispatch.(*session).commitListed
+-----------+-------------------------------------------------------
+      10ms   runtime.gcDrain
+             runtime.gcBgMarkWorker
+-----------+-------------------------------------------------------
+      10ms   runtime.unknown
+-----------+-------------------------------------------------------
+      10ms   runtime.gcDrain
+             runtime.gcAssistAlloc
+             laburnumgrade/internal/dispatch.(*term).planOnce
+-----------+-------------------------------------------------------
+`
+	assert.DeepEqual(t, divide([]byte(traces)), map[string]time.Duration{
+		"renewal and listing": 30 * time.Millisecond, "log": 1200 * time.Millisecond, "garbage collection": 20 * time.Millisecond, "other": 10 * time.Millisecond,
+	})
+}
--- a/test/startcost/start_test.go
+++ b/test/startcost/start_test.go
@@ -38,9 +38,9 @@
 	smallJob               = `{"spec":"640","steps":[{"count":3,"cpu":2500,"mem_mb":64,"estimate_ms":640}]}`
 	largeJob               = `{"spec":"2200","steps":[{"count":25,"cpu":1700,"mem_mb":64,"estimate_ms":2200}]}`
 	// A window in which a version has not started its tasks, up to 1/maxMissing, does not count.
-	maxMissing             = 8
-	adviceDelay            = 10 * time.Millisecond
-	adviceValidityMS       = 2000
+	maxMissing       = 8
+	adviceDelay      = 10 * time.Millisecond
+	adviceValidityMS = 2000
 )
 
 // buildProfiled builds the programs of the sources in a folder, with lg-cell writing a profile
