entry, control: settings for memory, descriptors and HTTP/2, and tests with untrusted clients

lg-entry and lg-control bound neither the memory of the requests that they have received nor their descriptors. They now accept [limits] memory, request_memory, descriptors, reserved_descriptors, http2_streams and http2_window; the limits themselves follow.

--- a/internal/config/cell.go
+++ b/internal/config/cell.go
@@ -53,6 +53,18 @@
 	defaultMaxLogBytes = 16 << 20
 )
 
+// ProcessLimits are the bounds of what a process uses.
+type ProcessLimits struct {
+	// Descriptors is how many descriptors the process may open, 0 for the limit of the
+	// operating system. ReservedDescriptors of them are not used for connections or the
+	// data folder.
+	Descriptors         int
+	ReservedDescriptors int
+	// MemoryBytes is how much memory the process may use before it is killed, 0 if that is
+	// not limited.
+	MemoryBytes int64
+}
+
 // CellCommon holds the settings that lg-cell and lg-gateway have in common.
 type CellCommon struct {
 	Process Process
@@ -67,14 +79,7 @@
 	AdviceAddress netip.AddrPort
 	// DrainTimeout bounds the time of a shutdown.
 	DrainTimeout time.Duration
-	// Descriptors is how many descriptors the process may open, 0 for the limit of the
-	// operating system. ReservedDescriptors of them are not used for connections or the
-	// data folder.
-	Descriptors         int
-	ReservedDescriptors int
-	// MemoryBytes is how much memory the process may use before it is killed, 0 if that is
-	// not limited.
-	MemoryBytes int64
+	ProcessLimits
 	// RequestMemoryBytes bounds the bytes of requests that were received and not yet answered.
 	RequestMemoryBytes int64
 	// RequestLimits bound the connections at the public address.
@@ -152,21 +157,29 @@
 	}
 	c.AdviceAddress = optional(r, "cell", "advice", addressKind(), netip.AddrPort{})
 	c.DrainTimeout = optional(r, "limits", "drain", durationKind(0, maxDrain), defaultCellDrain)
-	c.ReservedDescriptors = int(optional(r, "limits", "reserved_descriptors", wholeKind(0, maxDescriptors), defaultReservedDescriptors))
-	c.Descriptors = int(optional(r, "limits", "descriptors", wholeKind(0, maxDescriptors), 0))
-	c.MemoryBytes = optional(r, "limits", "memory", memoryKind(minMemoryBytes, maxMemoryBytes), 0)
-	if least := c.ReservedDescriptors + minDescriptors; c.Descriptors > 0 && c.Descriptors < least && r.valid("limits.descriptors", "limits.reserved_descriptors") {
-		r.fault("limits", "descriptors", fmt.Sprint(c.Descriptors), fmt.Sprintf("0 or at least %d, %d more than reserved_descriptors", least, minDescriptors))
-	}
-	c.RequestMemoryBytes = readRequestMemory(r, c.MemoryBytes)
+	c.ProcessLimits = readProcessLimits(r)
+	c.RequestMemoryBytes = readRequestMemory(r, c.MemoryBytes, 0)
 	c.RequestLimits = readRequestLimits(r)
 	return c
 }
 
+// readProcessLimits reads the bounds of what a process uses.
+func readProcessLimits(r *reader) ProcessLimits {
+	l := ProcessLimits{
+		ReservedDescriptors: int(optional(r, "limits", "reserved_descriptors", wholeKind(0, maxDescriptors), defaultReservedDescriptors)),
+		Descriptors:         int(optional(r, "limits", "descriptors", wholeKind(0, maxDescriptors), 0)),
+		MemoryBytes:         optional(r, "limits", "memory", memoryKind(minMemoryBytes, maxMemoryBytes), 0),
+	}
+	if least := l.ReservedDescriptors + minDescriptors; l.Descriptors > 0 && l.Descriptors < least && r.valid("limits.descriptors", "limits.reserved_descriptors") {
+		r.fault("limits", "descriptors", fmt.Sprint(l.Descriptors), fmt.Sprintf("0 or at least %d, %d more than reserved_descriptors", least, minDescriptors))
+	}
+	return l
+}
+
 // readRequestMemory reads request_memory for a process with the memory, 0 if that is not
-// limited.
-func readRequestMemory(r *reader, memory int64) int64 {
-	defaultValue := int64(defaultRequestMemoryBytes)
+// limited. In that case the default is at least least.
+func readRequestMemory(r *reader, memory, least int64) int64 {
+	defaultValue := max(defaultRequestMemoryBytes, least)
 	if memory > 0 {
 		defaultValue = memory / requestMemoryDivisor
 	}
@@ -260,15 +273,20 @@
 	}
 }
 
+// processLimits writes the bounds of what a process uses.
+func (p *printer) processLimits(l *ProcessLimits) {
+	p.key("descriptors", l.Descriptors)
+	p.key("reserved_descriptors", l.ReservedDescriptors)
+	if l.MemoryBytes > 0 {
+		p.key("memory", FormatBytes(l.MemoryBytes))
+	}
+}
+
 // cellLimits writes the section limits.
 func (p *printer) cellLimits(c *CellCommon) {
 	p.section("limits")
 	p.key("drain", c.DrainTimeout)
-	p.key("descriptors", c.Descriptors)
-	p.key("reserved_descriptors", c.ReservedDescriptors)
-	if c.MemoryBytes > 0 {
-		p.key("memory", FormatBytes(c.MemoryBytes))
-	}
+	p.processLimits(&c.ProcessLimits)
 	p.key("request_memory", FormatBytes(c.RequestMemoryBytes))
 	p.key("max_header", FormatBytes(int64(c.RequestLimits.MaxHeaderBytes)))
 	p.key("header_timeout", c.RequestLimits.HeaderTimeout)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -218,6 +218,9 @@
 		{"document", "[service]", "x = 1\n[service]", "2: x: found a key outside", false},
 		{"document", "[service]", "[service", `2: line: found "[service"`, true},
 		{"document", "count = 4", "count = 1", "15: tasks.count: found 1, allowed at least 2 for class gang", false},
+		{"entry", "[operator]", "[limits]\nrequest_memory = 5MiB\nmax_body = 2MiB\n[operator]", "13: limits.request_memory: found 5MiB, allowed at least 6MiB, 3 times max_body", false},
+		{"entry", "[operator]", "[limits]\nmemory = 16MiB\n[operator]", "12: limits.request_memory: found 2MiB, allowed at least 3MiB, 3 times max_body", false},
+		{"entry", "[operator]", "[limits]\nhttp2_window = 4MiB\n[operator]", "13: limits.http2_window: found \"4MiB\"", false},
 		{"document", "cpu = 40", "cpu = 9999m", "21: limits.cpu: found 9999m, allowed at least 10 for 4 task(s) at once", false},
 		{"document", "accelerators = 8", "accelerators = 3", "23: limits.accelerators: found 3, allowed at least 4", false},
 		{"document", "queue = 50", "queue = 3", "24: limits.queue: found 3, allowed at least tasks.count, 4", false},
@@ -362,3 +365,18 @@
 		}
 	})
 }
+
+// Guards against another memory for requests than the documented one, and against settings with a
+// large max_body that are refused although they name no memory.
+func TestRequestMemoryOfEntry(t *testing.T) {
+	for limits, want := range map[string]int64{
+		"":                   64 << 20,
+		"max_body = 64MiB\n": 192 << 20,
+		"memory = 256MiB\n":  32 << 20,
+		"memory = 256MiB\nrequest_memory = 9MiB\n": 9 << 20,
+	} {
+		e, err := ParseEntry("f.ini", []byte(strings.Replace(validEntry, "[operator]", "[limits]\n"+limits+"[operator]", 1)))
+		assert.NilError(t, err, limits)
+		assert.Equal(t, e.Limits.RequestMemoryBytes, want, limits)
+	}
+}
--- a/internal/config/print.go
+++ b/internal/config/print.go
@@ -87,4 +87,8 @@
 	p.key("max_calls", limits.MaxCallsInFlight)
 	p.key("team_queue", limits.MaxWaitingPerTeam)
 	p.key("timeline", limits.MaxTimelineEvents)
+	p.processLimits(&limits.ProcessLimits)
+	p.key("request_memory", FormatBytes(limits.RequestMemoryBytes))
+	p.key("http2_streams", limits.HTTP2.MaxStreams)
+	p.key("http2_window", FormatBytes(int64(limits.HTTP2.WindowBytes)))
 }
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -1,11 +1,14 @@
 package config
 
 import (
+	"fmt"
 	"net/netip"
 	"os"
 	"slices"
 	"strings"
 	"time"
+
+	"laburnumgrade/internal/intake"
 )
 
 // Process identifies a process and the machine on which it runs.
@@ -65,6 +68,11 @@
 	// MaxTimelineEvents is the number of events that the time line retains; each
 	// further event replaces the oldest one.
 	MaxTimelineEvents int
+	ProcessLimits
+	// RequestMemoryBytes is the memory for requests that were received and not yet answered.
+	RequestMemoryBytes int64
+	// HTTP2 bounds the connections of clients that use HTTP/2.
+	HTTP2 intake.HTTP2Limits
 }
 
 // Entry holds the settings of lg-entry. PublicAddress serves callers, operators
@@ -125,11 +133,18 @@
 
 // Bounds and defaults of settings.
 const (
-	maxDrain                   = 10 * time.Minute
-	minBodyBytes               = 1 << 10
-	maxBodyBytes               = 64 << 20
-	maxCalls                   = 1_000_000
-	maxTimelineEvents          = 1 << 20
+	maxDrain          = 10 * time.Minute
+	minBodyBytes      = 1 << 10
+	maxBodyBytes      = 64 << 20
+	maxCalls          = 1_000_000
+	maxTimelineEvents = 1 << 20
+	maxHTTP2Streams   = 10_000
+	// The window bounds are those of http.HTTP2Config.
+	minHTTP2Window = 64 << 10
+	maxHTTP2Window = 4<<20 - 1<<10
+	// bodyMemoryMultiple is how many bodies of the maximum size request_memory must hold at least:
+	// a quarter of it is kept for small requests, and a body and its decoded form share the rest.
+	bodyMemoryMultiple         = 3
 	minTimelineEvents          = 64
 	maxFolderBytes             = 1024
 	maxHalfLife                = 24 * time.Hour
@@ -244,13 +259,25 @@
 // readLimits reads the section limits. defaultMaxWaitingPerTeam is the default of
 // team_queue.
 func readLimits(r *reader, defaultMaxWaitingPerTeam int64) Limits {
-	return Limits{
+	l := Limits{
 		DrainTimeout:      optional(r, "limits", "drain", durationKind(0, maxDrain), defaultDrain),
 		MaxBodyBytes:      optional(r, "limits", "max_body", memoryKind(minBodyBytes, maxBodyBytes), defaultMaxBodyBytes),
 		MaxCallsInFlight:  int(optional(r, "limits", "max_calls", wholeKind(1, maxCalls), defaultMaxCalls)),
 		MaxWaitingPerTeam: int(optional(r, "limits", "team_queue", wholeKind(1, maxQueuedItems), defaultMaxWaitingPerTeam)),
 		MaxTimelineEvents: int(optional(r, "limits", "timeline", wholeKind(minTimelineEvents, maxTimelineEvents), defaultMaxTimelineEvents)),
+		ProcessLimits:     readProcessLimits(r),
+	}
+	least := bodyMemoryMultiple * l.MaxBodyBytes
+	l.RequestMemoryBytes = readRequestMemory(r, l.MemoryBytes, least)
+	if l.RequestMemoryBytes < least && r.valid("limits.memory", "limits.request_memory", "limits.max_body") {
+		r.fault("limits", "request_memory", FormatBytes(l.RequestMemoryBytes), fmt.Sprintf("at least %s, %d times max_body", FormatBytes(least), bodyMemoryMultiple))
+	}
+	d := intake.DefaultHTTP2Limits
+	l.HTTP2 = intake.HTTP2Limits{
+		MaxStreams:  int(optional(r, "limits", "http2_streams", wholeKind(1, maxHTTP2Streams), int64(d.MaxStreams))),
+		WindowBytes: int(optional(r, "limits", "http2_window", memoryKind(minHTTP2Window, maxHTTP2Window), int64(d.WindowBytes))),
 	}
+	return l
 }
 
 // readScheduler reads the section scheduler.
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -23,3 +23,15 @@
 var DefaultLimits = Limits{
 	MaxHeaderBytes: 64 << 10, HeaderTimeout: 10 * time.Second, BodyTimeout: 30 * time.Second, IdleTimeout: time.Minute, WriteTimeout: 30 * time.Second,
 }
+
+// HTTP2Limits bound what a connection of a client that uses HTTP/2 may hold.
+type HTTP2Limits struct {
+	// MaxStreams is the maximum number of requests in progress on a connection.
+	MaxStreams int
+	// WindowBytes is how much of the bodies of a connection may be received before it was read.
+	WindowBytes int
+}
+
+// DefaultHTTP2Limits admit as many streams as net/http does by default. A window of 256 KiB allows a
+// body 5 MB/s over a round trip of 50 ms; net/http's default is 1 MiB for each connection.
+var DefaultHTTP2Limits = HTTP2Limits{MaxStreams: 250, WindowBytes: 256 << 10}
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -35,6 +35,9 @@
 	// StandinArgs are additional arguments of lg-standin, which emulates the
 	// targets.
 	StandinArgs []string
+	// ControlLimits and EntryLimits are lines of the section limits of the settings of lg-control
+	// and lg-entry.
+	ControlLimits, EntryLimits string
 	// Relays puts a relay on each link between VMs, so that links can be cut.
 	Relays bool
 }
@@ -187,13 +190,13 @@
 	for _, dc := range c.Spec.DataCentres {
 		s += dc + " = " + strings.Join(c.Voters(dc), ", ") + "\n"
 	}
-	return s
+	return s + "[limits]\n" + c.Spec.ControlLimits
 }
 
 func (c *Cluster) entrySettings(p *Process) string {
 	hash := sha256.Sum256([]byte(c.OperatorKey))
 	return c.processSection(p) + "[listen]\npublic = " + p.Public + "\npeer = " + p.Peer + "\n" +
-		c.peersSection() + "[operator]\nkey_hash = " + hex.EncodeToString(hash[:]) + "\n"
+		c.peersSection() + "[operator]\nkey_hash = " + hex.EncodeToString(hash[:]) + "\n[limits]\n" + c.Spec.EntryLimits
 }
 
 // Voters returns the names of the voters of the group of a data centre.
--- a/test/cluster/usage.go
+++ b/test/cluster/usage.go
@@ -43,18 +43,21 @@
 }
 
 // Memory returns the resident memory of a running process in bytes.
-func (p *Process) Memory() (int64, error) {
+func (p *Process) Memory() (int64, error) { return p.memoryField("VmRSS:") }
+
+// memoryField returns a field of the status of a running process in bytes.
+func (p *Process) memoryField(name string) (int64, error) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Pid()))
 	if err != nil {
 		return 0, errors.Wrapf(err, "read memory of %s", p.Name)
 	}
 	for line := range strings.Lines(string(text)) {
-		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+		if rest, ok := strings.CutPrefix(line, name); ok {
 			kib, err := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
 			return kib << 10, errors.Wrapf(err, "read memory of %s", p.Name)
 		}
 	}
-	return 0, errors.Errorf("no resident memory of %s", p.Name)
+	return 0, errors.Errorf("status of %s has no %s", p.Name, name)
 }
 
 // Traffic returns the requests and bytes that each emulated target has
@@ -72,3 +75,22 @@
 	defer resp.Body.Close()
 	return report, errors.Wrap(json.NewDecoder(resp.Body).Decode(&report), "decode traffic")
 }
+
+// PeakMemory returns the peak resident memory of a running process in bytes.
+func (p *Process) PeakMemory() (int64, error) { return p.memoryField("VmHWM:") }
+
+// OpenDescriptors returns the number of descriptors that a running process has open.
+func (p *Process) OpenDescriptors() (int, error) {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.Pid()))
+	return len(entries), errors.Wrapf(err, "list descriptors of %s", p.Name)
+}
+
+// Running reports whether a started process has not ended.
+func (p *Process) Running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
--- a/test/untrusted/untrusted_test.go
+++ b/test/untrusted/untrusted_test.go
@@ -1,6 +1,7 @@
 package untrusted
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -48,7 +49,7 @@
 		return 1
 	}
 	defer os.RemoveAll(programs)
-	if err := deployment.Build(programs); err != nil {
+	if err := errors.Join(deployment.Build(programs), buildCluster(programs)); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
@@ -61,8 +62,15 @@
 	descriptors int
 }
 
+// program is a process whose usage is checked.
+type program interface {
+	PeakMemory() (int64, error)
+	OpenDescriptors() (int, error)
+	Running() bool
+}
+
 // watch samples the usage of a process until stop is called, which returns the peak.
-func watch(p *deployment.Process) (stop func() usage) {
+func watch(p program) (stop func() usage) {
 	var peak usage
 	var group sync.WaitGroup
 	stopped := make(chan struct{})
@@ -127,14 +135,18 @@
 	}
 	t.Logf("%s from %d clients to %s, whose peak memory was %d KiB before: %s", l.name, clients, attacked.Name, before>>10, c)
 	for _, p := range d.All() {
-		peak := stops[p]()
-		t.Logf("%s: peak memory %d KiB of %d, descriptors %d of %d", p.Name, peak.memory>>10, p.Limits.MemoryMiB<<10, peak.descriptors, p.Limits.Descriptors)
-		assert.Check(t, p.Running(), "%s has ended", p.Name)
-		assert.Check(t, peak.memory > 0 && peak.memory <= int64(p.Limits.MemoryMiB)<<20, "%s: peak memory %d KiB", p.Name, peak.memory>>10)
-		assert.Check(t, peak.descriptors > 0 && peak.descriptors <= p.Limits.Descriptors, "%s: %d open descriptors", p.Name, peak.descriptors)
+		checkUsage(t, p.Name, p, stops[p](), p.Limits)
 	}
 }
 
+// checkUsage checks that a process is running and that its peak usage is within its limits.
+func checkUsage(t *testing.T, name string, p program, peak usage, limits deployment.Limits) {
+	t.Logf("%s: peak memory %d KiB of %d, descriptors %d of %d", name, peak.memory>>10, limits.MemoryMiB<<10, peak.descriptors, limits.Descriptors)
+	assert.Check(t, p.Running(), "%s has ended", name)
+	assert.Check(t, peak.memory > 0 && peak.memory <= int64(limits.MemoryMiB)<<20, "%s: peak memory %d KiB", name, peak.memory>>10)
+	assert.Check(t, peak.descriptors > 0 && peak.descriptors <= limits.Descriptors, "%s: %d open descriptors", name, peak.descriptors)
+}
+
 // attackGateway sends a crowd to a gateway.
 func attackGateway(t *testing.T, l load, clients int) {
 	d := deployment.Deploy(t, programs, limits)
