entry, control: a byte budget for requests, also over HTTP/2

Cause: lg-entry and lg-control bounded the head, body and write time of a request but not their sum, and connect and twirp buffer a message for each call.

Change: the servers of both, with the admin addresses, get the budget of lg-cell. Package rpcbody reads, decompresses and charges the body of a call, with the memory that it decodes to, before connect or twirp sees it; without room the call is refused as not run. Over HTTP/2 each stream has an account, and is reset when it stalls; a header block that is incomplete is charged to its connection; frames are at most 16 KiB, and streams and windows are settings. Descriptors are bounded for accepted and opened connections.

--- a/cmd/lg-control/main.go
+++ b/cmd/lg-control/main.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"laburnumgrade/internal/adapter/httpserver"
+	"laburnumgrade/internal/adapter/rpcbody"
 	"laburnumgrade/internal/config"
 	"laburnumgrade/internal/logging"
 	"laburnumgrade/internal/process"
@@ -32,7 +33,8 @@
 // run runs the process until a shutdown signal or the failure of a replica.
 func run(c *config.Control) error {
 	ctx, secondSignal := process.ShutdownSignals()
-	p, err := process.Start(c.Process, c.Limits.MaxTimelineEvents, c.AddressMap, ctx.Err)
+	process.LimitMemory(c.Limits.MemoryBytes)
+	p, err := process.Start(c.Process, &c.Limits, c.AddressMap, ctx.Err)
 	if err != nil {
 		return err
 	}
@@ -40,7 +42,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", n.server.Handler())
 	mux.Handle(raftPath, n.host.Handler())
-	server, err := httpserver.Start(c.PeerAddress.String(), p.PeerHandler(mux))
+	server, err := httpserver.StartWithin(c.PeerAddress.String(), rpcbody.Twirp(p.PeerHandler(mux), snapshots(&c.Limits)), p.Intake)
 	if err != nil {
 		return err
 	}
@@ -59,6 +61,18 @@
 	return err
 }
 
+// Shares of the memory for snapshots: a snapshot takes its length three to four times while it is
+// received and decoded.
+const (
+	snapshotAboveDivisor = 4 // of request_memory
+	snapshotMostDivisor  = 8 // of memory
+)
+
+// snapshots returns the bounds of snapshots from other replicas.
+func snapshots(l *config.Limits) rpcbody.Snapshots {
+	return rpcbody.Snapshots{Path: raftPath, Above: l.RequestMemoryBytes / snapshotAboveDivisor, Most: l.MemoryBytes / snapshotMostDivisor}
+}
+
 // drain shuts the server down. It waits for the requests in flight until the timeout
 // or the second shutdown signal.
 func drain(server *httpserver.Server, timeout time.Duration, secondSignal <-chan struct{}) {
--- a/cmd/lg-entry/main.go
+++ b/cmd/lg-entry/main.go
@@ -14,6 +14,7 @@
 
 	"laburnumgrade/internal/adapter/httpserver"
 	"laburnumgrade/internal/adapter/peer"
+	"laburnumgrade/internal/adapter/rpcbody"
 	"laburnumgrade/internal/config"
 	"laburnumgrade/internal/entry"
 	"laburnumgrade/internal/process"
@@ -28,7 +29,7 @@
 // times a second under load and delays the calls that must assist it.
 const gcPercent = 400
 
-// memoryLimitBytes makes the collector run more often before the process reaches the
+// memoryLimitBytes is used without a setting for the memory. It makes the collector run more often before the process reaches the
 // 256 MB that it may use. With gcPercent alone, 700 workers at 280 task starts a
 // second take 282 MB.
 const memoryLimitBytes = 160 << 20
@@ -48,9 +49,10 @@
 func run(c *config.Entry) error {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(memoryLimitBytes)
+	process.LimitMemory(c.Limits.MemoryBytes)
 	firstSignal, secondSignal := process.ShutdownSignals()
 	var started atomic.Pointer[entry.Server]
-	p, err := process.Start(c.Process, c.Limits.MaxTimelineEvents, c.AddressMap, func() error {
+	p, err := process.Start(c.Process, &c.Limits, c.AddressMap, func() error {
 		if s := started.Load(); s != nil {
 			return s.Ready()
 		}
@@ -60,11 +62,11 @@
 		return err
 	}
 	server := newServer(c, p)
-	public, err := httpserver.Start(c.PublicAddress.String(), server.PublicHandler())
+	public, err := httpserver.StartWithin(c.PublicAddress.String(), rpcbody.Connect(server.PublicHandler(), c.Limits.MaxBodyBytes), p.Intake)
 	if err != nil {
 		return err
 	}
-	peers, err := httpserver.Start(c.PeerAddress.String(), p.PeerHandler(server.PeerHandler()))
+	peers, err := httpserver.StartWithin(c.PeerAddress.String(), rpcbody.Twirp(p.PeerHandler(server.PeerHandler()), rpcbody.Snapshots{}), p.Intake)
 	if err != nil {
 		return err
 	}
@@ -96,6 +98,8 @@
 		controls[control.DataCentre] = append(controls[control.DataCentre], control.Address.String())
 	}
 	incarnation := time.Now().UnixNano()
+	targets := peer.NewInstanceClient(c.AddressMap, connectionsPerInstance)
+	peer.Bound(targets, p.Outgoing)
 	return entry.New(entry.Config{
 		Name:              fmt.Sprintf("%s#%d", c.Process.Name, incarnation),
 		Timeline:          p.Timeline,
@@ -109,7 +113,7 @@
 		OperatorKeyHash:   c.OperatorKeyHash,
 		MaxBodyBytes:      c.Limits.MaxBodyBytes,
 		Client:            p.Client,
-		TargetClient:      peer.NewInstanceClient(c.AddressMap, connectionsPerInstance),
+		TargetClient:      targets,
 		MaxCallsInFlight:  c.Limits.MaxCallsInFlight,
 		MaxWaitingPerTeam: c.Limits.MaxWaitingPerTeam,
 	})
--- a/internal/adapter/admin/admin_test.go
+++ b/internal/adapter/admin/admin_test.go
@@ -79,7 +79,7 @@
 	options := Options{Metrics: http.NotFoundHandler()}
 	first, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), options)
 	assert.NilError(t, err)
-	defer first.listener.Close()
+	defer first.Close(t.Context())
 	_, err = Listen(netip.MustParseAddrPort(first.Address()), options)
 	assert.ErrorContains(t, err, "listen on admin address")
 }
--- a/internal/adapter/admin/server.go
+++ b/internal/adapter/admin/server.go
@@ -2,15 +2,15 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/pprof"
 	"net/netip"
 	"time"
 
+	"laburnumgrade/internal/adapter/httpserver"
+	"laburnumgrade/internal/intake"
 	"laburnumgrade/internal/logging"
 	"laburnumgrade/internal/port"
 	"laburnumgrade/internal/timeline"
@@ -27,42 +27,47 @@
 	// it does not. It is called concurrently.
 	Ready  func() error
 	Logger *slog.Logger
+	// Intake bounds what the server receives.
+	Intake httpserver.Options
 }
 
 // Server is the admin HTTP server.
 type Server struct {
-	http     *http.Server
-	listener net.Listener
-	logger   *slog.Logger
+	server *httpserver.Server
+	logger *slog.Logger
+	closed chan struct{}
 }
 
-// Listen starts to listen on the address; with port 0 the operating system
-// chooses a free port. Requests are answered once Serve is called.
+// Listen starts to listen on the address, over HTTP/1.1 only, and to answer requests; with port 0
+// the operating system chooses a free port.
 func Listen(address netip.AddrPort, options Options) (*Server, error) {
-	listener, err := net.Listen("tcp", address.String())
+	o := options.Intake
+	o.HeaderTimeout = headerTimeout
+	o.HTTP2 = intake.HTTP2Limits{}
+	server, err := httpserver.StartWithin(address.String(), Handler(options), o)
 	if err != nil {
 		return nil, port.AtStep("listen on admin address", "", err)
 	}
-	server := &http.Server{Handler: Handler(options), ReadHeaderTimeout: headerTimeout}
-	return &Server{http: server, listener: listener, logger: options.Logger}, nil
+	return &Server{server: server, logger: options.Logger, closed: make(chan struct{})}, nil
 }
 
 // Address returns the address that the server listens on.
-func (s *Server) Address() string { return s.listener.Addr().String() }
+func (s *Server) Address() string { return s.server.Address() }
 
-// Serve answers requests until Close is called. It logs an error if the server
-// stops for another reason.
+// Serve returns when Close is called. It logs an error if the server stops for another reason.
 func (s *Server) Serve() {
-	err := s.http.Serve(s.listener)
-	if !errors.Is(err, http.ErrServerClosed) {
+	select {
+	case err := <-s.server.Failed():
 		s.logger.Error("admin server stopped", logging.Step("admin"), logging.Error(err))
+	case <-s.closed:
 	}
 }
 
 // Close stops listening and waits for the requests in flight until the context
 // ends.
 func (s *Server) Close(ctx context.Context) error {
-	return port.AtStep("close admin server", "", s.http.Shutdown(ctx))
+	close(s.closed)
+	return port.AtStep("close admin server", "", s.server.Shutdown(ctx))
 }
 
 // Handler returns the handler of all admin paths.
--- a/internal/adapter/httpserver/conn.go
+++ b/internal/adapter/httpserver/conn.go
@@ -36,15 +36,15 @@
 	awaitingHead
 )
 
-// conn is an accepted HTTP/1 connection. It charges the head of its current request to an
-// account and observes how far the request has been received.
+// conn is an accepted connection. While it uses HTTP/1, it charges the head of its current request
+// to an account and observes how far the request has been received. Once it uses HTTP/2, it charges
+// header blocks that are incomplete; a stream has an account of its own.
 type conn struct {
 	net.Conn
 	account *intake.Account
-	// countHeads is set if the heads of requests are charged.
-	countHeads bool
-	// The timeouts are those of intake.Limits, 0 for none.
-	bodyTimeout, writeTimeout time.Duration
+	options *Options
+	// protocol is used by the reader of the connection only.
+	protocol protocolDetector
 
 	mu    sync.Mutex
 	phase phase
@@ -86,14 +86,23 @@
 func (c *conn) limitRead() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase != readingBody || c.bodyTimeout == 0 || !c.deadline.IsZero() {
+	if c.phase != readingBody || c.options.BodyTimeout == 0 || !c.deadline.IsZero() {
 		return nil
 	}
-	return c.Conn.SetReadDeadline(time.Now().Add(c.bodyTimeout))
+	return c.Conn.SetReadDeadline(time.Now().Add(c.options.BodyTimeout))
 }
 
 // received records received bytes. It returns false if there is no room for them.
 func (c *conn) received(data []byte) bool {
+	if c.options.HTTP2.MaxStreams > 0 {
+		switch event := c.protocol.feed(data); {
+		case event.http2:
+			return c.receivedHTTP2(event)
+		case event.undecided:
+			// At most the preface, which the header timeout of net/http covers.
+			return true
+		}
+	}
 	c.mu.Lock()
 	if c.phase == awaitingHead {
 		c.phase = readingHead
@@ -105,17 +114,32 @@
 	c.mu.Unlock()
 	// What comes after a complete request is the beginning of the next one, of which net/http
 	// holds at most 4 KiB.
-	if now == readingHead && c.countHeads {
+	if now == readingHead && !c.options.Internal {
 		head, _, _ := bytes.Cut(data, []byte("\r\n\r\n")) // a body may follow in the same read
 		return c.account.Charge(int64(len(data)+bytesPerHeaderLine*bytes.Count(head, []byte{'\n'}))) == nil
 	}
 	return true
 }
 
+// receivedHTTP2 records received bytes of a connection that uses HTTP/2. net/http reads a header
+// block as a whole, so the memory of the largest head is charged while one is incomplete.
+func (c *conn) receivedHTTP2(event protocolEvent) bool {
+	switch {
+	case event.blockBegan && event.inBlock:
+		c.account.Progress()
+		return c.account.Charge(int64(c.options.MaxHeaderBytes)) == nil
+	case event.inBlock:
+		c.account.Progress()
+	default:
+		c.account.Answered()
+	}
+	return true
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
-	if c.writeTimeout > 0 {
-		if err := c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
+	if c.options.WriteTimeout > 0 {
+		if err := c.SetWriteDeadline(time.Now().Add(c.options.WriteTimeout)); err != nil {
 			return 0, err
 		}
 	}
@@ -176,15 +200,19 @@
 	return intake.NewContext(context.WithValue(ctx, connKey{}, c), c.account)
 }
 
-// receive relates each HTTP/1 request to its connection: it records when the request is
-// complete, and bounds the time for the rest of a body that the handler has not read.
+// receive relates each request to its connection, or over HTTP/2 to its stream: it records when the
+// request is complete, and bounds the time for the rest of a body that the handler has not read.
 func receive(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, ok := r.Context().Value(connKey{}).(*conn)
-		if !ok || r.ProtoMajor != 1 {
+		if !ok {
 			next.ServeHTTP(w, r)
 			return
 		}
+		if r.ProtoMajor != 1 {
+			c.serveStream(w, r, next)
+			return
+		}
 		if r.Body == http.NoBody {
 			c.enter(complete, 0)
 			c.account.Complete()
@@ -234,7 +262,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: accepted, bodyTimeout: l.options.BodyTimeout, writeTimeout: l.options.WriteTimeout, countHeads: !l.options.Internal}
+	c := &conn{Conn: accepted, options: l.options}
 	c.account = l.options.Budget.Open(func() { _ = c.Close() }, l.options.Internal)
 	c.account.Progress() // a connection that sends nothing may be closed to make room as well
 	return c, nil
--- a/internal/adapter/httpserver/server.go
+++ b/internal/adapter/httpserver/server.go
@@ -22,6 +22,9 @@
 	// closedIdleDivisor sets how many idle connections a full server closes at a time, one
 	// in closedIdleDivisor of those that it may have.
 	closedIdleDivisor = 16
+	// maxFrameBytes is the least that the protocol allows. net/http keeps a buffer of the size of the
+	// largest frame for each connection; its default is 1 MiB.
+	maxFrameBytes = 16 << 10
 )
 
 // Options are the options of a server.
@@ -31,13 +34,14 @@
 	// that were idle the longest.
 	Part *descriptor.Part
 	// Budget bounds the memory of requests that were not yet answered, nil for no bound. The server
-	// charges their heads; handlers charge bodies with intake.ReadBody. It applies to HTTP/1 only.
+	// charges their heads; handlers charge bodies with intake.ReadBody.
 	Budget *intake.Budget
 	// Internal is set for a server of the system's own processes. Its connections are not closed
 	// to make room for others, and the heads of its requests are not charged.
 	Internal bool
-	// HTTP2 is set if the server also serves HTTP/2 without TLS (h2c).
-	HTTP2 bool
+	// HTTP2 bounds the connections that use HTTP/2 without TLS (h2c); the zero value if the server
+	// serves HTTP/1.1 only.
+	HTTP2 intake.HTTP2Limits
 }
 
 // Server is an HTTP server for HTTP/1.1 and, if its options say so, HTTP/2 without TLS.
@@ -57,7 +61,7 @@
 func Start(address string, handler http.Handler) (*Server, error) {
 	limits := intake.DefaultLimits
 	limits.IdleTimeout = 0
-	return StartWithin(address, handler, Options{Limits: limits, HTTP2: true})
+	return StartWithin(address, handler, Options{Limits: limits, HTTP2: intake.DefaultHTTP2Limits})
 }
 
 // StartWithin is Start with options.
@@ -69,13 +73,18 @@
 	l = &listener{o.Part.Listen(l), &o}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(o.HTTP2)
+	protocols.SetUnencryptedHTTP2(o.HTTP2.MaxStreams > 0)
 	base, abandon := context.WithCancel(context.Background())
 	s := &Server{listener: l, failed: make(chan error, 1), abandon: abandon}
 	s.server = &http.Server{
 		Handler: s.track(receive(handler)), Protocols: protocols,
 		MaxHeaderBytes: o.MaxHeaderBytes, ReadHeaderTimeout: o.HeaderTimeout, IdleTimeout: o.IdleTimeout,
 		BaseContext: func(net.Listener) context.Context { return base }, ConnContext: withConn, ConnState: observe,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: o.HTTP2.MaxStreams, MaxReadFrameSize: maxFrameBytes,
+			MaxReceiveBufferPerConnection: o.HTTP2.WindowBytes, MaxReceiveBufferPerStream: o.HTTP2.WindowBytes,
+			SendPingTimeout: o.BodyTimeout, WriteByteTimeout: o.WriteTimeout,
+		},
 	}
 	if o.Part != nil {
 		idle := newIdleConnections()
--- a/internal/adapter/peer/client.go
+++ b/internal/adapter/peer/client.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
 
+	"laburnumgrade/internal/descriptor"
 	"laburnumgrade/internal/port"
 )
 
@@ -52,6 +53,13 @@
 	}}
 }
 
+// Bound bounds the connections of a client that NewHTTPClient or NewInstanceClient returned.
+func Bound(client *http.Client, part *descriptor.Part) {
+	transport := client.Transport.(*http.Transport)
+	transport.DialContext = part.Dial(transport.DialContext)
+	part.OnFull(transport.CloseIdleConnections)
+}
+
 // dialer returns a dial function that replaces addresses by the map.
 func dialer(addressMap map[string]string) func(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := &net.Dialer{Timeout: dialTimeout}
--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -104,6 +104,18 @@
 	return closed, nil
 }
 
+// Release releases n of the account's bytes, which the caller no longer holds.
+func (a *Account) Release(n int64) {
+	if a == nil {
+		return
+	}
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	fromLarge := min(n, a.held[large])
+	a.budget.change(a, large, -fromLarge)
+	a.budget.change(a, small, -min(n-fromLarge, a.held[small]))
+}
+
 // Complete records that the request was received completely, so that its connection is not
 // closed to make room for others.
 func (a *Account) Complete() {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -14,10 +14,13 @@
 
 	"laburnumgrade/gen/apiv1"
 	"laburnumgrade/internal/adapter/admin"
+	"laburnumgrade/internal/adapter/httpserver"
 	"laburnumgrade/internal/adapter/metrics"
 	"laburnumgrade/internal/adapter/peer"
 	"laburnumgrade/internal/config"
+	"laburnumgrade/internal/descriptor"
 	"laburnumgrade/internal/hlc"
+	"laburnumgrade/internal/intake"
 	"laburnumgrade/internal/logging"
 	"laburnumgrade/internal/port"
 	"laburnumgrade/internal/timeline"
@@ -32,6 +35,9 @@
 	// Client calls other processes. It sends and accepts the stamps of the hybrid
 	// logical clock.
 	Client *http.Client
+	// Intake bounds what the servers of the process receive, Outgoing the connections that it opens.
+	Intake   httpserver.Options
+	Outgoing *descriptor.Part
 
 	settings config.Process
 	stamps   *hlc.Clock
@@ -39,28 +45,56 @@
 	closer   io.Closer
 }
 
-// Start builds the common parts and starts the admin server. The time line keeps
-// timelineCapacity events. The function ready returns nil if the process accepts
+// Shares of the descriptors by use.
+const (
+	shareForAccepted = 0.6
+	shareForOutgoing = 0.4
+)
+
+// newIntake returns the bounds of the servers. Idle connections are kept without a time limit, since
+// other processes send on them whenever they have something to say.
+func newIntake(limits *config.Limits, accepted *descriptor.Part, logger *slog.Logger, scope tally.Scope) httpserver.Options {
+	o := httpserver.Options{
+		Limits: intake.DefaultLimits, HTTP2: limits.HTTP2, Part: accepted,
+		Budget: intake.NewBudget(limits.RequestMemoryBytes, logger, scope),
+	}
+	o.IdleTimeout = 0
+	return o
+}
+
+// Start builds the common parts and starts the admin server. The function ready returns nil if the process accepts
 // new work, and otherwise the reason why not.
-func Start(p config.Process, timelineCapacity int, addresses config.AddressMap, ready func() error) (*Process, error) {
+func Start(p config.Process, limits *config.Limits, addresses config.AddressMap, ready func() error) (*Process, error) {
 	stamps := hlc.New(time.Now)
 	scope, handler, closer := metrics.New(p.Name, p.DataCentre, metrics.ReportInterval)
+	logger := logging.New(os.Stderr, p.Name, p.DataCentre, slog.LevelInfo)
+	descriptors := descriptor.NewBudget(limits.Descriptors, limits.ReservedDescriptors, logger, scope)
+	outgoing := descriptors.Part("outgoing", shareForOutgoing)
+	accepted := descriptors.Part("accepted", shareForAccepted)
 	client := peer.NewHTTPClient(addresses)
+	peer.Bound(client, outgoing)
 	client.Transport = hlc.Transport(stamps, client.Transport)
 	result := &Process{
 		Clock:    port.NewSystemClock(),
-		Logger:   logging.New(os.Stderr, p.Name, p.DataCentre, slog.LevelInfo),
-		Timeline: timeline.NewRing(stamps, p.Name, p.DataCentre, timelineCapacity),
+		Logger:   logger,
+		Timeline: timeline.NewRing(stamps, p.Name, p.DataCentre, limits.MaxTimelineEvents),
 		Scope:    scope,
 		Client:   client,
+		Intake:   newIntake(limits, accepted, logger, scope),
+		Outgoing: outgoing,
 		stamps:   stamps,
 		closer:   closer,
 		settings: p,
 	}
-	server, err := admin.Listen(p.AdminAddress, admin.Options{Metrics: handler, Timeline: result.Timeline, Ready: ready, Logger: result.Logger})
+	server, err := admin.Listen(p.AdminAddress, admin.Options{Metrics: handler, Timeline: result.Timeline, Ready: ready, Logger: result.Logger, Intake: result.Intake})
 	if err != nil {
 		return nil, err
 	}
+	accepted.OnFull(func() {
+		if accepted.Open() >= accepted.Size() { // the servers had no idle connections
+			result.Intake.Budget.CloseStalled()
+		}
+	})
 	result.admin = server
 	go server.Serve()
 	result.Timeline.Record(timeline.Event{Kind: timeline.ProcessStarted})
