entry: streams that wait for a client or for their end count as memory

Cause: a response that a client does not read, and a refusal with a body, kept a stream's memory after its account was closed; streams were opened faster than their handlers were charged or ended; windows and the collector left little room in a VM of 64 MiB.

--- a/cmd/lg-control/main.go
+++ b/cmd/lg-control/main.go
@@ -33,7 +33,7 @@
 // run runs the process until a shutdown signal or the failure of a replica.
 func run(c *config.Control) error {
 	ctx, secondSignal := process.ShutdownSignals()
-	process.LimitMemory(c.Limits.MemoryBytes)
+	process.LimitCallMemory(c.Limits.MemoryBytes)
 	p, err := process.Start(c.Process, &c.Limits, c.AddressMap, ctx.Err)
 	if err != nil {
 		return err
--- a/cmd/lg-entry/main.go
+++ b/cmd/lg-entry/main.go
@@ -49,7 +49,7 @@
 func run(c *config.Entry) error {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(memoryLimitBytes)
-	process.LimitMemory(c.Limits.MemoryBytes)
+	process.LimitCallMemory(c.Limits.MemoryBytes)
 	firstSignal, secondSignal := process.ShutdownSignals()
 	var started atomic.Pointer[entry.Server]
 	p, err := process.Start(c.Process, &c.Limits, c.AddressMap, func() error {
--- a/internal/adapter/httpserver/conn.go
+++ b/internal/adapter/httpserver/conn.go
@@ -45,6 +45,8 @@
 	options *Options
 	// protocol is used by the reader of the connection only.
 	protocol protocolDetector
+	// announced counts the streams of a connection that uses HTTP/2.
+	announced announced
 
 	mu    sync.Mutex
 	phase phase
@@ -74,6 +76,10 @@
 	if err := c.limitRead(); err != nil {
 		return 0, err
 	}
+	if c.protocol.http2() {
+		c.announced.backlog.wait()
+		c.announced.discount()
+	}
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.received(p[:n]) {
 		_ = c.Close()
@@ -124,6 +130,7 @@
 // receivedHTTP2 records received bytes of a connection that uses HTTP/2. net/http reads a header
 // block as a whole, so the memory of the largest head is charged while one is incomplete.
 func (c *conn) receivedHTTP2(event protocolEvent) bool {
+	c.announced.add(event.heads)
 	switch {
 	case event.blockBegan && event.inBlock:
 		c.account.Progress()
@@ -159,6 +166,7 @@
 func (c *conn) Close() error {
 	err := c.Conn.Close()
 	c.account.Close()
+	c.announced.discount()
 	return err
 }
 
@@ -254,6 +262,7 @@
 type listener struct {
 	net.Listener
 	options *Options
+	backlog backlog
 }
 
 // Accept implements net.Listener.
@@ -263,6 +272,7 @@
 		return nil, err
 	}
 	c := &conn{Conn: accepted, options: l.options}
+	c.announced.backlog = &l.backlog
 	c.account = l.options.Budget.Open(func() { _ = c.Close() }, l.options.Internal)
 	c.account.Progress() // a connection that sends nothing may be closed to make room as well
 	return c, nil
--- a/internal/adapter/httpserver/protocol.go
+++ b/internal/adapter/httpserver/protocol.go
@@ -16,7 +16,9 @@
 type protocolEvent struct {
 	// undecided is set while it is open whether the connection uses HTTP/2, http2 once it does.
 	undecided, http2 bool
-	// blockBegan is set if an HTTP/2 header block began, inBlock while one is incomplete.
+	// heads is the number of header blocks that began.
+	heads int
+	// blockBegan is set if a header block of several frames began, inBlock while one is incomplete.
 	blockBegan, inBlock bool
 }
 
@@ -34,6 +36,9 @@
 	inBlock   bool
 }
 
+// http2 reports whether the connection uses HTTP/2.
+func (d *protocolDetector) http2() bool { return d.matched == len(http2Preface) }
+
 // feed takes the next bytes.
 func (d *protocolDetector) feed(data []byte) protocolEvent {
 	if d.http1 {
@@ -60,6 +65,9 @@
 				break
 			}
 			d.left = int(binary.BigEndian.Uint32(d.head[:]) >> 8)
+			if d.head[3] == frameHeaders {
+				event.heads++
+			}
 			if d.head[3] == frameHeaders && d.head[4]&flagEndHeaders == 0 {
 				d.inBlock, event.blockBegan = true, true
 			}
--- a/internal/adapter/httpserver/server.go
+++ b/internal/adapter/httpserver/server.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
-	l = &listener{o.Part.Listen(l), &o}
+	l = &listener{Listener: o.Part.Listen(l), options: &o}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(o.HTTP2.MaxStreams > 0)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -140,8 +140,9 @@
 	maxTimelineEvents = 1 << 20
 	maxHTTP2Streams   = 10_000
 	// The window bounds are those of http.HTTP2Config.
-	minHTTP2Window = 64 << 10
-	maxHTTP2Window = 4<<20 - 1<<10
+	minHTTP2Window     = 64 << 10
+	maxHTTP2Window     = 4<<20 - 1<<10
+	http2WindowDivisor = 1 << 10
 	// bodyMemoryMultiple is how many bodies of the maximum size request_memory must hold at least:
 	// a quarter of it is kept for small requests, and a body and its decoded form share the rest.
 	bodyMemoryMultiple         = 3
@@ -275,11 +276,21 @@
 	d := intake.DefaultHTTP2Limits
 	l.HTTP2 = intake.HTTP2Limits{
 		MaxStreams:  int(optional(r, "limits", "http2_streams", wholeKind(1, maxHTTP2Streams), int64(d.MaxStreams))),
-		WindowBytes: int(optional(r, "limits", "http2_window", memoryKind(minHTTP2Window, maxHTTP2Window), int64(d.WindowBytes))),
+		WindowBytes: int(optional(r, "limits", "http2_window", memoryKind(minHTTP2Window, maxHTTP2Window), defaultHTTP2Window(l.MemoryBytes))),
 	}
 	return l
 }
 
+// defaultHTTP2Window returns the default of http2_window for a process with the memory, 0 if that is
+// not limited. With a thousandth of the memory, the windows of 250 connections are a quarter of it.
+func defaultHTTP2Window(memory int64) int64 {
+	window := int64(intake.DefaultHTTP2Limits.WindowBytes)
+	if memory > 0 {
+		window = min(window, max(minHTTP2Window, memory/http2WindowDivisor))
+	}
+	return window
+}
+
 // readScheduler reads the section scheduler.
 func readScheduler(r *reader) Scheduler {
 	return Scheduler{
