replica: a failed wait in a test does not make its bubble panic

The panic ends all tests of the package. Cause: poll.WaitOn runs each check on a goroutine of its own and leaves it blocked when the time is up. The awaited condition really did not come true within 10 s of simulated time; that is another fault, of which the panic is only the appearance. The time-out and the delay are the same.

--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"path/filepath"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -13,7 +14,6 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 
 	"laburnumgrade/gen/peerv1"
 	"laburnumgrade/internal/adapter/disk"
@@ -165,15 +165,46 @@
 	}
 }
 
-// wait polls ready for up to 10 s; what describes the condition that is not yet met.
+// wait polls ready for up to 10 s; what describes the condition that is not yet met. It has no
+// goroutine of its own, as poll.WaitOn has: one that is left blocked when a wait fails within a
+// bubble of synctest makes the bubble panic and ends the tests of the whole package.
 func wait(t testing.TB, what string, ready func() bool) {
 	t.Helper()
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if ready() {
-			return poll.Success()
+	const timeout, delay = 10 * time.Second, 5 * time.Millisecond
+	for began := time.Now(); !ready(); time.Sleep(delay) {
+		if time.Since(began) >= timeout {
+			t.Fatalf("timeout after %v: %s", timeout, what)
 		}
-		return poll.Continue("%s", what)
-	}, poll.WithTimeout(10*time.Second), poll.WithDelay(5*time.Millisecond))
+	}
+}
+
+// recordingTB keeps the message of Fatalf instead of failing the test.
+type recordingTB struct {
+	testing.TB
+	message string
+}
+
+func (r *recordingTB) Fatalf(format string, args ...any) {
+	r.message = fmt.Sprintf(format, args...)
+	runtime.Goexit()
+}
+
+// Guards against a failed wait that makes the bubble of its test panic, which hides the failure
+// and ends the other tests of the package.
+func TestFailedWaitLeavesNoGoroutine(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		r := &recordingTB{TB: t}
+		done := make(chan struct{})
+		began := time.Now()
+		go func() {
+			defer close(done)
+			wait(r, "no leader", func() bool { return false })
+		}()
+		<-done
+		assert.Equal(t, r.message, "timeout after 10s: no leader")
+		assert.Equal(t, time.Since(began), 10*time.Second)
+	})
 }
 
 // leader waits until a replica holds a valid lease and returns it.
