--- a/internal/adapter/disk/full_test.go
+++ b/internal/adapter/disk/full_test.go
@@ -227,6 +227,39 @@
 	return n, errors.Join(err, syscall.ENOSPC)
 }
 
+// Guards against a full disk on which small records leave no space for the snapshot whose
+// compaction would make space: the log stays full for good.
+func TestSmallRecordsLeaveSpaceForSnapshot(t *testing.T) {
+	fs := &smallFS{folder: t.TempDir(), limit: 60_000}
+	s, err := Create(fs, fs.folder, "g", "a.1")
+	assert.NilError(t, err)
+	last, term := uint64(0), uint64(1)
+	for _, snapshotBytes := range []int{10, 3000, 6000, 10_000} {
+		for err = nil; err == nil; {
+			if err = s.Append(hardState(term, "a"), []*peerv1.RaftEntry{{Index: last + 1, Term: term, Data: make([]byte, 1000)}}); err == nil {
+				last++
+			}
+		}
+		assert.ErrorIs(t, err, port.ErrNotStored)
+		for err = nil; err == nil; {
+			if err = s.Append(hardState(term+1, "a"), nil); err == nil {
+				term++
+			}
+		}
+		assert.ErrorIs(t, err, port.ErrNotStored)
+		assert.Assert(t, fs.limit-fs.used() < 40, "%d bytes free", fs.limit-fs.used())
+		assert.NilError(t, s.Close())
+		s, err = Open(fs, fs.folder, "g")
+		assert.NilError(t, err)
+		_, _, stored, _ := s.Load()
+		snapshot := &peerv1.RaftSnapshot{Index: last, Term: stored[len(stored)-1].Term, Data: make([]byte, snapshotBytes)}
+		assert.NilError(t, s.SaveSnapshot(snapshot), "snapshot of %d bytes", snapshotBytes)
+		assert.Assert(t, fs.used() <= fs.limit)
+		check(t, s, hardState(term, "a"), last, nil)
+	}
+	assert.NilError(t, s.Close())
+}
+
 // Guards against a difference between what was acknowledged and what a reopened storage holds,
 // and against a storage that ends, while a disk is full at random times and the process
 // restarts at random times.
--- a/internal/adapter/disk/storage.go
+++ b/internal/adapter/disk/storage.go
@@ -39,6 +39,8 @@
 	// walDiverges is set while the log file holds entries that a snapshot of another history
 	// replaced. Entries after that snapshot do not follow them, so they must not be appended.
 	walDiverges bool
+	// reserved is the size of the reserve in bytes.
+	reserved int64
 	// payload and record are buffers that Append reuses.
 	payload []byte
 	record  []byte
@@ -88,6 +90,9 @@
 	if err := s.emptyTemps(); err != nil {
 		return nil, err
 	}
+	if err := s.openReserve(); err != nil {
+		return nil, err
+	}
 	if err := s.readSnapshot(); err != nil {
 		return nil, err
 	}
@@ -97,6 +102,7 @@
 		}
 		return nil, err
 	}
+	s.fillReserve()
 	return s, nil
 }
 
@@ -283,7 +289,9 @@
 		return err
 	}
 	if s.walDiverges && len(entries) > 0 {
-		if err := s.rewriteWAL(); err != nil {
+		err := s.rewriteWAL()
+		s.fillReserve()
+		if err != nil {
 			return err
 		}
 	}
@@ -339,6 +347,7 @@
 }
 
 func (s *Storage) saveSnapshot(snapshot *peerv1.RaftSnapshot) error {
+	defer s.fillReserve()
 	payload, err := proto.Marshal(snapshot)
 	if err != nil {
 		return err
@@ -397,9 +406,18 @@
 	return s.publish(name)
 }
 
-// writeTemp writes and syncs the data under the temporary name of a file. The error wraps
+// writeTemp writes and syncs the data under the temporary name of a file, in the space of the
+// reserve if there is no other; the caller fills the reserve again. The error wraps
 // port.ErrNotStored.
 func (s *Storage) writeTemp(name string, data []byte) error {
+	err := s.tryWriteTemp(name, data)
+	if isNoSpace(err) && s.freeReserve() {
+		err = s.tryWriteTemp(name, data)
+	}
+	return err
+}
+
+func (s *Storage) tryWriteTemp(name string, data []byte) error {
 	path := s.path(name)
 	f, err := s.files.Open(path + tempSuffix)
 	if err != nil {
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -248,7 +248,8 @@
 // The log must also have grown by the size of the last snapshot, so that a state larger than
 // MaxLogBytes is not written for each entry. With M for MaxLogBytes, S for the size of a
 // snapshot and F for what is appended while one is taken, the log has at most max(M, S) + 2F
-// bytes. Beside it there are a snapshot and either its replacement, S, or that of the log, F.
+// bytes. Beside it there are a snapshot, either its replacement, S, or that of the log, F, and
+// the reserve of the storage, 1.25 S.
 func (r *Replica) snapshotDue() bool {
 	applied := r.node.Status().AppliedIndex
 	if applied >= r.snapshotIndex+r.cfg.SnapshotThreshold {
