replica, raft, disk: a replica on a full disk drops entries that a newer leader overruled

Seen: when the disks of all followers are full first, the leader appends entries that it cannot commit until its own disk is full. The followers serve again and elect another leader; the disk of the former one stays full for good. Cause: a replica whose disk is full handled heartbeats of its own term only. It dropped the append that would cut its log, and could not have stored it, because the log file is only extended; it answered nothing of the newer term, so that the leader did not repeat a lost append either.

If an append does not fit, LogStorage.Truncate drops the replaced entries: the log file is replaced by one without them, for which the reserve has space, and the append is tried again. Append is as atomic as before. Heartbeats of a term that is not stored, appends that do not follow the log and those before the commit index are answered without any state to be stored: the answers promise nothing that is not stored. Votes and acknowledgements still need the disk.

--- a/internal/adapter/disk/contract_test.go
+++ b/internal/adapter/disk/contract_test.go
@@ -1,6 +1,7 @@
 package disk
 
 import (
+	"fmt"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -62,6 +63,21 @@
 			},
 			hard: hardState(1, "a"), want: entries(1, 5, 1),
 		},
+		{
+			name: "truncate",
+			run: func(s port.LogStorage) error {
+				if err := s.Append(hardState(1, "a"), entries(1, 5, 1)); err != nil {
+					return err
+				}
+				for index, want := range map[uint64]bool{0: false, 6: false, 4: true} {
+					if dropped, err := s.Truncate(index); err != nil || dropped != want {
+						return fmt.Errorf("truncation from %d: dropped %t, error %w", index, dropped, err)
+					}
+				}
+				return s.Append(nil, entries(4, 4, 2))
+			},
+			hard: hardState(1, "a"), want: append(entries(1, 3, 1), entry(4, 2)),
+		},
 		{
 			name: "replace a suffix",
 			run: func(s port.LogStorage) error {
--- a/internal/adapter/disk/full_test.go
+++ b/internal/adapter/disk/full_test.go
@@ -260,6 +260,48 @@
 	assert.NilError(t, s.Close())
 }
 
+// Guards against a full disk on which entries cannot be replaced: they would have to be dropped
+// before there is space for those that replace them.
+func TestEntriesAreReplacedOnFullDisk(t *testing.T) {
+	fs := &smallFS{folder: t.TempDir(), limit: 60_000}
+	s, err := Create(fs, fs.folder, "g", "a.1")
+	assert.NilError(t, err)
+	large := func(index, term uint64, size int) []*peerv1.RaftEntry {
+		return []*peerv1.RaftEntry{{Index: index, Term: term, Data: make([]byte, size)}}
+	}
+	assert.NilError(t, s.Append(hardState(1, "a"), entries(1, 5, 1)))
+	assert.NilError(t, s.SaveSnapshot(&peerv1.RaftSnapshot{Index: 5, Term: 1}))
+	for last := uint64(5); err == nil; last++ {
+		err = s.Append(nil, large(last+1, 1, 1000))
+	}
+	assert.ErrorIs(t, err, port.ErrNotStored)
+	term := uint64(1)
+	for err = nil; err == nil; term++ {
+		err = s.Append(hardState(term+1, "a"), nil)
+	}
+	assert.ErrorIs(t, err, port.ErrNotStored)
+	term--
+	kept := append(large(6, 1, 1000), large(7, 1, 1000)...)
+
+	dropped, err := s.Truncate(8)
+	assert.NilError(t, err)
+	assert.Assert(t, dropped)
+	check(t, s, hardState(term, "a"), 5, kept)
+	dropped, err = s.Truncate(8)
+	assert.NilError(t, err)
+	assert.Assert(t, !dropped)
+	replacing := large(8, term+1, 5000)
+	assert.NilError(t, s.Append(hardState(term+1, "b"), replacing))
+	for range 2 {
+		check(t, s, hardState(term+1, "b"), 5, append(kept, replacing...))
+		assert.Assert(t, fs.used() <= 20_000, "%d bytes on disk", fs.used())
+		assert.NilError(t, s.Close())
+		s, err = Open(fs, fs.folder, "g")
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, s.Close())
+}
+
 // Guards against a difference between what was acknowledged and what a reopened storage holds,
 // and against a storage that ends, while a disk is full at random times and the process
 // restarts at random times.
@@ -290,6 +332,14 @@
 					assert.NilError(t, want.SaveSnapshot(image))
 					snapshot = index
 				}
+			case 2:
+				index := last + 1 - rng.Uint64N(min(3, last-snapshot+1))
+				var dropped bool
+				if dropped, err = s.Truncate(index); dropped {
+					_, wantErr := want.Truncate(index)
+					assert.NilError(t, wantErr)
+					last = index - 1
+				}
 			default:
 				term += rng.Uint64N(2)
 				first := last + 1 - rng.Uint64N(min(3, last-snapshot+1))
--- a/internal/adapter/disk/memory.go
+++ b/internal/adapter/disk/memory.go
@@ -53,6 +53,24 @@
 	return nil
 }
 
+// Truncate implements port.LogStorage.
+func (m *Memory) Truncate(index uint64) (dropped bool, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return false, ErrUnusable
+	}
+	if index <= m.state.baseIndex || index > m.state.lastIndex() {
+		return false, nil
+	}
+	kept := index - m.state.baseIndex - 1
+	for _, e := range m.state.entries[kept:] {
+		m.logBytes.Add(-int64(proto.Size(e)))
+	}
+	m.state.entries = m.state.entries[:kept:kept]
+	return true, nil
+}
+
 // SaveSnapshot implements port.LogStorage.
 func (m *Memory) SaveSnapshot(snapshot *peerv1.RaftSnapshot) error {
 	m.mu.Lock()
--- a/internal/adapter/disk/storage.go
+++ b/internal/adapter/disk/storage.go
@@ -313,6 +313,28 @@
 	return s.state.putAll(entries)
 }
 
+// Truncate implements port.LogStorage. The log file is replaced by one without the entries, for
+// which the reserve has space unless the entries before them are larger.
+func (s *Storage) Truncate(index uint64) (dropped bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failure != nil {
+		return false, s.failure
+	}
+	if index <= s.state.baseIndex || index > s.state.lastIndex() {
+		return false, nil
+	}
+	defer s.fillReserve()
+	all := s.state.entries
+	kept := index - s.state.baseIndex - 1
+	s.state.entries = all[:kept:kept]
+	if err = s.rewriteWAL(); err != nil {
+		s.state.entries = all
+		return false, s.recordFailure(err)
+	}
+	return true, nil
+}
+
 // appendToWAL writes a record to the log file and syncs it. If the write fails for lack of
 // space, the part that was written is dropped, and the error wraps port.ErrNotStored.
 func (s *Storage) appendToWAL(record []byte) error {
--- a/internal/port/interfaces.go
+++ b/internal/port/interfaces.go
@@ -58,6 +58,9 @@
 	// once. The entries replace all stored entries with the same or a higher index. After
 	// ErrNotStored the storage is as it was before the call.
 	Append(hard *peerv1.RaftHardState, entries []*peerv1.RaftEntry) error
+	// Truncate drops the entries from index on, so that others have space, and reports whether
+	// there were any. They may come back after a crash. After ErrNotStored they are still there.
+	Truncate(index uint64) (dropped bool, err error)
 	// SaveSnapshot stores a snapshot and drops the entries it covers. After ErrNotStored
 	// all that was stored before is still there.
 	SaveSnapshot(snapshot *peerv1.RaftSnapshot) error
--- a/internal/raft/follower.go
+++ b/internal/raft/follower.go
@@ -41,10 +41,7 @@
 		return
 	}
 	if !n.log.matches(m.LogIndex, m.LogTerm) {
-		n.send(&peerv1.RaftMessage{
-			Type: peerv1.RaftMessage_APPEND_REPLY, To: m.From, Reject: true,
-			LogIndex: m.LogIndex, RejectHint: n.log.findConflict(m.LogIndex, m.LogTerm),
-		})
+		n.send(n.appendRejection(m))
 		return
 	}
 	n.mergeEntries(m.Entries)
@@ -53,6 +50,14 @@
 	n.sendAppendReply(m.From, last)
 }
 
+// appendRejection returns the answer to an append that does not follow the log.
+func (n *Node) appendRejection(m *peerv1.RaftMessage) *peerv1.RaftMessage {
+	return &peerv1.RaftMessage{
+		Type: peerv1.RaftMessage_APPEND_REPLY, To: m.From, Reject: true,
+		LogIndex: m.LogIndex, RejectHint: n.log.findConflict(m.LogIndex, m.LogTerm),
+	}
+}
+
 // mergeEntries appends the entries that the log does not hold. From the first entry
 // that conflicts with the log, the log's own entries are replaced.
 func (n *Node) mergeEntries(entries []*peerv1.RaftEntry) {
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -46,6 +47,7 @@
 	// The messages for the next Ready, see there.
 	immediateMessages []*peerv1.RaftMessage
 	messages          []*peerv1.RaftMessage
+	unstoredMessages  []*peerv1.RaftMessage // for UrgentMessages only, see sendUnstored
 	storedHardState   *peerv1.RaftHardState // as of the last Advance
 	receivedSnapshot  *peerv1.RaftSnapshot  // to be stored and installed
 	currentReady      Ready                 // not yet confirmed by Advance
@@ -230,10 +232,12 @@
 
 // UrgentMessages returns the messages that may be sent while the last Ready is being stored.
 func (n *Node) UrgentMessages() []*peerv1.RaftMessage {
+	messages := n.unstoredMessages
+	n.unstoredMessages = nil
 	if n.hardStateChanged() {
-		return nil
+		return messages
 	}
-	messages := n.immediateMessages
+	messages = append(messages, n.immediateMessages...)
 	n.immediateMessages = nil
 	return messages
 }
@@ -258,7 +262,8 @@
 }
 
 // Unstored must be called instead of Advance if the caller could not store the last Ready and
-// has carried out none of what follows; the storage holds no other entries than before. The
+// has carried out none of what follows; the storage holds no other entries than before, and may
+// lack those that the Ready replaces. The
 // next Ready has the same state to store. The messages are dropped, because they tell of state
 // that is not stored; Raft tolerates that. A leader or candidate becomes a follower: it cannot
 // count itself towards a commit or its own vote, and others may have a disk that has space.
@@ -266,8 +271,8 @@
 // The result is the committed entries that are stored and were not handed out. The caller passes
 // them to the state machine: a snapshot that covers them may make space.
 //
-// Until the state is stored, the caller calls StepHeartbeat, UrgentMessages and TickUnstored,
-// but neither Tick, which may campaign, nor Step.
+// Until the state is stored, the caller calls StepHeartbeat, UrgentMessages, TickUnstored and
+// StepReplacement, but neither Tick, which may campaign, nor Step.
 func (n *Node) Unstored() []*peerv1.RaftEntry {
 	r := n.currentReady
 	n.currentReady = Ready{}
@@ -284,6 +289,56 @@
 	return committed
 }
 
+// StepReplacement handles a message of a leader with which entries that the log holds are replaced,
+// while the last Ready is not stored. It returns true if it did: the next Ready may then be stored,
+// because replaced entries need no space any more.
+//
+// A heartbeat of a term that is not stored, and an append that does not follow the log, change
+// nothing and are answered, so that the leader sends appends and finds the last entry that matches.
+// The answers promise nothing that is not stored, therefore the term that they carry need not be
+// stored either: a rejection promises nothing, an acknowledgement only entries that are committed
+// and stored, and the answer to round 0, which is never sent, does not extend the lease. All other
+// messages are ignored.
+func (n *Node) StepReplacement(now time.Duration, m *peerv1.RaftMessage) bool {
+	if m.To != n.id || m.Generation != n.generation || m.Term < n.term || n.role == Leader {
+		return false
+	}
+	replaces := false
+	switch m.Type {
+	case peerv1.RaftMessage_HEARTBEAT:
+		if m.Term != n.storedHardState.GetTerm() {
+			n.sendUnstored(m, &peerv1.RaftMessage{Type: peerv1.RaftMessage_HEARTBEAT_REPLY, To: m.From})
+		}
+	case peerv1.RaftMessage_APPEND:
+		if m.LogIndex < n.log.commit {
+			if n.receivedSnapshot == nil && n.log.commit <= n.log.stable {
+				n.sendUnstored(m, &peerv1.RaftMessage{Type: peerv1.RaftMessage_APPEND_REPLY, To: m.From, LogIndex: n.log.commit})
+			}
+			return false
+		}
+		if !n.log.matches(m.LogIndex, m.LogTerm) {
+			n.sendUnstored(m, n.appendRejection(m))
+			return false
+		}
+		replaces = slices.ContainsFunc(m.Entries, func(e *peerv1.RaftEntry) bool {
+			return e.Index <= n.log.last() && !n.log.matches(e.Index, e.Term)
+		})
+	case peerv1.RaftMessage_SNAPSHOT:
+		s := m.Snapshot
+		replaces = n.receivedSnapshot == nil && s.GetIndex() > n.log.commit && !n.log.matches(s.Index, s.Term)
+	}
+	if replaces {
+		n.Step(now, m)
+	}
+	return replaces
+}
+
+// sendUnstored queues the answer to a message that does not depend on any state to be stored.
+func (n *Node) sendUnstored(m, reply *peerv1.RaftMessage) {
+	reply.Term = m.Term
+	n.unstoredMessages = append(n.unstoredMessages, n.withHeader(reply))
+}
+
 // TickUnstored handles the passing of one tick interval while the last Ready is not stored. The
 // node does not campaign, but forgets a silent leader.
 func (n *Node) TickUnstored(now time.Duration) {
--- a/internal/replica/full.go
+++ b/internal/replica/full.go
@@ -32,15 +32,22 @@
 }
 
 // stepWhileFull answers the heartbeats that need not be stored, so that the leader keeps its
-// lease, and drops the other messages: they would have to be stored, and appends would fill the
-// memory. Raft tolerates their loss. tick is as in step.
+// lease, and handles messages that replace entries, which makes space. It drops the other messages:
+// they would have to be stored, and appends would fill the memory. Raft tolerates their loss. tick
+// is as in step.
 func (r *Replica) stepWhileFull(now time.Duration, tick bool, messages []*peerv1.RaftMessage) {
 	if tick {
 		r.node.TickUnstored(now)
 	}
 	for _, m := range messages {
-		if m.Type == peerv1.RaftMessage_HEARTBEAT {
+		switch m.Type {
+		case peerv1.RaftMessage_HEARTBEAT:
 			r.node.StepHeartbeat(now, m)
+			r.node.StepReplacement(now, m)
+		case peerv1.RaftMessage_APPEND, peerv1.RaftMessage_SNAPSHOT:
+			if r.node.StepReplacement(now, m) {
+				r.storeRetryAt = 0
+			}
 		}
 	}
 	r.publish()
--- a/internal/replica/full_test.go
+++ b/internal/replica/full_test.go
@@ -436,6 +436,77 @@
 	})
 }
 
+// Guards against a former leader whose disk stays full of entries that a newer leader has
+// overruled, since it does not store the append that replaces them. Depending on what the newer
+// leader has done in the meantime, the entries are replaced by its first append, after a
+// rejected one, or by a snapshot.
+func TestFormerLeaderOnFullDiskTakesPartAgain(t *testing.T) {
+	cases := []struct {
+		name     string
+		commands int  // that the newer leader commits while the former one is cut off
+		transfer bool // to another leader after that
+	}{
+		{"first append", 0, false},
+		{"rejected append", 10, true},
+		{"snapshot", 200, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { checkFormerLeader(t, tc.commands, tc.transfer) })
+		})
+	}
+}
+
+func checkFormerLeader(t *testing.T, commands int, transfer bool) {
+	c, disks := newSmallCluster(t, func(_ *Config, fs *smallFS) { fs.limit = 50_000 }, "a.1", "b.1", "c.1")
+	c.propose(0, 3)
+	former := c.leader()
+	first, second := c.followers(former)
+	for _, r := range []*Replica{first, second} {
+		disks[r.cfg.ID].full.Store(true)
+	}
+	for began := time.Now(); !former.Status().Full; {
+		assert.Assert(t, time.Since(began) < 10*time.Second, "the disk of the leader is not full")
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+		_, err := former.Propose(ctx, make([]byte, 1000))
+		assert.Assert(t, err != nil, "committed without a quorum that can store")
+		cancel()
+	}
+	if commands > 0 {
+		c.net.setCut(former.cfg.ID, true)
+	}
+	for _, r := range []*Replica{first, second} {
+		disks[r.cfg.ID].full.Store(false)
+	}
+	c.propose(3, 3+commands)
+	if transfer {
+		assert.NilError(t, c.leader().TransferLeadership(context.Background()))
+	}
+	c.net.setCut(former.cfg.ID, false)
+	wait(t, "the former leader is still full", func() bool { return !former.Status().Full })
+	c.propose(3+commands, 5+commands)
+	// Some commands of the former leader may be committed later, since a follower keeps what it
+	// could not store.
+	acknowledged := make([]string, 5+commands)
+	for i := range acknowledged {
+		acknowledged[i] = fmt.Sprint(i)
+	}
+	same := func() bool {
+		want := c.machines[former.cfg.ID].all()
+		small := slices.DeleteFunc(slices.Clone(want), func(command string) bool { return len(command) == 1000 })
+		return slices.Equal(small, acknowledged) && slices.Equal(c.machines[first.cfg.ID].all(), want) &&
+			slices.Equal(c.machines[second.cfg.ID].all(), want)
+	}
+	wait(t, "the replicas have not applied the same commands", same)
+	for _, r := range c.all() {
+		assert.NilError(t, r.Err())
+		assert.Assert(t, disks[r.cfg.ID].used() <= disks[r.cfg.ID].limit)
+	}
+	c.restartAll()
+	wait(t, "the replicas have not applied the same commands after a restart", same)
+}
+
 // Guards against a full follower that receives a snapshot and neither answers heartbeats, so
 // that the leader loses its lease, nor stores the snapshot later.
 func TestReceivedSnapshotOnFullDisk(t *testing.T) {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -293,28 +293,60 @@
 	return nil
 }
 
-// store stores the hard state, the snapshot and the entries of a Ready.
+// store stores the hard state, the snapshot and the entries of a Ready. If the disk is full, it
+// drops what they replace first.
 func (r *Replica) store(ready *raft.Ready) error {
 	hard := ready.HardState
 	if ready.Snapshot != nil {
-		if hard != nil {
-			// Without the commit index: the log below it may differ from what the snapshot
-			// replaces, and a restart must not apply it if the snapshot cannot be stored.
-			withoutCommit := proto.Clone(hard).(*peerv1.RaftHardState)
-			withoutCommit.Commit = 0
-			if err := r.cfg.Storage.Append(withoutCommit, nil); err != nil {
-				return port.AtStep("append to log", "", err)
-			}
-		}
-		if err := r.cfg.Storage.SaveSnapshot(ready.Snapshot); err != nil {
-			return port.AtStep("store snapshot", "", err)
+		if err := r.storeReceived(hard, ready.Snapshot); err != nil {
+			return err
 		}
 		hard = nil
 	}
 	if hard == nil && len(ready.Entries) == 0 {
 		return nil
 	}
-	return port.AtStep("append to log", "", r.cfg.Storage.Append(hard, ready.Entries))
+	err := r.cfg.Storage.Append(hard, ready.Entries)
+	if errors.Is(err, port.ErrNotStored) && len(ready.Entries) > 0 {
+		dropped, truncateErr := r.cfg.Storage.Truncate(ready.Entries[0].Index)
+		if truncateErr != nil && !errors.Is(truncateErr, port.ErrNotStored) {
+			return port.AtStep("truncate log", "", truncateErr)
+		}
+		if dropped {
+			err = r.cfg.Storage.Append(hard, ready.Entries)
+		}
+	}
+	return port.AtStep("append to log", "", err)
+}
+
+// storeReceived stores a received snapshot and the hard state, if it is not nil.
+func (r *Replica) storeReceived(hard *peerv1.RaftHardState, snapshot *peerv1.RaftSnapshot) error {
+	// The commit index is left out: the log below it may differ from what the snapshot replaces,
+	// and a restart must not apply it if the snapshot cannot be stored.
+	appendHard := func() error {
+		if hard == nil {
+			return nil
+		}
+		withoutCommit := proto.Clone(hard).(*peerv1.RaftHardState)
+		withoutCommit.Commit = 0
+		return port.AtStep("append to log", "", r.cfg.Storage.Append(withoutCommit, nil))
+	}
+	hardErr := appendHard()
+	if hardErr != nil {
+		// On a full disk the snapshot may make space. It must not come before a generation
+		// that the replica has adopted, but may come before a term or vote.
+		stored, _, _, err := r.cfg.Storage.Load()
+		if !errors.Is(hardErr, port.ErrNotStored) || err != nil || stored.GetGeneration() != hard.Generation {
+			return hardErr
+		}
+	}
+	if err := r.cfg.Storage.SaveSnapshot(snapshot); err != nil {
+		return port.AtStep("store snapshot", "", err)
+	}
+	if hardErr != nil {
+		return appendHard()
+	}
+	return nil
 }
 
 func (r *Replica) send(messages []*peerv1.RaftMessage) {
