replica: the tests that ran in real time run in simulated time

Seen: TestCommandsSurviveKillAndRestart and other tests failed at a load of about 60 with "leadership was lost before the command was committed". With 36 copies under the race detector, at a load of 35 to 93, 10 of about 180 runs of it failed, 3 of TestTransferLeadershipIsQuick and 1 of TestRecoverAfterQuorumLoss. Cause: the tests, not the code. A trial build printed the writes that took more than 200 ms: beside each of the 11 failed proposals there was one of 443 to 2,859 ms. A replica whose write takes longer than a lease (400 ms) stops sending and answering heartbeats, so that another one can lead when a disk hangs; an election follows as designed. The tests assumed writes that are faster, and proposed without a retry. The other failures are limits of 500 ms and 3 s in real time. Fix: eleven tests run in a bubble of synctest, in which a write takes none of the time, so that a loss of leadership would be a fault. All checks and limits are the same, and those of times now hold on any machine.

--- a/internal/replica/apply_test.go
+++ b/internal/replica/apply_test.go
@@ -214,50 +214,54 @@
 // reported as unknown although it is committed and about to be applied.
 func TestCommittedProposalSurvivesLossOfLeadership(t *testing.T) {
 	t.Parallel()
-	c, machines := newStallingCluster(t)
-	l := c.leader()
-	s := machines[l.cfg.ID].stall(t, "Apply")
-	committed := proposeAsync(l, "0")
-	<-s.began
-	c.net.setCut(l.cfg.ID, true)
-	uncommitted := proposeAsync(l, "1")
-	var unknown *OutcomeUnknownError
-	assert.Assert(t, errors.As(<-uncommitted, &unknown))
-	assert.Assert(t, l.Status().Role != raft.Leader)
-	s.release()
-	assert.NilError(t, <-committed)
+	synctest.Test(t, func(t *testing.T) {
+		c, machines := newStallingCluster(t)
+		l := c.leader()
+		s := machines[l.cfg.ID].stall(t, "Apply")
+		committed := proposeAsync(l, "0")
+		<-s.began
+		c.net.setCut(l.cfg.ID, true)
+		uncommitted := proposeAsync(l, "1")
+		var unknown *OutcomeUnknownError
+		assert.Assert(t, errors.As(<-uncommitted, &unknown))
+		assert.Assert(t, l.Status().Role != raft.Leader)
+		s.release()
+		assert.NilError(t, <-committed)
+	})
 }
 
 // TestStopDuringSlowApply guards against a replica that cannot be stopped while its
 // state machine is busy, calls it after Stop, or loses a command that it has committed.
 func TestStopDuringSlowApply(t *testing.T) {
 	t.Parallel()
-	machines := make(chan *stallingMachine, 2)
-	c := newCluster(t, func(cfg *Config) {
-		m := &stallingMachine{StateMachine: cfg.StateMachine}
-		machines <- m
-		cfg.StateMachine = m
-	}, "a.1")
-	l := c.leader()
-	s := (<-machines).stall(t, "Apply")
-	first := proposeAsync(l, "0")
-	<-s.began
-	second := proposeAsync(l, "1")
-	wait(t, "the second command is not committed", func() bool { return l.Status().CommitIndex == 3 })
-	stopped := make(chan struct{})
-	go func() { c.stop(l); close(stopped) }()
-	wait(t, "the lease is kept", func() bool { _, valid := l.Lease(); return !valid })
-	s.release()
-	<-stopped
-	assert.NilError(t, <-first)
-	err := <-second
-	var unknown *OutcomeUnknownError
-	assert.Assert(t, errors.As(err, &unknown), "error %v", err)
-	assert.ErrorIs(t, err, ErrStopped)
-	assert.DeepEqual(t, c.machines["a.1"].all(), []string{"0"})
-	c.start("a.1", c.diskOf("a.1"), nil)
-	c.leader()
-	c.waitCommands("a.1", 2)
+	synctest.Test(t, func(t *testing.T) {
+		machines := make(chan *stallingMachine, 2)
+		c := newCluster(t, func(cfg *Config) {
+			m := &stallingMachine{StateMachine: cfg.StateMachine}
+			machines <- m
+			cfg.StateMachine = m
+		}, "a.1")
+		l := c.leader()
+		s := (<-machines).stall(t, "Apply")
+		first := proposeAsync(l, "0")
+		<-s.began
+		second := proposeAsync(l, "1")
+		wait(t, "the second command is not committed", func() bool { return l.Status().CommitIndex == 3 })
+		stopped := make(chan struct{})
+		go func() { c.stop(l); close(stopped) }()
+		wait(t, "the lease is kept", func() bool { _, valid := l.Lease(); return !valid })
+		s.release()
+		<-stopped
+		assert.NilError(t, <-first)
+		err := <-second
+		var unknown *OutcomeUnknownError
+		assert.Assert(t, errors.As(err, &unknown), "error %v", err)
+		assert.ErrorIs(t, err, ErrStopped)
+		assert.DeepEqual(t, c.machines["a.1"].all(), []string{"0"})
+		c.start("a.1", c.diskOf("a.1"), nil)
+		c.leader()
+		c.waitCommands("a.1", 2)
+	})
 }
 
 // TestSlowApplyBoundsUnappliedEntries guards against a log that grows without a bound
@@ -265,39 +269,41 @@
 // others still commit.
 func TestSlowApplyBoundsUnappliedEntries(t *testing.T) {
 	t.Parallel()
-	const size = 512 // bytes of a command
-	machines := map[string]*stallingMachine{}
-	c := newCluster(t, func(cfg *Config) {
-		machines[cfg.ID] = &stallingMachine{StateMachine: noopMachine{}}
-		cfg.StateMachine = machines[cfg.ID]
-		cfg.Storage = disk.NewMemory()
-		cfg.SnapshotThreshold = 10 * maxUnappliedEntries
-	}, "a.1", "b.1", "c.1")
-	l := c.leader()
-	f, _ := c.followers(l)
-	follower := machines[f.cfg.ID].stall(t, "Apply")
-	propose := func(most int) (proposed int) {
-		for proposed < most {
-			p := newProposal(make([]byte, size))
-			if err := l.enqueue(p); err != nil {
-				assert.ErrorIs(t, err, ErrOverloaded)
-				return proposed
-			}
-			if proposed++; proposed%1000 == 0 {
-				wait(t, "the leader does not commit", func() bool { return l.Status().CommitIndex >= l.view.Load().status.LastIndex })
-				time.Sleep(time.Millisecond)
+	synctest.Test(t, func(t *testing.T) {
+		const size = 512 // bytes of a command
+		machines := map[string]*stallingMachine{}
+		c := newCluster(t, func(cfg *Config) {
+			machines[cfg.ID] = &stallingMachine{StateMachine: noopMachine{}}
+			cfg.StateMachine = machines[cfg.ID]
+			cfg.Storage = disk.NewMemory()
+			cfg.SnapshotThreshold = 10 * maxUnappliedEntries
+		}, "a.1", "b.1", "c.1")
+		l := c.leader()
+		f, _ := c.followers(l)
+		follower := machines[f.cfg.ID].stall(t, "Apply")
+		propose := func(most int) (proposed int) {
+			for proposed < most {
+				p := newProposal(make([]byte, size))
+				if err := l.enqueue(p); err != nil {
+					assert.ErrorIs(t, err, ErrOverloaded)
+					return proposed
+				}
+				if proposed++; proposed%1000 == 0 {
+					wait(t, "the leader does not commit", func() bool { return l.Status().CommitIndex >= l.view.Load().status.LastIndex })
+					time.Sleep(time.Millisecond)
+				}
 			}
+			return proposed
 		}
-		return proposed
-	}
-	assert.Equal(t, propose(3*maxUnappliedEntries), 3*maxUnappliedEntries)
-	s := f.Status()
-	assert.Assert(t, s.CommitIndex-s.AppliedIndex < 2*maxUnappliedEntries, "%+v", s)
-	follower.release()
-	wait(t, "the follower does not catch up", func() bool { return f.Status().AppliedIndex == l.Status().CommitIndex })
+		assert.Equal(t, propose(3*maxUnappliedEntries), 3*maxUnappliedEntries)
+		s := f.Status()
+		assert.Assert(t, s.CommitIndex-s.AppliedIndex < 2*maxUnappliedEntries, "%+v", s)
+		follower.release()
+		wait(t, "the follower does not catch up", func() bool { return f.Status().AppliedIndex == l.Status().CommitIndex })
 
-	leader := machines[l.cfg.ID].stall(t, "Apply")
-	assert.Assert(t, propose(3*maxUnappliedEntries) < 2*maxUnappliedEntries)
-	leader.release()
-	wait(t, "the leader refuses proposals", func() bool { return propose(1) == 1 })
+		leader := machines[l.cfg.ID].stall(t, "Apply")
+		assert.Assert(t, propose(3*maxUnappliedEntries) < 2*maxUnappliedEntries)
+		leader.release()
+		wait(t, "the leader refuses proposals", func() bool { return propose(1) == 1 })
+	})
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -246,29 +246,31 @@
 // snapshot.
 func TestCommandsSurviveKillAndRestart(t *testing.T) {
 	t.Parallel()
-	c := newCluster(t, nil, "a.1", "b.1", "c.1")
-	c.propose(0, 20) // no snapshot yet
-	c.restartAll()
-	c.propose(20, 30)
-	killed := c.leader()
-	c.stop(killed)
-	begin := time.Now()
-	c.leader()
-	t.Logf("new lease %v after the crash of the leader", time.Since(begin))
-	assert.Assert(t, time.Since(begin) < 3*time.Second)
-	_, err := killed.Propose(context.Background(), nil)
-	assert.ErrorIs(t, err, ErrStopped)
-	c.propose(30, 200) // more than the retained entries: the killed one needs a snapshot
-	id := killed.cfg.ID
-	c.start(id, c.diskOf(id), nil)
-	for _, id := range []string{"a.1", "b.1", "c.1"} {
-		c.waitCommands(id, 200)
-	}
-	c.restartAll()
-	c.propose(200, 201)
-	for _, id := range []string{"a.1", "b.1", "c.1"} {
-		c.waitCommands(id, 201)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, nil, "a.1", "b.1", "c.1")
+		c.propose(0, 20) // no snapshot yet
+		c.restartAll()
+		c.propose(20, 30)
+		killed := c.leader()
+		c.stop(killed)
+		begin := time.Now()
+		c.leader()
+		t.Logf("new lease %v after the crash of the leader", time.Since(begin))
+		assert.Assert(t, time.Since(begin) < 3*time.Second)
+		_, err := killed.Propose(context.Background(), nil)
+		assert.ErrorIs(t, err, ErrStopped)
+		c.propose(30, 200) // more than the retained entries: the killed one needs a snapshot
+		id := killed.cfg.ID
+		c.start(id, c.diskOf(id), nil)
+		for _, id := range []string{"a.1", "b.1", "c.1"} {
+			c.waitCommands(id, 200)
+		}
+		c.restartAll()
+		c.propose(200, 201)
+		for _, id := range []string{"a.1", "b.1", "c.1"} {
+			c.waitCommands(id, 201)
+		}
+	})
 }
 
 // TestProposeErrors guards against a proposal that blocks after its context has ended,
@@ -276,44 +278,48 @@
 // that does not return the leader's address.
 func TestProposeErrors(t *testing.T) {
 	t.Parallel()
-	c := newCluster(t, nil, "a.1", "b.1", "c.1")
-	l := c.leader()
-	for _, r := range c.all() {
-		if r == l {
-			continue
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, nil, "a.1", "b.1", "c.1")
+		l := c.leader()
+		for _, r := range c.all() {
+			if r == l {
+				continue
+			}
+			wait(t, "the follower knows no leader", func() bool { id, _ := r.Leader(); return id != "" })
+			_, err := r.Propose(context.Background(), nil)
+			var other *port.NotLeaderError
+			assert.Assert(t, errors.As(err, &other), "error %v", err)
+			assert.Equal(t, other.Address, "host-"+l.cfg.ID)
 		}
-		wait(t, "the follower knows no leader", func() bool { id, _ := r.Leader(); return id != "" })
-		_, err := r.Propose(context.Background(), nil)
-		var other *port.NotLeaderError
-		assert.Assert(t, errors.As(err, &other), "error %v", err)
-		assert.Equal(t, other.Address, "host-"+l.cfg.ID)
-	}
-	c.net.setCut(l.cfg.ID, true)
-	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
-	defer cancel()
-	_, err := l.Propose(ctx, []byte("x"))
-	var unknown *OutcomeUnknownError
-	assert.Assert(t, errors.As(err, &unknown), "error %v", err)
-	assert.ErrorIs(t, err, context.DeadlineExceeded)
-
-	_, err = l.Propose(context.Background(), []byte("y"))
-	assert.Assert(t, errors.As(err, &unknown), "error %v", err)
-	_, valid := l.Lease()
-	assert.Assert(t, !valid, "lease of an isolated leader")
+		c.net.setCut(l.cfg.ID, true)
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		_, err := l.Propose(ctx, []byte("x"))
+		var unknown *OutcomeUnknownError
+		assert.Assert(t, errors.As(err, &unknown), "error %v", err)
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+
+		_, err = l.Propose(context.Background(), []byte("y"))
+		assert.Assert(t, errors.As(err, &unknown), "error %v", err)
+		_, valid := l.Lease()
+		assert.Assert(t, !valid, "lease of an isolated leader")
+	})
 }
 
 // TestTransferLeadershipIsQuick guards against a transfer that leaves the group without
 // a leader for an election timeout.
 func TestTransferLeadershipIsQuick(t *testing.T) {
 	t.Parallel()
-	c := newCluster(t, nil, "a.1", "b.1", "c.1")
-	c.propose(0, 1)
-	old := c.leader()
-	begin := time.Now()
-	assert.NilError(t, old.TransferLeadership(context.Background()))
-	assert.Assert(t, c.leader() != old)
-	assert.Assert(t, time.Since(begin) < 500*time.Millisecond, "transfer took %v", time.Since(begin))
-	c.propose(1, 2)
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, nil, "a.1", "b.1", "c.1")
+		c.propose(0, 1)
+		old := c.leader()
+		begin := time.Now()
+		assert.NilError(t, old.TransferLeadership(context.Background()))
+		assert.Assert(t, c.leader() != old)
+		assert.Assert(t, time.Since(begin) < 500*time.Millisecond, "transfer took %v", time.Since(begin))
+		c.propose(1, 2)
+	})
 }
 
 // TestReplaceWaitsForNewReplica guards against a replacement that is reported as done
@@ -359,19 +365,21 @@
 // after a permanent loss of the quorum.
 func TestRecoverAfterQuorumLoss(t *testing.T) {
 	t.Parallel()
-	c := newCluster(t, nil, "a.1", "b.1", "c.1")
-	c.propose(0, 3)
-	survivor := c.leader()
-	for _, r := range c.all() {
-		if r != survivor {
-			c.stop(r)
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, nil, "a.1", "b.1", "c.1")
+		c.propose(0, 3)
+		survivor := c.leader()
+		for _, r := range c.all() {
+			if r != survivor {
+				c.stop(r)
+			}
 		}
-	}
-	wait(t, "the survivor still leads", func() bool { return survivor.Status().Role != raft.Leader })
-	assert.NilError(t, survivor.Recover(context.Background()))
-	c.propose(3, 4)
-	c.waitCommands(survivor.cfg.ID, 4)
-	assert.Equal(t, survivor.Status().Generation, uint64(2))
+		wait(t, "the survivor still leads", func() bool { return survivor.Status().Role != raft.Leader })
+		assert.NilError(t, survivor.Recover(context.Background()))
+		c.propose(3, 4)
+		c.waitCommands(survivor.cfg.ID, 4)
+		assert.Equal(t, survivor.Status().Generation, uint64(2))
+	})
 }
 
 // failingStorage fails every Append once fail is closed.
@@ -395,17 +403,19 @@
 // a lease, after a failed write.
 func TestStorageErrorStopsReplica(t *testing.T) {
 	t.Parallel()
-	fail := make(chan struct{})
-	c := newCluster(t, func(cfg *Config) {
-		cfg.Storage = &failingStorage{cfg.Storage, fail}
-	}, "a.1")
-	l := c.leader()
-	close(fail)
-	_, err := l.Propose(context.Background(), []byte("x"))
-	var unknown *OutcomeUnknownError
-	assert.Assert(t, errors.As(err, &unknown), "error %v", err)
-	<-l.Done()
-	assert.ErrorIs(t, l.Err(), errDisk)
-	_, valid := l.Lease()
-	assert.Assert(t, !valid)
+	synctest.Test(t, func(t *testing.T) {
+		fail := make(chan struct{})
+		c := newCluster(t, func(cfg *Config) {
+			cfg.Storage = &failingStorage{cfg.Storage, fail}
+		}, "a.1")
+		l := c.leader()
+		close(fail)
+		_, err := l.Propose(context.Background(), []byte("x"))
+		var unknown *OutcomeUnknownError
+		assert.Assert(t, errors.As(err, &unknown), "error %v", err)
+		<-l.Done()
+		assert.ErrorIs(t, l.Err(), errDisk)
+		_, valid := l.Lease()
+		assert.Assert(t, !valid)
+	})
 }
--- a/internal/replica/snapshot_test.go
+++ b/internal/replica/snapshot_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -46,29 +47,31 @@
 // tries again without a pause, and against one that never does.
 func TestSnapshotThatIsNotStoredIsStoredLater(t *testing.T) {
 	t.Parallel()
-	c, storages := newRefusingCluster(t)
-	leader := c.leader()
-	for _, s := range storages {
-		s.refusing.Store(true)
-	}
-	began := time.Now()
-	c.propose(0, 200)
-	for id, s := range storages {
-		c.waitCommands(id, 200)
-		wait(t, id+" has taken no snapshot", func() bool { return s.refused.Load() > 0 })
-		assert.Assert(t, s.refused.Load() <= 2+int64(time.Since(began)/snapshotRetryDelay), "%d tries", s.refused.Load())
-	}
-	assert.Equal(t, c.leader(), leader)
-	for _, s := range storages {
-		s.refusing.Store(false)
-	}
-	for id, s := range storages {
-		wait(t, id+" has stored no snapshot", func() bool { return s.stored.Load() >= 200 })
-	}
-	c.propose(200, 210)
-	for id := range storages {
-		c.waitCommands(id, 210)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		c, storages := newRefusingCluster(t)
+		leader := c.leader()
+		for _, s := range storages {
+			s.refusing.Store(true)
+		}
+		began := time.Now()
+		c.propose(0, 200)
+		for id, s := range storages {
+			c.waitCommands(id, 200)
+			wait(t, id+" has taken no snapshot", func() bool { return s.refused.Load() > 0 })
+			assert.Assert(t, s.refused.Load() <= 2+int64(time.Since(began)/snapshotRetryDelay), "%d tries", s.refused.Load())
+		}
+		assert.Equal(t, c.leader(), leader)
+		for _, s := range storages {
+			s.refusing.Store(false)
+		}
+		for id, s := range storages {
+			wait(t, id+" has stored no snapshot", func() bool { return s.stored.Load() >= 200 })
+		}
+		c.propose(200, 210)
+		for id := range storages {
+			c.waitCommands(id, 210)
+		}
+	})
 }
 
 // receiveRefusedSnapshot returns a cluster with a follower that has received a snapshot of
@@ -92,21 +95,25 @@
 // against one that goes on without it.
 func TestReceivedSnapshotIsStoredLater(t *testing.T) {
 	t.Parallel()
-	c, behind, storage := receiveRefusedSnapshot(t)
-	storage.refusing.Store(false)
-	c.waitCommands(behind.cfg.ID, 300)
-	assert.NilError(t, behind.Err())
+	synctest.Test(t, func(t *testing.T) {
+		c, behind, storage := receiveRefusedSnapshot(t)
+		storage.refusing.Store(false)
+		c.waitCommands(behind.cfg.ID, 300)
+		assert.NilError(t, behind.Err())
+	})
 }
 
 // Guards against a replica that cannot be stopped while it stores a received snapshot.
 func TestStopWhileReceivedSnapshotIsNotStored(t *testing.T) {
 	t.Parallel()
-	_, behind, _ := receiveRefusedSnapshot(t)
-	stopped := make(chan struct{})
-	go func() { behind.Stop(); close(stopped) }()
-	select {
-	case <-stopped:
-	case <-time.After(5 * time.Second):
-		t.Fatal("still running")
-	}
+	synctest.Test(t, func(t *testing.T) {
+		_, behind, _ := receiveRefusedSnapshot(t)
+		stopped := make(chan struct{})
+		go func() { behind.Stop(); close(stopped) }()
+		select {
+		case <-stopped:
+		case <-time.After(5 * time.Second):
+			t.Fatal("still running")
+		}
+	})
 }
