gateway: the tests of an isolated gateway run in simulated time

Seen: TestIsolatedGatewayIsNotReady, once at a load of 50 to 60: not ready after 2.6 s instead of in under 2 s. Cause: the test, not the code. Fix: the network and the time of this test and of TestElectionKeepsGatewaysReady are simulated. The limits and checks are the same; that the gateway is isolated at all and only without a majority is still checked (setting isolated to false or to true makes one of the two fail).

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
-	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -63,21 +65,39 @@
 	assert.Equal(t, g.Do(t.Context(), submit).Verdict, cell.Accepted)
 }
 
-// silentAddress returns the address of a listener that never replies.
-func silentAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { l.Close() })
-	return l.Addr().String()
+// simulatedNetwork passes requests on to control processes by their address. Requests to other
+// addresses are never answered.
+type simulatedNetwork map[string]*fakeControlProcess
+
+func (n simulatedNetwork) RoundTrip(r *http.Request) (*http.Response, error) {
+	if p := n[r.URL.Host]; p != nil {
+		answer := httptest.NewRecorder()
+		cellapi.Handler(p, nil).ServeHTTP(answer, r)
+		if r.Context().Err() == nil {
+			return answer.Result(), nil
+		}
+	}
+	<-r.Context().Done()
+	return nil, r.Context().Err()
 }
 
-// newGatewayAfterLeaderLoss returns a gateway whose members are the other control
-// processes and a leader that replied once and does not reply any more.
-func newGatewayAfterLeaderLoss(t *testing.T, others ...string) *Gateway {
+// newGatewayAfterLeaderLoss returns a gateway whose members are the other control processes, the
+// first of which follow and the rest of which are silent, and a leader that replied once and does
+// not reply any more. The network is a simulated one, so that the time can be simulated too: on a
+// slow machine a probe of a process that replies takes longer than the gateway waits for it.
+func newGatewayAfterLeaderLoss(t *testing.T, following, silent int) *Gateway {
 	leader := &fakeControlProcess{}
-	address := startControlProcess(t, leader)
-	leader.reply = cellapi.Reply{Verdict: cell.Accepted, Members: append(others, address)}
-	client := cellapi.NewClient([]string{address}, nil, slog.New(slog.DiscardHandler))
+	network := simulatedNetwork{"leader:1": leader}
+	members := []string{"leader:1"}
+	for i := range following + silent {
+		address := fmt.Sprintf("other-%d:1", i)
+		members = append(members, address)
+		if i < following {
+			network[address] = &fakeControlProcess{reply: cellapi.Reply{NotLeader: true}}
+		}
+	}
+	leader.reply = cellapi.Reply{Verdict: cell.Accepted, Members: members}
+	client := cellapi.NewClientOver(network, []string{"leader:1"}, slog.New(slog.DiscardHandler))
 	assert.Equal(t, client.Do(t.Context(), &cellapi.Call{AnnounceAdviceCaller: &cellapi.AnnounceAdviceCaller{}}).Verdict, cell.Accepted)
 	leader.gone.Store(true)
 	g := New(client, "gateway", nil, slog.New(slog.DiscardHandler))
@@ -91,30 +111,32 @@
 // Guards against a gateway that makes clients wait in a data centre that is partitioned from
 // most control processes: it must not be ready and must refuse calls immediately.
 func TestIsolatedGatewayIsNotReady(t *testing.T) {
-	follower := startControlProcess(t, &fakeControlProcess{reply: cellapi.Reply{NotLeader: true}})
-	g := newGatewayAfterLeaderLoss(t, follower, silentAddress(t), silentAddress(t))
-	began := time.Now()
-	for g.Ready() && time.Since(began) < 2*time.Second {
-		time.Sleep(10 * time.Millisecond)
-	}
-	took := time.Since(began)
-	assert.Assert(t, took > silenceBeforeProbe/2 && took < 2*time.Second, "not ready after %v", took)
-	assert.Assert(t, g.isolated.Load())
-	asked := time.Now()
-	r := g.Do(t.Context(), &cellapi.Call{Status: &cell.Request{}})
-	assert.Assert(t, r.Refused != "" && r.Unknown == "" && time.Since(asked) < 100*time.Millisecond)
+	synctest.Test(t, func(t *testing.T) {
+		g := newGatewayAfterLeaderLoss(t, 1, 2)
+		began := time.Now()
+		for g.Ready() && time.Since(began) < 2*time.Second {
+			time.Sleep(10 * time.Millisecond)
+		}
+		took := time.Since(began)
+		assert.Assert(t, took > silenceBeforeProbe/2 && took < 2*time.Second, "not ready after %v", took)
+		assert.Assert(t, g.isolated.Load())
+		asked := time.Now()
+		r := g.Do(t.Context(), &cellapi.Call{Status: &cell.Request{}})
+		assert.Assert(t, r.Refused != "" && r.Unknown == "" && time.Since(asked) < 100*time.Millisecond)
+	})
 }
 
 // Guards against all gateways becoming not ready at once while a leader is elected or all
 // control processes restart.
 func TestElectionKeepsGatewaysReady(t *testing.T) {
-	follower := &fakeControlProcess{reply: cellapi.Reply{NotLeader: true}}
-	for name, others := range map[string][]string{
-		"election": {startControlProcess(t, follower), startControlProcess(t, follower), silentAddress(t)},
-		"all down": {silentAddress(t), silentAddress(t)},
+	for name, others := range map[string]struct{ following, silent int }{
+		"election": {2, 1},
+		"all down": {0, 2},
 	} {
-		g := newGatewayAfterLeaderLoss(t, others...)
-		time.Sleep(silenceBeforeProbe + 3*watchInterval)
-		assert.Assert(t, g.Ready(), name)
+		synctest.Test(t, func(t *testing.T) {
+			g := newGatewayAfterLeaderLoss(t, others.following, others.silent)
+			time.Sleep(silenceBeforeProbe + 3*watchInterval)
+			assert.Assert(t, g.Ready(), name)
+		})
 	}
 }
