dispatch: running work that saves its state moves out of evacuated data centres

Work in an evacuated data centre ran to its end there, however long it takes, also if it saves its state and there is capacity elsewhere.

After a plan that has looked at all ready steps, the leader stops running tasks that save their state in evacuated data centres, as far as the capacity that the plan has left can hold them. The task starts elsewhere as any other task once its end is committed; the replicated state and what is sent between processes are unchanged.

--- a/internal/dispatch/evacuation_random_test.go
+++ b/internal/dispatch/evacuation_random_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"laburnumgrade/internal/cell"
@@ -28,15 +29,20 @@
 	evacuationSeeds = flag.Int("evacuation.seeds", 12, "number of seeds of TestNoTaskStartsInEvacuatedDataCentre")
 )
 
+// longEstimate is the run time of some tasks, which is longer than a move costs.
+const longEstimate = 8 * time.Second
+
 // maxStartDelay is how long after the acknowledgement of an evacuation tasks may start there:
 // the validity of a start order. The platform allows 5 s.
 const maxStartDelay = startValidity
 
-// Guards against a task that starts in an evacuated data centre, and against a data centre that
+// Guards against a task that starts in an evacuated data centre, against one that moves out of it
+// and runs twice at the same time or not at all, and against a data centre that
 // gets no work after its evacuation was stopped, through changes of the leader, lost responses,
 // start orders that are carried out late, commits that take long, restarts with a snapshot,
 // gangs, daemons and plans of many slices.
 func TestNoTaskStartsInEvacuatedDataCentre(t *testing.T) {
+	moves := 0
 	for i := range *evacuationSeeds {
 		seed := *evacuationSeed + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -45,9 +51,13 @@
 			runCellWith(t, 0, func(c *Config) {
 				log = newLossyLog(c.Log.(*fakeLog), seed, m)
 				c.Log, c.Workers, c.Clock = log, &checkedWorkers{c.Workers, m}, &busyPlannerClock{Clock: c.Clock}
+				m.metrics = tally.NewTestScope("", nil)
+				c.Scope = m.metrics
 			}, func(b *testCell) { runEvacuations(b, seed, log, m) })
+			moves += m.moved()
 		})
 	}
+	assert.Assert(t, moves > 0 || *evacuationSeeds < 2, "no task has moved")
 }
 
 // busyPlannerClock makes plans take several slices although no time passes while they are
@@ -145,6 +155,18 @@
 	latest      time.Duration
 	starts      map[string]int
 	evacuations int
+	// metrics are those of the leader.
+	metrics tally.TestScope
+}
+
+// moved returns how many tasks were stopped in order to move.
+func (m *evacuationModel) moved() int {
+	for _, c := range m.metrics.Snapshot().Counters() {
+		if c.Name() == "cell_moved_tasks" {
+			return int(c.Value())
+		}
+	}
+	return 0
 }
 
 // proposed checks placements that are proposed now: none is for an evacuated data centre once
@@ -238,6 +260,9 @@
 	}
 }
 
+// hasRoom reports whether a seed is one with a low load.
+func hasRoom(seed uint64) bool { return seed%2 == 1 }
+
 // randomStep returns a task step, a gang or a daemon.
 func randomStep(random *rand.Rand) cell.Step {
 	step := cell.Step{Count: 1 + random.IntN(12), Size: structs.Resources{MilliCPU: 200 + random.Int64N(800)}, EstimateMS: 1000}
@@ -247,6 +272,9 @@
 	case 1:
 		step.Checkpointable = true
 	}
+	if random.IntN(6) == 0 {
+		step.Checkpointable, step.EstimateMS = true, longEstimate.Milliseconds()
+	}
 	return step
 }
 
@@ -257,6 +285,12 @@
 	between := func(from, to time.Duration) time.Duration { return from + time.Duration(random.Int64N(int64(to-from))) }
 	dataCentres := []string{"a", "b", "c"}
 	const workers = 9
+	// With every other seed there is room for moved tasks: the load is low, and one data centre is
+	// not evacuated.
+	arrivals := 25
+	if hasRoom(seed) {
+		arrivals = 5
+	}
 	m.b = b
 	for i := range workers {
 		m.dataCentre[fmt.Sprintf("w%d", i)] = dataCentres[i%len(dataCentres)]
@@ -269,15 +303,31 @@
 	var operators sync.WaitGroup
 	began := time.Now()
 	for i, dc := range dataCentres {
+		if hasRoom(seed) && i == 0 {
+			continue
+		}
 		source := rand.New(rand.NewPCG(seed, 10+uint64(i)))
 		operators.Go(func() { m.operate(source, dc, began.Add(troubleTime)) })
 	}
 	term, leadsAt, jobs := uint64(1), time.Duration(0), []string{}
+	// Tasks with a long estimate run as long, unlike the others.
+	long := map[string]bool{}
+	b.fleet.durationOf = func(id string, task cell.TaskKey) time.Duration {
+		if long[task.Job] {
+			return longEstimate
+		}
+		return b.fleet.workers[id].taskDuration
+	}
 	// All jobs are of the queue whose jobs are not overdue before the end: steps that join a
 	// plan in progress before overdue ones would fill each slice of it, as short as these are.
 	submit := func(s cell.Step) {
 		id := fmt.Sprintf("%016x", len(jobs)+1)
 		jobs = append(jobs, id)
+		if s.EstimateMS == longEstimate.Milliseconds() {
+			b.fleet.mu.Lock()
+			long[id] = true
+			b.fleet.mu.Unlock()
+		}
 		c := &cellapi.Call{Submit: &cell.Submit{Request: cell.Request{Host: "h", Path: queuePath + id}, Job: cell.Submission{Spec: "s", Steps: []cell.Step{s}}}}
 		go b.repeatUntilAccepted(c, time.Minute)
 	}
@@ -294,7 +344,7 @@
 	}
 	for now := time.Duration(0); now < troubleTime+settleTime; now += step {
 		calm := now >= troubleTime
-		if chance(25) && now < troubleTime-10*time.Second {
+		if chance(arrivals) && now < troubleTime-10*time.Second {
 			submit(randomStep(random))
 		}
 		if id := fmt.Sprintf("w%d", random.IntN(workers)); chance(10) && !calm {
@@ -341,7 +391,7 @@
 	for dc, n := range m.starts {
 		before[dc] = n
 	}
-	b.t.Logf("%d evacuations, %d jobs, %v starts, the last one %v after an acknowledgement", m.evacuations, len(jobs), m.starts, m.latest)
+	b.t.Logf("%d evacuations, %d jobs, %v starts, the last one %v after an acknowledgement, %d moves", m.evacuations, len(jobs), m.starts, m.latest, m.moved())
 	b.fleet.mu.Unlock()
 	// All data centres get work again.
 	for range 10 {
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -161,6 +161,7 @@
 
 type fakeRun struct {
 	began, endsAt time.Time
+	duration      time.Duration
 	// outcome, if not 0, replaces that of the worker.
 	outcome        cell.Outcome
 	speedReduction int
@@ -323,7 +324,7 @@
 	if f.durationOf != nil {
 		duration = f.durationOf(id, o.Task)
 	}
-	run := &fakeRun{began: time.Now(), endsAt: time.Now().Add(duration)}
+	run := &fakeRun{began: time.Now(), endsAt: time.Now().Add(duration), duration: duration}
 	if f.outcomeOf != nil {
 		run.outcome = f.outcomeOf(k)
 	}
@@ -462,7 +463,7 @@
 	}
 	l := &AttemptListing{Answer: Done, ClockMS: w.clock(), Born: w.born}
 	for k, r := range w.running {
-		percent := 100 * float64(r.worked()) / float64(w.taskDuration)
+		percent := 100 * float64(r.worked()) / float64(r.duration)
 		if w.wholePercents {
 			percent = math.Floor(percent)
 		}
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -112,7 +112,7 @@
 
 // leaderMetrics holds the metrics of a leader.
 type leaderMetrics struct {
-	planned, refused, done, failed, early, unstarted, lapses, crashes, advice, adviceErrors, truncatedListings, withdrawnSubmissions tally.Counter
+	planned, refused, moved, done, failed, early, unstarted, lapses, crashes, advice, adviceErrors, truncatedListings, withdrawnSubmissions tally.Counter
 	// adviceWait is the time until an answer, and adviceDelay what it exceeds the expected
 	// time by.
 	commit, wait, adviceWait, adviceDelay tally.Histogram
@@ -144,7 +144,7 @@
 func newLeaderMetrics(scope tally.Scope) leaderMetrics {
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
 	m := leaderMetrics{
-		planned: scope.Counter("cell_placements"), refused: scope.Counter("cell_placement_refusals"),
+		planned: scope.Counter("cell_placements"), refused: scope.Counter("cell_placement_refusals"), moved: scope.Counter("cell_moved_tasks"),
 		done: scope.Counter("cell_ends_done"), failed: scope.Counter("cell_ends_failed"),
 		early: scope.Counter("cell_ends_early"), unstarted: scope.Counter("cell_ends_unstarted"),
 		lapses: scope.Counter("cell_lapses"), crashes: scope.Counter("cell_crashes"), advice: scope.Counter("cell_advice_calls"), adviceErrors: scope.Counter("cell_advice_errors"),
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -125,6 +125,9 @@
 	isolation    isolation
 	crashedSteps map[cell.StepKey]bool
 	isolating    bool
+	// moves is set if running tasks may be moved out of evacuated data centres after the
+	// plan.
+	moves bool
 	plan
 }
 
@@ -144,7 +147,11 @@
 	if len(steps) > 0 {
 		t.completeReadySteps(steps, p.now, use)
 		steps = t.window.arrange(steps, t.advice.stepsInService(p.now))
+	}
+	if len(steps) > 0 || p.moves {
 		t.addCandidates(workers, p)
+	}
+	if len(steps) > 0 {
 		p.victims = t.newVictimFinder(p)
 		p.releases = func(c *candidate) []reservation.Release { return t.releasesOf(c, p.now) }
 		t.mu.Lock()
@@ -167,6 +174,9 @@
 		total += use.spent()
 		if len(steps) == 0 || len(p.counted) >= firstSteps && t.leader.Clock.Now()-began >= t.planTime {
 			t.window.record(steps[joined:])
+			if p.moves && len(steps) == 0 {
+				t.moveRunning(p, readySteps)
+			}
 			break
 		}
 		if !t.pause(planPause(use.spent())) || !t.leads() {
@@ -245,7 +255,8 @@
 		// A task that starts again later requests new advice, since by then other
 		// workers have free capacity.
 		t.advice.retainSteps(v.Ready())
-		if len(readySteps) > 0 {
+		p.moves = t.movesDue(p.now) && len(v.Evacuated()) > 0
+		if len(readySteps) > 0 || p.moves {
 			workers = t.attemptCopies.copyWorkers(v)
 			workers = p.setAsideEvacuated(workers, v)
 		}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -72,7 +72,10 @@
 	// endedDataForgotten is when the data of ended jobs was last dropped. Only the
 	// planner's goroutine uses it.
 	endedDataForgotten time.Duration
-	goroutines         sync.WaitGroup
+	// movesAt is when running tasks were last looked for that should move. Only the planner's
+	// goroutine uses it.
+	movesAt    time.Duration
+	goroutines sync.WaitGroup
 
 	mu sync.Mutex
 	// sessions holds the session of each worker's newest incarnation by worker ID.
@@ -90,6 +93,8 @@
 	// counts how often each task was preempted.
 	lastPreemption map[cell.StepKey]time.Duration
 	preemptions    map[cell.TaskKey]int
+	// moving holds the tasks that are being moved out of evacuated data centres.
+	moving map[cell.TaskKey]move
 	// stalls holds the tasks that were stopped because they made no progress.
 	stalls map[cell.TaskKey]taskStalls
 	// lastStopOrder is when a stop order was last sent for an unwanted attempt.
@@ -134,6 +139,7 @@
 		times:          map[cell.OccurrenceKey]jobTiming{},
 		lastPreemption: map[cell.StepKey]time.Duration{},
 		preemptions:    map[cell.TaskKey]int{},
+		moving:         map[cell.TaskKey]move{},
 		stalls:         map[cell.TaskKey]taskStalls{},
 		wall:           newWallClock(),
 		cordoned:       map[string]bool{},
@@ -200,6 +206,7 @@
 			t.housekeepingAt = now
 			t.syncSessions()
 			t.stopUnwanted()
+			t.endMoves(now)
 			t.reportUnconfirmedAttempts()
 		}
 		use.stop()
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -380,8 +380,8 @@
 	s.stop(key, run)
 }
 
-// unavailable counts the other tasks of a step that are not serving or have not
-// served for MinServingTime.
+// unavailable counts the other tasks of a step that are not serving, have not
+// served for MinServingTime, or are being moved out of an evacuated data centre.
 func (t *term) unavailable(v *cell.View, key cell.TaskKey) int {
 	serving := map[int]bool{}
 	now := t.leader.Clock.Now()
@@ -391,7 +391,7 @@
 			continue
 		}
 		for k, a := range w.Attempts {
-			if k.StepKey == key.StepKey && s.hasServedSince(attemptKey{k, a.Run}, now-t.leader.Bounds.MinServingTime) {
+			if k.StepKey == key.StepKey && !t.isMoving(k, a.Run) && s.hasServedSince(attemptKey{k, a.Run}, now-t.leader.Bounds.MinServingTime) {
 				serving[k.Index] = true
 			}
 		}
