dispatch: limited starts on cold workers; admission counts them by their speed

Workers that are cold after the return of their data centre got as many starts at once as they had room for, and urgent work as soon as all others were full for a moment. Admission counted their capacity in full.

Urgent work leaves cold workers alone while others have room for it or should have it in time. How much slower cold workers are is learned from tasks that ran on them from start to end; admission divides their capacity by it, and work has slack on them only if it has with it.

--- a/internal/dispatch/candidate.go
+++ b/internal/dispatch/candidate.go
@@ -29,8 +29,10 @@
 	// lost now. busy is set if the worker has attempts.
 	leaseRemaining time.Duration
 	busy           bool
-	// cold is set while the worker is slow after its start.
-	cold bool
+	// cold is set while the worker is slow after its start. coldStarts counts the tasks that
+	// were started there lately or that this plan has placed on it.
+	cold       bool
+	coldStarts int
 	// serves is set if tasks with a response time target run on the worker.
 	// fillerLoad is the size of the fillers that this plan has placed on it.
 	serves     bool
@@ -119,12 +121,17 @@
 		if s == nil {
 			continue
 		}
-		p.candidates = append(p.candidates, &candidate{
+		c := &candidate{
 			id: id, born: w.Born, service: w.Service, worker: w, free: w.Free(), reservedFor: t.reserved[id],
 			leaseRemaining: s.leaseRemaining(p.now), busy: len(w.Attempts) > 0, serves: s.serving(), isolatedFor: s.unsettledSuspect(w, p.now),
 			cold: t.cold.isCold(incarnation{id, w.Born}, p.now),
-		})
+		}
+		if c.cold {
+			c.coldStarts = t.cold.startCount(incarnation{id, w.Born}, p.now)
+		}
+		p.candidates = append(p.candidates, c)
 	}
+	p.coldFactor = t.stats.coldRatio()
 	p.candidates = t.stats.assess(p.candidates, p.now)
 	for _, c := range p.candidates {
 		p.byID[c.id] = c
@@ -142,14 +149,16 @@
 }
 
 // withholdUnusable excludes the workers that may no longer get new attempts from the rest of
-// a plan.
+// a plan, and updates which of them are cold.
 func (t *term) withholdUnusable(p *planner) {
 	evacuated := t.evacuated()
 	for _, c := range p.candidates {
 		if evacuated[c.worker.DataCentre] || t.usableSession(c.id, c.born, p.now) == nil {
 			c.withheld = true
 		}
+		c.cold = t.cold.isCold(incarnation{c.id, c.born}, p.now)
 	}
+	p.coldKnown = false
 }
 
 // addPlaced adds to the number of tasks of a step that this plan has placed on
@@ -162,6 +171,7 @@
 		c.placed = map[cell.StepKey]int{}
 	}
 	c.placed[k] += n
+	c.coldStarts += n
 }
 
 // fillerCost is the ranking cost of sharing the worker's processors with other
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -285,15 +285,18 @@
 
 // recordEnd adds an ended attempt to the worker's statistics.
 func (s *session) recordEnd(e *ListedEnd, now time.Duration) {
-	took := s.runTimeOf(&e.AttemptEnd, now)
-	if s.t.cold.isCold(incarnation{s.target.ID, s.born}, now-took) {
+	took, tookCold := s.runTimeOf(&e.AttemptEnd, now), time.Duration(0)
+	if i := (incarnation{s.target.ID, s.born}); s.t.cold.isCold(i, now-took) {
+		if s.t.cold.isCold(i, now) {
+			tookCold = took
+		}
 		took = 0 // its run time says nothing about the speed of the worker once it is warm
 	}
 	if e.Outcome == cell.EndedFailed {
 		s.t.recordFailure(s.target.ID, e.Task, now)
 	}
 	if e.Outcome == cell.EndedDone {
-		s.t.recordDone(s.target.ID, e.Task, took)
+		s.t.recordDone(s.target.ID, e.Task, took, tookCold)
 	}
 }
 
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -247,14 +247,19 @@
 func (t *term) deriveLoad() *overload.Load {
 	load := overload.NewLoad()
 	ratios := t.stats.queueRatios()
+	coldRatio, now := t.stats.coldRatio(), t.leader.Clock.Now()
 	t.leader.Store.View(func(v *cell.View) {
-		for _, w := range v.Workers() {
+		for id, w := range v.Workers() {
 			// Workers that do not answer for a moment count: after a change of the leader all
 			// of them have to answer first.
-			if w.Usable() && !v.IsEvacuated(w.DataCentre) {
-				load.Capacity = load.Capacity.Add(w.Capacity)
-				load.Free = load.Free.Add(w.Free().Max(structs.Resources{}))
+			if !w.Usable() || v.IsEvacuated(w.DataCentre) {
+				continue
+			}
+			capacity, free := w.Capacity, w.Free().Max(structs.Resources{})
+			if coldRatio > 1 && t.cold.isCold(incarnation{id, w.Born}, now) {
+				capacity, free = effectiveCapacity(capacity, coldRatio), effectiveCapacity(free, coldRatio)
 			}
+			load.Capacity, load.Free = load.Capacity.Add(capacity), load.Free.Add(free)
 		}
 		c := v.Configuration()
 		if c == nil {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -63,7 +63,7 @@
 	}
 	for i := range placed {
 		c := p.byID[placed[i].Worker]
-		c.placed[rs.key]--
+		c.addPlaced(rs.key, -1)
 		if rs.crashed[placed[i].Task.Index].suspect {
 			c.addSuspects(rs.job.ID, -1)
 		}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -125,6 +125,10 @@
 	isolation    isolation
 	crashedSteps map[cell.StepKey]bool
 	isolating    bool
+	// coldFactor is the ratio of run times on cold workers to those on warm ones. anyCold is
+	// set if a candidate is cold; it is known if coldKnown is set.
+	coldFactor         float64
+	anyCold, coldKnown bool
 	// moves is set if running tasks may be moved out of evacuated data centres after the
 	// plan.
 	moves bool
@@ -359,6 +363,7 @@
 		return
 	}
 	started()
+	t.cold.taskStarted(incarnation{p.Worker, p.Born}, decidedAt)
 	t.leader.metrics.wait.RecordDuration(t.leader.Clock.Now() - firstSeen)
 	t.leader.Logger.Info("task planned", logging.Step("plan"), logging.Job(p.Task.Job), "task", position(p.Task), "run", p.Run, logging.Peer(p.Worker),
 		"since_seen_ms", (t.leader.Clock.Now() - firstSeen).Milliseconds(), "factor", t.stats.factorOf(p.Worker), "saved", o.Checkpoint != "")
@@ -469,6 +474,7 @@
 		}
 		tasks = tasks[:room]
 	}
+	rs.avoidsCold = p.shouldAvoidCold(rs, advice, len(tasks))
 	fitting := p.fitting(rs, advice)
 	if rs.step.Gang && !rs.step.SameRack {
 		if room := p.totalRoom(rs, fitting); room < len(tasks) {
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -72,7 +72,7 @@
 func (p *planner) allowedFor(rs *readyStep) []*candidate {
 	var list []*candidate
 	for _, c := range p.group(rs) {
-		if c.withheld || c.timeline.HasReservations() || !rs.mayJoin(c) {
+		if c.withheld || c.cold || c.timeline.HasReservations() || !rs.mayJoin(c) {
 			continue
 		}
 		if issued, ok := rs.advice.ticketFor(c.id); rs.advice != nil && (!ok || issued.born != c.born) {
--- a/internal/dispatch/rack.go
+++ b/internal/dispatch/rack.go
@@ -94,7 +94,7 @@
 	if n > 0 && c.timeline.HasReservations() {
 		n = min(n, c.timeline.Count(rs.step.Claim(), c.free, p.now, p.expectedEnd(rs, c)))
 	}
-	return capPerWorker(rs.step, n)
+	return capPerWorker(rs.step, c.coldRoom(rs, n))
 }
 
 // expectedEnd returns when a task of the step that starts on a worker now should have ended.
--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"laburnumgrade/internal/reservation"
 	"laburnumgrade/internal/structs"
@@ -122,7 +121,7 @@
 
 // hasRoom reports whether a worker of the step's group has room for one task of it now.
 func (p *planner) hasRoom(rs *readyStep, c *candidate) bool {
-	return rs.step.Claim().Fits(c.free) && !c.withheld && (!c.timeline.HasReservations() || p.tasksThatFit(rs, c) > 0)
+	return rs.step.Claim().Fits(c.free) && !c.withheld && (!c.cold && !c.timeline.HasReservations() || p.tasksThatFit(rs, c) > 0)
 }
 
 // fits reports whether a worker of the step's group can take one task of it now.
@@ -214,7 +213,7 @@
 	}
 	switch {
 	case rs.step.Filler:
-	case rs.queue.Priority > 0 && p.now+time.Duration(slowMargin*factor*float64(rs.remaining)) < rs.deadline:
+	case p.hasSlack(rs, p.coldFactorOf(c)*factor):
 		// The work is in time even here: prefer the slowest such worker.
 		value = 2 - factor + spareCapacityCost*spare - 2
 	case c.cold:
@@ -239,6 +238,14 @@
 	return value
 }
 
+// coldFactorOf returns the factor on the run times on a worker because it is cold.
+func (p *planner) coldFactorOf(c *candidate) float64 {
+	if !c.cold {
+		return 1
+	}
+	return max(1, p.coldFactor)
+}
+
 // reserve reserves room for a gang that does not fit: what becomes free first on its allowed
 // workers, or the rack with the most free capacity if it needs one. Otherwise smaller tasks
 // would take the room as it becomes free.
--- a/internal/dispatch/ready.go
+++ b/internal/dispatch/ready.go
@@ -60,6 +60,8 @@
 	// ignoresIsolation is set if the step has waited too long for workers on which no
 	// suspects of other jobs run.
 	ignoresIsolation bool
+	// avoidsCold is set if the step does not use workers that are cold.
+	avoidsCold bool
 	// waitsFor is set by the plan.
 	waitsFor waitReason
 }
--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -122,9 +122,9 @@
 }
 
 // mayJoin reports whether tasks of the step may be placed on the worker beside the suspects
-// there.
+// there, and although it is cold.
 func (rs *readyStep) mayJoin(c *candidate) bool {
-	return rs.ignoresIsolation || c.admits(rs.job.ID)
+	return !(rs.avoidsCold && c.cold) && (rs.ignoresIsolation || c.admits(rs.job.ID))
 }
 
 // runsOnly reports whether the worker has no tasks of other jobs, including those that
--- a/internal/dispatch/worker_stats.go
+++ b/internal/dispatch/worker_stats.go
@@ -22,6 +22,9 @@
 	// average, both logarithmic, from which the short-term one is used. It is a
 	// factor of 2.2, which samples of a sound worker rarely reach.
 	slowdownThreshold = 0.8
+	// minQueueSamples is the number of run times of a queue from which those on cold workers
+	// are compared with them.
+	minQueueSamples = 5
 	// defaultTaskEstimate replaces an estimate that a job does not state.
 	defaultTaskEstimate = time.Second
 )
@@ -34,7 +37,10 @@
 	// workerFactor is the same by worker, relative to the ratio of the queue.
 	queueRatio   map[string]*average
 	workerFactor map[string]*average
-	faults       *faultDetector
+	// coldFactor is the ratio of run times on cold workers to those on the same workers when
+	// they are warm, over all workers.
+	coldFactor average
+	faults     *faultDetector
 }
 
 // average holds a long-term and a short-term moving average of the logarithms of
@@ -90,8 +96,8 @@
 }
 
 // recordDone records a task that was done. took is its run time, 0 if it is not
-// known.
-func (t *term) recordDone(worker string, k cell.TaskKey, took time.Duration) {
+// known, and tookCold the same if the worker was cold.
+func (t *term) recordDone(worker string, k cell.TaskKey, took, tookCold time.Duration) {
 	var estimate time.Duration
 	var queue string
 	t.leader.Store.View(func(v *cell.View) {
@@ -105,6 +111,9 @@
 		}
 	})
 	t.stats.done(worker, queue, estimate, took)
+	if tookCold > 0 {
+		t.stats.doneCold(worker, queue, estimate, tookCold)
+	}
 }
 
 // recordFailure records a task that failed.
@@ -141,6 +150,25 @@
 	factor.add(ratio / math.Exp(ratioOfQueue.longTerm))
 }
 
+// doneCold records the run time of a task that ran on a cold worker from its start to its end.
+func (s *workerStats) doneCold(worker, queue string, estimate, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ratioOfQueue := s.queueRatio[queue]
+	if estimate <= 0 || took <= 0 || ratioOfQueue == nil || ratioOfQueue.samples < minQueueSamples {
+		return
+	}
+	s.coldFactor.add(float64(took) / float64(estimate) / math.Exp(ratioOfQueue.longTerm) / s.workerFactor[worker].ratio())
+}
+
+// coldRatio returns the ratio of run times on cold workers to those on warm ones, at least 1,
+// and 1 if there are no samples.
+func (s *workerStats) coldRatio() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(1, s.coldFactor.ratio())
+}
+
 // failed records a task that failed.
 func (s *workerStats) failed(worker, queue, job string, now time.Duration) {
 	s.mu.Lock()
