--- a/internal/dispatch/candidate.go
+++ b/internal/dispatch/candidate.go
@@ -29,8 +29,10 @@
 	// lost now. busy is set if the worker has attempts.
 	leaseRemaining time.Duration
 	busy           bool
-	// cold is set while the worker is slow after its start.
-	cold bool
+	// cold is set while the worker is slow after its start. coldStarts counts the tasks that
+	// were started there lately or that this plan has placed on it.
+	cold       bool
+	coldStarts int
 	// serves is set if tasks with a response time target run on the worker.
 	// fillerLoad is the size of the fillers that this plan has placed on it.
 	serves     bool
@@ -158,8 +160,13 @@
 			leaseRemaining: s.leaseRemaining(p.now), busy: len(w.Attempts) > 0, serves: s.serving(), isolatedFor: s.unsettledSuspect(w, p.now),
 			cold: t.cold.isCold(incarnation{id, w.Born}, p.now),
 		})
-		p.candidates = append(p.candidates, &all[len(all)-1])
+		c := &all[len(all)-1]
+		if c.cold {
+			c.coldStarts = t.cold.startCount(incarnation{id, w.Born}, p.now)
+		}
+		p.candidates = append(p.candidates, c)
 	}
+	p.coldFactor = t.stats.coldRatio()
 	p.candidates = t.stats.assess(p.candidates, p.now)
 	if len(p.byID) == 0 {
 		p.byID = make(map[string]*candidate, len(p.candidates))
@@ -183,14 +190,16 @@
 }
 
 // withholdUnusable excludes the workers that may no longer get new attempts from the rest of
-// a plan.
+// a plan, and updates which of them are cold.
 func (t *term) withholdUnusable(p *planner) {
 	evacuated := t.evacuated()
 	for _, c := range p.candidates {
 		if evacuated[c.worker.DataCentre] || t.usableSession(c.id, c.born, p.now) == nil {
 			c.withheld = true
 		}
+		c.cold = t.cold.isCold(incarnation{c.id, c.born}, p.now)
 	}
+	p.coldKnown = false
 }
 
 // addPlaced adds to the number of tasks of a step that this plan has placed on
@@ -203,6 +212,7 @@
 		c.placed = map[cell.StepKey]int{}
 	}
 	c.placed[k] += n
+	c.coldStarts += n
 }
 
 // fillerCost is the ranking cost of sharing the worker's processors with other
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -138,6 +138,13 @@
 	isolating    bool
 	// decided, if not nil, is called for each step that was decided on.
 	decided func(*readyStep)
+	// coldFactor is the ratio of run times on cold workers to those on warm ones. anyCold is
+	// set if a candidate is cold; it is known if coldKnown is set.
+	coldFactor         float64
+	anyCold, coldKnown bool
+	// moves is set if running tasks may be moved out of evacuated data centres after the
+	// plan.
+	moves bool
 	plan
 }
 
@@ -161,7 +168,11 @@
 		t.turnDelay.observe(use.delay)
 		inService := t.advice.stepsInService(p.now)
 		steps = t.window.arrange(t.withoutGivingWay(p, steps, inService), inService)
+	}
+	if len(steps) > 0 || p.moves {
 		t.addCandidates(workers, p)
+	}
+	if len(steps) > 0 {
 		p.victims = t.newVictimFinder(p)
 		p.releases = func(c *candidate) []reservation.Release { return t.releasesOf(c, p.now) }
 		t.mu.Lock()
@@ -184,6 +195,9 @@
 		total += use.spent()
 		if len(steps) == 0 || len(p.counted) >= firstSteps && t.leader.Clock.Now()-began >= t.planTime {
 			t.window.record(steps[joined:])
+			if p.moves && len(steps) == 0 {
+				t.moveRunning(p, readySteps)
+			}
 			break
 		}
 		if !t.pause(planPause(use.spent())) || !t.leads() {
@@ -263,7 +277,8 @@
 		// A task that starts again later requests new advice, since by then other
 		// workers have free capacity.
 		t.advice.retainSteps(v.Ready())
-		if len(readySteps) > 0 {
+		p.moves = t.movesDue(p.now) && len(v.Evacuated()) > 0
+		if len(readySteps) > 0 || p.moves {
 			workers = t.attemptCopies.copyWorkers(v)
 			workers = p.setAsideEvacuated(workers, v)
 		}
@@ -379,6 +394,7 @@
 		return
 	}
 	started()
+	t.cold.taskStarted(incarnation{p.Worker, p.Born}, decidedAt)
 	t.leader.metrics.wait.RecordDuration(t.leader.Clock.Now() - timing.firstSeen)
 	if !logging.Drops(t.leader.Logger, taskPlanned) {
 		t.leader.Logger.Info(taskPlanned, logging.Step("plan"), logging.Job(p.Task.Job), "task", position(p.Task), "run", p.Run, logging.Peer(p.Worker),
@@ -494,6 +510,7 @@
 		}
 		tasks = tasks[:room]
 	}
+	rs.avoidsCold = p.shouldAvoidCold(rs, advice, len(tasks))
 	fitting := p.fitting(rs, advice)
 	if rs.step.Gang && !rs.step.SameRack {
 		if room := p.totalRoom(rs, fitting); room < len(tasks) {
