dispatch: the replays set the cost of decisions before the leader runs

The race detector reported that the replay set the hook while the planner of the first term read it. The hook is part of the configuration now. A replay that fails ends its test instead of evaluating missing results.

--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -55,8 +55,10 @@
 	Bounds          Bounds
 	// AdmitAll accepts every job that is allowed, whatever the load of the cell is.
 	AdmitAll bool
-	Logger   *slog.Logger
-	Scope    tally.Scope
+	// simulateUse is processorUse.simulate of the planner; nil outside tests.
+	simulateUse func(u *processorUse, timed int, decided *readyStep)
+	Logger      *slog.Logger
+	Scope       tally.Scope
 }
 
 // Bounds are the time limits and factors from the settings of the site.
@@ -82,8 +84,6 @@
 	Config
 	wake    chan struct{}
 	metrics leaderMetrics
-	// simulateUse is processorUse.simulate of the planner; nil outside tests.
-	simulateUse func(u *processorUse, timed int, decided *readyStep)
 
 	mu sync.Mutex
 	// term is the current term, nil while the process does not lead.
--- a/internal/dispatch/replay_overload_test.go
+++ b/internal/dispatch/replay_overload_test.go
@@ -31,7 +31,7 @@
 	var mu sync.Mutex
 	sums := &phases{map[string]*replayResult{}, map[string]*replayResult{}, map[string]*replayResult{}, map[string]*replayResult{}}
 	used := time.Duration(0)
-	t.Run("replay", func(t *testing.T) {
+	complete := t.Run("replay", func(t *testing.T) {
 		for seed := range 3 {
 			t.Run(fmt.Sprint("seed ", seed+1), func(t *testing.T) {
 				t.Parallel()
@@ -60,6 +60,9 @@
 			})
 		}
 	})
+	if !complete {
+		t.FailNow()
+	}
 	t.Logf("processor used %v\nbefore:\n%s\nduring:\n%s\nrecovery:\n%s\nafter:\n%s", used, replayReport(sums.before), replayReport(sums.during), replayReport(sums.recovery), replayReport(sums.after))
 	return sums
 }
--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -124,10 +124,10 @@
 		c.AdviceClient, c.Log = r.advisers, &delayedLog{c.Log.(*fakeLog), pattern.commitTime, r.processor}
 		c.Workers = &costlyWorkers{c.Workers, r.processor}
 		c.AdmitAll = !pattern.admission
+		c.simulateUse = r.processor.plannerUse()
 	}
 	runCellWith(t, 0, change, func(b *testCell) {
 		r.cell = b
-		b.leader.simulateUse = r.processor.plannerUse()
 		b.fleet.outcomeOf, b.fleet.durationOf = r.outcomeOf, r.durationOf
 		r.configure()
 		r.registerWorkers()
