--- a/internal/dispatch/replay_processor_test.go
+++ b/internal/dispatch/replay_processor_test.go
@@ -19,7 +19,7 @@
 }
 
 // leaderCosts are the costs on a processor of which the leader has 0.64, so that the ordinary
-// load of contendedCell, 900 starts a second, uses three quarters of it.
+// load of contendedCell, 900 starts a second, uses 0.83 to 0.9 of it.
 var leaderCosts = processorCosts{
 	timing: 2 * time.Microsecond, decision: 80 * time.Microsecond, look: 2 * time.Microsecond, commit: 150 * time.Microsecond, commitByte: 300 * time.Nanosecond,
 	call: 190 * time.Microsecond, submission: 230 * time.Microsecond,
