dispatch: only the most urgent queues are judged by what their jobs have waited

Gangs gather room for seconds while others of their queue start, so what they have waited made their priority count as delayed.

TestOnlyWaitsOfMostUrgentQueuesShowDelay fails without the condition.

--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -123,3 +123,25 @@
 func jobCall(path, id string, step cell.Step) *cellapi.Call {
 	return &cellapi.Call{Submit: &cell.Submit{Request: cell.Request{Host: "h", Path: path + id}, Job: cell.Submission{Spec: "s", Steps: []cell.Step{step}}}}
 }
+
+// Guards against refusals of work that is not urgent while workers are free, because gangs of its
+// priority have waited long for their room.
+func TestOnlyWaitsOfMostUrgentQueuesShowDelay(t *testing.T) {
+	runCell(t, 1, func(b *testCell) {
+		b.do(&cellapi.Call{Configure: &cell.Configuration{
+			Version: 2, Services: []cell.Service{{Name: service}},
+			Queues: []cell.Queue{
+				{Name: "q", Host: "h", Prefix: queuePath, Service: service, TimeoutMS: 1000, ObjectiveMS: 1000, Priority: 1, Public: true},
+				{Name: "b", Host: "h", Prefix: shortObjectivePath, Service: service, TimeoutMS: 1000, ObjectiveMS: 1000, Public: true},
+			},
+		}})
+		b.submit(jobID1, taskStep(1, 8)) // the worker has 4 cores
+		b.submitTo(shortObjectivePath, jobID2, taskStep(1, 8))
+		time.Sleep(time.Second)
+		load := b.leader.currentTerm().deriveLoad(b.leader.Clock.Now())
+		assert.Equal(b.t, len(load.Waits), 1)
+		for c := range load.Waits {
+			assert.Equal(b.t, c.Priority, 0)
+		}
+	})
+}
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -289,6 +289,7 @@
 		for i := range c.Teams {
 			load.Teams[c.Teams[i].Name] = &overload.Team{Weight: c.Teams[i].Weight, Limit: c.Teams[i].Limit}
 		}
+		mostUrgent := mostUrgentPriority(c)
 		for _, j := range v.Jobs() {
 			if j.State != cell.Active {
 				continue
@@ -301,7 +302,9 @@
 			timing, known := times[cell.OccurrenceKey{Job: j.ID}]
 			class := classOf(j, q, ratio, timing, now)
 			load.Add(j.Team, class, unstartedWork(j, ratio))
-			if known && !j.Started && j.Schedule.Times == 0 {
+			// Only jobs of the most urgent queues start as soon as they can: what others have waited,
+			// such as gangs that gather room, does not show how long the next one waits.
+			if known && !j.Started && j.Schedule.Times == 0 && q.Priority == mostUrgent {
 				load.AddWait(class, now-timing.firstSeen)
 			}
 		}
