--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -118,6 +118,10 @@
 // leaderMetrics holds the metrics of a leader.
 type leaderMetrics struct {
 	planned, refused, moved, done, failed, early, unstarted, lapses, crashes, advice, adviceErrors, truncatedListings, withdrawnSubmissions tally.Counter
+	// unknownAttempts counts listed attempts that are not committed to their worker,
+	// missingAttempts those that a worker has started and no longer lists, and
+	// answersOfSuccessors the orders that a later incarnation with the same ID answered.
+	unknownAttempts, missingAttempts, answersOfSuccessors tally.Counter
 	// adviceWait is the time until an answer, and adviceDelay what it exceeds the expected
 	// time by.
 	commit, wait, adviceWait, adviceDelay tally.Histogram
@@ -156,6 +160,7 @@
 		early: scope.Counter("cell_ends_early"), unstarted: scope.Counter("cell_ends_unstarted"),
 		lapses: scope.Counter("cell_lapses"), crashes: scope.Counter("cell_crashes"), advice: scope.Counter("cell_advice_calls"), adviceErrors: scope.Counter("cell_advice_errors"),
 		truncatedListings: scope.Counter("cell_truncated_listings"), withdrawnSubmissions: scope.Counter("cell_withdrawn_submissions"),
+		unknownAttempts: scope.Counter("cell_unknown_attempts"), missingAttempts: scope.Counter("cell_missing_attempts"), answersOfSuccessors: scope.Counter("cell_answers_of_successors"),
 		withdrawals: scope.Gauge("cell_withdrawals"), evacuatedDataCentres: scope.Gauge("cell_evacuated_data_centres"),
 		commit: scope.Histogram("cell_commit", buckets), wait: scope.Histogram("cell_wait", buckets),
 		adviceWait: scope.Histogram("cell_advice_wait", buckets), adviceDelay: scope.Histogram("cell_advice_delay", buckets),
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -102,6 +102,7 @@
 	if s.clock.known && len(state.attempts) > 0 && !s.failing && !state.departing {
 		order.DeadlineMS = s.clock.estimate(sent) + lease.Milliseconds()
 		s.latestLeaseEnd = max(s.latestLeaseEnd, s.clock.certainlyPassed(order.DeadlineMS))
+		s.lastGrant = sent
 	}
 	timeout := order.MaxWait + callTimeout
 	if remaining := s.latestLeaseEnd - sent; s.failing && remaining > 0 {
@@ -117,6 +118,9 @@
 		return
 	}
 	if listing.Born != 0 && listing.Born != s.born {
+		s.t.leader.metrics.answersOfSuccessors.Inc(1)
+		s.t.leader.Logger.Warn("renewal for an earlier life carried out by its successor", logging.Step("hold"), logging.Peer(s.target.ID), "born", s.born, "successor", listing.Born,
+			"acked_upto", order.AcknowledgedEnd, "deadline_ms", order.DeadlineMS, "clock_ms", listing.ClockMS)
 		s.rejectOrders(s.target)
 		s.incarnationEnded("another life answers", listing.Born)
 		return
@@ -124,7 +128,7 @@
 	s.mu.Lock()
 	wasFailing := s.failing
 	s.failing, s.fenced = false, true
-	s.lastContact = now
+	s.lastContact, s.aliveAt = now, max(s.aliveAt, sent)
 	s.clock.observe(listing.ClockMS, now)
 	// The worker answered after the wait, so the answer counts from now rather
 	// than from when the call was sent.
@@ -164,7 +168,12 @@
 // of its attempts.
 func (s *session) expireLease(reason string) {
 	s.t.leader.metrics.lapses.Inc(1)
-	s.t.leader.Logger.Warn("attempts of worker given up", logging.Step("lapse"), logging.Peer(s.target.ID), "reason", reason)
+	s.mu.Lock()
+	leaseEnd, granted := s.latestLeaseEnd, s.lastGrant
+	s.mu.Unlock()
+	now := s.t.leader.Clock.Now()
+	s.t.leader.Logger.Warn("attempts of worker given up", logging.Step("lapse"), logging.Peer(s.target.ID), "born", s.born, "reason", reason,
+		"lease_ended_ms", (now - leaseEnd).Milliseconds(), "last_grant_ms", (now - granted).Milliseconds())
 	if state := s.workerState(); state.departing {
 		s.endAttempts(&state)
 		return
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -45,6 +45,10 @@
 	// firstUnlisted is when an attempt without a start order was first missing
 	// from a listing.
 	firstUnlisted time.Duration
+	// startAnsweredAt is when a start order for the attempt was answered, 0 if none was, and
+	// listed is set once the incarnation has listed the attempt itself.
+	startAnsweredAt time.Duration
+	listed          bool
 }
 
 // stallTimeout is how long an attempt may run without progress before it is
@@ -75,6 +79,8 @@
 		r := &listing.Running[i]
 		listed[attemptKey{r.Task, r.Run}] = true
 		if a, ok := state.attempts[r.Task]; !ok || a.Run != r.Run {
+			s.t.leader.metrics.unknownAttempts.Inc(1)
+			s.t.leader.Logger.Warn("worker runs an attempt that is not committed to it", logging.Step("hold"), logging.Peer(s.target.ID), "born", s.born, logging.Job(r.Task.Job), "task", position(r.Task), "run", r.Run, "percent", r.ProgressPercent)
 			s.t.spawn(func() { s.stop(r.Task, r.Run) })
 			continue
 		}
@@ -207,6 +213,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	info := s.attemptInfo(attemptKey{r.Task, r.Run})
+	info.listed = true
 	if !info.confirmed {
 		info.confirmed, info.confirmedAt = true, now
 	}
@@ -317,6 +324,8 @@
 	case info.startInFlight:
 		return 0, false
 	case info.confirmed && info.confirmedAt < sent:
+		s.t.leader.metrics.missingAttempts.Inc(1)
+		s.t.leader.Logger.Warn("attempt is missing from the listing", logging.Step("hold"), logging.Peer(s.target.ID), "born", s.born, logging.Job(k.task.Job), "task", position(k.task), "run", k.run, "percent", info.percent)
 		return cell.EndedEarly, true
 	case info.confirmed:
 		return 0, false
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -23,6 +23,7 @@
 	s.mu.Lock()
 	o.DeadlineMS = s.clock.estimate(decidedAt) + startValidity.Milliseconds()
 	s.latestLeaseEnd = max(s.latestLeaseEnd, s.clock.certainlyPassed(o.DeadlineMS))
+	s.lastGrant = s.t.leader.Clock.Now()
 	info := s.attemptInfo(key)
 	info.deadlineMS, info.startInFlight = o.DeadlineMS, true
 	s.mu.Unlock()
@@ -32,7 +33,7 @@
 	s.mu.Lock()
 	info.startInFlight = false
 	if answer == Done {
-		info.confirmed, info.confirmedAt = true, now
+		info.confirmed, info.confirmedAt, info.startAnsweredAt = true, now, now
 	}
 	s.mu.Unlock()
 	if answer == Done {
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -304,6 +304,7 @@
 		t.rejectEarlierOrders(&r.Register)
 	}
 	r.Started = t.startedBefore(&r.Register)
+	earlier := t.earlierLife(&r.Register)
 	result, err := t.commitOnce(ctx, &cell.Command{Register: &r.Register}, nil)
 	if err != nil {
 		return t.leader.failure(err), true
@@ -311,7 +312,8 @@
 	t.confirmRecord(r, arrived)
 	t.observeCold(r, arrived)
 	t.logCrashes(result)
-	t.leader.Logger.Info("worker registered", logging.Step("register"), logging.Peer(r.ID), "address", r.Address, "born", r.Born, "draining", r.Draining)
+	t.leader.Logger.Info("worker registered", logging.Step("register"), logging.Peer(r.ID), "address", r.Address, "born", r.Born, "draining", r.Draining, "clock_ms", r.ClockMS,
+		"earlier_born", earlier.born, "unproven_starts", earlier.unprovenStarts, "lease_unproven_ms", earlier.leaseUnproven.Milliseconds())
 	return &cellapi.Reply{Verdict: cell.Accepted}, true
 }
 
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -91,6 +91,10 @@
 	// latestLeaseEnd is the time at which every lease that the worker was given has certainly
 	// expired.
 	latestLeaseEnd time.Duration
+	// lastGrant is when an order that extends the lease was last sent, and aliveAt when the
+	// newest order was sent that the incarnation itself has certainly answered.
+	lastGrant time.Duration
+	aliveAt   time.Duration
 	// fillerPace is the speed limit of the fillers on the worker in percent.
 	// serves is set if serving tasks with a response time target run beside them.
 	fillerPace int
