--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -120,6 +120,7 @@
 	crashed func(w *fakeWorker)
 	// durationOf, if not nil, returns how long a task takes on a worker.
 	durationOf func(id string, task cell.TaskKey) time.Duration
+	maxLease   time.Duration
 	// maxListedEnds, if not 0, is the maximum number of ends in a listing.
 	maxListedEnds int
 	// outcomeOf, if not nil, returns how an attempt ends.
@@ -194,7 +195,7 @@
 var errNoAnswer = errors.New("no answer")
 
 func newFakeFleet(t *testing.T) *fakeFleet {
-	return &fakeFleet{t: t, began: time.Now(), workers: map[string]*fakeWorker{}, starts: map[string]int{}, startedRun: map[cell.TaskKey]uint32{}, notedRun: map[cell.TaskKey]uint32{}}
+	return &fakeFleet{t: t, began: time.Now(), maxLease: maxFakeLease, workers: map[string]*fakeWorker{}, starts: map[string]int{}, startedRun: map[cell.TaskKey]uint32{}, notedRun: map[cell.TaskKey]uint32{}}
 }
 
 func (f *fakeFleet) add(id string, born int64) *fakeWorker {
@@ -221,6 +222,15 @@
 	change(f.workers[id])
 }
 
+// maxFakeLease is the longest lease of a worker unless a test sets another.
+const maxFakeLease = 6 * time.Second
+
+// extendLease takes a new end of the lease, which is shortened to the longest one that is
+// allowed and never gets shorter. The caller holds f.mu.
+func (f *fakeFleet) extendLease(w *fakeWorker, deadline int64) {
+	w.deadline = max(w.deadline, min(deadline, w.clock()+f.maxLease.Milliseconds()))
+}
+
 func (w *fakeWorker) clock() int64 { return time.Since(w.clockAt).Milliseconds() }
 
 // endFinished ends the attempts that are finished or whose lease has expired.
@@ -319,7 +329,7 @@
 		return PastDeadline
 	}
 	w.fence = o.Fence
-	w.deadline = max(w.deadline, o.DeadlineMS)
+	f.extendLease(w, o.DeadlineMS)
 	duration := w.taskDuration
 	if f.durationOf != nil {
 		duration = f.durationOf(id, o.Task)
@@ -445,7 +455,7 @@
 		return &AttemptListing{Answer: StaleFence, ClockMS: w.clock()}, nil
 	}
 	w.fence = o.Fence
-	w.deadline = max(w.deadline, o.DeadlineMS)
+	f.extendLease(w, o.DeadlineMS)
 	for waited := time.Duration(0); waited < o.MaxWait && len(w.ends) == 0; waited += 10 * time.Millisecond {
 		f.mu.Unlock()
 		time.Sleep(10 * time.Millisecond)
@@ -519,7 +529,7 @@
 			Log: b.log, Store: b.store, Clock: port.NewSystemClock(), Workers: b.fleet, PeerAddress: "self",
 			Members: func() []string { return nil }, OnJoin: func(*cellapi.AnnounceReplica) {},
 			OnLeader: func(*cellapi.AnnounceLeader) {}, AnnouncedLeader: func() string { return "" },
-			Bounds: Bounds{EndedJobRetention: time.Hour, MaxLease: 6 * time.Second, RemoteFactor: 2}, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+			Bounds: Bounds{EndedJobRetention: time.Hour, MaxLease: maxFakeLease, RemoteFactor: 2}, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 		}
 		change(&c)
 		b.leader = New(c)
--- /dev/null
+++ b/internal/dispatch/life_test.go
@@ -0,0 +1,156 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"laburnumgrade/internal/cell"
+)
+
+// returnUnnoticed replaces an incarnation of a worker by a later one that has not reported. The
+// tasks of the later one take a time.
+func (b *testCell) returnUnnoticed(id string, born int64, taskDuration time.Duration) {
+	b.fleet.change(id, func(w *fakeWorker) {
+		*w = *newFakeWorker(born, w)
+		w.taskDuration = taskDuration
+	})
+}
+
+// cutOff makes a worker unreachable; it runs on.
+func (b *testCell) cutOff(id string) {
+	b.fleet.change(id, func(w *fakeWorker) { w.unreachable = true })
+}
+
+// reconnect makes a worker reachable again.
+func (b *testCell) reconnect(id string) {
+	b.fleet.change(id, func(w *fakeWorker) { w.unreachable = false })
+}
+
+// Guards against a second run of a task whose start order, meant for an earlier life of its
+// worker, was carried out by the next one, if no call reaches the worker after its first report:
+// also if the leader changes or the report comes after it.
+func TestStartCarriedOutByLaterLifeDoesNotRunTwice(t *testing.T) {
+	for _, reportDelay := range []time.Duration{10 * time.Millisecond, 50 * time.Millisecond, 300 * time.Millisecond} {
+		for changes := range 3 {
+			t.Run(fmt.Sprintf("report after %v, %d changes", reportDelay, changes), func(t *testing.T) {
+				runCell(t, 1, func(b *testCell) {
+					time.Sleep(time.Second)
+					b.returnUnnoticed("w0", 2, 20*time.Second)
+					b.submit(jobID1, taskStep(1, 3))
+					time.Sleep(reportDelay)
+					b.cutOff("w0")
+					b.do(firstReport("w0", 2, 0))
+					for i := range changes {
+						b.changeLeader(uint64(i + 2))
+					}
+					b.register("w1", 1, 1)
+					b.waitForState(jobID1, cell.Complete, time.Minute)
+				})
+			})
+		}
+	}
+}
+
+// Guards against a second run of a task whose start order was carried out by the next life of
+// its worker, if that answers a renewal of the lease and cannot be reached from then on.
+func TestStartBeforeAnswerOfLaterLifeDoesNotRunTwice(t *testing.T) {
+	runCell(t, 1, func(b *testCell) {
+		time.Sleep(time.Second)
+		b.returnUnnoticed("w0", 2, 20*time.Second)
+		b.submit(jobID1, taskStep(1, 3))
+		b.register("w1", 1, 1)
+		time.Sleep(300 * time.Millisecond) // the next renewal is answered by the later life
+		b.cutOff("w0")
+		time.Sleep(4 * time.Second)
+		b.reconnect("w0")
+		b.do(firstReport("w0", 2, 0))
+		b.waitForState(jobID1, cell.Complete, time.Minute)
+	})
+}
+
+// Guards against a second run of a task on a worker that holds a lease which was meant for an
+// earlier life and is longer than those of the present one. The leader may have changed.
+func TestLeaseForEarlierLifeIsWaitedOut(t *testing.T) {
+	for _, changed := range []bool{false, true} {
+		for _, maxLease := range []time.Duration{maxFakeLease, 10 * time.Second} {
+			t.Run(fmt.Sprintf("changed leader %v, lease of up to %v", changed, maxLease), func(t *testing.T) {
+				runCellWith(t, 1, func(c *Config) { c.Bounds.MaxLease = maxLease }, func(b *testCell) {
+					b.fleet.maxLease = maxLease
+					time.Sleep(20 * time.Second)
+					b.reportAll()
+					b.returnUnnoticed("w0", 2, 10*time.Millisecond)
+					b.submitTo(shortObjectivePath, jobID1, taskStep(1, 3))
+					time.Sleep(50 * time.Millisecond)
+					b.fleet.change("w0", func(w *fakeWorker) { w.taskDuration = 20 * time.Second })
+					b.do(firstReport("w0", 2, 0))
+					time.Sleep(100 * time.Millisecond)
+					b.submitTo(shortObjectivePath, jobID2, taskStep(1, 3))
+					time.Sleep(200 * time.Millisecond)
+					b.cutOff("w0")
+					if changed {
+						b.changeLeader(2)
+					}
+					b.register("w1", 1, 1)
+					b.waitForStateAt(shortObjectivePath, jobID2, cell.Complete, time.Minute)
+				})
+			})
+		}
+	}
+}
+
+// Guards against a task that is started again although it is done: the acknowledgement of ends
+// of an earlier life arrives late and deletes the end on the next one.
+func TestAcknowledgementForEarlierLifeDoesNotDeleteEnds(t *testing.T) {
+	for _, duration := range []time.Duration{5, 44, 155, 405} {
+		t.Run(fmt.Sprintf("task of %d ms", duration), func(t *testing.T) {
+			runCell(t, 1, func(b *testCell) {
+				b.submit(jobID1, taskStep(4, 1))
+				b.waitForState(jobID1, cell.Complete, 10*time.Second)
+				time.Sleep(time.Second)
+				b.returnUnnoticed("w0", 2, duration*time.Millisecond)
+				b.do(firstReport("w0", 2, 0))
+				time.Sleep(500 * time.Millisecond)
+				b.submit(jobID2, taskStep(1, 1))
+				for b.startCount(jobID2, 0) == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				time.Sleep(duration * time.Millisecond)
+				late := RenewLeaseOrder{Fence: 1, AcknowledgedEnd: 4}
+				_, _ = b.fleet.RenewLease(context.Background(), Target{ID: "w0"}, &late)
+				b.waitForState(jobID2, cell.Complete, 10*time.Second)
+			})
+		})
+	}
+}
+
+// Guards against a second run of a task whose start order has no answer and is carried out
+// seconds later, when its worker was given up and has started again. The leader may have changed.
+func TestLateStartDoesNotRunOnLaterLife(t *testing.T) {
+	for _, change := range []bool{false, true} {
+		t.Run(fmt.Sprintf("changed leader %v", change), func(t *testing.T) {
+			runCell(t, 1, func(b *testCell) {
+				time.Sleep(20 * time.Second)
+				b.reportAll()
+				const delay = 8 * time.Second // longer than the lease
+				b.fleet.change("w0", func(w *fakeWorker) { w.startDelay = delay })
+				b.submit(jobID1, taskStep(1, 3))
+				time.Sleep(100 * time.Millisecond)
+				b.cutOff("w0")
+				b.register("w1", 1, 1)
+				b.fleet.change("w1", func(w *fakeWorker) { w.taskDuration = 10 * time.Second })
+				for b.startCount(jobID1, 0) == 0 {
+					time.Sleep(10 * time.Millisecond)
+					b.reportAll()
+				}
+				if change {
+					b.changeLeader(2)
+				}
+				b.returnUnnoticed("w0", 2, 10*time.Second)
+				b.do(firstReport("w0", 2, 0))
+				b.waitForState(jobID1, cell.Complete, time.Minute)
+			})
+		})
+	}
+}
