dispatch: the fence of orders rises with each life of a worker

Callers saw a task run twice, or run again although it was done. Orders name a worker's id only, and one fence a term does not tell the lives of an id apart: a start order or an acknowledgement of ends for an earlier life, carried out seconds late, acted on the later one.

The state counts the lives of each id, the fence is the leader's term plus that count, and a session of a later life calls it before anything is placed there. Once it has accepted the fence, it rejects whatever was meant for earlier lives. The sum rises with each leader too, as a later leader has at least the count of the one before.

--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -369,6 +369,9 @@
 		if crash := s.endIncarnation(w, c.Started); crash != nil {
 			crashes = append(crashes, crash)
 		}
+		if c.CountsLives && w.Born != 0 {
+			w.Lives++
+		}
 		w.LastEnd, w.LastReport, w.Gone, w.Draining, w.TakenDown, w.Departing = 0, 0, false, false, false, false
 	}
 	w.Born, w.Address, w.DataCentre, w.Service = c.Born, c.Address, c.DataCentre, c.Service
--- a/internal/cell/command.go
+++ b/internal/cell/command.go
@@ -67,6 +67,9 @@
 	// Departing is set if the worker announced that it is shutting down. Its attempts may
 	// run until it has ended.
 	Departing bool `cbor:"13,keyasint,omitempty"`
+	// CountsLives is set if the leader fences the incarnations under an ID. Leaders of earlier
+	// releases do not, and their commands must have the same effect as before.
+	CountsLives bool `cbor:"14,keyasint,omitempty"`
 }
 
 // Start commits attempts to workers. Consecutive placements of the same step are
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -15,6 +15,9 @@
 	Labels     []string
 	Rack       string
 	Draining   bool
+	// Lives is the number of earlier incarnations under the ID. Orders name only the ID, so
+	// their fence rises with it.
+	Lives uint64 `cbor:",omitempty"`
 	// Departing is set once the worker has announced that it is shutting down. It gets no
 	// further lease, and its attempts stay committed until they have certainly ended.
 	Departing bool `cbor:",omitempty"`
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -84,7 +84,7 @@
 		return
 	}
 	sent := s.t.leader.Clock.Now()
-	order := RenewLeaseOrder{Fence: s.t.number, AcknowledgedEnd: state.acknowledgedEnd}
+	order := RenewLeaseOrder{Fence: s.fence, AcknowledgedEnd: state.acknowledgedEnd}
 	lease, wait := s.t.lease, renewalWait
 	if state.shortLease {
 		lease, wait = s.t.shortLease, shortRenewalWait
@@ -99,7 +99,7 @@
 	// Do not extend the lease of a worker that does not answer: any of the
 	// renewals may have been carried out, so the time at which its lease has
 	// certainly expired would move on with each of them.
-	if s.clock.known && len(state.attempts) > 0 && !s.failing && !state.departing {
+	if s.clock.known && len(state.attempts) > 0 && !s.failing && !state.departing && !s.needsFence() {
 		order.DeadlineMS = s.clock.estimate(sent) + lease.Milliseconds()
 		s.latestLeaseEnd = max(s.latestLeaseEnd, s.clock.certainlyPassed(order.DeadlineMS))
 		s.lastGrant = sent
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -104,7 +104,7 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 	defer cancel()
-	r, err := s.t.leader.Workers.Stop(ctx, s.target, &StopOrder{Task: task, Run: run, Fence: s.t.number})
+	r, err := s.t.leader.Workers.Stop(ctx, s.target, &StopOrder{Task: task, Run: run, Fence: s.fence})
 	if err != nil || r.Answer != Done {
 		s.t.leader.Logger.Info("stop not answered", logging.Step("stop"), logging.Peer(s.target.ID), logging.Job(task.Job), "run", run, "answer", r.Answer.String(), "error", err)
 		return
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -70,7 +70,7 @@
 			continue
 		}
 		if info := s.attemptInfo(attemptKey{r.Task, r.Run}); info.speedReduction != fullPace-percent {
-			orders = append(orders, PaceOrder{Task: r.Task, Run: r.Run, SpeedPercent: percent, Fence: s.t.number})
+			orders = append(orders, PaceOrder{Task: r.Task, Run: r.Run, SpeedPercent: percent, Fence: s.fence})
 		}
 	}
 	s.mu.Unlock()
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -303,7 +303,7 @@
 	if t.leads() {
 		t.rejectEarlierOrders(&r.Register)
 	}
-	r.Started = t.startedBefore(&r.Register)
+	r.Started, r.CountsLives = t.startedBefore(&r.Register), true
 	earlier := t.earlierLife(&r.Register)
 	result, err := t.commitOnce(ctx, &cell.Command{Register: &r.Register}, nil)
 	if err != nil {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -59,9 +59,14 @@
 	t      *term
 	target Target
 	born   int64
-	ctx    context.Context
-	cancel context.CancelFunc
-	wake   chan struct{}
+	// fence is that of the orders. It rises with each incarnation under the ID, so that a later
+	// one that has accepted it rejects the orders for earlier ones.
+	fence uint64
+	// isLater is set if the incarnation follows another one under the ID.
+	isLater bool
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wake    chan struct{}
 	// idle is set while run waits for attempts.
 	idle atomic.Bool
 	// commitInProgress is closed when the commit of listed ends is done; nil if there is
@@ -111,7 +116,7 @@
 func newSession(t *term, w *cell.Worker, inherited bool) *session {
 	ctx, cancel := context.WithCancel(t.ctx)
 	s := &session{
-		t: t, target: Target{w.ID, w.Address}, born: w.Born, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1),
+		t: t, target: Target{w.ID, w.Address}, born: w.Born, fence: t.number + w.Lives, isLater: w.Lives > 0, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1),
 		lastContact: t.leader.Clock.Now(), recordAt: t.leader.Clock.Now(), recordConfirmed: !inherited, fillerPace: fullPace, attempts: map[attemptKey]*attemptInfo{},
 	}
 	if inherited {
@@ -144,6 +149,7 @@
 		clone.startInFlight = false // the call ends with the earlier session; its deadline remains
 		s.attempts[k] = &clone
 	}
+	s.fenced = earlier.fenced
 	s.clock, s.latestLeaseEnd, s.sequence = earlier.clock, earlier.latestLeaseEnd, earlier.sequence
 }
 
@@ -204,7 +210,7 @@
 		return false
 	}
 	silent := s.lastUnanswered > s.lastAnswered
-	return !s.replaced && s.clock.known && !s.failing && !silent && now >= s.avoidUntil && now-s.lastContact < maxReportSilence
+	return !s.replaced && !s.needsFence() && s.clock.known && !s.failing && !silent && now >= s.avoidUntil && now-s.lastContact < maxReportSilence
 }
 
 // serving reports whether tasks with a response time target run on the worker.
@@ -281,15 +287,19 @@
 	}
 }
 
+// needsFence reports whether orders for earlier incarnations may still be carried out, because
+// this one has not yet accepted an order of its own. The caller holds s.mu.
+func (s *session) needsFence() bool { return s.isLater && !s.fenced }
+
 // waitForWork waits until the worker may have attempts. It returns true if the
-// worker should be called even without attempts, because its clock is unknown,
-// it failed a call, or it has to show that it has not crashed.
+// worker should be called even without attempts, because its clock is unknown, it has not
+// accepted the fence, it failed a call, or it has to show that it has not crashed.
 func (s *session) waitForWork(hasLosses bool) bool {
 	s.mu.Lock()
-	failing, unknown := hasLosses || s.failing || s.lastUnanswered > s.lastAnswered, !s.clock.known
+	failing, unknown := hasLosses || s.failing || s.lastUnanswered > s.lastAnswered, !s.clock.known || s.needsFence()
 	s.mu.Unlock()
 	if unknown && !failing {
-		return true // no attempt can be started before the worker's clock is known
+		return true // no attempt can be started before
 	}
 	s.idle.Store(true)
 	defer s.idle.Store(false)
--- a/internal/dispatch/start.go
+++ b/internal/dispatch/start.go
@@ -16,7 +16,7 @@
 	if s == nil {
 		return // the incarnation has ended, and its attempts with it
 	}
-	o := StartOrder{Task: p.Task, Run: p.Run, Fence: t.number}
+	o := StartOrder{Task: p.Task, Run: p.Run, Fence: s.fence}
 	// The deadline of the order counts from before the state is looked at, so that a delay
 	// afterwards does not make the order valid for longer after a change of the state.
 	decidedAt := t.leader.Clock.Now()
--- a/internal/dispatch/successor.go
+++ b/internal/dispatch/successor.go
@@ -60,13 +60,13 @@
 	var stops sync.WaitGroup
 	for k := range rejected {
 		stops.Go(func() {
-			r, err := s.t.leader.Workers.Stop(ctx, successor, &StopOrder{Task: k.task, Run: k.run, Fence: s.t.number})
+			r, err := s.t.leader.Workers.Stop(ctx, successor, &StopOrder{Task: k.task, Run: k.run, Fence: s.fence})
 			s.t.leader.Logger.Info("start order for an earlier life rejected", logging.Step("register"), logging.Peer(successor.ID), logging.Job(k.task.Job), "task", position(k.task), "run", k.run, "answer", r.Answer.String(), "error", err)
 		})
 	}
 	stops.Wait()
 	for ctx.Err() == nil {
-		listing, err := s.t.leader.Workers.RenewLease(ctx, successor, &RenewLeaseOrder{Fence: s.t.number})
+		listing, err := s.t.leader.Workers.RenewLease(ctx, successor, &RenewLeaseOrder{Fence: s.fence})
 		if err != nil || listing.Answer != Done || !lists(listing, rejected) {
 			return
 		}
