dispatch: attempts that may run on a later life of their worker pass over to it

Callers saw two runs of a task at the same time. A start order for an earlier life of a worker that the next one has carried out was rejected with a call to it. If that had no answer, the registration of the later life released the task all the same, and so did a renewal that the later life answered: the task started elsewhere while it ran on.

When a life has ended, only the attempts end that it has certainly started: it has listed them, or was still there after the start order had been answered. The others stay committed, with their room and their team's limit, and pass over to the next life. Its first listing shows whether they run there, where they go on, or have ended; those that it does not list never start, since it now rejects the order. If no call reaches it, they end after the longest delay of an order and the longest lease. The state marks them, so later leaders keep these bounds. A life of another service or without the label is made to stop them. An order is not sent if its attempt is no longer committed to the life.

TestInheritedAttemptGoesOn and TestInheritedAttemptOnOtherServiceIsStopped guard the new state.

The workers of the tests of long plans answered with a clock that stands still, which now counts as the clock of a later life; their clocks run.

--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -101,8 +101,7 @@
 	if task.Done || task.InFlight || p.Run <= task.Run || p.Run <= occurrence.Run && step.Gang || !j.dependenciesDone(p.Task.StepKey) {
 		return false
 	}
-	q := s.queueOf(j)
-	if q == nil || q.Service != w.Service || !w.HasLabel(step.Label) {
+	if !s.suits(w, j, step) {
 		return false
 	}
 	if step.MaxPerWorker > 0 && w.CountTasks(p.Task.StepKey) >= step.MaxPerWorker {
@@ -111,6 +110,19 @@
 	return step.Claim().Fits(w.Free()) && step.Size.Fits(s.headroom(j.Team))
 }
 
+// suits reports whether tasks of a step may run on a worker of its kind.
+func (s *Store) suits(w *Worker, j *Job, step *Step) bool {
+	q := s.queueOf(j)
+	return q != nil && q.Service == w.Service && w.HasLabel(step.Label)
+}
+
+// Suits reports whether an attempt that is committed to a worker may run on it. Only one whose
+// start order was for an earlier incarnation may be on a worker of another kind.
+func (v *View) Suits(w *Worker, key TaskKey) bool {
+	j := v.s.Jobs[key.Job]
+	return !w.Attempts[key].Inherited || j != nil && v.s.suits(w, j, &j.Steps[key.Step])
+}
+
 // commitPlacement charges an attempt to its worker and its team.
 func (s *Store) commitPlacement(j *Job, step *Step, occurrence *StepOccurrence, p *Placement) {
 	w := s.Workers[p.Worker]
@@ -337,7 +349,10 @@
 		for _, id := range c.Begun {
 			s.markBegun(id)
 		}
-		s.loseAttempts(w, c.Started, c.RanOut)
+		s.loseAttempts(w, c.Started, c.RanOut, func(a StartedAttempt) bool {
+			return !c.Selected || slices.Contains(c.Ended, a)
+		})
+		s.inheritAttempts(w)
 	}
 	return nil
 }
@@ -366,9 +381,11 @@
 		s.Workers[c.ID] = w
 	}
 	if w.Born != c.Born {
-		if crash := s.endIncarnation(w, c.Started); crash != nil {
+		ends := func(a StartedAttempt) bool { return !c.CountsLives || slices.Contains(c.Proven, a) }
+		if crash := s.endIncarnation(w, c.Started, ends); crash != nil {
 			crashes = append(crashes, crash)
 		}
+		s.inheritAttempts(w)
 		if c.CountsLives && w.Born != 0 {
 			w.Lives++
 		}
@@ -402,7 +419,8 @@
 	slices.SortFunc(older, func(a, b *Worker) int { return cmp.Or(cmp.Compare(a.Born, b.Born), cmp.Compare(a.ID, b.ID)) })
 	for _, other := range older {
 		if other.Born < c.Born {
-			if crash := s.endIncarnation(other, c.Started); crash != nil {
+			// The address rejects the orders for other IDs, so none is carried out later.
+			if crash := s.endIncarnation(other, c.Started, allAttempts); crash != nil {
 				crashes = append(crashes, crash)
 			}
 		}
--- a/internal/cell/command.go
+++ b/internal/cell/command.go
@@ -67,9 +67,12 @@
 	// Departing is set if the worker announced that it is shutting down. Its attempts may
 	// run until it has ended.
 	Departing bool `cbor:"13,keyasint,omitempty"`
-	// CountsLives is set if the leader fences the incarnations under an ID. Leaders of earlier
-	// releases do not, and their commands must have the same effect as before.
-	CountsLives bool `cbor:"14,keyasint,omitempty"`
+	// CountsLives is set if the leader fences the incarnations under an ID and lists in Proven
+	// the attempts that the replaced one itself has certainly started. The others stay committed,
+	// since this incarnation may carry out their start orders. Leaders of earlier releases do
+	// not set it, and their commands must have the same effect as before.
+	CountsLives bool             `cbor:"14,keyasint,omitempty"`
+	Proven      []StartedAttempt `cbor:"15,keyasint,omitempty"`
 }
 
 // Start commits attempts to workers. Consecutive placements of the same step are
@@ -155,6 +158,10 @@
 	RanOut bool `cbor:"4,keyasint,omitempty"`
 	// Begun lists the jobs of all attempts that had certainly started.
 	Begun []string `cbor:"5,keyasint,omitempty"`
+	// Selected is set if only the attempts in Ended end. The others may run on a later
+	// incarnation under the ID.
+	Selected bool             `cbor:"6,keyasint,omitempty"`
+	Ended    []StartedAttempt `cbor:"7,keyasint,omitempty"`
 }
 
 // StartedAttempt identifies an attempt that a worker has confirmed.
--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -61,38 +61,63 @@
 	return nil
 }
 
-// loseAttempts ends all attempts on a worker and remembers them until it is known whether
-// the worker has crashed. started lists those that had certainly started; ranOut is that of
-// ExpireLease.
-func (s *Store) loseAttempts(w *Worker, started []StartedAttempt, ranOut bool) {
+// allAttempts selects all attempts on a worker.
+func allAttempts(StartedAttempt) bool { return true }
+
+// inheritAttempts marks the attempts that are left on a worker whose incarnation has ended.
+func (s *Store) inheritAttempts(w *Worker) {
 	for key, a := range w.Attempts {
-		hasStarted := slices.Contains(started, StartedAttempt{key, a.Run})
-		if hasStarted {
-			s.markBegun(key.Job)
-		}
-		s.recordEnd(w, &AttemptEnd{Task: key, Run: a.Run, Outcome: EndedEarly})
-		if w.TakenDown || s.activeTask(key) == nil {
-			continue
-		}
-		earlier, known := w.Lost[key]
-		if w.Lost == nil {
-			w.Lost = map[TaskKey]LostAttempt{}
-		}
-		w.Lost[key] = LostAttempt{Started: earlier.Started || a.Started && !ranOut || hasStarted}
-		if !known {
-			s.addUnresolvedLoss(key, 1)
+		a.Inherited = true
+		w.Attempts[key] = a
+		w.changes++
+	}
+}
+
+// loseAttempts ends the selected attempts on a worker and remembers them until it is known
+// whether the worker has crashed. started lists those that had certainly started; ranOut is
+// that of ExpireLease.
+func (s *Store) loseAttempts(w *Worker, started []StartedAttempt, ranOut bool, selected func(StartedAttempt) bool) {
+	for key, a := range w.Attempts {
+		if selected(StartedAttempt{key, a.Run}) {
+			s.recordEnd(w, &AttemptEnd{Task: key, Run: a.Run, Outcome: EndedEarly})
+			s.recordLoss(w, key, &a, started, ranOut)
 		}
 	}
-	if len(w.Lost) > 0 {
-		s.workersWithLosses[w.ID] = w
+}
+
+// recordLoss remembers that an incarnation may have crashed under an attempt. started and
+// ranOut are those of loseAttempts.
+func (s *Store) recordLoss(w *Worker, key TaskKey, a *Attempt, started []StartedAttempt, ranOut bool) {
+	hasStarted := slices.Contains(started, StartedAttempt{key, a.Run})
+	if hasStarted {
+		s.markBegun(key.Job)
 	}
+	if w.TakenDown || s.activeTask(key) == nil {
+		return
+	}
+	earlier, known := w.Lost[key]
+	if w.Lost == nil {
+		w.Lost = map[TaskKey]LostAttempt{}
+	}
+	w.Lost[key] = LostAttempt{Started: earlier.Started || a.Started && !ranOut || hasStarted}
+	if !known {
+		s.addUnresolvedLoss(key, 1)
+	}
+	s.workersWithLosses[w.ID] = w
 }
 
-// endIncarnation ends all attempts on an incarnation that a later one has replaced. Unless
-// its end was planned it has crashed, which counts for each task that ran there. It returns
-// the crash, or nil if there was none or no task ran there.
-func (s *Store) endIncarnation(w *Worker, started []StartedAttempt) *Crash {
-	s.loseAttempts(w, started, false)
+// endIncarnation ends the selected attempts on an incarnation that a later one has replaced.
+// Unless its end was planned it has crashed, which counts for each task that may have run
+// there. It returns the crash, or nil if there was none or no task ran there.
+func (s *Store) endIncarnation(w *Worker, started []StartedAttempt, ends func(StartedAttempt) bool) *Crash {
+	for key, a := range w.Attempts {
+		s.recordLoss(w, key, &a, started, false)
+	}
+	for key, a := range w.Attempts {
+		if ends(StartedAttempt{key, a.Run}) {
+			s.recordEnd(w, &AttemptEnd{Task: key, Run: a.Run, Outcome: EndedEarly})
+		}
+	}
 	lost := w.Lost
 	s.forgetLosses(w)
 	if len(lost) == 0 || w.Draining || w.Gone || w.TakenDown {
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -61,6 +61,9 @@
 	Crashes uint8 `cbor:",omitempty"`
 	// Started is set if it was committed that the attempt has started, until it has settled.
 	Started bool `cbor:",omitempty"`
+	// Inherited is set if the start order was for an earlier incarnation, or is answered by a
+	// later one: the attempt may run on this or on a later one, or not at all.
+	Inherited bool `cbor:",omitempty"`
 }
 
 // Suspect reports whether the task of the attempt was a suspect when it was committed.
--- a/internal/dispatch/departure.go
+++ b/internal/dispatch/departure.go
@@ -90,12 +90,12 @@
 	return nil
 }
 
-// endAttempts commits the ends of all attempts on a departing incarnation that has certainly
-// ended. Its end is no crash, so nothing is left to be resolved.
-func (s *session) endAttempts(state *workerState) {
+// commitDepartedEnds commits the ends of attempts on a departing incarnation. Its end is no
+// crash, so nothing is left to be resolved.
+func (s *session) commitDepartedEnds(ended []cell.StartedAttempt) {
 	c := &cell.RecordEnds{Worker: s.target.ID, Born: s.born}
-	for key, a := range state.attempts {
-		c.Ends = append(c.Ends, cell.AttemptEnd{Task: key, Run: a.Run, Outcome: cell.EndedEarly, Checkpoint: s.checkpointOf(attemptKey{key, a.Run})})
+	for _, a := range ended {
+		c.Ends = append(c.Ends, cell.AttemptEnd{Task: a.Task, Run: a.Run, Outcome: cell.EndedEarly, Checkpoint: s.checkpointOf(attemptKey{a.Task, a.Run})})
 	}
 	s.commitListed(c, s.t.leader.Clock.Now())
 }
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -121,13 +121,14 @@
 		s.t.leader.metrics.answersOfSuccessors.Inc(1)
 		s.t.leader.Logger.Warn("renewal for an earlier life carried out by its successor", logging.Step("hold"), logging.Peer(s.target.ID), "born", s.born, "successor", listing.Born,
 			"acked_upto", order.AcknowledgedEnd, "deadline_ms", order.DeadlineMS, "clock_ms", listing.ClockMS)
-		s.rejectOrders(s.target)
-		s.incarnationEnded("another life answers", listing.Born)
+		s.lifeOver(now, "a later life answers")
+		s.t.pause(probeInterval)
 		return
 	}
 	s.mu.Lock()
 	wasFailing := s.failing
-	s.failing, s.fenced = false, true
+	s.failing = false
+	s.fenceAccepted(now)
 	s.lastContact, s.aliveAt = now, max(s.aliveAt, sent)
 	s.clock.observe(listing.ClockMS, now)
 	// The worker answered after the wait, so the answer counts from now rather
@@ -147,7 +148,7 @@
 		return
 	}
 	if err == nil && listing.Answer == WrongIncarnation {
-		s.incarnationEnded("the address belongs to another worker", 0)
+		s.incarnationEnded()
 		return
 	}
 	s.mu.Lock()
@@ -158,38 +159,60 @@
 	if firstFailure {
 		s.t.leader.Logger.Warn("worker does not answer", logging.Step("hold"), logging.Peer(s.target.ID), "attempts", len(state.attempts), "lease_ms", (leaseEnd - now).Milliseconds(), "error", err)
 	}
-	if len(state.attempts) > 0 && now > leaseEnd && s.t.leads() {
-		s.expireLease("its lease has run out")
+	if expired := s.selectAttempts(state, func(_ attemptKey, a cell.Attempt) bool { return s.leaseExpired(a, now) }); len(expired) > 0 && s.t.leads() {
+		s.endAttempts("its lease has run out", state, expired)
 	}
 	s.t.pause(retryDelay)
 }
 
-// expireLease commits that the lease of the incarnation has expired, which ends all
-// of its attempts.
-func (s *session) expireLease(reason string) {
-	s.t.leader.metrics.lapses.Inc(1)
+// selectAttempts returns the attempts on the incarnation for which selected, which is called
+// with the lock held, returns true.
+func (s *session) selectAttempts(state *workerState, selected func(k attemptKey, a cell.Attempt) bool) []cell.StartedAttempt {
+	var list []cell.StartedAttempt
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, a := range state.attempts {
+		if selected(attemptKey{key, a.Run}, a) {
+			list = append(list, cell.StartedAttempt{Task: key, Run: a.Run})
+		}
+	}
+	return list
+}
+
+// endAttempts commits the ends of attempts on the incarnation that have certainly ended, because
+// their lease has expired or the incarnation has ended.
+func (s *session) endAttempts(reason string, state *workerState, ended []cell.StartedAttempt) {
 	s.mu.Lock()
 	leaseEnd, granted := s.latestLeaseEnd, s.lastGrant
 	s.mu.Unlock()
 	now := s.t.leader.Clock.Now()
-	s.t.leader.Logger.Warn("attempts of worker given up", logging.Step("lapse"), logging.Peer(s.target.ID), "born", s.born, "reason", reason,
-		"lease_ended_ms", (now - leaseEnd).Milliseconds(), "last_grant_ms", (now - granted).Milliseconds())
-	if state := s.workerState(); state.departing {
-		s.endAttempts(&state)
+	s.t.leader.metrics.lapses.Inc(1)
+	s.t.leader.Logger.Warn("attempts of worker given up", logging.Step("lapse"), logging.Peer(s.target.ID), "born", s.born, "reason", reason, "attempts", len(ended),
+		"left", len(state.attempts)-len(ended), "lease_ended_ms", (now - leaseEnd).Milliseconds(), "last_grant_ms", (now - granted).Milliseconds())
+	if state.departing {
+		s.commitDepartedEnds(ended)
 		return
 	}
-	if _, err := s.t.leader.propose(s.ctx, &cell.Command{ExpireLease: &cell.ExpireLease{Worker: s.target.ID, Born: s.born, Started: s.startedAttempts(), RanOut: s.leaseRanOut(), Begun: s.runningJobs()}}); err != nil {
+	c := &cell.ExpireLease{Worker: s.target.ID, Born: s.born, Started: s.startedAttempts(), RanOut: s.leaseRanOut(), Begun: s.runningJobs()}
+	if len(ended) < len(state.attempts) {
+		c.Selected, c.Ended = true, ended
+	}
+	if _, err := s.t.leader.propose(s.ctx, &cell.Command{ExpireLease: c}); err != nil {
 		s.t.leader.Logger.Warn("failed to commit the expiry of the worker's lease", logging.Step("lapse"), logging.Peer(s.target.ID), logging.Error(err))
 	}
 }
 
-// incarnationEnded handles an incarnation that has certainly ended, because
-// another one answers at its address.
-func (s *session) incarnationEnded(reason string, successor int64) {
+// incarnationEnded handles an incarnation that has certainly ended, because its address belongs
+// to a worker with another ID, which rejects all orders for it.
+func (s *session) incarnationEnded() {
+	const reason = "the address belongs to another worker"
 	s.mu.Lock()
 	s.failing = true // before the commit, which takes a while
 	s.mu.Unlock()
-	s.expireLease(reason)
-	s.t.leader.Logger.Info("life of worker is over", logging.Step("hold"), logging.Peer(s.target.ID), "reason", reason, "born", s.born, "successor", successor)
+	state := s.workerState()
+	if all := s.selectAttempts(&state, func(attemptKey, cell.Attempt) bool { return true }); len(all) > 0 {
+		s.endAttempts(reason, &state, all)
+	}
+	s.t.leader.Logger.Info("life of worker is over", logging.Step("hold"), logging.Peer(s.target.ID), "reason", reason, "born", s.born)
 	s.t.pause(probeInterval)
 }
--- a/internal/dispatch/life.go
+++ b/internal/dispatch/life.go
@@ -38,11 +38,3 @@
 	}
 	return e
 }
-
-// isProven reports whether the incarnation itself has certainly started an attempt: it has
-// listed it, or was still there after the start order had been answered. The answer alone may
-// be that of a successor. The caller holds s.mu.
-func (s *session) isProven(k attemptKey) bool {
-	info := s.attempts[k]
-	return info != nil && (info.listed || info.startAnsweredAt > 0 && s.aliveAt > info.startAnsweredAt)
-}
--- a/internal/dispatch/life_test.go
+++ b/internal/dispatch/life_test.go
@@ -6,7 +6,10 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"laburnumgrade/internal/cell"
+	"laburnumgrade/internal/cellapi"
 )
 
 // returnUnnoticed replaces an incarnation of a worker by a later one that has not reported. The
@@ -56,18 +59,26 @@
 // Guards against a second run of a task whose start order was carried out by the next life of
 // its worker, if that answers a renewal of the lease and cannot be reached from then on.
 func TestStartBeforeAnswerOfLaterLifeDoesNotRunTwice(t *testing.T) {
-	runCell(t, 1, func(b *testCell) {
-		time.Sleep(time.Second)
-		b.returnUnnoticed("w0", 2, 20*time.Second)
-		b.submit(jobID1, taskStep(1, 3))
-		b.register("w1", 1, 1)
-		time.Sleep(300 * time.Millisecond) // the next renewal is answered by the later life
-		b.cutOff("w0")
-		time.Sleep(4 * time.Second)
-		b.reconnect("w0")
-		b.do(firstReport("w0", 2, 0))
-		b.waitForState(jobID1, cell.Complete, time.Minute)
-	})
+	for _, changed := range []bool{false, true} {
+		for _, maxLease := range []time.Duration{maxFakeLease, 10 * time.Second} {
+			t.Run(fmt.Sprintf("changed leader %v, lease of up to %v", changed, maxLease), func(t *testing.T) {
+				runCellWith(t, 1, func(c *Config) { c.Bounds.MaxLease = maxLease }, func(b *testCell) {
+					b.fleet.maxLease = maxLease
+					time.Sleep(20 * time.Second)
+					b.reportAll()
+					b.returnUnnoticed("w0", 2, 20*time.Second)
+					b.submitTo(shortObjectivePath, jobID1, taskStep(1, 3))
+					time.Sleep(300 * time.Millisecond) // the next renewal is answered by the later life
+					b.cutOff("w0")
+					if changed {
+						b.changeLeader(2)
+					}
+					b.register("w1", 1, 1)
+					b.waitForStateAt(shortObjectivePath, jobID1, cell.Complete, time.Minute)
+				})
+			})
+		}
+	}
 }
 
 // Guards against a second run of a task on a worker that holds a lease which was meant for an
@@ -154,3 +165,39 @@
 		})
 	}
 }
+
+// Guards against a task that goes on running on a worker that must not run it: the next life of
+// its worker is of another service and has carried out the start order.
+func TestInheritedAttemptOnOtherServiceIsStopped(t *testing.T) {
+	runCell(t, 1, func(b *testCell) {
+		b.do(&cellapi.Call{Configure: &cell.Configuration{
+			Version: 2, Services: []cell.Service{{Name: service}, {Name: "other"}},
+			Queues: []cell.Queue{{Name: "q", Host: "h", Prefix: queuePath, Service: service, TimeoutMS: 1000, MaxFailures: 2, ObjectiveMS: 20_000, Public: true}},
+		}})
+		time.Sleep(time.Second)
+		b.returnUnnoticed("w0", 2, 20*time.Second)
+		b.submit(jobID1, taskStep(1, 3))
+		time.Sleep(50 * time.Millisecond)
+		assert.Equal(t, b.startCount(jobID1, 0), 1)
+		report := firstReport("w0", 2, 0)
+		report.Report.Service = "other"
+		b.do(report)
+		time.Sleep(200 * time.Millisecond)
+		assert.Equal(t, len(b.runningAttemptsOf(jobID1)), 0)
+	})
+}
+
+// Guards against work that is lost or done again although the next life of its worker has
+// carried out the start order and can be reached.
+func TestInheritedAttemptGoesOn(t *testing.T) {
+	runCell(t, 1, func(b *testCell) {
+		time.Sleep(time.Second)
+		b.returnUnnoticed("w0", 2, 3*time.Second)
+		b.submit(jobID1, taskStep(1, 3))
+		time.Sleep(50 * time.Millisecond)
+		b.do(firstReport("w0", 2, 0))
+		b.register("w1", 1, 1)
+		b.waitForState(jobID1, cell.Complete, 4*time.Second)
+		assert.Equal(t, b.startCount(jobID1, 0), 1)
+	})
+}
--- a/internal/dispatch/plan_load_test.go
+++ b/internal/dispatch/plan_load_test.go
@@ -28,11 +28,14 @@
 	return &cellapi.AdviceReply{Error: ctx.Err().Error()}
 }
 
-// obedientWorkers carry out each order at once.
-type obedientWorkers struct{ Workers }
+// obedientWorkers carry out each order at once. Their clocks run with the leader's.
+type obedientWorkers struct {
+	Workers
+	leader *Leader
+}
 
-func (obedientWorkers) Start(context.Context, Target, *StartOrder) (OrderReply, error) {
-	return OrderReply{Answer: Done, ClockMS: 1}, nil
+func (w *obedientWorkers) Start(context.Context, Target, *StartOrder) (OrderReply, error) {
+	return OrderReply{Answer: Done, ClockMS: 1 + w.leader.Clock.Now().Milliseconds()}, nil
 }
 
 // newLoadedTerm returns a term, in real time, of a cell with many ready steps: one in
@@ -42,9 +45,10 @@
 	ctx, cancel := context.WithCancel(tb.Context())
 	store := cell.NewStore(nil)
 	l := New(Config{
-		Log: &fakeLog{term: 1, apply: store.Apply}, Store: store, Clock: port.NewSystemClock(), Workers: obedientWorkers{}, AdviceClient: silentAdvisers{},
+		Log: &fakeLog{term: 1, apply: store.Apply}, Store: store, Clock: port.NewSystemClock(), AdviceClient: silentAdvisers{},
 		PeerAddress: "self", Bounds: Bounds{MaxLease: 6 * time.Second, RemoteFactor: 2}, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 	})
+	l.Workers = &obedientWorkers{leader: l}
 	index := uint64(0)
 	apply := func(c *cell.Command) {
 		index++
@@ -82,7 +86,7 @@
 	store.View(func(v *cell.View) {
 		for id, w := range v.Workers() {
 			t.sessions[id] = newSession(t, w, false)
-			t.sessions[id].clock.observe(1, t.began)
+			t.sessions[id].clock.observe(1+t.began.Milliseconds(), t.began)
 		}
 	})
 	for i := range 10 {
@@ -207,7 +211,7 @@
 				term := newLoadedTerm(t, readySteps, 40)
 				term.planTime = time.Hour // with this clock it would end before it places anything
 				var unusable atomic.Bool
-				term.leader.Workers = &watchedWorkers{onFirstStart: func() {
+				term.leader.Workers = &watchedWorkers{obedientWorkers: obedientWorkers{leader: term.leader}, onFirstStart: func() {
 					for _, s := range term.sessions {
 						change(term, s)
 					}
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -300,11 +300,8 @@
 		}
 		return &cellapi.Reply{Verdict: cell.Accepted}, false
 	}
-	if t.leads() {
-		t.rejectEarlierOrders(&r.Register)
-	}
-	r.Started, r.CountsLives = t.startedBefore(&r.Register), true
 	earlier := t.earlierLife(&r.Register)
+	r.Started, r.Proven, r.CountsLives = t.startedBefore(&r.Register), t.replace(&r.Register), true
 	result, err := t.commitOnce(ctx, &cell.Command{Register: &r.Register}, nil)
 	if err != nil {
 		return t.leader.failure(err), true
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -96,6 +96,9 @@
 	// latestLeaseEnd is the time at which every lease that the worker was given has certainly
 	// expired.
 	latestLeaseEnd time.Duration
+	// inheritedEnd is the time from which no attempt can run any more whose start order was for
+	// an earlier incarnation, or may be carried out by a later one; 0 if there is none.
+	inheritedEnd time.Duration
 	// lastGrant is when an order that extends the lease was last sent, and aliveAt when the
 	// newest order was sent that the incarnation itself has certainly answered.
 	lastGrant time.Duration
@@ -104,8 +107,10 @@
 	// serves is set if serving tasks with a response time target run beside them.
 	fillerPace int
 	serves     bool
-	// replaced is set once a later incarnation with the same ID is known.
-	replaced bool
+	// replaced is set once a later incarnation with the same ID is known, and lifeIsOver once the
+	// incarnation has certainly ended.
+	replaced   bool
+	lifeIsOver bool
 	// fenced is set once the worker has accepted an order with this term's fence.
 	fenced   bool
 	attempts map[attemptKey]*attemptInfo
@@ -125,8 +130,15 @@
 		// the slowest clock.
 		s.latestLeaseEnd = t.began + t.lease + t.lease/25 + 10*timerMargin
 	}
+	began := t.leader.Clock.Now()
+	if inherited {
+		began = t.began
+	}
 	for key, a := range w.Attempts {
 		s.attempts[attemptKey{key, a.Run}] = &attemptInfo{inherited: true}
+		if a.Inherited {
+			s.inheritedEnd = began + maxOrderDelay + t.longestLease()
+		}
 	}
 	return s
 }
@@ -149,7 +161,7 @@
 		clone.startInFlight = false // the call ends with the earlier session; its deadline remains
 		s.attempts[k] = &clone
 	}
-	s.fenced = earlier.fenced
+	s.fenced, s.inheritedEnd = earlier.fenced, earlier.inheritedEnd
 	s.clock, s.latestLeaseEnd, s.sequence = earlier.clock, earlier.latestLeaseEnd, earlier.sequence
 }
 
--- a/internal/dispatch/start.go
+++ b/internal/dispatch/start.go
@@ -29,7 +29,7 @@
 	found, current := false, s.recordIsCurrent(t.leader.Clock.Now())
 	t.leader.Store.View(func(v *cell.View) {
 		j, w := v.Job(p.Task.Job), v.Worker(p.Worker)
-		if j == nil || j.State != cell.Active || w == nil || !current || w.Overcommitted() || v.IsEvacuated(w.DataCentre) {
+		if j == nil || j.State != cell.Active || w == nil || w.Born != p.Born || w.Attempts[p.Task].Run != p.Run || !current || w.Overcommitted() || v.IsEvacuated(w.DataCentre) {
 			return
 		}
 		found = true
--- a/internal/dispatch/successor.go
+++ b/internal/dispatch/successor.go
@@ -1,17 +1,21 @@
 package dispatch
 
 import (
-	"context"
-	"sync"
 	"time"
 
 	"laburnumgrade/internal/cell"
 	"laburnumgrade/internal/logging"
 )
 
-// rejectPollInterval is how often a worker is asked whether an attempt that it stops has
-// ended.
-const rejectPollInterval = 20 * time.Millisecond
+// maxOrderDelay is after how long an order that had no answer is certainly not carried out any
+// more. The platform says that it may be carried out seconds later.
+const maxOrderDelay = 15 * time.Second
+
+// longestLease returns the time within which the longest lease that a worker accepts has
+// certainly expired, even on the slowest clock: the margin is twice the drift.
+func (t *term) longestLease() time.Duration {
+	return t.leader.Bounds.MaxLease + t.leader.Bounds.MaxLease/25 + 10*timerMargin
+}
 
 // isReplaced reports whether a later incarnation with the same ID is known.
 func (s *session) isReplaced() bool {
@@ -30,56 +34,70 @@
 	return stated && s.clock.known && r.ClockMS < s.clock.atLeast(sent)
 }
 
-// rejectEarlierOrders makes the sender of a report reject the start orders for an earlier
-// incarnation with its ID. Calls name the ID only, so the sender may have received them.
-func (t *term) rejectEarlierOrders(r *cell.Register) {
-	if s := t.sessionOf(r.ID); s != nil && s.born < r.Born {
-		s.rejectOrders(Target{r.ID, r.Address})
-	}
+// isProven reports whether the incarnation itself has certainly started an attempt: it has
+// listed it, or was still there after the start order had been answered. The answer alone may
+// be that of a successor. The caller holds s.mu.
+func (s *session) isProven(k attemptKey) bool {
+	info := s.attempts[k]
+	return info != nil && (info.listed || info.startAnsweredAt > 0 && s.aliveAt > info.startAnsweredAt)
 }
 
-// rejectOrders makes the successor of the incarnation reject the start orders which the
-// incarnation has not confirmed, and waits for the end of those that it has carried out. The
-// tasks may start elsewhere once the incarnation is known to have ended.
-func (s *session) rejectOrders(successor Target) {
-	attempts := s.workerState().attempts
-	rejected := map[attemptKey]bool{}
+// replace makes the session of the incarnation before a registration send no more starts, and
+// returns the attempts that the incarnation itself has certainly started. They have ended with
+// it. The successor may carry out the start orders for the others.
+func (t *term) replace(r *cell.Register) (proven []cell.StartedAttempt) {
+	s := t.sessionOf(r.ID)
+	if s == nil || s.born >= r.Born {
+		return nil
+	}
+	state := s.workerState()
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.replaced = true
-	for k, info := range s.attempts {
-		if a, ok := attempts[k.task]; !info.confirmed && (info.startInFlight || ok && a.Run == k.run) {
-			rejected[k] = true
+	for key, a := range state.attempts {
+		if s.isProven(attemptKey{key, a.Run}) {
+			proven = append(proven, cell.StartedAttempt{Task: key, Run: a.Run})
 		}
 	}
-	s.mu.Unlock()
-	if len(rejected) == 0 {
-		return
+	return proven
+}
+
+// lifeOver handles an incarnation that has certainly ended although its ID may go on. Attempts
+// that may run on a later incarnation are left until that has registered, or until none of them
+// can run any more.
+func (s *session) lifeOver(now time.Duration, reason string) {
+	s.mu.Lock()
+	first := !s.lifeIsOver
+	if first {
+		s.inheritedEnd = now + maxOrderDelay + s.t.longestLease()
 	}
-	ctx, cancel := context.WithTimeout(s.t.ctx, callTimeout)
-	defer cancel()
-	var stops sync.WaitGroup
-	for k := range rejected {
-		stops.Go(func() {
-			r, err := s.t.leader.Workers.Stop(ctx, successor, &StopOrder{Task: k.task, Run: k.run, Fence: s.fence})
-			s.t.leader.Logger.Info("start order for an earlier life rejected", logging.Step("register"), logging.Peer(successor.ID), logging.Job(k.task.Job), "task", position(k.task), "run", k.run, "answer", r.Answer.String(), "error", err)
-		})
+	s.failing, s.replaced, s.lifeIsOver = true, true, true // before the commit, which takes a while
+	over := now > s.inheritedEnd
+	s.mu.Unlock()
+	state := s.workerState()
+	ended := s.selectAttempts(&state, func(k attemptKey, _ cell.Attempt) bool { return over || s.isProven(k) })
+	if len(ended) > 0 || first && len(state.attempts) > 0 { // later leaders have to know which are left
+		s.endAttempts(reason, &state, ended)
 	}
-	stops.Wait()
-	for ctx.Err() == nil {
-		listing, err := s.t.leader.Workers.RenewLease(ctx, successor, &RenewLeaseOrder{Fence: s.fence})
-		if err != nil || listing.Answer != Done || !lists(listing, rejected) {
-			return
-		}
-		s.t.pause(rejectPollInterval)
+	s.t.leader.Logger.Info("life of worker is over", logging.Step("hold"), logging.Peer(s.target.ID), "reason", reason, "born", s.born)
+}
+
+// leaseExpired reports whether an attempt has certainly ended because no lease under which it
+// may run is left. The caller holds s.mu.
+func (s *session) leaseExpired(a cell.Attempt, now time.Duration) bool {
+	if (a.Inherited || s.lifeIsOver) && now <= s.inheritedEnd {
+		return false
 	}
+	return now > s.latestLeaseEnd
 }
 
-// lists reports whether one of the attempts is listed as running.
-func lists(listing *AttemptListing, attempts map[attemptKey]bool) bool {
-	for i := range listing.Running {
-		if attempts[attemptKey{listing.Running[i].Task, listing.Running[i].Run}] {
-			return true
-		}
+// fenceAccepted records that the incarnation has accepted an order of this term: from now on it
+// rejects those for earlier incarnations. Each of them may have given it the longest lease just
+// before. The caller holds s.mu.
+func (s *session) fenceAccepted(now time.Duration) {
+	if s.fenced {
+		return
 	}
-	return false
+	s.fenced = true
+	s.inheritedEnd = min(s.inheritedEnd, now+s.t.longestLease())
 }
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -316,7 +316,7 @@
 }
 
 // stopUnwanted sends stop orders for attempts whose job has ended, whose gang is no longer
-// complete or whose worker is shutting down.
+// complete, whose worker is shutting down, or that an incarnation of another kind has inherited.
 func (t *term) stopUnwanted() {
 	now := t.leader.Clock.Now()
 	var orders []stopKey
@@ -326,7 +326,7 @@
 				continue
 			}
 			for key, a := range w.Attempts {
-				if w.Departing || !wanted(v, key, a.Run) {
+				if w.Departing || !wanted(v, key, a.Run) || !v.Suits(w, key) {
 					orders = append(orders, stopKey{id, key, a.Run})
 				}
 			}
