dispatch: leases that were meant for an earlier life of a worker are waited out

Callers saw two runs of a task at the same time: a worker that was cut off soon after it had come back ran on under a lease that the leader did not know. A start or a renewal for its earlier life carries a deadline on that life's clock, which is far in the future of the new clock, so the later life takes the longest lease that is allowed. The leader counted only the leases that it had granted to the later life itself, 1.8 s for urgent work. This is the shape of the users' record: run 3 starts 2.443 s after run 2, which goes on for 1.358 s.

Once a later life has accepted the fence, orders for earlier ones give it no further lease; the longest one from then on is waited out. The state marks such a life until that is over, so that later leaders wait as long. Work of workers that do not come back under their id waits as before.

--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -189,9 +189,23 @@
 	if c.Alive {
 		s.forgetLosses(w)
 	}
+	if c.EarlierOrdersOver {
+		s.forgetEarlierOrders(w)
+	}
 	return nil
 }
 
+// forgetEarlierOrders records that no order for an earlier incarnation has an effect on a worker
+// any more. The attempts there are those that it has listed.
+func (s *Store) forgetEarlierOrders(w *Worker) {
+	w.Reborn = false
+	for key, a := range w.Attempts {
+		a.Inherited = false
+		w.Attempts[key] = a
+	}
+	w.changes++
+}
+
 // markBegun records that an attempt of a job has started.
 func (s *Store) markBegun(job string) {
 	if j := s.Jobs[job]; j != nil {
@@ -388,6 +402,7 @@
 		s.inheritAttempts(w)
 		if c.CountsLives && w.Born != 0 {
 			w.Lives++
+			w.Reborn = true
 		}
 		w.LastEnd, w.LastReport, w.Gone, w.Draining, w.TakenDown, w.Departing = 0, 0, false, false, false, false
 	}
--- a/internal/cell/command.go
+++ b/internal/cell/command.go
@@ -103,6 +103,9 @@
 	// longer count.
 	Settled []StartedAttempt `cbor:"7,keyasint,omitempty"`
 	Sound   []StartedAttempt `cbor:"8,keyasint,omitempty"`
+	// EarlierOrdersOver is set if no order for an earlier incarnation can have an effect any
+	// more.
+	EarlierOrdersOver bool `cbor:"9,keyasint,omitempty"`
 }
 
 // AttemptEnd states how an attempt ended.
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -18,6 +18,9 @@
 	// Lives is the number of earlier incarnations under the ID. Orders name only the ID, so
 	// their fence rises with it.
 	Lives uint64 `cbor:",omitempty"`
+	// Reborn is set on an incarnation that follows another one under the ID, until no order for
+	// an earlier one can have an effect on it any more.
+	Reborn bool `cbor:",omitempty"`
 	// Departing is set once the worker has announced that it is shutting down. It gets no
 	// further lease, and its attempts stay committed until they have certainly ended.
 	Departing bool `cbor:",omitempty"`
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -24,7 +24,7 @@
 func (s *session) leaseRanOut() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.t.leader.Clock.Now() > s.latestLeaseEnd
+	return s.t.leader.Clock.Now() > s.leaseEnd()
 }
 
 // startedAttempts returns the attempts that the worker has started or listed and that have
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -24,6 +24,8 @@
 	// targets holds the targets for the response time tails of the serving tasks,
 	// in milliseconds.
 	targets map[cell.TaskKey]int64
+	// reborn is that of the record.
+	reborn bool
 	// hasFillers is set if fillers run on the worker.
 	hasFillers bool
 }
@@ -38,6 +40,7 @@
 			r.gone = true
 			return
 		}
+		r.reborn = w.Reborn
 		r.gone, r.departing, r.acknowledgedEnd, r.hasLosses = w.Gone, w.Departing, w.LastEnd, len(w.Lost) > 0
 		r.attempts = make(map[cell.TaskKey]cell.Attempt, len(w.Attempts))
 		for k, a := range w.Attempts {
@@ -105,7 +108,7 @@
 		s.lastGrant = sent
 	}
 	timeout := order.MaxWait + callTimeout
-	if remaining := s.latestLeaseEnd - sent; s.failing && remaining > 0 {
+	if remaining := s.leaseEnd() - sent; s.failing && remaining > 0 {
 		timeout = min(timeout, remaining+retryDelay) // the attempts are closed soon after
 	}
 	s.mu.Unlock()
@@ -154,7 +157,7 @@
 	s.mu.Lock()
 	firstFailure := !s.failing
 	s.failing = true
-	leaseEnd := s.latestLeaseEnd
+	leaseEnd := s.leaseEnd()
 	s.mu.Unlock()
 	if firstFailure {
 		s.t.leader.Logger.Warn("worker does not answer", logging.Step("hold"), logging.Peer(s.target.ID), "attempts", len(state.attempts), "lease_ms", (leaseEnd - now).Milliseconds(), "error", err)
@@ -183,7 +186,7 @@
 // their lease has expired or the incarnation has ended.
 func (s *session) endAttempts(reason string, state *workerState, ended []cell.StartedAttempt) {
 	s.mu.Lock()
-	leaseEnd, granted := s.latestLeaseEnd, s.lastGrant
+	leaseEnd, granted := s.leaseEnd(), s.lastGrant
 	s.mu.Unlock()
 	now := s.t.leader.Clock.Now()
 	s.t.leader.metrics.lapses.Inc(1)
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -122,14 +122,15 @@
 		ends = append(ends, s.unlistedEnds(listing, listed, &state, sent, now)...)
 	}
 	alive := state.hasLosses && listing.Born == s.born
-	if len(ends) == 0 && lastEnd == state.acknowledgedEnd && !alive {
+	over := state.reborn && s.earlierOrdersOver(now)
+	if len(ends) == 0 && lastEnd == state.acknowledgedEnd && !alive && !over {
 		return
 	}
 	committed := make(chan struct{})
 	s.commitInProgress = committed
 	s.t.spawn(func() {
 		defer close(committed)
-		s.commitListed(&cell.RecordEnds{Worker: s.target.ID, Born: s.born, LastEnd: lastEnd, Ends: ends, Alive: alive}, now)
+		s.commitListed(&cell.RecordEnds{Worker: s.target.ID, Born: s.born, LastEnd: lastEnd, Ends: ends, Alive: alive, EarlierOrdersOver: over}, now)
 	})
 	s.awaitCommit(state.shortLease)
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -62,7 +62,7 @@
 	// fence is that of the orders. It rises with each incarnation under the ID, so that a later
 	// one that has accepted it rejects the orders for earlier ones.
 	fence uint64
-	// isLater is set if the incarnation follows another one under the ID.
+	// isLater is set if orders for earlier incarnations under the ID may have an effect.
 	isLater bool
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -96,6 +96,9 @@
 	// latestLeaseEnd is the time at which every lease that the worker was given has certainly
 	// expired.
 	latestLeaseEnd time.Duration
+	// earlierLeaseEnd is the same for leases that orders for earlier incarnations gave it, 0 if
+	// there are none.
+	earlierLeaseEnd time.Duration
 	// inheritedEnd is the time from which no attempt can run any more whose start order was for
 	// an earlier incarnation, or may be carried out by a later one; 0 if there is none.
 	inheritedEnd time.Duration
@@ -121,7 +124,7 @@
 func newSession(t *term, w *cell.Worker, inherited bool) *session {
 	ctx, cancel := context.WithCancel(t.ctx)
 	s := &session{
-		t: t, target: Target{w.ID, w.Address}, born: w.Born, fence: t.number + w.Lives, isLater: w.Lives > 0, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1),
+		t: t, target: Target{w.ID, w.Address}, born: w.Born, fence: t.number + w.Lives, isLater: w.Reborn, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1),
 		lastContact: t.leader.Clock.Now(), recordAt: t.leader.Clock.Now(), recordConfirmed: !inherited, fillerPace: fullPace, attempts: map[attemptKey]*attemptInfo{},
 	}
 	if inherited {
@@ -134,6 +137,10 @@
 	if inherited {
 		began = t.began
 	}
+	if w.Reborn {
+		// Attempts of an earlier leader were placed only once it had accepted the fence.
+		s.earlierLeaseEnd = began + t.longestLease()
+	}
 	for key, a := range w.Attempts {
 		s.attempts[attemptKey{key, a.Run}] = &attemptInfo{inherited: true}
 		if a.Inherited {
@@ -161,7 +168,7 @@
 		clone.startInFlight = false // the call ends with the earlier session; its deadline remains
 		s.attempts[k] = &clone
 	}
-	s.fenced, s.inheritedEnd = earlier.fenced, earlier.inheritedEnd
+	s.fenced, s.inheritedEnd, s.earlierLeaseEnd = earlier.fenced, earlier.inheritedEnd, earlier.earlierLeaseEnd
 	s.clock, s.latestLeaseEnd, s.sequence = earlier.clock, earlier.latestLeaseEnd, earlier.sequence
 }
 
@@ -250,7 +257,7 @@
 func (s *session) leaseRemaining(now time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.latestLeaseEnd - now
+	return s.leaseEnd() - now
 }
 
 // callAnswered records the answer to a call that was sent at the time sent.
--- a/internal/dispatch/successor.go
+++ b/internal/dispatch/successor.go
@@ -82,13 +82,17 @@
 	s.t.leader.Logger.Info("life of worker is over", logging.Step("hold"), logging.Peer(s.target.ID), "reason", reason, "born", s.born)
 }
 
+// leaseEnd returns the time from which every lease of the incarnation has certainly expired. The
+// caller holds s.mu.
+func (s *session) leaseEnd() time.Duration { return max(s.latestLeaseEnd, s.earlierLeaseEnd) }
+
 // leaseExpired reports whether an attempt has certainly ended because no lease under which it
 // may run is left. The caller holds s.mu.
 func (s *session) leaseExpired(a cell.Attempt, now time.Duration) bool {
 	if (a.Inherited || s.lifeIsOver) && now <= s.inheritedEnd {
 		return false
 	}
-	return now > s.latestLeaseEnd
+	return now > s.leaseEnd()
 }
 
 // fenceAccepted records that the incarnation has accepted an order of this term: from now on it
@@ -99,5 +103,16 @@
 		return
 	}
 	s.fenced = true
+	if s.isLater {
+		s.earlierLeaseEnd = now + s.t.longestLease()
+	}
 	s.inheritedEnd = min(s.inheritedEnd, now+s.t.longestLease())
 }
+
+// earlierOrdersOver reports whether no order for an earlier incarnation can have an effect any
+// more: this one rejects them, and the leases that they may have given it have expired.
+func (s *session) earlierOrdersOver(now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fenced && now > s.earlierLeaseEnd && now > s.inheritedEnd
+}
