--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -130,7 +130,7 @@
 	}
 	s.mu.Lock()
 	wasFailing := s.failing
-	s.failing = false
+	s.failing, s.lifeDoubtful = false, false
 	s.fenceAccepted(now)
 	s.lastContact, s.aliveAt = now, max(s.aliveAt, sent)
 	s.clock.observe(listing.ClockMS, now)
@@ -162,7 +162,7 @@
 	if firstFailure {
 		s.t.leader.Logger.Warn("worker does not answer", logging.Step("hold"), logging.Peer(s.target.ID), "attempts", len(state.attempts), "lease_ms", (leaseEnd - now).Milliseconds(), "error", err)
 	}
-	if expired := s.selectAttempts(state, func(_ attemptKey, a cell.Attempt) bool { return s.leaseExpired(a, now) }); len(expired) > 0 && s.t.leads() {
+	if expired := s.selectAttempts(state, func(k attemptKey, a cell.Attempt) bool { return s.leaseExpired(k, a, now) }); len(expired) > 0 && s.t.leads() {
 		s.endAttempts("its lease has run out", state, expired)
 	}
 	s.t.pause(retryDelay)
@@ -196,6 +196,12 @@
 		s.commitDepartedEnds(ended)
 		return
 	}
+	s.commitEnded(state, ended)
+}
+
+// commitEnded commits the ends of some attempts, and that the others may run on a later
+// incarnation.
+func (s *session) commitEnded(state *workerState, ended []cell.StartedAttempt) {
 	c := &cell.ExpireLease{Worker: s.target.ID, Born: s.born, Started: s.startedAttempts(), RanOut: s.leaseRanOut(), Begun: s.runningJobs()}
 	if len(ended) < len(state.attempts) {
 		c.Selected, c.Ended = true, ended
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -110,10 +110,11 @@
 	// serves is set if serving tasks with a response time target run beside them.
 	fillerPace int
 	serves     bool
-	// replaced is set once a later incarnation with the same ID is known, and lifeIsOver once the
-	// incarnation has certainly ended.
-	replaced   bool
-	lifeIsOver bool
+	// replaced is set once a later incarnation with the same ID is known, lifeIsOver once the
+	// incarnation has certainly ended, and lifeDoubtful while a later one may have answered.
+	replaced     bool
+	lifeIsOver   bool
+	lifeDoubtful bool
 	// fenced is set once the worker has accepted an order with this term's fence.
 	fenced   bool
 	attempts map[attemptKey]*attemptInfo
--- a/internal/dispatch/successor.go
+++ b/internal/dispatch/successor.go
@@ -76,20 +76,39 @@
 	s.mu.Unlock()
 	state := s.workerState()
 	ended := s.selectAttempts(&state, func(k attemptKey, _ cell.Attempt) bool { return over || s.isProven(k) })
-	if len(ended) > 0 || first && len(state.attempts) > 0 { // later leaders have to know which are left
+	switch {
+	case len(ended) > 0:
 		s.endAttempts(reason, &state, ended)
+	case first && len(state.attempts) > 0:
+		s.commitEnded(&state, nil) // later leaders have to know that they may run there
 	}
 	s.t.leader.Logger.Info("life of worker is over", logging.Step("hold"), logging.Peer(s.target.ID), "reason", reason, "born", s.born)
 }
 
+// lifeInDoubt handles the answer to a start order that seems to be of a later life. The next
+// listing states which life it is of. Until then the attempts that are not proven are treated as if
+// they ran on the later one.
+func (s *session) lifeInDoubt(now time.Duration) {
+	s.mu.Lock()
+	first := !s.lifeDoubtful && !s.lifeIsOver
+	if first {
+		s.lifeDoubtful, s.inheritedEnd = true, now+maxOrderDelay+s.t.longestLease()
+	}
+	s.mu.Unlock()
+	s.wakeUp()
+	if state := s.workerState(); first && len(state.attempts) > 0 {
+		s.commitEnded(&state, nil) // later leaders have to know that they may run there
+	}
+}
+
 // leaseEnd returns the time from which every lease of the incarnation has certainly expired. The
 // caller holds s.mu.
 func (s *session) leaseEnd() time.Duration { return max(s.latestLeaseEnd, s.earlierLeaseEnd) }
 
 // leaseExpired reports whether an attempt has certainly ended because no lease under which it
 // may run is left. The caller holds s.mu.
-func (s *session) leaseExpired(a cell.Attempt, now time.Duration) bool {
-	if (a.Inherited || s.lifeIsOver) && now <= s.inheritedEnd {
+func (s *session) leaseExpired(k attemptKey, a cell.Attempt, now time.Duration) bool {
+	if (a.Inherited || s.lifeIsOver || s.lifeDoubtful && !s.isProven(k)) && now <= s.inheritedEnd {
 		return false
 	}
 	return now > s.leaseEnd()
--- a/internal/dispatch/worker_clock.go
+++ b/internal/dispatch/worker_clock.go
@@ -31,7 +31,11 @@
 
 // atLeast returns the least that the worker's clock can show now, in milliseconds.
 func (c *workerClock) atLeast(now time.Duration) int64 {
-	return c.reading + int64(float64((now-c.at).Milliseconds())*(1-maxClockDrift))
+	passed := now - c.at
+	if passed < 0 { // the reading is of after now, so a slow clock shows more then
+		return c.reading + passed.Milliseconds() - 1
+	}
+	return c.reading + int64(float64(passed.Milliseconds())*(1-maxClockDrift))
 }
 
 // estimate returns what the worker's clock shows now, in milliseconds, if it has
