dispatch: ends are acknowledged only to a life that has just listed them

A task that was done ran again: the session of an earlier life renewed its lease after an idle time, or probed it after a failure, and told the later life that ends up to a number are committed, which deleted the later life's own ends up to that number. A renewal now acknowledges ends only if the life has answered the renewal just before. The other renewals list the ends that are committed already once more, which changes nothing.

--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -87,7 +87,7 @@
 		return
 	}
 	sent := s.t.leader.Clock.Now()
-	order := RenewLeaseOrder{Fence: s.fence, AcknowledgedEnd: state.acknowledgedEnd}
+	order := RenewLeaseOrder{Fence: s.fence}
 	lease, wait := s.t.lease, renewalWait
 	if state.shortLease {
 		lease, wait = s.t.shortLease, shortRenewalWait
@@ -96,6 +96,10 @@
 		wait = shortRenewalWait // so that the fillers are slowed down in time
 	}
 	s.mu.Lock()
+	if s.listed {
+		order.AcknowledgedEnd = state.acknowledgedEnd
+	}
+	s.listed = false
 	if s.fenced && !s.failing && len(state.attempts) > 0 {
 		order.MaxWait = wait
 	}
@@ -130,7 +134,7 @@
 	}
 	s.mu.Lock()
 	wasFailing := s.failing
-	s.failing, s.lifeDoubtful = false, false
+	s.failing, s.lifeDoubtful, s.listed = false, false, true
 	s.fenceAccepted(now)
 	s.lastContact, s.aliveAt = now, max(s.aliveAt, sent)
 	s.clock.observe(listing.ClockMS, now)
--- a/internal/dispatch/life_test.go
+++ b/internal/dispatch/life_test.go
@@ -136,6 +136,22 @@
 	}
 }
 
+// Guards against a task that is started again although it is done: a renewal for an earlier life
+// acknowledges the end on the next one, which has carried out the start order and has not reported.
+func TestRenewalAfterIdleTimeDoesNotDeleteEnds(t *testing.T) {
+	runCell(t, 1, func(b *testCell) {
+		b.submit(jobID1, taskStep(4, 1))
+		b.waitForState(jobID1, cell.Complete, 10*time.Second)
+		time.Sleep(time.Second)
+		b.returnUnnoticed("w0", 2, 50*time.Millisecond)
+		b.submit(jobID2, taskStep(1, 1))
+		time.Sleep(1500 * time.Millisecond)
+		b.do(firstReport("w0", 2, 0))
+		b.waitForState(jobID2, cell.Complete, 10*time.Second)
+		assert.Equal(t, b.startCount(jobID2, 0), 1)
+	})
+}
+
 // Guards against a second run of a task whose start order has no answer and is carried out
 // seconds later, when its worker was given up and has started again. The leader may have changed.
 func TestLateStartDoesNotRunOnLaterLife(t *testing.T) {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -115,6 +115,10 @@
 	replaced     bool
 	lifeIsOver   bool
 	lifeDoubtful bool
+	// listed is set if the incarnation has answered the last renewal, and nothing was waited for
+	// since. Only then it is told which ends are committed: a later incarnation that takes the
+	// acknowledgement deletes its own ends.
+	listed bool
 	// fenced is set once the worker has accepted an order with this term's fence.
 	fenced   bool
 	attempts map[attemptKey]*attemptInfo
@@ -321,6 +325,9 @@
 	if unknown && !failing {
 		return true // no attempt can be started before
 	}
+	s.mu.Lock()
+	s.listed = false
+	s.mu.Unlock()
 	s.idle.Store(true)
 	defer s.idle.Store(false)
 	var probe <-chan time.Time
