cell: an attempt that lives inherit from each other counts one crash

With the attempts that pass over, a worker that starts again and again before it has been called counted a crash for the same attempt with each life, and after five its job failed although the task had hardly run. It counts only for the life that its start order was for, unless a later one has listed it. A doubt about a life ends with its next listing, and with it the longer wait.

TestInheritedAttemptCountsOneCrash failed before (the job is failed) and passes.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -111,6 +111,9 @@
 // there. It returns the crash, or nil if there was none or no task ran there.
 func (s *Store) endIncarnation(w *Worker, started []StartedAttempt, ends func(StartedAttempt) bool) *Crash {
 	for key, a := range w.Attempts {
+		if a.Inherited && !slices.Contains(started, StartedAttempt{key, a.Run}) {
+			continue // it counts for the incarnation that its start order was for
+		}
 		s.recordLoss(w, key, &a, started, false)
 	}
 	for key, a := range w.Attempts {
--- a/internal/cell/life_test.go
+++ b/internal/cell/life_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"laburnumgrade/internal/structs"
 )
 
 // Guards against a fence that falls behind what a worker has accepted: the number of lives is
@@ -30,3 +32,19 @@
 	register(4, true)
 	assert.Equal(t, s.Workers["w"].Lives, uint64(2))
 }
+
+// Guards against a job that fails for crashes under a task that has hardly run: its worker starts
+// again and again before it has been called, and each life inherits the attempt.
+func TestInheritedAttemptCountsOneCrash(t *testing.T) {
+	b := newStoreBench(t)
+	b.submit(firstID, singleTask(1))
+	assert.Assert(t, b.start(placement(firstID, 0, 0, 1, "w0"))[0])
+	for born := int64(2); born < 10; born++ {
+		b.apply(&Command{Register: &Register{ID: "w0", Born: born, Address: "10.0.0.0:80", Service: "planner", Capacity: structs.Resources{MilliCPU: 8000}, CountsLives: true}})
+	}
+	assert.Equal(t, b.state(firstID).State, Active)
+	b.store.View(func(v *View) {
+		assert.Equal(t, v.Job(firstID).Occurrences[0][0].Tasks[0].PossibleCrashes(), 1)
+		assert.Equal(t, len(v.Worker("w0").Attempts), 1)
+	})
+}
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -134,7 +134,10 @@
 	}
 	s.mu.Lock()
 	wasFailing := s.failing
-	s.failing, s.lifeDoubtful, s.listed = false, false, true
+	if s.lifeDoubtful {
+		s.lifeDoubtful, s.inheritedEnd = false, 0
+	}
+	s.failing, s.listed = false, true
 	s.fenceAccepted(now)
 	s.lastContact, s.aliveAt = now, max(s.aliveAt, sent)
 	s.clock.observe(listing.ClockMS, now)
