--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -366,7 +366,7 @@
 		s.loseAttempts(w, c.Started, c.RanOut, func(a StartedAttempt) bool {
 			return !c.Selected || slices.Contains(c.Ended, a)
 		})
-		s.inheritAttempts(w)
+		s.inheritAttempts(w, false)
 	}
 	return nil
 }
@@ -399,7 +399,7 @@
 		if crash := s.endIncarnation(w, c.Started, ends); crash != nil {
 			crashes = append(crashes, crash)
 		}
-		s.inheritAttempts(w)
+		s.inheritAttempts(w, true)
 		if c.CountsLives && w.Born != 0 {
 			w.Lives++
 			w.Reborn = true
--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -64,10 +64,11 @@
 // allAttempts selects all attempts on a worker.
 func allAttempts(StartedAttempt) bool { return true }
 
-// inheritAttempts marks the attempts that are left on a worker whose incarnation has ended.
-func (s *Store) inheritAttempts(w *Worker) {
+// inheritAttempts marks the attempts that are left on a worker whose incarnation has ended or may
+// have. crashCounted states whether its crash was counted.
+func (s *Store) inheritAttempts(w *Worker, crashCounted bool) {
 	for key, a := range w.Attempts {
-		a.Inherited = true
+		a.Inherited, a.CrashCounted = true, a.CrashCounted || crashCounted
 		w.Attempts[key] = a
 		w.changes++
 	}
@@ -111,7 +112,7 @@
 // there. It returns the crash, or nil if there was none or no task ran there.
 func (s *Store) endIncarnation(w *Worker, started []StartedAttempt, ends func(StartedAttempt) bool) *Crash {
 	for key, a := range w.Attempts {
-		if a.Inherited && !slices.Contains(started, StartedAttempt{key, a.Run}) {
+		if a.CrashCounted && !slices.Contains(started, StartedAttempt{key, a.Run}) {
 			continue // it counts for the incarnation that its start order was for
 		}
 		s.recordLoss(w, key, &a, started, false)
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -67,6 +67,8 @@
 	// Inherited is set if the start order was for an earlier incarnation, or is answered by a
 	// later one: the attempt may run on this or on a later one, or not at all.
 	Inherited bool `cbor:",omitempty"`
+	// CrashCounted is set if the crash of the incarnation that the start order was for is counted.
+	CrashCounted bool `cbor:",omitempty"`
 }
 
 // Suspect reports whether the task of the attempt was a suspect when it was committed.
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -205,6 +205,8 @@
 		if s := t.session(c.Register.ID, c.Register.Born); s != nil {
 			s.recordChanged(c.Register)
 			s.wakeUp()
+		} else if s := t.sessionOf(c.Register.ID); s != nil && s.born < c.Register.Born {
+			t.lifeRegistered.Store(true)
 		}
 	}
 	l.wakePlanner()
