dispatch: a life that lists an attempt does not prove it if its start was sent twice

Found by the model (spec/lives.pml, mutation PROVEN_IF_LISTED): the first try of a start has no answer, the second is carried out and listed, and the next life carries out the first one. The attempt counted as ended with the life that listed it, and the task ran twice. An attempt is proven only if no try of its start is without an answer. A later leader does not know the tries of the one before, so nothing is proven for it within the longest delay of an order after its term began; what passes over for that reason is settled by the first call to the later life.

--- a/internal/dispatch/life_test.go
+++ b/internal/dispatch/life_test.go
@@ -217,3 +217,24 @@
 		assert.Equal(t, b.startCount(jobID1, 0), 1)
 	})
 }
+
+// Guards against a second run of a task whose start order was sent twice: the worker has carried
+// out and listed the one, and its next life carries out the other, which had no answer.
+func TestRepeatedStartDoesNotRunOnLaterLife(t *testing.T) {
+	runCell(t, 1, func(b *testCell) {
+		time.Sleep(20 * time.Second)
+		b.reportAll()
+		b.fleet.change("w0", func(w *fakeWorker) { w.startDelay, w.taskDuration = 4*time.Second, 20*time.Second })
+		b.submit(jobID1, taskStep(1, 3))
+		time.Sleep(callTimeout / 2) // the first try is on its way
+		b.fleet.change("w0", func(w *fakeWorker) { w.startDelay = 0 })
+		time.Sleep(2 * time.Second) // the second one is carried out and listed
+		assert.Equal(t, b.startCount(jobID1, 0), 1)
+		b.returnUnnoticed("w0", 2, 20*time.Second)
+		b.cutOff("w0")
+		b.do(firstReport("w0", 2, 0))
+		b.register("w1", 1, 1)
+		b.fleet.change("w1", func(w *fakeWorker) { w.taskDuration = 10 * time.Second })
+		b.waitForState(jobID1, cell.Complete, time.Minute)
+	})
+}
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -48,6 +48,8 @@
 	// startAnsweredAt is when a start order for the attempt was answered, 0 if none was, and
 	// listed is set once the incarnation has listed the attempt itself.
 	startAnsweredAt time.Duration
+	// startUnanswered is set if a try of the start order may still be carried out.
+	startUnanswered bool
 	listed          bool
 }
 
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -79,6 +79,7 @@
 			continue
 		case err != nil:
 			s.callUnanswered(sent)
+			s.startUnanswered(attemptKey{o.Task, o.Run})
 			certain = false
 			if left := retryDelay - (s.t.leader.Clock.Now() - sent); left > 0 {
 				s.t.pause(left) // the call failed at once
@@ -98,6 +99,13 @@
 	return 0, certain
 }
 
+// startUnanswered records that a try of the start order for an attempt had no answer.
+func (s *session) startUnanswered(k attemptKey) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.attemptInfo(k).startUnanswered = true
+}
+
 // stop orders the worker to stop an attempt or to reject its start.
 func (s *session) stop(task cell.TaskKey, run uint32) {
 	if !s.t.leads() {
--- a/internal/dispatch/successor.go
+++ b/internal/dispatch/successor.go
@@ -34,12 +34,15 @@
 	return stated && s.clock.known && r.ClockMS < s.clock.atLeast(sent)
 }
 
-// isProven reports whether the incarnation itself has certainly started an attempt: it has
-// listed it, or was still there after the start order had been answered. The answer alone may
-// be that of a successor. The caller holds s.mu.
+// isProven reports whether an attempt certainly ends with the incarnation: that has listed it, or
+// was still there after the start order had been answered, and no other try of the order may still be
+// carried out. The answer to a start alone may be that of a successor. The caller holds s.mu.
 func (s *session) isProven(k attemptKey) bool {
 	info := s.attempts[k]
-	return info != nil && (info.listed || info.startAnsweredAt > 0 && s.aliveAt > info.startAnsweredAt)
+	if info == nil || info.startUnanswered || info.inherited && s.aliveAt < s.t.began+maxOrderDelay {
+		return false
+	}
+	return info.listed || info.startAnsweredAt > 0 && s.aliveAt > info.startAnsweredAt
 }
 
 // replace makes the session of the incarnation before a registration send no more starts, and
