control: the mirror tells a service's job from an earlier one with the same id

Cause: the job of a service has a fixed id. If it ended, was removed from the state after its retention, and was set again with fewer instances between two syncs of the mirror, the attempts of the instances beyond the new number stayed in the scheduler until the next leadership: their room on the worker and in the team's allotment was counted as used.

Change: the mirror keeps when the job that it counted was accepted, and removes that job first if the state has another one with its id.

TestMirrorReplacesJobWithSameID fails without the change.

--- a/internal/control/admit.go
+++ b/internal/control/admit.go
@@ -44,7 +44,7 @@
 		copied := j.Spec
 		spec = &copied
 	}
-	m.countsByJob[j.ID] = taskCounts{waiting: waiting, running: running, spec: spec, tasks: len(j.Tasks)}
+	m.countsByJob[j.ID] = taskCounts{waiting: waiting, running: running, spec: spec, tasks: len(j.Tasks), acceptedAt: j.AcceptedAt}
 }
 
 // taskCounts are the tasks of a job that the admission controller has counted.
@@ -52,6 +52,10 @@
 	waiting, running int
 	spec             *structs.WorkSpec
 	tasks            int
+	// acceptedAt is the log time at which the job was accepted, in Unix milliseconds. It
+	// tells apart two jobs that had the same id one after the other, as the job of a service
+	// that is removed and set again has.
+	acceptedAt int64
 }
 
 // pendingSubmissions holds the jobs whose submission was proposed and whose outcome
--- a/internal/control/mirror.go
+++ b/internal/control/mirror.go
@@ -179,6 +179,11 @@
 		m.removeJob(id, now)
 		return
 	}
+	if counts, counted := m.countsByJob[id]; counted && counts.acceptedAt != j.AcceptedAt {
+		// The job that was mirrored is gone, and another one has its id. It may have fewer
+		// tasks, so that the attempts of the others would never end in the scheduler.
+		m.removeJob(id, now)
+	}
 	if _, seen := m.acceptedAt[id]; !seen {
 		m.acceptedAt[id] = now - m.waitTime(&j)
 	}
--- a/internal/control/mirror_test.go
+++ b/internal/control/mirror_test.go
@@ -183,3 +183,27 @@
 	l.advance(25 * time.Hour)
 	l.checkMirror(t)
 }
+
+// TestMirrorReplacesJobWithSameID guards against a mirror that keeps the attempts of a
+// service's job that was removed from the state and set again, with fewer instances,
+// between two syncs.
+func TestMirrorReplacesJobWithSameID(t *testing.T) {
+	l := newLeader(t)
+	w := l.addWorker("w0", cores(8))
+	l.allot("a", cores(100))
+	l.putDocument(serviceSpec(2, cores(1)))
+	l.runRound()
+	l.runRound()
+	assert.Equal(t, len(w.running), 2)
+	l.checkMirror(t)
+	l.putDocument(serviceSpec(0, cores(1)))
+	l.server.runServicesOnce(l.ctx(), l.group)
+	w.endAll(apiv1.Outcome_OUTCOME_CANCELLED)
+	l.heartbeat(w)
+	l.advance(25 * time.Hour)
+	_, known := l.group.Store.Job("service/a/s")
+	assert.Assert(t, !known)
+	l.putDocument(serviceSpec(1, cores(1)))
+	l.server.runServicesOnce(l.ctx(), l.group)
+	l.checkMirror(t)
+}
