control: the mirror takes changed workers and jobs in the order of their ids

Cause: TestMirrorEqualsState gave other results for the same draws, because new workers got their slots in the order of a map, on which the choice among equal workers depends, and because the delays of trials had a random jitter. rapid could not reproduce what it had found.

Change: changed workers and jobs are mirrored in the order of their ids; the random numbers of the health monitor come from a field of the mirror, which the tests set to a constant.

--- a/internal/control/leader_test.go
+++ b/internal/control/leader_test.go
@@ -68,6 +68,8 @@
 		Groups: []*DataCentreGroup{l.group}, DataCentres: dataCentres, Scheduler: scheduler.DefaultOptions(),
 	})
 	l.server.wallClock = func() time.Time { return time.UnixMilli(baseUnixMs + l.clock.now.Milliseconds()) }
+	// The result of a test must not depend on a random number that is not drawn by it.
+	l.group.mirror.random = func() float64 { return 0.5 }
 	l.dc = &DataCentreServer{l.server}
 	l.advance(time.Millisecond)
 	return l
--- a/internal/control/mirror.go
+++ b/internal/control/mirror.go
@@ -1,8 +1,10 @@
 package control
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +23,8 @@
 	group   *DataCentreGroup
 	options scheduler.Options
 	clock   func() time.Duration
+	// random returns numbers in [0, 1), for the jitter of delays.
+	random func() float64
 
 	mu        sync.Mutex
 	scheduler *scheduler.Scheduler
@@ -50,7 +54,7 @@
 const teamsInterval = 100 * time.Millisecond
 
 func newMirror(g *DataCentreGroup, o scheduler.Options, clock func() time.Duration) *mirror {
-	return &mirror{group: g, options: o, clock: clock, since: -1}
+	return &mirror{group: g, options: o, clock: clock, random: rand.Float64, since: -1}
 }
 
 // sync mirrors the changed workers and jobs; after a change of leadership, or if the
@@ -65,7 +69,7 @@
 		m.backoffUntil = map[string]time.Duration{}
 		m.nextBackoffEnd = 0
 		m.admission = admission.NewController(admission.DefaultLimits(), m.scheduler.Fleet())
-		m.health = health.NewMonitor(health.DefaultPolicy(), rand.Float64)
+		m.health = health.NewMonitor(health.DefaultPolicy(), m.random)
 		m.countsByJob = map[string]taskCounts{}
 		m.probation = map[string]struct{}{}
 		m.incarnations = map[string]uint64{}
@@ -75,7 +79,9 @@
 	}
 	now := m.clock()
 	m.endBackoffs(now, jobs)
-	for id := range workers {
+	// The order determines the slots of new workers and with them the choice among equal
+	// workers. In the order of a map the same events would lead to different plans.
+	for _, id := range slices.Sorted(maps.Keys(workers)) {
 		m.syncWorker(id)
 	}
 	if m.teamsSyncedAt == 0 || now >= m.teamsSyncedAt+teamsInterval {
@@ -84,7 +90,7 @@
 		m.health.SetWorkerCount(m.scheduler.Fleet().Len())
 		m.grantTrials(now)
 	}
-	for id := range jobs {
+	for _, id := range slices.Sorted(maps.Keys(jobs)) {
 		m.syncJob(id, now)
 	}
 }
