membership: late announcements of an earlier replica of a process are ignored

Cause: the leader recorded the replica that a process announced last, by the name of the process. An announcement that was sent before a restart and arrived after the first one of the new replica made the new replica count as gone: if it was a voter, the leader began to replace it by the replica that no longer exists, and made no other change until that timed out (2 s in a cell, a minute in a fleet); a learner was removed. The voter itself was not removed, because the replacement has to catch up first.

Change: an announcement with a lower incarnation is ignored while the recorded replica is live. After candidateLifetime it counts, so that a process whose clock went back over the restart joins all the same.

TestRecordIgnoresEarlierIncarnation fails without the change.

--- a/internal/cellnode/member.go
+++ b/internal/cellnode/member.go
@@ -42,9 +42,9 @@
 func (n *Node) recordAnnouncement(a *cellapi.AnnounceReplica) {
 	n.announcements.mu.Lock()
 	defer n.announcements.mu.Unlock()
-	n.announcements.byName[membership.ProcessName(a.Replica)] = membership.Candidate{
+	membership.Record(n.announcements.byName, membership.Candidate{
 		Replica: membership.Replica{ID: a.Replica, Address: a.Peer}, DataCentre: a.DataCentre, LastSeen: n.config.Clock.Now(),
-	}
+	})
 }
 
 // voterCount returns the number of voters that the group should have: a majority of them
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -139,9 +139,7 @@
 	if m.candidates == nil {
 		m.candidates = map[string]membership.Candidate{}
 	}
-	m.candidates[membership.ProcessName(r.GetId())] = membership.Candidate{
-		Replica: membership.Replica{ID: r.GetId(), Address: r.GetAddress()}, LastSeen: now,
-	}
+	membership.Record(m.candidates, membership.Candidate{Replica: membership.Replica{ID: r.GetId(), Address: r.GetAddress()}, LastSeen: now})
 }
 
 // announceReplica announces the replica to the group's leader at each interval until the
--- a/internal/membership/next.go
+++ b/internal/membership/next.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -28,6 +29,16 @@
 	return name
 }
 
+// incarnation returns the number in the id of a replica, 0 if there is none.
+func incarnation(id string) uint64 {
+	_, number, _ := strings.Cut(id, "#")
+	n, err := strconv.ParseUint(number, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // Candidate is a replica that asks to be a member of the group. Voters and learners
 // announce themselves in the same way.
 type Candidate struct {
@@ -38,6 +49,21 @@
 	LastSeen time.Duration
 }
 
+// Record records an announcement in candidates, which are the replicas that announced
+// themselves last by the names of their processes. An announcement with an earlier
+// incarnation than the recorded one is ignored as long as that one is live: it was sent
+// before the process restarted and arrived late. The recorded replica would otherwise count
+// as one that no longer exists. A process whose clock has gone back over the restart is
+// recorded once the other replica has been silent for candidateLifetime.
+func Record(candidates map[string]Candidate, c Candidate) {
+	name := ProcessName(c.ID)
+	known, ok := candidates[name]
+	if ok && incarnation(c.ID) < incarnation(known.ID) && c.LastSeen-known.LastSeen <= candidateLifetime {
+		return
+	}
+	candidates[name] = c
+}
+
 // View is the input of Next: the members of a group and the replicas that announced
 // themselves, as recorded by the group's leader.
 type View struct {
--- a/internal/membership/next_test.go
+++ b/internal/membership/next_test.go
@@ -117,3 +117,35 @@
 		})
 	}
 }
+
+// TestRecordIgnoresEarlierIncarnation guards against the replacement or removal of a running
+// replica because an announcement that its process sent before it restarted arrives late,
+// and against a process that is never recorded again after its clock went back.
+func TestRecordIgnoresEarlierIncarnation(t *testing.T) {
+	tests := []struct {
+		name     string
+		recorded Candidate
+		late     Candidate
+		voters   []Replica
+		learners []Replica
+		want     Change
+	}{
+		{"voter", candidates(now, "b#2")["b"], candidates(now, "b#1")["b"], replicas("a#1", "b#2", "c#1"), nil, Change{}},
+		{"voter, numbers of different length", candidates(now, "b#10")["b"], candidates(now, "b#9")["b"], replicas("a#1", "b#10", "c#1"), nil, Change{}},
+		{"learner", candidates(now, "c#2")["c"], candidates(now, "c#1")["c"], replicas("a#1", "b#1"), replicas("c#2"), Change{Kind: Add, New: Replica{ID: "c#2"}}},
+		{"restart", candidates(now, "b#1")["b"], candidates(now, "b#2")["b"], replicas("a#1", "b#1", "c#1"), nil, Change{Kind: Replace, OldID: "b#1", New: Replica{ID: "b#2"}}},
+		{"clock went back", candidates(now-candidateLifetime-1, "b#2")["b"], candidates(now, "b#1")["b"], replicas("a#1", "b#2", "c#1"), nil, Change{Kind: Replace, OldID: "b#2", New: Replica{ID: "b#1"}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			recorded := map[string]Candidate{}
+			Record(recorded, test.recorded)
+			Record(recorded, test.late)
+			got := Next(&View{
+				PreferredVoters: []string{"a", "b", "c"}, Voters: test.voters, Learners: test.learners, Candidates: recorded, Now: now,
+				LastSeen: func(string) time.Duration { return now },
+			})
+			assert.DeepEqual(t, got, test.want)
+		})
+	}
+}
