control: a late announcement changes nothing about an instance's later incarnation

Cause: an announcement that arrives while a later incarnation of the instance is being committed is compared with the earlier one, which is still in the state, and then took effect by the instance's id only. It replaced the later one's announcement, so that the instance got no new calls until its next announcement (half a second), and it began the wait for the earlier holder of the slots before the later incarnation was committed. The latter had no effect, since the earlier holder can use the slots only for 2 s after that announcement and the wait takes 3 s.

Change: both records compare incarnations.

TestLateAnnouncementOfEarlierIncarnation fails without the change.

--- a/internal/control/holder.go
+++ b/internal/control/holder.go
@@ -72,6 +72,8 @@
 // incarnation.
 type restartedInstance struct {
 	entry string
+	// incarnation is the new incarnation.
+	incarnation uint64
 	// until is when the lease under which the entry may use the old incarnation has
 	// expired; 0 until the new incarnation is known to be committed.
 	until time.Duration
@@ -171,17 +173,20 @@
 }
 
 // recordAnnouncement records that an announcement of an instance arrived at the time
-// arrived, and that its incarnation is known to be committed.
+// arrived, and that its incarnation is known to be committed. The announcement may be one of
+// an earlier incarnation that arrived while a later one was being committed: it changes
+// nothing about the later one.
 func (h *slotHolders) recordAnnouncement(since, arrived, now time.Duration, id string, incarnation uint64) {
 	if !h.lockLeadership(since) {
 		return
 	}
 	defer h.mu.Unlock()
-	if old := h.announced[id]; incarnation > old.incarnation || arrived > old.at {
+	if old := h.announced[id]; incarnation > old.incarnation || incarnation == old.incarnation && arrived > old.at {
 		h.announced[id] = announcement{incarnation, arrived}
 	}
-	if r, ok := h.restarted[id]; ok && r.until == 0 {
-		h.restarted[id] = restartedInstance{r.entry, now + lease.AddDriftMargin(lease.SlotDuration)}
+	if r, ok := h.restarted[id]; ok && r.until == 0 && incarnation >= r.incarnation {
+		r.until = now + lease.AddDriftMargin(lease.SlotDuration)
+		h.restarted[id] = r
 	}
 }
 
@@ -286,17 +291,20 @@
 	return r, ok
 }
 
-// recordRestart records that a new incarnation of the instance is being registered. The
+// recordRestart records that a new incarnation of an instance is being registered. The
 // holder of the slots may use the old incarnation, at the same address, until its next
 // listing of instances shows the new one.
-func (h *slotHolders) recordRestart(since time.Duration, old *structs.Instance) {
+func (h *slotHolders) recordRestart(since time.Duration, old *structs.Instance, incarnation uint64) {
 	if !h.lockLeadership(since) {
 		return
 	}
 	defer h.mu.Unlock()
 	entry := old.Entry
-	if r, ok := h.restarted[old.ID]; ok && entry == "" {
-		entry = r.entry
+	if r, ok := h.restarted[old.ID]; ok {
+		if entry == "" {
+			entry = r.entry
+		}
+		incarnation = max(incarnation, r.incarnation)
 	}
-	h.restarted[old.ID] = restartedInstance{entry: entry}
+	h.restarted[old.ID] = restartedInstance{entry: entry, incarnation: incarnation}
 }
--- a/internal/control/instance.go
+++ b/internal/control/instance.go
@@ -37,7 +37,7 @@
 // registerInstance commits an instance that is new or has changed.
 func (d *DataCentreServer) registerInstance(ctx context.Context, g *DataCentreGroup, since time.Duration, r *apiv1.AnnounceRequest) error {
 	if old, known := g.Store.Instance(r.InstanceId); known && old.Incarnation < r.Incarnation {
-		g.holders.recordRestart(since, &old)
+		g.holders.recordRestart(since, &old, r.Incarnation)
 	}
 	result, err := g.propose(ctx, &statev1.DataCentreCommand{Command: &statev1.DataCentreCommand_RegisterInstance{RegisterInstance: &statev1.RegisterInstance{
 		InstanceId: r.InstanceId, Incarnation: r.Incarnation, Team: r.Team, Service: r.Service,
--- a/internal/control/slots_test.go
+++ b/internal/control/slots_test.go
@@ -10,7 +10,9 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"laburnumgrade/internal/lease"
 	"laburnumgrade/internal/routing"
+	"laburnumgrade/internal/structs"
 )
 
 // TestMain sets rapid's seed and limits, unless flags set them, so that results are the
@@ -232,3 +234,22 @@
 	m.listInstances(other)
 	assert.DeepEqual(t, m.holders(), map[string][]string{"addr-i0": {"e1"}})
 }
+
+// TestLateAnnouncementOfEarlierIncarnation guards against an announcement of an instance's
+// earlier incarnation that arrives while the later one is being committed, and that ends the
+// validity of the later one or begins the time for which its slots may be in use by the
+// earlier one's holder too early.
+func TestLateAnnouncementOfEarlierIncarnation(t *testing.T) {
+	h := newSlotHolders()
+	earlier := structs.Instance{ID: "i0", Incarnation: 1, Entry: "e0"}
+	later := structs.Instance{ID: "i0", Incarnation: 2}
+	h.recordRestart(0, &earlier, 2)
+	h.recordAnnouncement(0, 1100*time.Millisecond, 1100*time.Millisecond, "i0", 1)
+	r, _ := h.previousHolder(0, "i0")
+	assert.Equal(t, r.until, time.Duration(0), "the later incarnation is not committed yet")
+	h.recordAnnouncement(0, time.Second, 1200*time.Millisecond, "i0", 2)
+	h.recordAnnouncement(0, 1100*time.Millisecond, 1300*time.Millisecond, "i0", 1)
+	r, _ = h.previousHolder(0, "i0")
+	assert.Equal(t, r.until, 1200*time.Millisecond+lease.AddDriftMargin(lease.SlotDuration))
+	assert.Equal(t, h.validFor(0, 1300*time.Millisecond, &later), lease.InstanceDuration-300*time.Millisecond)
+}
