control: failures of an earlier incarnation do not count against the later one

Cause: the ends that a worker reports are judged after their commit, by the worker's id. If a later incarnation was registered and mirrored in between, the failures counted against it. If they led to a probation, the state refused that, but the health monitor went on as if the worker were on probation: it ignored all failures of the later incarnation and counted it against the limit of workers on probation, until the worker restarted again or the leader changed.

Change: ends on an incarnation older than the mirrored one are not judged.

TestLateEndsOfEarlierIncarnation fails without the change.

--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -18,7 +18,7 @@
 // require.
 func (s *Server) applyHealthVerdicts(ctx context.Context, g *DataCentreGroup, r *apiv1.HeartbeatRequest, ended []*apiv1.EndedAttempt) {
 	for _, e := range ended {
-		v := g.mirror.healthVerdict(r.WorkerId, e)
+		v := g.mirror.healthVerdict(r.WorkerId, r.Incarnation, e)
 		if v.Probation || v.Restored {
 			s.setProbation(ctx, g, r, v)
 		}
@@ -58,13 +58,18 @@
 
 // healthVerdict passes one ended attempt to the monitor and returns its verdict.
 // Outcomes other than success and failure are no evidence of the worker's health and
-// are ignored.
-func (m *mirror) healthVerdict(worker string, e *apiv1.EndedAttempt) health.Verdict {
+// are ignored, and so are ends on an incarnation that was replaced while they were being
+// committed: the state would refuse the probation, and the monitor would ignore the failures
+// of the later incarnation.
+func (m *mirror) healthVerdict(worker string, incarnation uint64, e *apiv1.EndedAttempt) health.Verdict {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.health == nil {
 		return health.Verdict{}
 	}
+	if mirrored, seen := m.incarnations[worker]; seen && mirrored > incarnation {
+		return health.Verdict{}
+	}
 	switch e.Outcome {
 	case apiv1.Outcome_OUTCOME_OK:
 		return m.health.Succeeded(worker, e.JobId)
--- a/internal/control/health_test.go
+++ b/internal/control/health_test.go
@@ -155,3 +155,33 @@
 		})
 	}
 }
+
+// TestLateEndsOfEarlierIncarnation guards against failures of an earlier incarnation of a
+// worker that are counted against the later one, whose failures the monitor then ignores
+// because it takes it to be on probation, and which counts against the limit of workers on
+// probation.
+func TestLateEndsOfEarlierIncarnation(t *testing.T) {
+	l := newLeader(t)
+	w := l.addWorker("w0", cores(64))
+	l.allot("a", cores(1000))
+	for i := range 3 {
+		l.mustSubmit(i, batchSpec("a", cores(1)))
+	}
+	l.runRound()
+	assert.Equal(t, len(w.running), 3)
+	w.endAll(apiv1.Outcome_OUTCOME_FAILED)
+	late := l.report(w)
+	w.ended = map[uint64]*apiv1.EndedAttempt{}
+	// The worker restarts before the ends are judged.
+	w.incarnation++
+	l.heartbeat(w)
+	l.schedule()
+	l.server.applyHealthVerdicts(l.ctx(), l.group, late, late.Ended)
+	assert.Assert(t, !l.probation("w0"))
+	assert.Equal(t, l.group.mirror.health.ProbationCount(), 0)
+	l.runRounds(30 * time.Second)
+	assert.Equal(t, len(w.running), 3)
+	w.endAll(apiv1.Outcome_OUTCOME_FAILED)
+	l.heartbeats()
+	assert.Assert(t, l.probation("w0"))
+}
