host, control: a process that has not opened its data folder does not describe its groups

Cause: a process serves calls before its replicas are started, and until then answered that it holds no state of the group. It opens its data folder in that time, and waits there while the disk is full. If all processes of a group restarted together and the first listed one had lost its disk, it took these answers for the first start of the group and bootstrapped it again, under the id that it has in the existing group, where that replica counts as a voter with the whole log.

Change: such a process answers with an error, and the other repeats the question. It answers "no state" once it has found that its folder holds no replica.

TestDescribeBeforeStateIsKnown fails without the change. No run of whole processes shows the second bootstrap; it follows from the code.

--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -36,6 +36,9 @@
 	ID() string
 	// HasState reports whether the replica has any state of the group.
 	HasState() bool
+	// StateKnown reports whether it is known if the replica has any state of the group,
+	// which it is not until its data folder was opened.
+	StateKnown() bool
 	// Membership returns the members by the replica's own log, which may be behind.
 	Membership() *peerv1.RaftMembership
 	// Term returns the current term and the commit index.
@@ -72,12 +75,18 @@
 // GroupServer serves GroupService.
 type GroupServer struct{ server *Server }
 
-// Describe reports whether the process has any state of the group, and its leader.
+// Describe reports whether the process has any state of the group, and its leader. It returns
+// an error while that is not known: with the answer "none", a process that has lost its disk
+// and restarts together with this one would bootstrap the group a second time, under the id
+// that it has in the first.
 func (s *GroupServer) Describe(_ context.Context, r *peerv1.DescribeRequest) (*peerv1.DescribeReply, error) {
 	m := s.server.hostedGroups[r.Group]
 	if m == nil {
 		return &peerv1.DescribeReply{}, nil
 	}
+	if !m.Replica.StateKnown() {
+		return nil, twirp.NewError(twirp.Unavailable, "the data folder of group "+r.Group+" is being opened")
+	}
 	leader, _ := m.Replica.Leader()
 	return &peerv1.DescribeReply{Known: m.Replica.HasState(), Leader: leader}, nil
 }
--- a/internal/control/recover_test.go
+++ b/internal/control/recover_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"laburnumgrade/gen/apiv1"
+	"laburnumgrade/gen/peerv1"
 	"laburnumgrade/internal/port"
 	"laburnumgrade/internal/raft"
 )
@@ -43,3 +44,20 @@
 		assert.Equal(t, answer.Code(), test.code, "%v", test.err)
 	}
 }
+
+// openingReplica is a replica whose data folder is being opened.
+type openingReplica struct{ Replica }
+
+func (openingReplica) HasState() bool               { return false }
+func (openingReplica) StateKnown() bool             { return false }
+func (openingReplica) Leader() (id, address string) { return "", "" }
+
+// Guards against the answer that a process holds no state of a group before it knows that,
+// after which a process that has lost its disk bootstraps the group a second time.
+func TestDescribeBeforeStateIsKnown(t *testing.T) {
+	s := &Server{logger: slog.New(slog.DiscardHandler), hostedGroups: map[string]*HostedGroup{"x": {Group: "x", Replica: openingReplica{}}}}
+	_, err := (&GroupServer{s}).Describe(context.Background(), &peerv1.DescribeRequest{Group: "x"})
+	var answer twirp.Error
+	assert.Assert(t, errors.As(err, &answer), "%v", err)
+	assert.Equal(t, answer.Code(), twirp.Unavailable)
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -106,6 +106,7 @@
 	}
 	bootstrapping := id == bootstrapReplicaID(h.cfg.Name)
 	if id == "" {
+		r.folderEmpty.Store(true)
 		if bootstrapping, err = h.mayBootstrap(ctx, r.group, initialNames); err != nil {
 			return nil
 		}
@@ -207,8 +208,9 @@
 
 // mayBootstrap reports whether this process must bootstrap the group: it is the first
 // of the initial processes, and all others answer that they hold no state of the
-// group. It repeats the calls until all have answered or one of them holds state. The
-// error is that of the context.
+// group. It repeats the calls until all have answered or one of them holds state. A process
+// that does not know yet whether its data folder holds state answers with an error. The
+// error returned is that of the context.
 func (h *Host) mayBootstrap(ctx context.Context, group string, initialNames []string) (bool, error) {
 	if h.cfg.JoinOnly || len(initialNames) == 0 || initialNames[0] != h.cfg.Name {
 		return false, nil
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/twitchtv/twirp"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"laburnumgrade/gen/apiv1"
 	"laburnumgrade/gen/peerv1"
@@ -121,3 +122,23 @@
 	b[len(b)/2] ^= 1
 	assert.NilError(t, os.WriteFile(path, b, 0o600))
 }
+
+// TestStateIsUnknownBeforeFolderIsOpened guards against a process that tells others that it
+// holds no state of a group before it has looked into its data folder.
+func TestStateIsUnknownBeforeFolderIsOpened(t *testing.T) {
+	h := newHost(t, Config{Folder: t.TempDir()}, unreachable)
+	r := h.AddReplica("g")
+	assert.Assert(t, !r.StateKnown())
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error)
+	go func() { ended <- h.Run(ctx, r, []string{"a", "b"}, nil) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if r.StateKnown() {
+			return poll.Success()
+		}
+		return poll.Continue("the folder is not opened")
+	})
+	assert.Assert(t, !r.HasState())
+	cancel()
+	assert.NilError(t, <-ended)
+}
--- a/internal/host/replica.go
+++ b/internal/host/replica.go
@@ -16,6 +16,8 @@
 type ReplicaHandle struct {
 	group string
 	inner atomic.Pointer[replica.Replica]
+	// folderEmpty is set once it is known that the data folder holds no replica.
+	folderEmpty atomic.Bool
 }
 
 var _ port.ReplicatedLog = (*ReplicaHandle)(nil)
@@ -34,6 +36,11 @@
 	return inner != nil && inner.Status().Term > 0
 }
 
+// StateKnown reports whether it is known if the process holds state of the group. It is not
+// while a replica in the data folder is being opened, which may have to wait for room on the
+// disk.
+func (r *ReplicaHandle) StateKnown() bool { return r.inner.Load() != nil || r.folderEmpty.Load() }
+
 // Membership returns the membership in the replica's log, empty before the start.
 func (r *ReplicaHandle) Membership() *peerv1.RaftMembership {
 	inner := r.inner.Load()
