routing: calls to an instance's earlier incarnation use the slots of the later one

Cause: an entry learns of the restart of an instance at its address only from its next listing (400 ms). Calls that it sent in between reached the later incarnation, but counted for the earlier one. With the listing all slots of the later one were free, so that it got up to twice as many calls as it has slots, and the entry reported its slots as released while these calls used them.

Change: calls in progress to earlier incarnations at the same address count as calls to the later one, until they end.

TestCallsToEarlierIncarnationUseSlots fails without the change.

--- a/internal/routing/instance.go
+++ b/internal/routing/instance.go
@@ -42,7 +42,10 @@
 	// used is how many calls of this entry use a slot of the instance. While it is
 	// positive the instance is kept even if it is no longer listed, so that the
 	// calls still count if it is listed again.
-	used    int
+	used int
+	// earlier is an earlier incarnation of the instance at the same address to which calls
+	// of this entry were in progress when this one was first listed; nil if there is none.
+	earlier *instance
 	listed  bool
 	leaving bool
 	// validUntil is when the instance gets no more calls, unless a later listing
@@ -82,6 +85,24 @@
 	in.releaseNumber = m.Release
 }
 
+// inUse returns how many slots calls of this entry may use. Calls that were sent to an earlier
+// incarnation at the same address may have reached this one: the entry learns of a restart
+// only from its next listing.
+func (in *instance) inUse() int {
+	n := in.used
+	for e := in.earlier; e != nil; e = e.earlier {
+		n += e.used
+	}
+	return n
+}
+
+// forgetEarlier forgets earlier incarnations to which no calls are in progress any more.
+func (in *instance) forgetEarlier() {
+	for in.earlier != nil && in.earlier.used == 0 {
+		in.earlier = in.earlier.earlier
+	}
+}
+
 // alive reports whether the instance accepts new calls from any entry.
 func (in *instance) alive(now time.Duration) bool {
 	return in.listed && !in.leaving && now < in.validUntil
@@ -108,7 +129,7 @@
 // instance does not get every call.
 func (in *instance) cost(mean, now time.Duration) time.Duration {
 	e := in.estimate(mean, now)
-	return e + e*time.Duration(in.used)/time.Duration(max(in.slots, 1))
+	return e + e*time.Duration(in.inUse())/time.Duration(max(in.slots, 1))
 }
 
 // recordReport updates the answer time and the backoff of the instance.
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -33,6 +33,18 @@
 	return nil
 }
 
+// inUseAt returns the incarnation of the instance at the address to which calls of this entry
+// are in progress, the latest one if there are several, or nil.
+func (p *pool) inUseAt(id, address string) *instance {
+	var latest *instance
+	for _, in := range p.instances {
+		if in.id == id && in.address == address && in.inUse() > 0 && (latest == nil || in.incarnation > latest.incarnation) {
+			latest = in
+		}
+	}
+	return latest
+}
+
 // update replaces the instances of a data centre by the listed ones. Instances
 // that are no longer listed are kept while calls of this entry use them.
 func (p *pool) update(dataCentre string, list []*peerv1.Instance, requestedAt time.Duration) {
@@ -40,9 +52,10 @@
 	for _, m := range list {
 		in := p.find(m.InstanceId, m.Incarnation)
 		if in == nil {
-			in = &instance{id: m.InstanceId, incarnation: m.Incarnation}
+			in = &instance{id: m.InstanceId, incarnation: m.Incarnation, earlier: p.inUseAt(m.InstanceId, m.Address)}
 			p.instances = append(p.instances, in)
 		}
+		in.forgetEarlier()
 		in.update(p.table.self, m, requestedAt)
 		listed[in] = true
 		p.updateRemote(in, dataCentre)
@@ -106,7 +119,7 @@
 			continue
 		}
 		slots += in.slots
-		if in.used >= in.slots {
+		if in.inUse() >= in.slots {
 			continue
 		}
 		if cost := in.cost(p.meanServiceTime, now); best == nil || cost < least {
@@ -230,7 +243,7 @@
 	for _, in := range p.instances {
 		if p.usable(in, anyCall, now) {
 			slots += in.slots
-			l.FreeSlots += in.slots - in.used
+			l.FreeSlots += max(in.slots-in.inUse(), 0)
 		}
 	}
 	if l.FreeSlots <= 0 {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -264,7 +264,7 @@
 func (p *pool) released() []uint64 {
 	var numbers []uint64
 	for _, in := range p.instances {
-		if !in.local || in.releaseNumber == 0 || in.used > 0 {
+		if !in.local || in.releaseNumber == 0 || in.inUse() > 0 {
 			continue
 		}
 		if p.table.draining.Load() && p.waiters.Len() > 0 && !in.releaseReported {
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -231,3 +231,37 @@
 	ticket, err := table.Submit(call(time.Hour), 4*time.Second)
 	assert.Equal(t, requireGrant(t, ticket, err).Entry, "b")
 }
+
+// Guards against more calls than slots on an instance that has restarted at its address: the
+// entry sent calls to the earlier incarnation after its end, and they reached the later one.
+func TestCallsToEarlierIncarnationUseSlots(t *testing.T) {
+	first := listed("i1", "a", 2)
+	table := newTestTable(first)
+	var grants []Grant
+	for range 2 {
+		ticket, err := table.Submit(call(time.Hour), 0)
+		grants = append(grants, requireGrant(t, ticket, err))
+	}
+	for incarnation := uint64(2); incarnation <= 3; incarnation++ {
+		restarted := listed("i1", "a", 2)
+		restarted.Incarnation = incarnation
+		restarted.Release = 7
+		table.Update("x", []*peerv1.Instance{restarted}, 0, testLease, 0)
+		assert.Equal(t, len(table.CompletedReleases()), 0, "calls may use the slots")
+		restarted.Release = 0
+		table.Update("x", []*peerv1.Instance{restarted}, 0, testLease, 0)
+		assert.Equal(t, table.Load(testService, 0).FreeSlots, 0)
+	}
+	waiting, err := table.Submit(call(time.Hour), 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(waiting.Ready()), 0, "both slots may be in use")
+	table.Release(grants[0], Report{Result: Answered, Took: time.Millisecond}, 0)
+	g := requireGrant(t, waiting, nil)
+	assert.Equal(t, g.Incarnation, uint64(3))
+	table.Release(grants[1], Report{Result: Answered, Took: time.Millisecond}, 0)
+	assert.Equal(t, table.Load(testService, 0).FreeSlots, 1)
+	elsewhere := listed("i1", "a", 2)
+	elsewhere.Incarnation, elsewhere.Address = 4, "addr-2"
+	table.Update("x", []*peerv1.Instance{elsewhere}, 0, testLease, 0)
+	assert.Equal(t, table.Load(testService, 0).FreeSlots, 2, "calls at another address cannot reach the instance")
+}
