dispatch: the test of returned workers tells orders for a life by their fence

Cause: the test took an order sent 50 ms after the leader knew of a life for one of that life. A renewal answered by a life makes it known before it registers, and until then the session of the earlier life sends orders.

Change: the first order for a life itself is the first one with a higher fence than those sent until it has registered. Traces state starts, stops, answers and all members of a gang, and the test fails if no life of any seed has started a task for an earlier one.

--- a/internal/dispatch/lives_model_test.go
+++ b/internal/dispatch/lives_model_test.go
@@ -77,8 +77,10 @@
 	// then.
 	heardAt   time.Time
 	committed map[attemptKey]bool
-	// fenceBefore is the highest fence that an order for the ID had until heardAt. called is
-	// set once an order that was sent for this life has been carried out.
+	// registered is set once a report of the life is committed, and fenceBefore is the highest
+	// fence that an order for the ID had until then. called is set once an order with a higher
+	// one, which is for this life, has been carried out.
+	registered  bool
 	fenceBefore uint64
 	called      bool
 	// wasCut is set once the life has been cut off.
@@ -139,17 +141,21 @@
 	if s.violations > 2 {
 		return
 	}
-	const traced = 25 * time.Second
-	ids, since := map[string]bool{"": true}, time.Since(s.b.fleet.began)-traced
+	const traced, before = 25 * time.Second, 3 * time.Second
+	ids, since := map[string]bool{"": true}, time.Since(s.b.fleet.began)
+	of := func(e *siteEvent) bool {
+		return e.task == task || e.task.StepKey == task.StepKey && s.jobs[task.Job].step.Gang
+	}
 	for _, e := range s.events {
-		if e.task == task && e.at > since {
+		if of(&e) && e.at > time.Since(s.b.fleet.began)-traced {
 			ids[e.id] = true
+			since = min(since, e.at-before)
 		}
 	}
 	trace := ""
 	for _, e := range s.events {
-		if e.at > since && (e.task == task || e.task == cell.TaskKey{} && ids[e.id]) {
-			trace += fmt.Sprintf("\n\t%v %s %s", e.at, e.id, e.text)
+		if e.at > since && (of(&e) || e.task == cell.TaskKey{} && ids[e.id]) {
+			trace += fmt.Sprintf("\n\t%v %s task %d: %s", e.at, e.id, e.task.Index, e.text)
 		}
 	}
 	s.b.t.Logf("trace of task %v:%s", task, trace)
@@ -269,7 +275,7 @@
 	if !l.heardAt.IsZero() {
 		return
 	}
-	l.heardAt, l.fenceBefore = time.Now(), s.fences[l.id]
+	l.heardAt = time.Now()
 	s.note(cell.TaskKey{}, l.id, "the leader knows of life %d", l.born)
 	s.b.store.View(func(v *cell.View) {
 		if w := v.Worker(l.id); w != nil {
@@ -297,6 +303,10 @@
 			s.mu.Lock()
 			if l := s.lives[c.Register.ID]; l != nil && l.born == c.Register.Born {
 				s.hear(l)
+				if !l.registered {
+					l.registered, l.fenceBefore = true, s.fences[l.id]
+					s.note(cell.TaskKey{}, l.id, "life %d registers", l.born)
+				}
 			}
 			s.mu.Unlock()
 		}
--- a/internal/dispatch/lives_orders_test.go
+++ b/internal/dispatch/lives_orders_test.go
@@ -21,13 +21,6 @@
 	return l
 }
 
-// isOwnOrder reports whether an order is certainly for this life rather than an earlier one.
-func (l *life) isOwnOrder(sent time.Time, fence uint64) bool {
-	// The session of an earlier life may send orders until the leader has noticed the change.
-	const replacementTime = 50 * time.Millisecond
-	return !l.heardAt.IsZero() && sent.After(l.heardAt) && (fence > l.fenceBefore || sent.After(l.heardAt.Add(replacementTime)))
-}
-
 // deliver carries out an order and waits for its answer. It returns an error if no answer
 // arrives; the order may then be carried out, also late. answer is called after the worker has
 // waited for an end, if wait is not 0.
@@ -45,8 +38,9 @@
 		if l = s.reach(t, held); l == nil {
 			return nil, false
 		}
-		if l.id == t.ID && l.isOwnOrder(sent, fence) {
+		if l.id == t.ID && !l.called && l.registered && fence > l.fenceBefore {
 			l.called = true
+			s.note(cell.TaskKey{}, l.id, "the first order for life %d itself arrives, fence %d", l.born, fence)
 		}
 		return l, l.id == t.ID && carryOut(l, sent)
 	}
@@ -103,6 +97,9 @@
 // Start implements Workers.
 func (s *livesSite) Start(ctx context.Context, t Target, o *StartOrder) (OrderReply, error) {
 	order, reply := *o, OrderReply{Answer: WrongIncarnation}
+	s.mu.Lock()
+	s.note(o.Task, t.ID, "start of run %d is ordered, fence %d", o.Run, o.Fence)
+	s.mu.Unlock()
 	err := s.deliver(ctx, t, o.Fence, func(l *life, sent time.Time) bool {
 		reply.Answer = s.startRun(l, &order, sent)
 		if l.beganAt.After(sent) || reply.Answer != Done {
@@ -110,9 +107,13 @@
 		}
 		return true
 	}, 0, func(l *life) { reply.ClockMS = l.clock() })
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if err != nil {
+		s.note(o.Task, t.ID, "no answer to the start of run %d", o.Run)
 		return OrderReply{}, err
 	}
+	s.note(o.Task, t.ID, "answer to the start of run %d: %v", o.Run, reply.Answer)
 	return reply, nil
 }
 
@@ -146,8 +147,8 @@
 	}
 	l.running[k] = run
 	s.counts["starts"]++
-	if sent.Before(l.beganAt) {
-		s.counts["starts for earlier lives"]++
+	if sent.Before(l.beganAt) || l.heardAt.IsZero() {
+		s.counts[startsForEarlierLives]++
 	}
 	if run.excluded {
 		s.counts["excluded starts"]++
@@ -213,6 +214,7 @@
 func (s *livesSite) Stop(ctx context.Context, t Target, o *StopOrder) (OrderReply, error) {
 	order, reply := *o, OrderReply{Answer: WrongIncarnation}
 	err := s.deliver(ctx, t, o.Fence, func(l *life, _ time.Time) bool {
+		s.note(o.Task, l.id, "stop of run %d arrives at life %d", order.Run, l.born)
 		if reply.Answer = StaleFence; order.Fence < l.fence {
 			return true
 		}
--- a/internal/dispatch/lives_random_test.go
+++ b/internal/dispatch/lives_random_test.go
@@ -25,6 +25,9 @@
 // livesMaxFailures is MaxFailures of the queues.
 const livesMaxFailures = 3
 
+// startsForEarlierLives counts starts by lives that were sent for earlier ones of the ID.
+const startsForEarlierLives = "starts for earlier lives"
+
 // livesTeams holds the limits of the teams in thousandths of a core, 0 if there is none.
 var livesTeams = map[string]int64{"bounded": 5000, "free": 0}
 
@@ -57,6 +60,7 @@
 // twice, so that none is unreachable for longer than 20 s after it has carried out an order for an
 // earlier life.
 func TestNoTaskRunsTwiceOnReturnedWorkers(t *testing.T) {
+	starts := 0
 	for i := range *livesSeeds {
 		seed := *livesSeed + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -66,8 +70,10 @@
 				log = &unreliableLog{recordedLog: &recordedLog{fakeLog: c.Log.(*fakeLog), random: rand.New(rand.NewPCG(seed, 22))}, site: site}
 				c.Log, c.Workers = log, site
 			}, func(b *testCell) { runLives(b, seed, log, site) })
+			starts += site.counts[startsForEarlierLives]
 		})
 	}
+	assert.Assert(t, starts > 0 || *livesSeeds < 2, "no life has started a task for an earlier one")
 }
 
 // unreliableLog loses commands and results.
