dispatch: the test of returned workers changes the leader soon after returns

Cause: a change of the leader between an order to a returned worker and its first report was left to chance, and violations did not state whether the life had accepted an order for itself.

Change: one return in ten is followed by a change of the leader within 0.5 s. Violations state which lives have accepted their fence, and whether an end was acknowledged by an order for an earlier life.

--- a/internal/dispatch/lives_model_test.go
+++ b/internal/dispatch/lives_model_test.go
@@ -101,6 +101,8 @@
 	ListedEnd
 	run      *lifeRun
 	sequence int
+	// unread is set if an order for an earlier life has acknowledged the end.
+	unread bool
 }
 
 // runHistory holds the starts of a task and its ends of which the leader has taken note.
@@ -236,7 +238,7 @@
 	l.rejected[k.task] = max(l.rejected[k.task], k.run)
 	l.lastEnd++
 	s.sequence++
-	l.ends = append(l.ends, lifeEnd{ListedEnd{Number: l.lastEnd, AttemptEnd: cell.AttemptEnd{Task: k.task, Run: k.run, Outcome: outcome}}, run, s.sequence})
+	l.ends = append(l.ends, lifeEnd{ListedEnd: ListedEnd{Number: l.lastEnd, AttemptEnd: cell.AttemptEnd{Task: k.task, Run: k.run, Outcome: outcome}}, run: run, sequence: s.sequence})
 	s.note(k.task, l.id, "run %d ends as %v, number %d of life %d", k.run, outcome, l.lastEnd, l.born)
 	if !l.gone {
 		close(l.changed)
@@ -347,7 +349,7 @@
 				continue
 			}
 			if m.task == k.task {
-				s.violate(k.task, "task %v runs twice: run %d on %s and run %d on %s", k.task, m.run, other.id, k.run, l.id)
+				s.violate(k.task, "task %v runs twice: run %d on %s (fenced: %v) and run %d on %s (fenced: %v)", k.task, m.run, other.id, other.called, k.run, l.id, l.called)
 			}
 			mj := s.jobs[m.task.Job]
 			if mj.team == j.team {
@@ -391,7 +393,7 @@
 			case e.run.excluded || e.sequence > start.start:
 			case e.Outcome == cell.EndedDone:
 				start.reported = true
-				s.violate(task, "task %v starts after run %d was done, whose end is acknowledged", task, e.Run)
+				s.violate(task, "task %v starts after run %d was done, whose end is acknowledged (for an earlier life: %v)", task, e.Run, e.unread)
 			case e.Outcome == cell.EndedFailed:
 				failed[e.Run] = true
 			}
--- a/internal/dispatch/lives_orders_test.go
+++ b/internal/dispatch/lives_orders_test.go
@@ -5,7 +5,10 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"laburnumgrade/internal/cell"
+	"laburnumgrade/internal/replica"
 )
 
 // minOrderDelay and maxOrderDelay bound how late an order without an answer is carried out.
@@ -294,6 +297,7 @@
 		}
 		s.note(e.Task, l.id, "end %d of run %d is acknowledged", e.Number, e.Run)
 		if e.Number > l.lapsedEnd {
+			e.unread = !l.called
 			h := s.history(e.Task)
 			h.noted = append(h.noted, e)
 			s.checkHistory(e.Task)
@@ -301,3 +305,28 @@
 		return true
 	})
 }
+
+// unreliableLog loses commands and results.
+type unreliableLog struct {
+	*recordedLog
+	site *livesSite
+	// failing is the share of commands that are lost or whose result is; the mutex of the
+	// site guards it.
+	failing float64
+}
+
+// Propose implements port.ReplicatedLog.
+func (l *unreliableLog) Propose(ctx context.Context, command []byte) (any, error) {
+	l.site.mu.Lock()
+	fails, lost := l.site.chance(l.failing), l.site.chance(0.5)
+	l.site.mu.Unlock()
+	if !fails {
+		return l.recordedLog.Propose(ctx, command)
+	}
+	if !lost {
+		if _, err := l.recordedLog.Propose(ctx, command); err != nil {
+			return nil, err
+		}
+	}
+	return nil, &replica.OutcomeUnknownError{Group: "cell", Err: errors.New("result lost")}
+}
--- a/internal/dispatch/lives_random_test.go
+++ b/internal/dispatch/lives_random_test.go
@@ -8,12 +8,10 @@
 	"testing"
 	"time"
 
-	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"laburnumgrade/internal/cell"
 	"laburnumgrade/internal/cellapi"
-	"laburnumgrade/internal/replica"
 	"laburnumgrade/internal/structs"
 )
 
@@ -47,8 +45,9 @@
 //     that is there then, also while it is cut off, before and after its first report and before
 //     and after newer orders; answers arrive after their life has ended;
 //   - reports arrive up to 10 s late, after those of later lives;
-//   - the leader changes between any two of these events, with the pending commands committed or
-//     dropped, and with a restored snapshot; commits are held up or their results lost;
+//   - the leader changes between any two of these events, often within 0.5 s of a return, with the
+//     pending commands committed or dropped, and with a restored snapshot; commits are held up or
+//     their results lost;
 //   - jobs are cancelled, workers announce their departure with and without an answer, and data
 //     centres are evacuated.
 //
@@ -76,31 +75,6 @@
 	assert.Assert(t, starts > 0 || *livesSeeds < 2, "no life has started a task for an earlier one")
 }
 
-// unreliableLog loses commands and results.
-type unreliableLog struct {
-	*recordedLog
-	site *livesSite
-	// failing is the share of commands that are lost or whose result is; the mutex of the
-	// site guards it.
-	failing float64
-}
-
-// Propose implements port.ReplicatedLog.
-func (l *unreliableLog) Propose(ctx context.Context, command []byte) (any, error) {
-	l.site.mu.Lock()
-	fails, lost := l.site.chance(l.failing), l.site.chance(0.5)
-	l.site.mu.Unlock()
-	if !fails {
-		return l.recordedLog.Propose(ctx, command)
-	}
-	if !lost {
-		if _, err := l.recordedLog.Propose(ctx, command); err != nil {
-			return nil, err
-		}
-	}
-	return nil, &replica.OutcomeUnknownError{Group: "cell", Err: errors.New("result lost")}
-}
-
 // livesCell lets the workers of a cell crash and come back.
 type livesCell struct {
 	*testCell
@@ -263,7 +237,7 @@
 	if c.chance(0.004) {
 		c.log.hold(c.between(100*time.Millisecond, 2*time.Second))
 	}
-	if c.chance(0.01) && !c.changing {
+	if c.chance(0.01) {
 		c.changeLeader()
 	}
 	if c.chance(0.01) {
@@ -273,9 +247,12 @@
 
 // changeLeader ends the term and starts the next one after a while. The caller holds site.mu.
 func (c *livesCell) changeLeader() {
+	if c.changing || c.site.calm {
+		return
+	}
 	c.changing = true
 	c.term++
-	term, after, restore, snapshot := c.term, c.between(time.Millisecond, 2*time.Second), c.chance(0.3), c.chance(0.5)
+	term, after, restore, snapshot := c.term, c.site.between(time.Millisecond, 2*time.Second), c.site.chance(0.3), c.site.chance(0.5)
 	c.site.note(cell.TaskKey{}, "", "the leader changes; term %d begins in %v", term, after)
 	go func() {
 		if snapshot {
@@ -314,9 +291,9 @@
 	if c.site.chance(0.25) {
 		capacity.MilliCPU = 2000 + 1000*c.site.rng.Int64N(4)
 	}
-	again, cut := c.site.chance(0.15), c.site.chance(cutShare)
+	again, cut, newLeader := c.site.chance(0.15), c.site.chance(cutShare), c.site.chance(0.1)
 	againAfter, againDown := c.site.between(time.Millisecond, 150*time.Millisecond), c.site.between(10*time.Millisecond, 100*time.Millisecond)
-	cutAfter, cutTime := c.site.between(0, 1500*time.Millisecond), c.site.between(time.Second, 10*time.Second)
+	changeAfter, cutAfter, cutTime := c.site.between(0, 500*time.Millisecond), c.site.between(0, 1500*time.Millisecond), c.site.between(time.Second, 10*time.Second)
 	time.AfterFunc(down, func() {
 		c.site.mu.Lock()
 		defer c.site.mu.Unlock()
@@ -327,6 +304,13 @@
 			address = fmt.Sprintf("10.1.%.2s.%d:80", l.id[1:], l.born%250)
 		}
 		next := c.site.begin(l.id, address, l.dataCentre, capacity)
+		if newLeader {
+			time.AfterFunc(changeAfter, func() {
+				c.site.mu.Lock()
+				defer c.site.mu.Unlock()
+				c.changeLeader()
+			})
+		}
 		switch {
 		case again:
 			time.AfterFunc(againAfter, func() {
