--- a/internal/dispatch/lives_orders_test.go
+++ b/internal/dispatch/lives_orders_test.go
@@ -11,8 +11,8 @@
 	"laburnumgrade/internal/replica"
 )
 
-// minOrderDelay and maxOrderDelay bound how late an order without an answer is carried out.
-const minOrderDelay, maxOrderDelay = 2 * time.Second, 12 * time.Second
+// minLateness and maxLateness bound how late an order without an answer is carried out.
+const minLateness, maxLateness = 2 * time.Second, 12 * time.Second
 
 // reach returns the life at the address of an order, nil if there is none or it is cut off.
 // A held order has reached the machine before the cut. The caller holds s.mu.
@@ -32,7 +32,7 @@
 	s.mu.Lock()
 	s.fences[t.ID] = max(s.fences[t.ID], fence)
 	late, held, lost, ignored := s.chance(s.lateOrders), s.chance(0.5), s.chance(s.lostAnswers), s.chance(0.4)
-	lateness, request, response := s.between(minOrderDelay, maxOrderDelay), s.between(time.Millisecond, 5*time.Millisecond), s.between(time.Millisecond, 5*time.Millisecond)
+	lateness, request, response := s.between(minLateness, maxLateness), s.between(time.Millisecond, 5*time.Millisecond), s.between(time.Millisecond, 5*time.Millisecond)
 	if s.chance(0.05) && s.lostAnswers > 0 {
 		request, response = s.between(5*time.Millisecond, 200*time.Millisecond), s.between(time.Millisecond, 100*time.Millisecond)
 	}
