--- a/internal/dispatch/lives_model_test.go
+++ b/internal/dispatch/lives_model_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -143,7 +145,7 @@
 	if s.violations > 2 {
 		return
 	}
-	const traced, before = 25 * time.Second, 3 * time.Second
+	const traced, before = 40 * time.Second, 3 * time.Second
 	ids, since := map[string]bool{"": true}, time.Since(s.b.fleet.began)
 	of := func(e *siteEvent) bool {
 		return e.task == task || e.task.StepKey == task.StepKey && s.jobs[task.Job].step.Gang
@@ -368,7 +370,7 @@
 		capacity = l.earlierCapacity.MilliCPU // the order may be for an earlier life
 	}
 	if used := onLife + j.step.Size.MilliCPU; used > capacity {
-		s.violate(k.task, "%s is given %d of a capacity of %d", l.id, used, capacity)
+		s.violate(k.task, "%s is given %d of a capacity of %d, runs %v", l.id, used, capacity, slices.Collect(maps.Keys(l.running)))
 	}
 	if limit := j.step.MaxPerWorker; limit > 0 && ofStep >= limit {
 		s.violate(k.task, "%d tasks of step %v on %s, %d are allowed", ofStep+1, k.task.StepKey, l.id, limit)
