--- a/internal/dispatch/lives_model_test.go
+++ b/internal/dispatch/lives_model_test.go
@@ -103,8 +103,8 @@
 	ListedEnd
 	run      *lifeRun
 	sequence int
-	// unread is set if an order for an earlier life has acknowledged the end.
-	unread bool
+	// acknowledgedBy describes the order that has acknowledged the end.
+	acknowledgedBy string
 }
 
 // runHistory holds the starts of a task and its ends of which the leader has taken note.
@@ -395,7 +395,7 @@
 			case e.run.excluded || e.sequence > start.start:
 			case e.Outcome == cell.EndedDone:
 				start.reported = true
-				s.violate(task, "task %v starts after run %d was done, whose end is acknowledged (for an earlier life: %v)", task, e.Run, e.unread)
+				s.violate(task, "task %v starts after run %d was done, whose end is acknowledged by %s", task, e.Run, e.acknowledgedBy)
 			case e.Outcome == cell.EndedFailed:
 				failed[e.Run] = true
 			}
--- a/internal/dispatch/lives_orders_test.go
+++ b/internal/dispatch/lives_orders_test.go
@@ -253,7 +253,7 @@
 			s.note(cell.TaskKey{}, l.id, "renewal for an earlier life, sent %v ago: deadline %d, acknowledges %d; life %d, clock %d", time.Since(sent), order.DeadlineMS, order.AcknowledgedEnd, l.born, l.clock())
 		}
 		s.extendLease(l, order.DeadlineMS)
-		s.acknowledge(l, order.AcknowledgedEnd)
+		s.acknowledge(l, order.AcknowledgedEnd, sent)
 		return true
 	}, order.MaxWait, func(l *life) {
 		listing.ClockMS = l.clock()
@@ -290,14 +290,23 @@
 }
 
 // acknowledge drops the ends up to a number. The caller holds s.mu.
-func (s *livesSite) acknowledge(l *life, number uint64) {
+func (s *livesSite) acknowledge(l *life, number uint64, sent time.Time) {
 	l.ends = slices.DeleteFunc(l.ends, func(e lifeEnd) bool {
 		if e.Number > number {
 			return false
 		}
 		s.note(e.Task, l.id, "end %d of run %d is acknowledged", e.Number, e.Run)
 		if e.Number > l.lapsedEnd {
-			e.unread = !l.called
+			switch {
+			case l.called:
+				e.acknowledgedBy = "an order for its life"
+			case sent.Before(l.beganAt):
+				e.acknowledgedBy = "an order that was sent before its life began"
+			case l.heardAt.IsZero() || sent.Before(l.heardAt):
+				e.acknowledgedBy = "an order for an earlier life, sent before the leader knew of its life"
+			default:
+				e.acknowledgedBy = "an order for an earlier life, sent when the leader knew of its life"
+			}
 			h := s.history(e.Task)
 			h.noted = append(h.noted, e)
 			s.checkHistory(e.Task)
