--- a/internal/dispatch/lives_model_test.go
+++ b/internal/dispatch/lives_model_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -385,7 +383,11 @@
 		capacity = l.earlierCapacity.MilliCPU // the order may be for an earlier life
 	}
 	if used := onLife + j.step.Size.MilliCPU; used > capacity {
-		s.violate(k.task, "%s is given %d of a capacity of %d, runs %v", l.id, used, capacity, slices.Collect(maps.Keys(l.running)))
+		runs := ""
+		for m, r := range l.running {
+			runs += fmt.Sprintf("; task %v run %d since %v, committed: %v", m.task, m.run, time.Since(r.startedAt), s.isCommitted(l.id, m))
+		}
+		s.violate(k.task, "%s is given %d of a capacity of %d%s", l.id, used, capacity, runs)
 	}
 	if limit := j.step.MaxPerWorker; limit > 0 && ofStep >= limit {
 		s.violate(k.task, "%d tasks of step %v on %s, %d are allowed", ofStep+1, k.task.StepKey, l.id, limit)
