deployment: stand-ins for workers crash and start again under their IDs

Change: a stand-in has lives. Each starts its clock, which may be slow, its ends and its fence anew and holds nothing. A lease lapses on its clock and then ends all runs; tasks may fail or have checkpoints; a run that stops takes 50 ms; a worker may be cut off, in which case it runs on. A share of the orders gets no answer and is carried out later by the life that is there then, and a share of the reports arrives a second time later. All events can be observed. The numbers of control processes and gateways are settings. Only the answers to /hold state the start of the life, as PROTOCOL.md has it; before, the answers to other orders did as well.

--- a/test/deployment/deployment.go
+++ b/test/deployment/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -49,19 +50,14 @@
 	Cell, Gateway Limits
 	// Workers are three that report often if Count is 0.
 	Workers Workers
+	// Cells and Gateways are the numbers of processes, 3 and 2 if they are 0.
+	Cells, Gateways int
 	// Advice is the address of the advice service, empty if there is none.
 	Advice string
 	// Env is added to the environment of the control processes.
 	Env []string
 }
 
-// Workers describes the stand-ins for workers.
-type Workers struct {
-	Count          int
-	MilliCPU       int64
-	ReportInterval time.Duration
-}
-
 // defaultWorkers report often, so that they follow a change of the leader quickly.
 var defaultWorkers = Workers{Count: 3, MilliCPU: 64000, ReportInterval: 300 * time.Millisecond}
 
@@ -183,13 +179,14 @@
 	return found
 }
 
-// Deployment is a cell of three control processes, two gateways and workers.
+// Deployment is a cell of control processes, gateways and workers.
 type Deployment struct {
 	Cells    []*Process
 	Gateways []*Process
 	Kept     *http.Client // keeps its connections open
 	Once     *http.Client // opens a connection for each request
 	Version  int64        // of the configuration sent last
+	Workers  []*Worker
 
 	began  time.Time
 	mu     sync.Mutex
@@ -211,10 +208,10 @@
 
 // freeNetwork returns the first three bytes of loopback addresses and the first of five
 // ports that are free on them.
-func freeNetwork(t testing.TB) (network string, base int) {
+func freeNetwork(t testing.TB, cells, gateways int) (network string, base int) {
 	for range 50 {
 		network, base = fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), rand.IntN(250)), 20000+rand.IntN(8000)
-		if portsFree(network, base) {
+		if portsFree(network, base, cells, gateways) {
 			return network, base
 		}
 	}
@@ -222,8 +219,26 @@
 	return "", 0
 }
 
-func portsFree(network string, base int) bool {
-	for _, last := range []int{1, 2, 3, 11, 12, 101, 102, 103} {
+// The last bytes of the addresses: control processes have 1 to MaxCells, gateways and workers the
+// ones after these.
+const (
+	MaxCells    = 59
+	gatewayByte = 60
+	workerByte  = 100
+)
+
+// dataCentre returns the data centre of the i-th process or worker of a kind.
+func dataCentre(i int) string { return "zone-" + string(rune('a'+(i-1)%3)) }
+
+func portsFree(network string, base, cells, gateways int) bool {
+	lasts := []int{101, 102, 103}
+	for i := 1; i <= cells; i++ {
+		lasts = append(lasts, i)
+	}
+	for i := 1; i <= gateways; i++ {
+		lasts = append(lasts, gatewayByte+i)
+	}
+	for _, last := range lasts {
 		for i := range 5 {
 			l, err := net.Listen("tcp", fmt.Sprintf("%s%d:%d", network, last, base+i))
 			if err != nil {
@@ -250,7 +265,8 @@
 	if limits.Workers.Count == 0 {
 		limits.Workers = defaultWorkers
 	}
-	network, base := freeNetwork(t)
+	cells, gateways := cmp.Or(limits.Cells, 3), cmp.Or(limits.Gateways, 2)
+	network, base := freeNetwork(t, cells, gateways)
 	d := &Deployment{
 		began: time.Now(), starts: map[string][]Start{},
 		Kept: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
@@ -269,7 +285,7 @@
 		if disk == 0 {
 			place = base + 2
 		}
-		text := fmt.Sprintf(settings, name, "zone-"+string(rune('a'+i-1)), fmt.Sprintf("%s%d", network, last), seeds, base, base+1, place, base+3, own.Descriptors, own.MemoryMiB)
+		text := fmt.Sprintf(settings, name, dataCentre(i), fmt.Sprintf("%s%d", network, last), seeds, base, base+1, place, base+3, own.Descriptors, own.MemoryMiB)
 		if program == "lg-cell" {
 			p.env = limits.Env
 			if limits.Advice != "" {
@@ -279,18 +295,18 @@
 		assert.NilError(t, os.WriteFile(p.settings, []byte(text), 0o600))
 		return p
 	}
-	for i := 1; i <= 3; i++ {
+	for i := 1; i <= cells; i++ {
 		d.Cells = append(d.Cells, add("lg-cell", cellSettings, limits.Cell, i, i, 1))
 	}
-	for i := 1; i <= 2; i++ {
-		d.Gateways = append(d.Gateways, add("lg-gateway", gatewaySettings, limits.Gateway, i, 10+i, 0))
+	for i := 1; i <= gateways; i++ {
+		d.Gateways = append(d.Gateways, add("lg-gateway", gatewaySettings, limits.Gateway, i, gatewayByte+i, 0))
 	}
 	for _, p := range d.All() {
 		assert.NilError(t, p.Start())
 		t.Cleanup(func() { <-p.Signal(syscall.SIGKILL) })
 	}
 	for i := 1; i <= limits.Workers.Count; i++ {
-		startWorker(t, d, i, fmt.Sprintf("%s%d:%d", network, 100+i%workersPerPort, base+i/workersPerPort), limits.Workers)
+		startWorker(t, d, i, fmt.Sprintf("%s%d:%d", network, workerByte+i%workersPerPort, base+i/workersPerPort), limits.Workers)
 	}
 	d.Configure(t, FirstHost, FirstKey)
 	return d
@@ -359,9 +375,7 @@
 	}
 	r.Header.Set("Content-Type", "application/json")
 	if host != "" {
-		r.Host = host
-		r.Header.Set("Authorization", "Token "+FirstKey)
-		r.Header.Set("Deadline-Ms", "3000")
+		authorize(r, host)
 	}
 	response, err := c.Do(r)
 	if err != nil {
@@ -372,6 +386,16 @@
 	return response.StatusCode, err
 }
 
+// Authorize makes a request that of a client with FirstKey for FirstHost.
+func Authorize(r *http.Request) { authorize(r, FirstHost) }
+
+func authorize(r *http.Request, host string) {
+	r.Host = host
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("Authorization", "Token "+FirstKey)
+	r.Header.Set("Deadline-Ms", "3000")
+}
+
 // Await polls until the condition holds.
 func Await(timeout time.Duration, condition func() bool) bool {
 	for until := time.Now().Add(timeout); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
