--- a/test/lives/lives_test.go
+++ b/test/lives/lives_test.go
@@ -37,7 +37,7 @@
 	minDelay        = time.Second
 	maxDelay        = 4 * time.Second
 	maxShown        = 3 // violations of each kind with a trace
-	maxShownLines   = 60
+	maxShownLines   = 80
 	pollInterval    = 100 * time.Millisecond
 	maxClock        = 1_000_000 // ms, of a new life
 	minClockSpeed   = 0.98      // PROTOCOL: a clock may be 2 % slow
@@ -226,12 +226,15 @@
 }
 
 // describe returns the trace of a task, or of all tasks of a job, and what the processes have
-// logged about the job.
+// logged about the job and about the ends of lives.
 func (s *soak) describe(name string) string {
 	text := []string{s.account.trace(name)}
 	for _, p := range s.All() {
 		text = append(text, p.Lines(jobOf(name))...)
 	}
+	for _, p := range s.Cells {
+		text = append(text, p.Lines("life of worker is over")...)
+	}
 	return strings.Join(text[:min(len(text), maxShownLines)], "\n    ")
 }
 
