--- a/test/deployment/life.go
+++ b/test/deployment/life.go
@@ -31,7 +31,6 @@
 	clockBegan int64 // ms
 	clockSpeed float64
 
-	called     bool // an order has been answered
 	fence      uint64
 	lease      int64 // on the clock of the life, ms
 	lapses     int   // of the lease
@@ -190,7 +189,7 @@
 	p := &progress{spec: s, began: time.Now(), restored: l.restore(r, o.Saved)}
 	l.highest[o.Task], l.running[r] = o.Run, p
 	p.timer = time.AfterFunc(max(0, s.work-p.restored), func() { l.finish(r) })
-	l.w.observe(Event{Kind: RunStarted, Task: o.Task, Run: o.Run, Detail: fmt.Sprintf("fence %d deadline %d lease %d clock %d saved %q", o.Fence, o.DeadlineMS, l.lease, l.clock(), o.Saved), Late: o.late, Called: l.called})
+	l.w.observe(Event{Kind: RunStarted, Task: o.Task, Run: o.Run, Detail: fmt.Sprintf("fence %d deadline %d lease %d clock %d saved %q", o.Fence, o.DeadlineMS, l.lease, l.clock(), o.Saved), Inherited: o.inherited})
 	job, _, _ := strings.Cut(o.Task, ".")
 	l.w.d.mu.Lock()
 	defer l.w.d.mu.Unlock()
--- a/test/deployment/worker.go
+++ b/test/deployment/worker.go
@@ -43,9 +43,8 @@
 	Detail string
 	// Lapsed is set for an acknowledged end if the lease of the life has lapsed since the end.
 	Lapsed bool
-	// Late is set for a start by an order that was delayed, and Called if the life has answered
-	// an order before.
-	Late, Called bool
+	// Inherited is set for a start by an order that was sent to an earlier life.
+	Inherited bool
 }
 
 // EventKind is the kind of an event.
@@ -198,7 +197,7 @@
 	AckedUpto  uint64 `json:"acked_upto"`
 	WaitMS     int64  `json:"wait_ms"`
 
-	late bool // was delayed
+	inherited bool // sent to an earlier life
 }
 
 // handler carries out an order and returns the status and the body of the response. It is
@@ -235,9 +234,6 @@
 		if !w.awaitContact(r.Context()) || !l.up() {
 			panic(http.ErrAbortHandler)
 		}
-		w.mu.Lock()
-		l.called = true
-		w.mu.Unlock()
 		out.Header().Set("Content-Type", "application/json")
 		out.WriteHeader(status)
 		_, _ = io.WriteString(out, body) // the client may have gone
@@ -257,6 +253,7 @@
 		return fmt.Sprintf("%s fence %d deadline %d acked_upto %d", path, o.Fence, o.DeadlineMS, o.AckedUpto)
 	}
 	w.mu.Lock()
+	sentTo := w.lives
 	w.observe(Event{Kind: OrderDelayed, Task: o.Task, Run: o.Run, Detail: describe() + " by " + d.String()})
 	w.mu.Unlock()
 	time.AfterFunc(d, func() {
@@ -266,7 +263,7 @@
 		if l == nil {
 			return
 		}
-		o.WaitMS, o.late = 0, true
+		o.WaitMS, o.inherited = 0, w.lives > sentTo
 		status, body := l.carryOut(map[string]handler{"/run-start": l.runStart, "/run-stop": l.runStop, "/pace": l.pace, "/hold": l.hold}[path], o)
 		w.observe(Event{Kind: OrderTaken, Task: o.Task, Run: o.Run, Detail: fmt.Sprintf("%s: %d %s", describe(), status, body)})
 	})
--- a/test/lives/account_test.go
+++ b/test/lives/account_test.go
@@ -144,8 +144,8 @@
 
 func (a *account) started(h *history, this attempt, e *deployment.Event) {
 	job, how := jobOf(e.Task), ""
-	if e.Late && !e.Called {
-		how = " (by a late order to a life that has not answered any order before)"
+	if e.Inherited {
+		how = " (by an order that was sent to an earlier life)"
 	}
 	if _, known := a.sizes[job]; !known {
 		a.violate("a task that nobody submitted starts", e.Task)
