dispatch: a worker that runs what is not committed to it gets no starts

Until a listing shows only committed attempts, the worker gets none.

TestWorkerWithUnknownAttemptGetsNoStarts failed before (the attempt still runs at the start) and passes.

--- a/internal/dispatch/life_test.go
+++ b/internal/dispatch/life_test.go
@@ -233,3 +233,25 @@
 		b.waitForState(jobID1, cell.Complete, time.Minute)
 	})
 }
+
+// Guards against a worker that gets more than it has room for: it runs what is not committed to it,
+// such as a start for an earlier life that was given up, until that is stopped.
+func TestWorkerWithUnknownAttemptGetsNoStarts(t *testing.T) {
+	runCell(t, 1, func(b *testCell) {
+		b.submit(jobID1, taskStep(1, 1))
+		time.Sleep(200 * time.Millisecond)
+		unknown := attemptKey{cell.TaskKey{StepKey: cell.StepKey{Job: "00000000000000cc"}}, 1}
+		b.fleet.change("w0", func(w *fakeWorker) {
+			w.running[unknown] = &fakeRun{began: time.Now(), endsAt: time.Now().Add(time.Minute), duration: time.Minute}
+			w.stopDuration = 800 * time.Millisecond
+		})
+		b.waitForState(jobID1, cell.Complete, 3*time.Second) // the listing shows it by then
+		b.submit(jobID2, taskStep(1, 4))
+		for b.startCount(jobID2, 0) == 0 {
+			time.Sleep(10 * time.Millisecond)
+			b.reportAll()
+		}
+		assert.Equal(t, len(b.runningAttemptsOf(unknown.task.Job)), 0)
+		b.waitForState(jobID2, cell.Complete, 5*time.Second)
+	})
+}
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -77,10 +77,12 @@
 func (s *session) processListing(listing *AttemptListing, sent, now time.Duration) {
 	state := s.workerState()
 	listed := map[attemptKey]bool{}
+	unknown := 0
 	for i := range listing.Running {
 		r := &listing.Running[i]
 		listed[attemptKey{r.Task, r.Run}] = true
 		if a, ok := state.attempts[r.Task]; !ok || a.Run != r.Run {
+			unknown++
 			s.t.leader.metrics.unknownAttempts.Inc(1)
 			s.t.leader.Logger.Warn("worker runs an attempt that is not committed to it", logging.Step("hold"), logging.Peer(s.target.ID), "born", s.born, logging.Job(r.Task.Job), "task", position(r.Task), "run", r.Run, "percent", r.ProgressPercent)
 			s.t.spawn(func() { s.stop(r.Task, r.Run) })
@@ -94,6 +96,9 @@
 			s.t.spawn(func() { s.stop(r.Task, r.Run) })
 		}
 	}
+	s.mu.Lock()
+	s.runsUnknown = unknown > 0
+	s.mu.Unlock()
 	s.commitRunTimes(listing.Running, &state)
 	s.pace(listing, &state)
 	if s.commitInProgress != nil {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -119,6 +119,9 @@
 	// since. Only then it is told which ends are committed: a later incarnation that takes the
 	// acknowledgement deletes its own ends.
 	listed bool
+	// runsUnknown is set if the newest listing had attempts that are not committed to the
+	// worker. They are being stopped, and use capacity until then.
+	runsUnknown bool
 	// fenced is set once the worker has accepted an order with this term's fence.
 	fenced   bool
 	attempts map[attemptKey]*attemptInfo
@@ -234,7 +237,7 @@
 		return false
 	}
 	silent := s.lastUnanswered > s.lastAnswered
-	return !s.replaced && !s.needsFence() && s.clock.known && !s.failing && !silent && now >= s.avoidUntil && now-s.lastContact < maxReportSilence
+	return !s.replaced && !s.runsUnknown && !s.needsFence() && s.clock.known && !s.failing && !silent && now >= s.avoidUntil && now-s.lastContact < maxReportSilence
 }
 
 // serving reports whether tasks with a response time target run on the worker.
@@ -317,10 +320,11 @@
 
 // waitForWork waits until the worker may have attempts. It returns true if the
 // worker should be called even without attempts, because its clock is unknown, it has not
-// accepted the fence, it failed a call, or it has to show that it has not crashed.
+// accepted the fence, it failed a call, it runs what is not committed to it, or it has to
+// show that it has not crashed.
 func (s *session) waitForWork(hasLosses bool) bool {
 	s.mu.Lock()
-	failing, unknown := hasLosses || s.failing || s.lastUnanswered > s.lastAnswered, !s.clock.known || s.needsFence()
+	failing, unknown := hasLosses || s.failing || s.runsUnknown || s.lastUnanswered > s.lastAnswered, !s.clock.known || s.needsFence()
 	s.mu.Unlock()
 	if unknown && !failing {
 		return true // no attempt can be started before
