--- a/internal/dispatch/doc.go
+++ b/internal/dispatch/doc.go
@@ -14,9 +14,15 @@
 // greater value.
 //
 // Three rules ensure that a task never runs twice at the same time. An attempt is
-// committed before its start order is sent. Every order carries a fence, the term
-// of the leader that sends it, and a deadline on the worker's own clock, so a
-// worker rejects an order that arrives late. A committed attempt is closed only
-// after the worker has listed its end, has shown that it can no longer start, or
-// its lease has certainly expired on the worker's clock.
+// committed before its start order is sent. Every order carries a fence, which rises
+// with the leader's term, and a deadline on the worker's own clock, so a worker
+// rejects an order that arrives late. A committed attempt is closed only after the
+// worker has listed its end, has shown that it can no longer start, or its lease has
+// certainly expired on the worker's clock.
+//
+// Orders name a worker by its ID, so a later incarnation under the ID may carry out
+// what was sent to an earlier one, and its clock starts anew. Therefore the fence rises
+// with each incarnation too, a later one is called before anything is placed on it, and
+// attempts that the earlier one has not certainly started pass over to it. spec/lives.pml
+// models this; successor.go has the bounds.
 package dispatch
