--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -120,7 +120,8 @@
 	crashed func(w *fakeWorker)
 	// durationOf, if not nil, returns how long a task takes on a worker.
 	durationOf func(id string, task cell.TaskKey) time.Duration
-	maxLease   time.Duration
+	// maxLease is the longest lease of a worker.
+	maxLease time.Duration
 	// maxListedEnds, if not 0, is the maximum number of ends in a listing.
 	maxListedEnds int
 	// outcomeOf, if not nil, returns how an attempt ends.
@@ -532,6 +533,7 @@
 			Bounds: Bounds{EndedJobRetention: time.Hour, MaxLease: maxFakeLease, RemoteFactor: 2}, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 		}
 		change(&c)
+		b.fleet.maxLease = c.Bounds.MaxLease
 		b.leader = New(c)
 		ctx, cancel := context.WithCancel(t.Context())
 		stopped := make(chan struct{})
--- a/internal/dispatch/life_test.go
+++ b/internal/dispatch/life_test.go
@@ -58,7 +58,6 @@
 		for _, maxLease := range []time.Duration{maxFakeLease, 10 * time.Second} {
 			t.Run(fmt.Sprintf("changed leader %v, lease of up to %v", changed, maxLease), func(t *testing.T) {
 				runCellWith(t, 1, func(c *Config) { c.Bounds.MaxLease = maxLease }, func(b *testCell) {
-					b.fleet.maxLease = maxLease
 					time.Sleep(20 * time.Second)
 					b.reportAll()
 					b.returnUnnoticed("w0", 2, 20*time.Second)
@@ -83,7 +82,6 @@
 		for _, maxLease := range []time.Duration{maxFakeLease, 10 * time.Second} {
 			t.Run(fmt.Sprintf("changed leader %v, lease of up to %v", changed, maxLease), func(t *testing.T) {
 				runCellWith(t, 1, func(c *Config) { c.Bounds.MaxLease = maxLease }, func(b *testCell) {
-					b.fleet.maxLease = maxLease
 					time.Sleep(20 * time.Second)
 					b.reportAll()
 					b.returnUnnoticed("w0", 2, 10*time.Millisecond)
