--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -135,7 +135,7 @@
 	s.mu.Lock()
 	wasFailing := s.failing
 	if s.doubtAt > 0 && sent > s.doubtAt {
-		s.doubtAt, s.inheritedEnd, s.inheritedStated = 0, 0, false
+		s.doubtAt, s.inheritedEnd, s.inheritedCommitted = 0, 0, false
 	}
 	s.failing, s.listed = false, true
 	s.fenceAccepted(now)
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -117,8 +117,8 @@
 	// doubtAt is when an answer arrived that may be of a later incarnation, 0 if the incarnation
 	// has shown since that it is still there.
 	doubtAt time.Duration
-	// inheritedStated is set once the state has the attempts that a later incarnation may run.
-	inheritedStated bool
+	// inheritedCommitted is set once the state has the attempts that a later incarnation may run.
+	inheritedCommitted bool
 	// began is from when on the session knows the orders to the incarnation.
 	began time.Duration
 	// listed is set if the incarnation has answered the last renewal, and nothing was waited for
@@ -184,7 +184,7 @@
 	}
 	s.fenced, s.inheritedEnd, s.earlierLeaseEnd = earlier.fenced, earlier.inheritedEnd, earlier.earlierLeaseEnd
 	s.began, s.aliveAt, s.lastGrant = earlier.began, earlier.aliveAt, earlier.lastGrant
-	s.replaced, s.lifeIsOver, s.doubtAt, s.inheritedStated = earlier.replaced, earlier.lifeIsOver, earlier.doubtAt, earlier.inheritedStated
+	s.replaced, s.lifeIsOver, s.doubtAt, s.inheritedCommitted = earlier.replaced, earlier.lifeIsOver, earlier.doubtAt, earlier.inheritedCommitted
 	s.clock, s.latestLeaseEnd, s.sequence = earlier.clock, earlier.latestLeaseEnd, earlier.sequence
 }
 
--- a/internal/dispatch/successor.go
+++ b/internal/dispatch/successor.go
@@ -55,10 +55,10 @@
 	return info != nil && info.unansweredAt > 0 && now < info.unansweredAt+maxOrderDelay
 }
 
-// replace makes the session of the incarnation before a registration send no more starts, and
+// replaceIncarnation makes the session of the incarnation before a registration send no more starts, and
 // returns the attempts that the incarnation itself has certainly started. They have ended with
 // it. The successor may carry out the start orders for the others.
-func (t *term) replace(r *cell.Register) (proven []cell.StartedAttempt) {
+func (t *term) replaceIncarnation(r *cell.Register) (proven []cell.StartedAttempt) {
 	s := t.sessionOf(r.ID)
 	if s == nil || s.born >= r.Born {
 		return nil
@@ -90,7 +90,7 @@
 	if ended := s.selectAttempts(&state, func(k attemptKey, _ cell.Attempt) bool { return over || s.isProven(k, now) }); len(ended) > 0 {
 		s.endAttempts(reason, &state, ended)
 	}
-	s.stateInherited()
+	s.commitInherited()
 	s.t.leader.Logger.Info("life of worker is over", logging.Step("hold"), logging.Peer(s.target.ID), "reason", reason, "born", s.born)
 }
 
@@ -105,23 +105,23 @@
 	s.doubtAt = now
 	s.mu.Unlock()
 	s.wakeUp()
-	s.stateInherited()
+	s.commitInherited()
 }
 
-// stateInherited commits which attempts may run on a later incarnation, unless it has succeeded
+// commitInherited commits which attempts may run on a later incarnation, unless it has succeeded
 // before. Later leaders have to know them.
-func (s *session) stateInherited() {
+func (s *session) commitInherited() {
 	state, now := s.workerState(), s.t.leader.Clock.Now()
 	left := s.selectAttempts(&state, func(k attemptKey, a cell.Attempt) bool { return !a.Inherited && !s.isProven(k, now) })
 	s.mu.Lock()
-	stated := s.inheritedStated
+	stated := s.inheritedCommitted
 	s.mu.Unlock()
 	if stated || len(left) == 0 {
 		return
 	}
 	if s.commitExpiry(&cell.ExpireLease{Worker: s.target.ID, Born: s.born, Selected: true, Inherited: left}) {
 		s.mu.Lock()
-		s.inheritedStated = true
+		s.inheritedCommitted = true
 		s.mu.Unlock()
 	}
 }
