cellnode: tests that run in parallel do not take the port of a stopped node

The clusters of a test process share an address, and a cluster that is set up takes any free port of it, also that of a node of another one that is stopped. A port is now given to one node only.

--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"slices"
 	"sync/atomic"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -66,8 +67,7 @@
 	pid := os.Getpid()
 	address := fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&0x7f, pid>>8&0xff, pid&0xff)
 	for range nodes {
-		l, err := net.Listen("tcp", address)
-		assert.NilError(t, err)
+		l := listenAtNewPort(t, address)
 		s.addresses = append(s.addresses, l.Addr().String())
 		s.folders = append(s.folders, t.TempDir())
 		s.listeners = append(s.listeners, l)
@@ -85,6 +85,22 @@
 	return s
 }
 
+// usedPorts holds the ports of all nodes of this process.
+var usedPorts sync.Map
+
+// listenAtNewPort returns a listener at a port that no node of this process has, also none that is
+// not running: clusters of tests that run in parallel have the same address.
+func listenAtNewPort(t *testing.T, address string) net.Listener {
+	for {
+		l, err := net.Listen("tcp", address)
+		assert.NilError(t, err)
+		if _, used := usedPorts.LoadOrStore(l.Addr().(*net.TCPAddr).Port, true); !used {
+			return l
+		}
+		_ = l.Close()
+	}
+}
+
 // listen returns a listener at the address of a node. The port is reserved until the first
 // call.
 func (s *testCluster) listen(i int) net.Listener {
