dispatch: one word for the incarnations of a worker

Two tests repeated the same two loops.

Change: names only. lifeOver, lifeIsOver, lifeInDoubt, lifeRegistered and earlierLife are incarnationOver, incarnationIsOver, incarnationInDoubt, successorRegistered and earlierIncarnation; incarnationEnded, which handles an address that belongs to another worker, is addressReused. The loops of the two tests are one function; each plays the same four cases as before.

Measured: the tests of incarnations, leases and answers in internal/dispatch pass.

--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -206,7 +206,7 @@
 			s.recordChanged(c.Register)
 			s.wakeUp()
 		} else if s := t.sessionOf(c.Register.ID); s != nil && s.born < c.Register.Born {
-			t.lifeRegistered.Store(true)
+			t.successorRegistered.Store(true)
 		}
 	}
 	l.wakePlanner()
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -128,7 +128,7 @@
 		s.t.leader.metrics.answersOfSuccessors.Inc(1)
 		s.t.leader.Logger.Warn("renewal for an earlier life carried out by its successor", logging.Step("hold"), logging.Peer(s.target.ID), "born", s.born, "successor", listing.Born,
 			"acked_upto", order.AcknowledgedEnd, "deadline_ms", order.DeadlineMS, "clock_ms", listing.ClockMS)
-		s.lifeOver(now, "a later life answers")
+		s.incarnationOver(now, "a later incarnation answers")
 		s.t.pause(probeInterval)
 		return
 	}
@@ -158,7 +158,7 @@
 		return
 	}
 	if err == nil && listing.Answer == WrongIncarnation {
-		s.incarnationEnded()
+		s.addressReused()
 		return
 	}
 	s.mu.Lock()
@@ -220,9 +220,9 @@
 	return err == nil
 }
 
-// incarnationEnded handles an incarnation that has certainly ended, because its address belongs
+// addressReused handles an incarnation that has certainly ended, because its address belongs
 // to a worker with another ID, which rejects all orders for it.
-func (s *session) incarnationEnded() {
+func (s *session) addressReused() {
 	const reason = "the address belongs to another worker"
 	s.mu.Lock()
 	s.failing = true // before the commit, which takes a while
--- a/internal/dispatch/life_test.go
+++ b/internal/dispatch/life_test.go
@@ -26,6 +26,20 @@
 	b.fleet.change(id, func(w *fakeWorker) { w.unreachable = true })
 }
 
+// playWithLeasesAndLeaders calls play with cells of short and long leases, each without and with a
+// change of the leader, which play carries out if changed is set.
+func playWithLeasesAndLeaders(t *testing.T, play func(b *testCell, changed bool)) {
+	for _, changed := range []bool{false, true} {
+		for _, maxLease := range []time.Duration{maxFakeLease, 10 * time.Second} {
+			t.Run(fmt.Sprintf("changed leader %v, lease of up to %v", changed, maxLease), func(t *testing.T) {
+				runCellWith(t, 1, func(c *Config) { c.Bounds.MaxLease = maxLease }, func(b *testCell) {
+					play(b, changed)
+				})
+			})
+		}
+	}
+}
+
 // Guards against a second run of a task whose start order, meant for an earlier life of its
 // worker, was carried out by the next one, if no call reaches the worker after its first report:
 // also if the leader changes or the report comes after it.
@@ -54,54 +68,42 @@
 // Guards against a second run of a task whose start order was carried out by the next life of
 // its worker, if that answers a renewal of the lease and cannot be reached from then on.
 func TestStartBeforeAnswerOfLaterLifeDoesNotRunTwice(t *testing.T) {
-	for _, changed := range []bool{false, true} {
-		for _, maxLease := range []time.Duration{maxFakeLease, 10 * time.Second} {
-			t.Run(fmt.Sprintf("changed leader %v, lease of up to %v", changed, maxLease), func(t *testing.T) {
-				runCellWith(t, 1, func(c *Config) { c.Bounds.MaxLease = maxLease }, func(b *testCell) {
-					time.Sleep(20 * time.Second)
-					b.reportAll()
-					b.returnUnnoticed("w0", 2, 20*time.Second)
-					b.submitTo(shortObjectivePath, jobID1, taskStep(1, 3))
-					time.Sleep(300 * time.Millisecond) // the next renewal is answered by the later life
-					b.cutOff("w0")
-					if changed {
-						b.changeLeader(2)
-					}
-					b.register("w1", 1, 1)
-					b.waitForStateAt(shortObjectivePath, jobID1, cell.Complete, time.Minute)
-				})
-			})
+	playWithLeasesAndLeaders(t, func(b *testCell, changed bool) {
+		time.Sleep(20 * time.Second)
+		b.reportAll()
+		b.returnUnnoticed("w0", 2, 20*time.Second)
+		b.submitTo(shortObjectivePath, jobID1, taskStep(1, 3))
+		time.Sleep(300 * time.Millisecond) // the next renewal is answered by the later life
+		b.cutOff("w0")
+		if changed {
+			b.changeLeader(2)
 		}
-	}
+		b.register("w1", 1, 1)
+		b.waitForStateAt(shortObjectivePath, jobID1, cell.Complete, time.Minute)
+	})
 }
 
 // Guards against a second run of a task on a worker that holds a lease which was meant for an
 // earlier life and is longer than those of the present one. The leader may have changed.
 func TestLeaseForEarlierLifeIsWaitedOut(t *testing.T) {
-	for _, changed := range []bool{false, true} {
-		for _, maxLease := range []time.Duration{maxFakeLease, 10 * time.Second} {
-			t.Run(fmt.Sprintf("changed leader %v, lease of up to %v", changed, maxLease), func(t *testing.T) {
-				runCellWith(t, 1, func(c *Config) { c.Bounds.MaxLease = maxLease }, func(b *testCell) {
-					time.Sleep(20 * time.Second)
-					b.reportAll()
-					b.returnUnnoticed("w0", 2, 10*time.Millisecond)
-					b.submitTo(shortObjectivePath, jobID1, taskStep(1, 3))
-					time.Sleep(50 * time.Millisecond)
-					b.fleet.change("w0", func(w *fakeWorker) { w.taskDuration = 20 * time.Second })
-					b.do(firstReport("w0", 2, 0))
-					time.Sleep(100 * time.Millisecond)
-					b.submitTo(shortObjectivePath, jobID2, taskStep(1, 3))
-					time.Sleep(200 * time.Millisecond)
-					b.cutOff("w0")
-					if changed {
-						b.changeLeader(2)
-					}
-					b.register("w1", 1, 1)
-					b.waitForStateAt(shortObjectivePath, jobID2, cell.Complete, time.Minute)
-				})
-			})
+	playWithLeasesAndLeaders(t, func(b *testCell, changed bool) {
+		time.Sleep(20 * time.Second)
+		b.reportAll()
+		b.returnUnnoticed("w0", 2, 10*time.Millisecond)
+		b.submitTo(shortObjectivePath, jobID1, taskStep(1, 3))
+		time.Sleep(50 * time.Millisecond)
+		b.fleet.change("w0", func(w *fakeWorker) { w.taskDuration = 20 * time.Second })
+		b.do(firstReport("w0", 2, 0))
+		time.Sleep(100 * time.Millisecond)
+		b.submitTo(shortObjectivePath, jobID2, taskStep(1, 3))
+		time.Sleep(200 * time.Millisecond)
+		b.cutOff("w0")
+		if changed {
+			b.changeLeader(2)
 		}
-	}
+		b.register("w1", 1, 1)
+		b.waitForStateAt(shortObjectivePath, jobID2, cell.Complete, time.Minute)
+	})
 }
 
 // Guards against a task that is started again although it is done: the acknowledgement of ends
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -88,7 +88,7 @@
 		}
 		if s.answeredBySuccessor(sent, &r) {
 			s.callUnanswered(sent)
-			s.lifeInDoubt(s.t.leader.Clock.Now())
+			s.incarnationInDoubt(s.t.leader.Clock.Now())
 			return 0, false
 		}
 		s.callAnswered(sent, r.ClockMS, s.t.leader.Clock.Now())
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -300,7 +300,7 @@
 		}
 		return &cellapi.Reply{Verdict: cell.Accepted}, false
 	}
-	earlier := t.earlierLife(&r.Register)
+	earlier := t.earlierIncarnation(&r.Register)
 	r.Started, r.Proven, r.CountsLives = t.startedBefore(&r.Register), t.replaceIncarnation(&r.Register), true
 	result, err := t.commitOnce(ctx, &cell.Command{Register: &r.Register}, nil)
 	if err != nil {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -110,10 +110,10 @@
 	// serves is set if serving tasks with a response time target run beside them.
 	fillerPace int
 	serves     bool
-	// replaced is set once a later incarnation with the same ID is known, and lifeIsOver once the
-	// incarnation has certainly ended.
-	replaced   bool
-	lifeIsOver bool
+	// replaced is set once a later incarnation with the same ID is known, and incarnationIsOver
+	// once the incarnation has certainly ended.
+	replaced          bool
+	incarnationIsOver bool
 	// doubtAt is when an answer arrived that may be of a later incarnation, 0 if the incarnation
 	// has shown since that it is still there.
 	doubtAt time.Duration
@@ -184,7 +184,7 @@
 	}
 	s.fenced, s.inheritedEnd, s.earlierLeaseEnd = earlier.fenced, earlier.inheritedEnd, earlier.earlierLeaseEnd
 	s.began, s.aliveAt, s.lastGrant = earlier.began, earlier.aliveAt, earlier.lastGrant
-	s.replaced, s.lifeIsOver, s.doubtAt, s.inheritedCommitted = earlier.replaced, earlier.lifeIsOver, earlier.doubtAt, earlier.inheritedCommitted
+	s.replaced, s.incarnationIsOver, s.doubtAt, s.inheritedCommitted = earlier.replaced, earlier.incarnationIsOver, earlier.doubtAt, earlier.inheritedCommitted
 	s.clock, s.latestLeaseEnd, s.sequence = earlier.clock, earlier.latestLeaseEnd, earlier.sequence
 }
 
--- a/internal/dispatch/successor.go
+++ b/internal/dispatch/successor.go
@@ -34,6 +34,39 @@
 	return stated && s.clock.known && r.ClockMS < s.clock.atLeast(sent)
 }
 
+// earlierIncarnation is what a leader knows about the incarnation that a registration replaces.
+type earlierIncarnation struct {
+	// born is 0 if the worker's ID is new.
+	born int64
+	// unprovenStarts is the number of attempts whose start order may be carried out by the
+	// successor.
+	unprovenStarts int
+	// leaseUnproven is how long ago an order was sent that extends the lease and that the
+	// earlier incarnation has not certainly received, 0 if there is none.
+	leaseUnproven time.Duration
+}
+
+// earlierIncarnation describes the incarnation that a registration replaces under the same ID.
+func (t *term) earlierIncarnation(r *cell.Register) earlierIncarnation {
+	s := t.sessionOf(r.ID)
+	if s == nil || s.born >= r.Born {
+		return earlierIncarnation{}
+	}
+	state := s.workerState()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := earlierIncarnation{born: s.born}
+	for key, a := range state.attempts {
+		if !s.isProven(attemptKey{key, a.Run}, t.leader.Clock.Now()) {
+			e.unprovenStarts++
+		}
+	}
+	if s.lastGrant > s.aliveAt {
+		e.leaseUnproven = t.leader.Clock.Now() - s.lastGrant
+	}
+	return e
+}
+
 // isProven reports whether an attempt certainly ends with the incarnation: that has listed it, or
 // was still there after the start order had been answered, and no try of the order may still be
 // carried out. The answer to a start alone may be that of a successor. The caller holds s.mu.
@@ -75,15 +108,15 @@
 	return proven
 }
 
-// lifeOver handles an incarnation that has certainly ended although its ID may go on. Attempts
-// that may run on a later incarnation are left until that has registered, or until none of them
-// can run any more.
-func (s *session) lifeOver(now time.Duration, reason string) {
+// incarnationOver handles an incarnation that has certainly ended although its ID may go on.
+// Attempts that may run on a later incarnation are left until that has registered, or until none
+// of them can run any more.
+func (s *session) incarnationOver(now time.Duration, reason string) {
 	s.mu.Lock()
-	if !s.lifeIsOver {
+	if !s.incarnationIsOver {
 		s.inheritedEnd = now + maxOrderDelay + s.t.longestLease()
 	}
-	s.failing, s.replaced, s.lifeIsOver = true, true, true // before the commit, which takes a while
+	s.failing, s.replaced, s.incarnationIsOver = true, true, true // before the commit, which takes a while
 	over := now > s.inheritedEnd
 	s.mu.Unlock()
 	state := s.workerState()
@@ -94,12 +127,12 @@
 	s.t.leader.Logger.Info("life of worker is over", logging.Step("hold"), logging.Peer(s.target.ID), "reason", reason, "born", s.born)
 }
 
-// lifeInDoubt handles the answer to a start order that seems to be of a later life. The next
-// listing states which life it is of. Until then the attempts that are not proven are treated as if
-// they ran on the later one.
-func (s *session) lifeInDoubt(now time.Duration) {
+// incarnationInDoubt handles the answer to a start order that seems to be of a later incarnation.
+// The next listing states which one it is of. Until then the attempts that are not proven are
+// treated as if they ran on the later one.
+func (s *session) incarnationInDoubt(now time.Duration) {
 	s.mu.Lock()
-	if s.doubtAt == 0 && !s.lifeIsOver {
+	if s.doubtAt == 0 && !s.incarnationIsOver {
 		s.inheritedEnd = now + maxOrderDelay + s.t.longestLease()
 	}
 	s.doubtAt = now
@@ -133,7 +166,7 @@
 // leaseExpired reports whether an attempt has certainly ended because no lease under which it
 // may run is left. The caller holds s.mu.
 func (s *session) leaseExpired(k attemptKey, a cell.Attempt, now time.Duration) bool {
-	mayRunElsewhere := a.Inherited || (s.lifeIsOver || s.doubtAt > 0) && !s.isProven(k, now)
+	mayRunElsewhere := a.Inherited || (s.incarnationIsOver || s.doubtAt > 0) && !s.isProven(k, now)
 	if mayRunElsewhere && now <= s.inheritedEnd {
 		return false
 	}
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -64,9 +64,9 @@
 	// housekeepingAt is when sessions and unwanted attempts were last looked for. Only the
 	// planner's goroutine uses it.
 	housekeepingAt time.Duration
-	// lifeRegistered is set once a later life of a worker has registered: orders for the earlier
-	// one can have an effect on it until it has been called.
-	lifeRegistered atomic.Bool
+	// successorRegistered is set once a later incarnation of a worker has registered: orders for the
+	// earlier one can have an effect on it until it has been called.
+	successorRegistered atomic.Bool
 	// isolation is that of the last plan. Only the planner's goroutine uses it.
 	isolation isolation
 	// waitReportAt and attemptReportAt are when the next reports are due, and unconfirmed
@@ -208,7 +208,7 @@
 			continue
 		}
 		use := t.newProcessorUse()
-		if now := t.leader.Clock.Now(); now >= t.housekeepingAt+housekeepingInterval || t.lifeRegistered.Swap(false) || !t.isSynced() {
+		if now := t.leader.Clock.Now(); now >= t.housekeepingAt+housekeepingInterval || t.successorRegistered.Swap(false) || !t.isSynced() {
 			t.housekeepingAt = now
 			t.syncSessions()
 			t.stopUnwanted()
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -132,7 +132,7 @@
 			// order does not show this: the upkeep may have been carried out earlier,
 			// and the machine may run a later worker.
 			delete(u.sessionsAtOrder, m.ID)
-			s.lifeOver(now, "its machine is down for upkeep")
+			s.incarnationOver(now, "its machine is down for upkeep")
 		}
 		if at, down := u.ordered[m.ID]; down && m.State == MachineUp && at < now {
 			delete(u.ordered, m.ID)
