--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -49,7 +49,7 @@
 	for i, p := range prefixes {
 		routes = append(routes, map[string]any{
 			"name": fmt.Sprintf("r-%d", i), "host": host, "path_prefix": p, "type": "non_idempotent", "timeout_ms": 3000,
-			"slo_ms": 3000, "priority": i, "service": "planner", "attempts": 4, "stretch": 4.0, "public": false,
+			"slo_ms": 250, "priority": i, "service": "planner", "attempts": 4, "stretch": 1.5, "public": false,
 		})
 	}
 	return map[string]any{
