--- a/review/rig-2/large_jobs.go
+++ b/review/rig-2/large_jobs.go
@@ -41,10 +41,11 @@
 	t.inUse -= t.cpu(job)
 }
 
-// largeJobs checks the rule LOST: finish_s after the end of the traffic no job may have nothing
-// running for 3 s while a task's turn has come and most of the capacity is free.
+// largeJobs checks the rule LOST for the ordinary jobs of another tenant: finish_s after the end of
+// the traffic none may have nothing running for 3 s while a task's turn has come and most of the
+// capacity is free.
 func largeJobs(rec *record, trouble bool) (int, error) {
-	const minions, minionCPU, taskCPU = 8, 64000, 100
+	const minions, minionCPU, taskCPU, largeCount = 8, 64000, 100, 40
 	s, err := startSystem(rec, 3, 2, "", "")
 	if s != nil {
 		defer s.stop()
@@ -60,25 +61,24 @@
 		return failed, err
 	}
 	time.Sleep(7 * time.Second)
-	type accepted struct{ path, key, id string }
-	var jobs []accepted
-	handIn := func(i int, prefix, key, id string, body any) {
+	handIn := func(i int, prefix, key, id string, body any) bool {
 		status := s.submit(i, host, prefix+id, key, body, false)
 		rec.linef("POST %s%s: %d", prefix, id, status)
-		if status == 200 {
-			jobs = append(jobs, accepted{prefix + id, key, id})
-		}
+		return status == 200
 	}
 	if trouble {
 		body := largeJob(`{"count":1,"cpu":100,"mem_mb":64,"estimate_ms":20}`, "")
-		rec.linef("10 jobs with a body of %d bytes each", len(body))
-		for i := range 10 {
+		rec.linef("%d jobs with a body of %d bytes each", largeCount, len(body))
+		for i := range largeCount {
 			handIn(i, "/foam/", "key1", fmt.Sprintf("%016x", 0xf00+i), json.RawMessage(body))
 		}
 	}
 	ordinary := map[string]any{"spec": "20", "steps": []map[string]any{{"count": 2, "cpu": taskCPU, "mem_mb": 64, "estimate_ms": 20}}}
+	var jobs []string
 	for i := range 10 {
-		handIn(i, "/bay/", "key2", fmt.Sprintf("%016x", 0xba0+i), ordinary)
+		if id := fmt.Sprintf("%016x", 0xba0+i); handIn(i, "/bay/", "key2", id, ordinary) {
+			jobs = append(jobs, id)
+		}
 		time.Sleep(100 * time.Millisecond)
 	}
 	rec.linef("end of the traffic; the jobs are asked for after finish_s")
@@ -87,34 +87,34 @@
 	complete := map[string]bool{}
 	until := time.Now().Add(25 * time.Second)
 	for time.Now().Before(until) && len(complete) < len(jobs) {
-		for i, j := range jobs {
+		for i, id := range jobs {
 			running.mu.Lock()
-			busy, inUse := running.byJob[j.id] > 0, running.inUse
+			busy, inUse := running.byJob[id] > 0, running.inUse
 			running.mu.Unlock()
-			if complete[j.id] {
+			if complete[id] {
 				continue
 			}
 			if busy || inUse*2 >= minions*minionCPU {
-				delete(idleSince, j.id)
+				delete(idleSince, id)
 				continue
 			}
-			since, idle := idleSince[j.id]
+			since, idle := idleSince[id]
 			if !idle {
-				idleSince[j.id] = time.Now()
+				idleSince[id] = time.Now()
 			}
-			code, text := s.call("GET", s.fronts[i%len(s.fronts)], host, j.path, j.key, nil)
+			code, text := s.call("GET", s.fronts[i%len(s.fronts)], host, "/bay/"+id, "key2", nil)
 			if code == 200 && strings.Contains(text, `"complete"`) {
-				complete[j.id] = true
+				complete[id] = true
 				continue
 			}
 			if idle && time.Since(since) > 3*time.Second {
-				rec.linef("LOST is broken: %s has nothing running for %.1f s, %d of %d cores are in use; GET: %d %s", j.path, time.Since(since).Seconds(), inUse/1000, minions*minionCPU/1000, code, strings.TrimSpace(text))
+				rec.linef("LOST is broken: /bay/%s has nothing running for %.1f s, %d of %d cores are in use; GET: %d %s", id, time.Since(since).Seconds(), inUse/1000, minions*minionCPU/1000, code, strings.TrimSpace(text))
 				return broken, nil
 			}
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
-	rec.linef("%d of %d accepted jobs are complete, none stood still", len(complete), len(jobs))
+	rec.linef("%d of %d accepted ordinary jobs are complete, none stood still", len(complete), len(jobs))
 	return held, nil
 }
 
