review: case 10, a renamed tenant loses its jobs

A configuration gives a tenant another name and leaves its key. Seen: GET and DELETE of its accepted job are answered with 410, and its tasks run on for ever. In the stand-in, tasks that last now report that they are at work.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Plays the case and exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+exec target/rig-2 rename review/10
--- a/review/rig-2/minion.go
+++ b/review/rig-2/minion.go
@@ -37,6 +37,9 @@
 	dead     chan struct{} // closed when the life ends
 }
 
+// lastingTime is the run time from which a task counts as one that lasts.
+const lastingTime = 10 * time.Minute
+
 // life is what a minion knows in one incarnation.
 type life struct {
 	born     int64
@@ -355,6 +358,9 @@
 		if r.took > 0 {
 			percent = min(99, int(100*time.Since(r.began)/r.took))
 		}
+		if r.took >= lastingTime {
+			percent = 100 // it lasts, and is at work
+		}
 		runningRows = append(runningRows, []any{r.task, r.run, "", percent, 100})
 	}
 	for _, e := range l.ended[:min(500, len(l.ended))] {
