cell: what a team owns moves with the team when a configuration renames it

If the old name went to another team, or two teams exchanged their names, the other team could read and cancel the job.

Cause: jobs, attempts and withdrawals belonged to the name that their team had at the submission, and access, usage and limits were looked up by the name that the key has now. Clients know their team by its keys only.

Change: a job and a withdrawal keep the key that they came with. When a configuration is applied, each goes to the team that has its key, or, if the key was withdrawn, to the team that goes on with the team that had it: the one with its keys, else the one with its name unless its keys show that it is another. Attempts follow their jobs, so that usage and limits do. What belongs to a team that is removed stays with a former team, with its last limit, until one of its keys is configured again.

Replicas of an earlier release would decide otherwise, so these rules are a format of the state, which the leader adopts once all members of the group, and all processes that may become members, have announced that they apply it. Until then all builds decide by name, as before. A replica of an earlier release is refused afterwards.

TestKeysAndTeams is unchanged: it covers the earlier format, in which a job stays with the name.

A refused question is logged with the team that asked and the owner of the job, which tells a job that is missing from one of another team. New metric: cell_former_teams.

--- a/internal/cell/attempt.go
+++ b/internal/cell/attempt.go
@@ -11,12 +11,14 @@
 // and subtract amounts without an overflow.
 const unlimited = math.MaxInt64 / 4
 
-// headroom returns the team's upper limit minus the resources of its attempts in flight.
+// headroom returns the upper limit of a configured or former team minus the resources of its
+// attempts in flight.
 func (s *Store) headroom(team string) structs.Resources {
-	t := s.configIndex.teamsByName[team]
 	limit := structs.Resources{}
-	if t != nil {
+	if t := s.configIndex.teamsByName[team]; t != nil {
 		limit = t.Limit
+	} else if f := s.FormerTeams[team]; f != nil {
+		limit = f.Limit
 	}
 	if limit.MilliCPU == 0 {
 		limit.MilliCPU = unlimited
--- a/internal/cell/command.go
+++ b/internal/cell/command.go
@@ -23,6 +23,7 @@
 	TakeDown          *TakeDown          `cbor:"12,keyasint,omitempty"`
 	ForgetWithdrawals *ForgetWithdrawals `cbor:"13,keyasint,omitempty"`
 	Evacuate          *Evacuate          `cbor:"14,keyasint,omitempty"`
+	AdoptFormat       *AdoptFormat       `cbor:"15,keyasint,omitempty"`
 }
 
 // Request identifies a queue, or a job of it, by the host and path that a client
--- a/internal/cell/configuration.go
+++ b/internal/cell/configuration.go
@@ -143,8 +143,11 @@
 func (c *Configuration) validateTeams() error {
 	owners, names := map[string]string{}, map[string]bool{}
 	for _, t := range c.Teams {
-		if t.Name == "" || names[t.Name] {
+		switch {
+		case t.Name == "" || names[t.Name]:
 			return errors.Errorf("team %q is unnamed or defined twice", t.Name)
+		case strings.Contains(t.Name, formerTeamSeparator):
+			return errors.Errorf("the name of team %q contains a zero byte", t.Name)
 		}
 		names[t.Name] = true
 		for _, k := range t.Keys {
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -131,7 +131,12 @@
 	Host   string `cbor:",omitempty"`
 	Prefix string `cbor:",omitempty"`
 
-	Team     string
+	// Team is the name of the configured team, or the ID of the former team, that the job
+	// belongs to, empty if it was submitted to a public queue without the key of a team.
+	Team string
+	// Key is the key with which the job was submitted. It is empty if the state had an earlier
+	// format then, and once the team has withdrawn the key.
+	Key      string `cbor:",omitempty"`
 	Spec     string
 	Steps    []Step
 	Schedule Schedule
--- a/internal/cell/request.go
+++ b/internal/cell/request.go
@@ -138,8 +138,11 @@
 	if s.Configuration != nil && c.Version <= s.Configuration.Version {
 		return Accepted
 	}
-	s.Configuration = c
-	s.configIndex = newConfigurationIndex(c)
+	index := newConfigurationIndex(c)
+	if s.Configuration != nil && s.Format >= FormatOwners {
+		s.transferOwnership(index)
+	}
+	s.Configuration, s.configIndex = c, index
 	s.indexWithdrawals()
 	s.failExhaustedJobs()
 	return Accepted
@@ -161,6 +164,9 @@
 		ID: id, Queue: q.Name, Host: q.Host, Prefix: q.Prefix, Team: team, Spec: c.Job.Spec, Steps: c.Job.Steps, Schedule: c.Job.Schedule,
 		MaxFailures: q.MaxFailures, Accepted: index, AcceptedMS: c.AcceptedMS,
 	}
+	if team != "" && s.Format >= FormatOwners {
+		j.Key = c.Key
+	}
 	if j.Schedule.Times == 0 {
 		j.openOccurrence()
 	}
@@ -179,7 +185,7 @@
 	}
 	j := s.Jobs[id]
 	if j == nil {
-		s.withdraw(index, q, team, id)
+		s.withdraw(index, q, team, r.Key, id)
 		return NoJob
 	}
 	if !s.mayAccess(j, q, team) {
--- a/internal/cell/store.go
+++ b/internal/cell/store.go
@@ -42,6 +42,11 @@
 	// Withdrawals are the jobs that were cancelled before they were submitted, by team, the
 	// oldest first. Those of public queues have no team.
 	Withdrawals map[string][]Withdrawal `cbor:",omitempty"`
+	// FormerTeams holds the former teams by their IDs, which stand for the name of the team in
+	// Jobs, Workers and Withdrawals.
+	FormerTeams map[string]*FormerTeam `cbor:",omitempty"`
+	// Format is the format of the state.
+	Format uint32 `cbor:",omitempty"`
 	// Evacuated contains the evacuated data centres. It is omitted while there are none, as
 	// in the snapshots of earlier releases.
 	Evacuated map[string]bool `cbor:",omitempty"`
@@ -77,7 +82,6 @@
 	}
 	s.state = st
 	s.configIndex = newConfigurationIndex(st.Configuration)
-	s.teamUsage = map[string]structs.Resources{}
 	s.readySteps = map[StepKey]*StepOccurrence{}
 	s.scheduledJobs = map[string]*Job{}
 	s.workersWithLosses = map[string]*Worker{}
@@ -89,13 +93,13 @@
 		}
 		for _, a := range w.Attempts {
 			w.addCommitted(&a)
-			s.teamUsage[a.Team] = s.teamUsage[a.Team].Add(a.Size)
 		}
 		for key := range w.Lost {
 			s.addUnresolvedLoss(key, 1)
 			s.workersWithLosses[w.ID] = w
 		}
 	}
+	s.sumTeamUsage()
 	for _, j := range s.Jobs {
 		s.refreshReadySteps(j)
 		s.refreshScheduled(j)
@@ -150,6 +154,8 @@
 		return s.forgetWithdrawals(c.ForgetWithdrawals)
 	case c.Evacuate != nil:
 		return s.evacuate(c.Evacuate)
+	case c.AdoptFormat != nil:
+		return s.adoptFormat(c.AdoptFormat)
 	}
 	return errors.New("the command is empty")
 }
--- a/internal/cell/withdrawal.go
+++ b/internal/cell/withdrawal.go
@@ -17,6 +17,8 @@
 	// them empty.
 	Host   string `cbor:"4,keyasint,omitempty"`
 	Prefix string `cbor:"5,keyasint,omitempty"`
+	// Key is the key of the cancellation, empty as that of a job.
+	Key string `cbor:"6,keyasint,omitempty"`
 }
 
 // ForgetWithdrawals drops the withdrawals up to a log index.
@@ -36,7 +38,7 @@
 }
 
 // withdraw records the cancellation of a job that the state does not have.
-func (s *Store) withdraw(index uint64, q *Queue, team, job string) {
+func (s *Store) withdraw(index uint64, q *Queue, team, teamKey, job string) {
 	key := newWithdrawalKey(q, team, job)
 	if !idPattern.MatchString(job) || s.withdrawn[key] {
 		return
@@ -44,7 +46,11 @@
 	if s.Withdrawals == nil {
 		s.Withdrawals = map[string][]Withdrawal{}
 	}
-	list := append(s.Withdrawals[key.team], Withdrawal{Job: job, Queue: q.Name, Index: index, Host: q.Host, Prefix: q.Prefix})
+	w := Withdrawal{Job: job, Queue: q.Name, Index: index, Host: q.Host, Prefix: q.Prefix}
+	if key.team != "" && s.Format >= FormatOwners {
+		w.Key = teamKey
+	}
+	list := append(s.Withdrawals[key.team], w)
 	for len(list) > maxWithdrawals {
 		s.unindexWithdrawal(key.team, &list[0])
 		list = list[1:]
--- a/internal/cellapi/message.go
+++ b/internal/cellapi/message.go
@@ -69,6 +69,9 @@
 	UnixMS int64  `cbor:"3,keyasint,omitempty"`
 	// DataCentre is the data centre of the process.
 	DataCentre string `cbor:"4,keyasint,omitempty"`
+	// Format is the newest format of the state that the process applies. Releases without
+	// formats leave it 0, which is cell.FormatNames.
+	Format uint32 `cbor:"5,keyasint,omitempty"`
 }
 
 // AnnounceLeader informs a process that is no member of the cell's group who leads. It is
--- a/internal/cellapi/refusal_random_test.go
+++ b/internal/cellapi/refusal_random_test.go
@@ -363,7 +363,7 @@
 		g.stores[i] = cell.NewStore(nil)
 		leader := dispatch.New(dispatch.Config{
 			Log: groupLog{g, i}, Store: g.stores[i], Clock: port.NewSystemClock(), PeerAddress: processAddress(i),
-			Members: func() []string { return nil }, OnJoin: func(*cellapi.AnnounceReplica) {},
+			Members: func() []string { return nil }, OnJoin: func(*cellapi.AnnounceReplica) {}, GroupFormat: func() uint32 { return cell.NewestFormat },
 			OnLeader: func(*cellapi.AnnounceLeader) {}, AnnouncedLeader: func() string { return "" },
 			Bounds: dispatch.Bounds{EndedJobRetention: 2 * time.Second, MaxLease: 6 * time.Second, RemoteFactor: 2},
 			Logger: logger, Scope: tally.NoopScope,
--- a/internal/cellnode/member.go
+++ b/internal/cellnode/member.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"laburnumgrade/gen/peerv1"
+	"laburnumgrade/internal/cell"
 	"laburnumgrade/internal/cellapi"
 	"laburnumgrade/internal/logging"
 	"laburnumgrade/internal/membership"
@@ -43,7 +44,7 @@
 	n.announcements.mu.Lock()
 	defer n.announcements.mu.Unlock()
 	membership.Record(n.announcements.byName, membership.Candidate{
-		Replica: membership.Replica{ID: a.Replica, Address: a.Peer}, DataCentre: a.DataCentre, LastSeen: n.config.Clock.Now(),
+		Replica: membership.Replica{ID: a.Replica, Address: a.Peer}, DataCentre: a.DataCentre, LastSeen: n.config.Clock.Now(), Format: a.Format,
 	})
 }
 
@@ -83,12 +84,36 @@
 	return list
 }
 
+// groupFormat returns the newest format of the state that all members of the group apply, and
+// all processes that may become members. It is cell.FormatNames as long as that is not known of a
+// member.
+func (n *Node) groupFormat() uint32 {
+	s := n.replica.Status()
+	now := n.config.Clock.Now()
+	n.announcements.mu.Lock()
+	defer n.announcements.mu.Unlock()
+	format := cell.NewestFormat
+	for _, member := range slices.Concat(s.Voters, s.Learners) {
+		c, announced := n.announcements.byName[membership.ProcessName(member.Id)]
+		if !announced || c.ID != member.Id {
+			return cell.FormatNames
+		}
+		format = min(format, c.Format)
+	}
+	for _, c := range n.announcements.byName {
+		if now-c.LastSeen < voterSilenceTimeout {
+			format = min(format, c.Format)
+		}
+	}
+	return format
+}
+
 // announceReplica announces the replica to the leader at each announceInterval, and
 // receives the advice callers, until the context ends.
 func (n *Node) announceReplica(ctx context.Context) {
 	replica := n.replica.Status().ID
 	for {
-		announcement := &cellapi.AnnounceReplica{Replica: replica, Peer: n.config.PeerAddress, UnixMS: time.Now().UnixMilli(), DataCentre: n.config.DataCentre}
+		announcement := &cellapi.AnnounceReplica{Replica: replica, Peer: n.config.PeerAddress, UnixMS: time.Now().UnixMilli(), DataCentre: n.config.DataCentre, Format: cell.NewestFormat}
 		callCtx, cancel := context.WithTimeout(ctx, announceInterval)
 		if r := n.Do(callCtx, &cellapi.Call{AnnounceReplica: announcement}); r.Refused != "" || r.Unknown != "" {
 			n.config.Logger.Debug("replica not announced", logging.Step("join"), "reason", r.Refused+r.Unknown)
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -132,6 +132,7 @@
 		PeerAddress:   c.PeerAddress,
 		PublicAddress: c.PublicAddress,
 		Members:       n.liveAddresses,
+		GroupFormat:   n.groupFormat,
 		OnJoin:        n.recordAnnouncement,
 		OnLeader:      func(a *cellapi.AnnounceLeader) { n.announced.record(a, c.Clock.Now()) },
 		AnnouncedLeader: func() string {
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -556,7 +556,8 @@
 		c := Config{
 			Log: b.log, Store: b.store, Clock: port.NewSystemClock(), Workers: b.fleet, PeerAddress: "self",
 			Members: func() []string { return nil }, OnJoin: func(*cellapi.AnnounceReplica) {},
-			OnLeader: func(*cellapi.AnnounceLeader) {}, AnnouncedLeader: func() string { return "" },
+			GroupFormat: func() uint32 { return cell.NewestFormat },
+			OnLeader:    func(*cellapi.AnnounceLeader) {}, AnnouncedLeader: func() string { return "" },
 			Bounds: Bounds{EndedJobRetention: time.Hour, MaxLease: maxFakeLease, RemoteFactor: 2}, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 		}
 		change(&c)
--- a/internal/dispatch/leader.go
+++ b/internal/dispatch/leader.go
@@ -45,6 +45,9 @@
 	PublicAddress string
 	// Members returns the peer addresses of the control processes.
 	Members func() []string
+	// GroupFormat returns the newest format of the state that all replicas of the group are
+	// known to apply.
+	GroupFormat func() uint32
 	// OnJoin is called for each replica that announces itself.
 	OnJoin func(*cellapi.AnnounceReplica)
 	// OnLeader is called for each announcement of a leader, and AnnouncedLeader returns the
@@ -146,6 +149,8 @@
 	// evacuatedDataCentres is the number of evacuated data centres in the state of this
 	// process.
 	evacuatedDataCentres tally.Gauge
+	// formerTeams is the number of former teams in the state of this process.
+	formerTeams tally.Gauge
 }
 
 // recordWaiting updates the numbers of ready steps by what they wait for.
@@ -165,7 +170,7 @@
 		truncatedListings: scope.Counter("cell_truncated_listings"), withdrawnSubmissions: scope.Counter("cell_withdrawn_submissions"),
 		unknownAttempts: scope.Counter("cell_unknown_attempts"), missingAttempts: scope.Counter("cell_missing_attempts"), answersOfSuccessors: scope.Counter("cell_answers_of_successors"),
 		unansweredStarts: scope.Counter("cell_unanswered_starts"), unrecordedEnds: scope.Counter("cell_unrecorded_ends"),
-		withdrawals: scope.Gauge("cell_withdrawals"), evacuatedDataCentres: scope.Gauge("cell_evacuated_data_centres"),
+		withdrawals: scope.Gauge("cell_withdrawals"), evacuatedDataCentres: scope.Gauge("cell_evacuated_data_centres"), formerTeams: scope.Gauge("cell_former_teams"),
 		commit: scope.Histogram("cell_commit", buckets), wait: scope.Histogram("cell_wait", buckets),
 		adviceWait: scope.Histogram("cell_advice_wait", buckets), adviceDelay: scope.Histogram("cell_advice_delay", buckets),
 		plan: scope.Histogram("cell_plan", buckets), planLock: scope.Histogram("cell_plan_lock", buckets),
@@ -199,10 +204,14 @@
 // Applied reacts to a command that the store has applied: it starts a new plan
 // and, after a registration, makes the worker's session check its record.
 func (l *Leader) Applied(c *cell.Command) {
+	isRestore := *c == (cell.Command{})
 	if c.Configure != nil {
 		l.Logger.Info("configuration applied", logging.Step("apply"), "version", c.Configure.Version, "in_force", l.configurationVersion())
 	}
-	if isRestore := *c == (cell.Command{}); isRestore || c.Evacuate != nil {
+	if isRestore || c.Configure != nil || c.AdoptFormat != nil {
+		l.Store.View(func(v *cell.View) { l.metrics.formerTeams.Update(float64(v.FormerTeams())) })
+	}
+	if isRestore || c.Evacuate != nil {
 		l.Store.View(func(v *cell.View) { l.metrics.evacuatedDataCentres.Update(float64(len(v.Evacuated()))) })
 	}
 	if t := l.currentTerm(); t != nil && c.Register != nil {
--- a/internal/dispatch/leftover_test.go
+++ b/internal/dispatch/leftover_test.go
@@ -82,7 +82,7 @@
 	b.log.apply = b.store.Apply
 	b.leader = New(Config{
 		Log: b.slow, Store: b.store, Clock: port.NewSystemClock(), Workers: b.site, AdviceClient: b.site, PeerAddress: "p0",
-		Members: func() []string { return nil }, OnJoin: func(*cellapi.AnnounceReplica) {},
+		Members: func() []string { return nil }, OnJoin: func(*cellapi.AnnounceReplica) {}, GroupFormat: func() uint32 { return cell.NewestFormat },
 		OnLeader: func(*cellapi.AnnounceLeader) {}, AnnouncedLeader: func() string { return "" },
 		Bounds: Bounds{EndedJobRetention: time.Hour, MaxLease: 6 * time.Second, RemoteFactor: 2}, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 	})
--- a/internal/dispatch/move_plan.go
+++ b/internal/dispatch/move_plan.go
@@ -86,7 +86,7 @@
 	for _, rs := range readySteps {
 		switch p.counted[rs.key] {
 		case waitsForLimit:
-			d.limited[rs.job.Team] = true
+			d.limited[rs.team] = true
 		case waitsForRoom:
 			d.full[rs.queue.Service] = true
 		case waitsForAdvice, waitsForRetry, waitsForRenewal:
@@ -104,7 +104,7 @@
 // blocks reports whether a task of the step might not start again soon although there is
 // capacity: its team is at its limit, or it is overdue, so that others take the capacity.
 func (d *waitingDemand) blocks(rs *readyStep) bool {
-	return d.limited[rs.job.Team] || rs.overdue && d.full[rs.queue.Service]
+	return d.limited[rs.team] || rs.overdue && d.full[rs.queue.Service]
 }
 
 // hasCapacityFor reports whether all tasks of a candidate have room on workers that are not
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -52,7 +52,7 @@
 		}
 		c.addPlaced(rs.key, placedHere)
 	}
-	p.headroom[rs.job.Team] = p.headroom[rs.job.Team].Sub(rs.step.Size.Scale(int64(len(placed))))
+	p.headroom[rs.team] = p.headroom[rs.team].Sub(rs.step.Size.Scale(int64(len(placed))))
 	return placed
 }
 
@@ -72,7 +72,7 @@
 			c.fillerLoad = c.fillerLoad.Sub(rs.step.Size)
 		}
 	}
-	p.headroom[rs.job.Team] = p.headroom[rs.job.Team].Add(rs.step.Size.Scale(int64(len(placed))))
+	p.headroom[rs.team] = p.headroom[rs.team].Add(rs.step.Size.Scale(int64(len(placed))))
 }
 
 // holdCapacity subtracts the capacity of placements that are not started yet.
@@ -86,5 +86,5 @@
 			}
 		}
 	}
-	p.headroom[rs.job.Team] = p.headroom[rs.job.Team].Sub(rs.step.Size.Scale(int64(len(held))))
+	p.headroom[rs.team] = p.headroom[rs.team].Sub(rs.step.Size.Scale(int64(len(held))))
 }
--- a/internal/dispatch/plan_inputs.go
+++ b/internal/dispatch/plan_inputs.go
@@ -32,8 +32,8 @@
 // addHeadroom adds the headroom of the teams of ready steps that the plan does not have yet.
 func (p *planner) addHeadroom(v *cell.View, readySteps []*readyStep) {
 	for _, rs := range readySteps {
-		if _, known := p.headroom[rs.job.Team]; !known {
-			p.headroom[rs.job.Team] = v.Headroom(rs.job.Team)
+		if _, known := p.headroom[rs.team]; !known {
+			p.headroom[rs.team] = v.Headroom(rs.team)
 		}
 	}
 }
--- a/internal/dispatch/plan_test.go
+++ b/internal/dispatch/plan_test.go
@@ -39,7 +39,7 @@
 	j := &cell.Job{ID: job, Team: "red", Steps: []cell.Step{step}}
 	p.headroom["red"] = structs.Resources{MilliCPU: 1 << 40, MemoryBytes: 1 << 60, Accelerators: 1}
 	return &readyStep{
-		key: cell.StepKey{Job: job}, job: j, step: &j.Steps[0], occurrence: &cell.StepOccurrence{Tasks: make([]cell.Task, step.Count)},
+		key: cell.StepKey{Job: job}, job: j, team: j.Team, step: &j.Steps[0], occurrence: &cell.StepOccurrence{Tasks: make([]cell.Task, step.Count)},
 		queue:     &cell.Queue{Service: service, Priority: priority, Advice: &cell.AdviceTerms{DecideMS: 500, PerWorkerMS: 7, ValidityMS: 2000}},
 		remaining: time.Second, deadline: time.Minute,
 	}
--- a/internal/dispatch/rank.go
+++ b/internal/dispatch/rank.go
@@ -73,7 +73,7 @@
 
 // tasksWithinLimit returns how many tasks of the step the team's limit allows.
 func (p *planner) tasksWithinLimit(rs *readyStep) int {
-	room := p.headroom[rs.job.Team]
+	room := p.headroom[rs.team]
 	n := len(rs.occurrence.Tasks)
 	if s := rs.step.Size.MilliCPU; s > 0 {
 		n = min(n, int(max(0, room.MilliCPU)/s))
--- a/internal/dispatch/ready.go
+++ b/internal/dispatch/ready.go
@@ -27,6 +27,8 @@
 	// change, may be read.
 	job  *cell.Job
 	step *cell.Step
+	// team is the job's team; a configuration may change it.
+	team string
 	// occurrence is a copy, but a gang's tasks, which start together, are shared with the
 	// state; only their number may be read.
 	occurrence *cell.StepOccurrence
@@ -89,7 +91,7 @@
 			occurrence cell.StepOccurrence
 		}{occurrence: *occurrence}
 		rs, occurrenceCopy := &both.step, &both.occurrence
-		*rs = readyStep{key: key, job: j, step: &j.Steps[key.Step], occurrence: occurrenceCopy, queue: q, crashed: crashedTasks(occurrence)}
+		*rs = readyStep{key: key, job: j, team: j.Team, step: &j.Steps[key.Step], occurrence: occurrenceCopy, queue: q, crashed: crashedTasks(occurrence)}
 		list = append(list, rs)
 		if !rs.step.Gang {
 			taskCount += len(occurrence.Tasks)
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -87,6 +87,9 @@
 		t.recordAnnouncement(c.AnnounceAdviceCaller.Peer, c.AnnounceAdviceCaller.UnixMS)
 		return &cellapi.Reply{Verdict: cell.Accepted}, false
 	case c.AnnounceReplica != nil:
+		if refused := l.refuseReplica(c.AnnounceReplica); refused != nil {
+			return refused, true
+		}
 		l.OnJoin(c.AnnounceReplica)
 		t.recordAnnouncement(c.AnnounceReplica.Peer, c.AnnounceReplica.UnixMS)
 		return &cellapi.Reply{Verdict: cell.Accepted, AdviceCallers: t.advice.availableCallers(l.Clock.Now())}, false
@@ -227,11 +230,24 @@
 		reply.Status, reply.Verdict = v.Status(r)
 	})
 	if reply.Verdict != cell.Accepted {
-		l.Logger.Info("question refused", logging.Step("status"), logging.Job(jobID(r.Path)), "host", r.Host, "path", r.Path, "verdict", reply.Verdict.String(), "configuration", l.configurationVersion())
+		team, owner := l.teamAndOwner(r)
+		l.Logger.Info("question refused", logging.Step("status"), logging.Job(jobID(r.Path)), "host", r.Host, "path", r.Path, "team", team, "owner", owner, "verdict", reply.Verdict.String(), "configuration", l.configurationVersion())
 	}
 	return reply
 }
 
+// teamAndOwner returns the team that sent a request and the team that the job with its ID belongs
+// to, each empty if there is none.
+func (l *Leader) teamAndOwner(r *cell.Request) (team, owner string) {
+	l.Store.View(func(v *cell.View) {
+		_, team = v.Route(r)
+		if j := v.Job(jobID(r.Path)); j != nil {
+			owner = j.Team
+		}
+	})
+	return team, owner
+}
+
 // configure commits a configuration, unless it is invalid or not newer than the
 // one in force.
 func (l *Leader) configure(ctx context.Context, t *term, c *cell.Configuration) (r *cellapi.Reply, committed bool) {
--- a/internal/dispatch/start.go
+++ b/internal/dispatch/start.go
@@ -43,8 +43,9 @@
 		if q == nil {
 			return
 		}
+		team := j.Team
 		started = func() {
-			t.load.taskStarted(j.Team, classOf(j, q, ratio, timing, decidedAt), waitingTasks(step, ratio, 1))
+			t.load.taskStarted(team, classOf(j, q, ratio, timing, decidedAt), waitingTasks(step, ratio, 1))
 		}
 		if q.Advice != nil {
 			o.Ticket = t.advice.ticket(p.Task.StepKey, p.Worker)
--- a/internal/dispatch/term.go
+++ b/internal/dispatch/term.go
@@ -203,6 +203,7 @@
 	t.spawn(t.forgetEndedJobs)
 	t.spawn(t.runUpkeep)
 	t.spawn(t.load.run)
+	t.spawn(t.adoptFormat)
 	ticker := time.NewTicker(maxPlanInterval)
 	defer ticker.Stop()
 	for t.isCurrent() {
--- a/internal/membership/next.go
+++ b/internal/membership/next.go
@@ -47,6 +47,8 @@
 	DataCentre string
 	// LastSeen is when it last announced itself.
 	LastSeen time.Duration
+	// Format is the newest format of the group's state that it applies.
+	Format uint32
 }
 
 // Record records an announcement in candidates, which are the replicas that announced
