dispatch: a submission under the ID of another job is refused

Callers saw: a client that submitted a job under the ID of a job of another team, or of another queue of its own team, got 200; nothing was stored, and its GET was answered 410.

Cause: a submission was taken for a repeated one if the state had any job with its ID.

Evidence: TestSubmissionUnderIDOfOtherJobIsRefused and TestSubmissionsUnderOneIDAtTheSameTime fail on the code before with the verdict "accepted".

Tasks are identified by the ID of their job, so two jobs cannot have the same one. The submissions of one ID are committed one after the other, so the verdict is decided in the state that the others have left. TestCellModel expected "accepted" there and now expects the refusal.

--- a/internal/cell/model_test.go
+++ b/internal/cell/model_test.go
@@ -362,6 +362,10 @@
 		assert.Equal(t, verdict, NoQueue)
 		return
 	}
+	if j := m.jobs[id]; j != nil && (j.team != team || j.queue != queue) {
+		assert.Equal(t, verdict, IDTaken)
+		return
+	}
 	assert.Equal(t, verdict, Accepted)
 	if m.jobs[id] == nil {
 		m.jobs[id] = &modelJob{steps: steps, team: team, queue: queue}
--- a/internal/cell/request.go
+++ b/internal/cell/request.go
@@ -28,11 +28,13 @@
 	// Withdrawn means that the job was cancelled before it was submitted, so that the
 	// submission was not accepted.
 	Withdrawn
+	// IDTaken means that the ID of a submission is that of a job of another team or queue.
+	IDTaken
 )
 
 // verdictNames are the verdicts as shown in logs, indexed by verdict; index 0 stands
 // for a missing verdict.
-var verdictNames = [...]string{"none", "accepted", "no configuration", "no queue", "bad key", "no job", "invalid", "no wave", "withdrawn"}
+var verdictNames = [...]string{"none", "accepted", "no configuration", "no queue", "bad key", "no job", "invalid", "no wave", "withdrawn", "id taken"}
 
 // Valid reports whether this release knows the verdict. It does not know a missing one, nor
 // those that later releases add.
@@ -98,6 +100,17 @@
 	return s.configIndex.find(queuePath{j.Host, j.Prefix}, j.Queue)
 }
 
+// IsTaken reports whether the ID of an authorized submission is that of a job of another team or
+// queue. Tasks are identified by the ID of their job, so two jobs cannot have the same.
+func (v *View) IsTaken(r *Request) bool {
+	q, id, team, verdict := v.s.authorize(r)
+	if verdict != Accepted {
+		return false
+	}
+	j := v.s.Jobs[id]
+	return j != nil && !v.s.mayAccess(j, q, team)
+}
+
 // Route returns the queue of an authorized request and the team that sent it, nil and empty if
 // the request is not allowed.
 func (v *View) Route(r *Request) (q *Queue, team string) {
@@ -154,7 +167,10 @@
 	if verdict != Accepted {
 		return verdict
 	}
-	if s.Jobs[id] != nil {
+	if j := s.Jobs[id]; j != nil {
+		if !s.mayAccess(j, q, team) {
+			return IDTaken
+		}
 		return Accepted
 	}
 	if !idPattern.MatchString(id) {
--- a/internal/dispatch/owner_test.go
+++ b/internal/dispatch/owner_test.go
@@ -23,7 +23,10 @@
 func (b *testCell) configureTeams(version int64, teams teamKeys) {
 	c := &cell.Configuration{
 		Version: version, Services: []cell.Service{{Name: service}},
-		Queues: []cell.Queue{{Name: "owned", Host: "h", Prefix: ownedPath, Service: service, TimeoutMS: 1000, MaxFailures: 2, ObjectiveMS: 20_000}},
+		Queues: []cell.Queue{
+			{Name: "owned", Host: "h", Prefix: ownedPath, Service: service, TimeoutMS: 1000, MaxFailures: 2, ObjectiveMS: 20_000},
+			{Name: "other", Host: "h", Prefix: ownedPath + "other/", Service: service, TimeoutMS: 1000, MaxFailures: 2, ObjectiveMS: 20_000},
+		},
 	}
 	for _, name := range slices.Sorted(maps.Keys(teams)) {
 		c.Teams = append(c.Teams, cell.Team{Name: name, Keys: teams[name], Weight: 1, Limit: structs.Resources{MilliCPU: 4000}})
@@ -117,3 +120,41 @@
 	assert.NilError(b.t, err)
 	assert.NilError(b.t, b.store.Restore(0, data))
 }
+
+// Guards against a submission that is answered as accepted and not stored, because its ID is that
+// of a job of another team or of another queue of the same team, also while that job is being
+// committed.
+func TestSubmissionUnderIDOfOtherJobIsRefused(t *testing.T) {
+	runCell(t, 1, func(b *testCell) {
+		b.configureTeams(2, teamKeys{"north": {"k1"}, "south": {"k2"}})
+		b.submitOwned(jobID1, "k1")
+		for _, prefix := range []string{ownedPath, ownedPath + "other/"} {
+			key := map[string]string{ownedPath: "k2", ownedPath + "other/": "k1"}[prefix]
+			other := &cell.Submit{Request: cell.Request{Host: "h", Path: prefix + jobID1, Key: key}, Job: cell.Submission{Spec: "other", Steps: []cell.Step{taskStep(1, 1)}}}
+			assert.Equal(b.t, b.leader.Do(b.t.Context(), &cellapi.Call{Submit: other}).Verdict, cell.IDTaken, prefix)
+			assert.Equal(b.t, b.leader.Do(b.t.Context(), &cellapi.Call{Status: &other.Request}).Verdict, cell.NoJob, prefix)
+		}
+		b.submitOwned(jobID1, "k1") // repeated by its own client
+	})
+}
+
+// Guards against two teams whose submissions under one ID are committed at the same time and are
+// both answered as accepted.
+func TestSubmissionsUnderOneIDAtTheSameTime(t *testing.T) {
+	var log *slowLog
+	runCellWith(t, 1, func(c *Config) {
+		log = &slowLog{fakeLog: c.Log.(*fakeLog), entryTime: 50 * time.Millisecond}
+		c.Log = log
+	}, func(b *testCell) {
+		b.configureTeams(2, teamKeys{"north": {"k1"}, "south": {"k2"}})
+		verdicts := make(chan cell.Verdict, 2)
+		for _, key := range []string{"k1", "k2"} {
+			go func() {
+				verdicts <- b.leader.Do(b.t.Context(), &cellapi.Call{Submit: &cell.Submit{Request: *ownedRequest(jobID1, key), Job: cell.Submission{Spec: key, Steps: []cell.Step{taskStep(1, 1)}}}}).Verdict
+			}()
+		}
+		got := []cell.Verdict{<-verdicts, <-verdicts}
+		slices.Sort(got)
+		assert.DeepEqual(b.t, got, []cell.Verdict{cell.Accepted, cell.IDTaken})
+	})
+}
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -168,7 +168,7 @@
 	accepted.AcceptedMS = t.wall.unixMS(l.Clock.Now())
 	r = l.commit(ctx, t, &cell.Command{Submit: &accepted}, func() (any, bool) {
 		l.Store.View(func(v *cell.View) { verdict, known = submissionVerdict(v, &c.Request) })
-		if known || verdict == cell.Withdrawn {
+		if known || verdict != cell.Accepted {
 			return verdict, true
 		}
 		// No earlier submission of the job is being committed, so a refusal is true.
@@ -191,8 +191,11 @@
 	if _, status := v.Status(r); status == cell.Accepted {
 		return cell.Accepted, true
 	}
-	if v.Withdrawn(r) {
+	switch {
+	case v.Withdrawn(r):
 		return cell.Withdrawn, false
+	case v.IsTaken(r):
+		return cell.IDTaken, false
 	}
 	return cell.Accepted, false
 }
