cell: a withdrawal holds when its queue becomes public or private

Callers saw: a job whose cancellation was acknowledged before its submission arrived was created by the late submission if the queue had become public, or was no longer public, in between.

Cause: a withdrawal is kept under the team, or under no team if the queue is public, and was looked up by what the queue is when the submission arrives.

Evidence: TestWithdrawalStaysWhenQueueBecomesPublicOrPrivate fails on the code before.

Change: both are looked up. The leader decides, so replicas of all releases apply the same.

--- a/internal/cell/withdrawal.go
+++ b/internal/cell/withdrawal.go
@@ -26,8 +26,8 @@
 	LastIndex uint64 `cbor:"1,keyasint,omitempty"`
 }
 
-// withdrawalKey identifies a withdrawal by the queue's present name. Team is empty for a
-// public queue, where each client may cancel each job.
+// withdrawalKey identifies a withdrawal by the queue's present name. Team is empty if the queue
+// was public, where each client may cancel each job.
 type withdrawalKey struct{ team, queue, job string }
 
 func newWithdrawalKey(q *Queue, team, job string) withdrawalKey {
@@ -101,7 +101,11 @@
 // so that replicas of earlier releases, which keep no withdrawals, apply it alike.
 func (v *View) Withdrawn(r *Request) bool {
 	q, id, team, verdict := v.s.authorize(r)
-	return verdict == Accepted && v.s.withdrawn[newWithdrawalKey(q, team, id)]
+	if verdict != Accepted {
+		return false
+	}
+	// The queue may have been public or not at the cancellation.
+	return v.s.withdrawn[withdrawalKey{team, q.Name, id}] || v.s.withdrawn[withdrawalKey{"", q.Name, id}]
 }
 
 // Withdrawals returns the number of withdrawals and the log index of the newest one, 0 if
--- a/internal/cell/withdrawal_test.go
+++ b/internal/cell/withdrawal_test.go
@@ -79,3 +79,21 @@
 	b.apply(&Command{ForgetWithdrawals: &ForgetWithdrawals{LastIndex: newest}})
 	assert.Equal(t, len(b.store.withdrawn)+len(b.store.Withdrawals), 0)
 }
+
+// Guards against a submission that arrives late and creates a job whose cancellation was
+// acknowledged, if the queue became public between the two, or was public until then.
+func TestWithdrawalStaysWhenQueueBecomesPublicOrPrivate(t *testing.T) {
+	for _, public := range []bool{false, true} {
+		b := newStoreBench(t)
+		for version := int64(2); version < 4; version++ {
+			c := configuration(version)
+			c.Queues[0].Public = public == (version == 2)
+			b.apply(&Command{Configure: c})
+			if version == 2 {
+				assert.Equal(t, b.cancelAs("/q/"+firstID, "k"), NoJob)
+			}
+		}
+		assert.Assert(t, b.withdrawn("/q/"+firstID, "k"), "public at the cancellation: %v", public)
+		assert.Assert(t, !b.withdrawn("/q/"+secondID, "k"))
+	}
+}
