--- a/internal/cell/earlier_release_test.go
+++ b/internal/cell/earlier_release_test.go
@@ -49,3 +49,29 @@
 		assert.Assert(t, !w.Usable())
 	})
 }
+
+// Guards against jobs, usage and withdrawals of a state of an earlier release, which kept the names
+// of teams only, that do not go on with their team after the format is adopted, and against a
+// removed team's job that goes to another one with its name. In the state team red has a job with
+// an attempt of 3 cores and a withdrawal, and the removed team green a job with one of 2 cores.
+func TestStateByTeamNamesLoads(t *testing.T) {
+	data, err := os.ReadFile(filepath.Join("testdata", "state_by_team_names.cbor"))
+	assert.NilError(t, err)
+	b := &storeBench{t: t, store: NewStore(nil)}
+	assert.NilError(t, b.store.Restore(b.index, data))
+	const greenJob = "00000000000000a3"
+	assert.Assert(t, b.mayRead(firstID, "k") && !b.mayRead(firstID, "l"))
+	b.apply(&Command{AdoptFormat: &AdoptFormat{Format: NewestFormat}})
+	b.restore()
+	b.configureTeams(4, team("blue", 12, "k"), team("red", 12, "l"), team("green", 12, "m"))
+	assert.Assert(t, b.mayRead(firstID, "k") && !b.mayRead(firstID, "l"))
+	assert.Assert(t, b.withdrawn("/q/"+secondID, "k") && !b.withdrawn("/q/"+secondID, "l"))
+	for name, free := range map[string]int64{"blue": 9000, "red": 12_000, "green": 12_000} {
+		assert.Equal(t, b.store.headroom(name).MilliCPU, free, name)
+	}
+	assert.Assert(t, !b.mayRead(greenJob, "m"))
+	assert.Equal(t, b.store.Jobs[greenJob].State, Active)
+	assert.Equal(t, len(b.store.FormerTeams), 1)
+	b.end("w1", placement(greenJob, 0, 0, 1, "w1"), EndedDone)
+	assert.Equal(t, b.store.Jobs[greenJob].State, Complete)
+}
