--- a/internal/dispatch/owner_test.go
+++ b/internal/dispatch/owner_test.go
@@ -19,8 +19,14 @@
 // teamKeys holds the keys of the teams of a configuration, by their names.
 type teamKeys map[string][]string
 
-// configureTeams puts a configuration with the teams in force, each with a limit of 4 cores.
+// configureTeams puts a configuration with the teams in force.
 func (b *testCell) configureTeams(version int64, teams teamKeys) {
+	b.do(&cellapi.Call{Configure: ownedConfiguration(version, teams)})
+}
+
+// ownedConfiguration returns a configuration with two queues that are not public and the teams, each
+// with a limit of 4 cores.
+func ownedConfiguration(version int64, teams teamKeys) *cell.Configuration {
 	c := &cell.Configuration{
 		Version: version, Services: []cell.Service{{Name: service}},
 		Queues: []cell.Queue{
@@ -31,7 +37,7 @@
 	for _, name := range slices.Sorted(maps.Keys(teams)) {
 		c.Teams = append(c.Teams, cell.Team{Name: name, Keys: teams[name], Weight: 1, Limit: structs.Resources{MilliCPU: 4000}})
 	}
-	b.do(&cellapi.Call{Configure: c})
+	return c
 }
 
 func ownedRequest(id, key string) *cell.Request {
@@ -116,6 +122,8 @@
 func (b *testCell) restoreUnderNextLeader() {
 	term, _ := b.log.Term()
 	b.changeLeader(term + 1)
+	b.log.mu.Lock() // nothing is committed between the two
+	defer b.log.mu.Unlock()
 	data, err := b.store.Snapshot()
 	assert.NilError(b.t, err)
 	assert.NilError(b.t, b.store.Restore(0, data))
